--- /dev/null
+++ b/coord/binding/choose.go
@@ -0,0 +1,161 @@
+package binding
+
+import (
+	"slices"
+	"time"
+
+	"foxcross.dev/coord/affinity"
+	"foxcross.dev/coord/message"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	freshReport  = 2 * time.Second // a report counts in full until this age
+	staleShare   = 0.25            // share of a report's further age added to the wait
+	cachedSaving = 0.8             // share of the prefill that cached tokens save
+	hashSaving   = 0.3             // the same where only the hash says who has them
+)
+
+func hashName(name string) uint64 { return xxhash.Sum64String(name) }
+
+// candidate is a route with its expected time to first token.
+type candidate struct {
+	route *route
+	score time.Duration
+}
+
+// choose returns up to count untried agents for the request, best first.
+func (c *Core) choose(now time.Time, r *request, count int) []*route {
+	if c.Choose != nil {
+		return c.chooseBaseline(now, r, count)
+	}
+	seen := c.seen.Longest(r.Prefix)
+	home := c.home(r)
+	best := c.scratch[:0]
+	for _, o := range c.routes[r.Target] {
+		if r.tried(o.peer.name) || !o.peer.mayOffer(now) {
+			continue
+		}
+		s := c.score(now, r, o, seen[o.peer.name], o == home)
+		best = insert(best, candidate{o, s}, count)
+	}
+	c.scratch = best
+	chosen := make([]*route, len(best))
+	for n, b := range best {
+		chosen[n] = b.route
+	}
+	return chosen
+}
+
+// insert keeps the count best candidates in order.
+func insert(best []candidate, k candidate, count int) []candidate {
+	at := len(best)
+	for at > 0 && k.score < best[at-1].score {
+		at--
+	}
+	if at >= count {
+		return best
+	}
+	best = slices.Insert(best, at, k)
+	return best[:min(len(best), count)]
+}
+
+// home is the agent that the hash of the prompt's first block points at. All
+// entries find the same one without talking.
+func (c *Core) home(r *request) *route {
+	if len(r.Prefix) == 0 {
+		return nil
+	}
+	var best *route
+	var most uint64
+	for _, o := range c.routes[r.Target] {
+		h := mix(r.Prefix[0] ^ o.peer.hash)
+		if best == nil || h > most {
+			best = o
+			most = h
+		}
+	}
+	return best
+}
+
+// mix spreads the bits of a value (the finaliser of splitmix64, Steele and
+// others, OOPSLA 2014).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// score is the expected time to the first token at the agent.
+func (c *Core) score(now time.Time, r *request, o *route, blocks int, home bool) time.Duration {
+	wait := o.wait(r.Terms.Tier)
+	if age := now.Sub(o.reported); age > freshReport {
+		wait += time.Duration(staleShare * float64(age-freshReport))
+	}
+	first := o.load.FirstToken
+	saving := 0.0
+	if blocks > 0 && r.PromptTokens > 0 {
+		saving = cachedSaving * min(1, float64(blocks*affinity.BlockTokens)/float64(r.PromptTokens))
+	} else if home {
+		saving = hashSaving
+	}
+	first -= time.Duration(saving * float64(first))
+	jitter := time.Duration(c.Rand.Int64N(int64(o.load.Step/4) + 1))
+	return wait + first + o.slowness(r.Terms) + o.peer.trip/2 + jitter
+}
+
+// wait is the reported wait of the tier, corrected by own offers since.
+func (o *route) wait(tier int) time.Duration {
+	tier = min(max(tier, 0), message.Tiers-1)
+	over := o.sent - o.load.Free
+	wait := o.load.Wait[tier]
+	if over > 0 {
+		wait += time.Duration(over) * o.load.Step / 2
+	}
+	if o.load.Preemptible[tier] > 0 {
+		wait /= 2
+	}
+	return wait
+}
+
+// slowness is a penalty for endpoints that miss the target between tokens.
+func (o *route) slowness(t message.Terms) time.Duration {
+	if t.BetweenTokens <= 0 || o.load.Between <= t.BetweenTokens {
+		return 0
+	}
+	over := float64(o.load.Between-t.BetweenTokens) / float64(t.BetweenTokens)
+	return time.Duration(min(4, over) * float64(t.FirstToken))
+}
+
+// Candidate is what a baseline chooser sees of an agent.
+type Candidate struct {
+	Name string
+	Load message.Load // as last reported
+}
+
+// Chooser picks one of the candidates by index; it stands in for late binding
+// in measurements.
+type Chooser func([]Candidate) int
+
+// chooseBaseline asks the baseline for one agent and never for more.
+func (c *Core) chooseBaseline(now time.Time, r *request, count int) []*route {
+	if r.waiting() > 0 {
+		return nil
+	}
+	var open []*route
+	var seen []Candidate
+	for _, o := range c.routes[r.Target] {
+		if r.tried(o.peer.name) || !o.peer.mayOffer(now) {
+			continue
+		}
+		open = append(open, o)
+		seen = append(seen, Candidate{Name: o.peer.name, Load: o.load})
+	}
+	if len(open) == 0 || count == 0 {
+		return nil
+	}
+	return []*route{open[c.Choose(seen)]}
+}
--- /dev/null
+++ b/coord/binding/core.go
@@ -0,0 +1,472 @@
+package binding
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"foxcross.dev/coord/affinity"
+	"foxcross.dev/coord/health"
+	"foxcross.dev/coord/message"
+	"foxcross.dev/coord/result"
+)
+
+// Defaults and bounds of a Core.
+const (
+	DefaultFanout   = 3
+	DefaultRequests = 20000
+
+	slackShare    = 8 // a request widens after this fraction of its slack
+	leastWiden    = 20 * time.Millisecond
+	mostWiden     = 500 * time.Millisecond
+	firstBackoff  = 50 * time.Millisecond
+	mostBackoff   = time.Second
+	mostAttempts  = 6
+	mostPreempted = 3 // after this many, the request asks not to be preempted
+	retryBurst    = 50
+	leastRetry    = time.Second
+	stallGrace    = 2 * time.Second
+)
+
+// Core decides for one entry. Rand must be set.
+type Core struct {
+	Rand     *rand.Rand
+	Fanout   int     // agents offered at once, 0 for DefaultFanout
+	Requests int     // most requests held, 0 for DefaultRequests
+	Choose   Chooser // a baseline for measurements, else nil
+
+	peers    map[string]*peer
+	routes   map[string][]*route
+	requests map[message.RequestID]*request
+	wakes    wakeHeap
+	seen     affinity.Table
+	budgets  map[string]float64
+	last     message.RequestID
+	draining bool
+	scratch  []candidate
+	out      []Action
+}
+
+func (c *Core) init() {
+	if c.peers != nil {
+		return
+	}
+	c.peers = map[string]*peer{}
+	c.routes = map[string][]*route{}
+	c.requests = map[message.RequestID]*request{}
+	c.budgets = map[string]float64{}
+}
+
+func (c *Core) take() []Action {
+	out := c.out
+	c.out = nil
+	return out
+}
+
+func (c *Core) emit(a Action) { c.out = append(c.out, a) }
+
+// sorted returns the requests in order of arrival.
+func (c *Core) sorted() []*request {
+	all := make([]*request, 0, len(c.requests))
+	for _, r := range c.requests {
+		all = append(all, r)
+	}
+	slices.SortFunc(all, func(a, b *request) int { return int(int64(a.id) - int64(b.id)) })
+	return all
+}
+
+// Accept takes a request and offers it. A request that can't be taken is
+// finished in the returned actions.
+func (c *Core) Accept(now time.Time, q Request) (message.RequestID, []Action) {
+	c.init()
+	c.last++
+	id := c.last
+	if code := c.refusal(q); code != result.OK {
+		c.emit(Finish{Request: id, Code: code, Run: result.NotRun, RetryAfter: leastRetry})
+		return id, c.take()
+	}
+	r := &request{Request: q, id: id, accepted: now, state: offering, attempt: 1, offers: map[string]offer{}}
+	r.wake = now.Add(q.GiveUp)
+	c.requests[id] = r
+	heap.Push(&c.wakes, r)
+	c.earnRetries(q)
+	c.widen(now, r)
+	return id, c.take()
+}
+
+func (c *Core) refusal(q Request) result.Code {
+	bound := c.Requests
+	if bound <= 0 {
+		bound = DefaultRequests
+	}
+	switch {
+	case c.draining:
+		return result.Draining
+	case len(c.requests) >= bound:
+		return result.EntryFull
+	case len(c.routes[q.Target]) == 0:
+		return result.NoEndpoint
+	default:
+		return result.OK
+	}
+}
+
+// widen offers the request to more agents; when none is left and none has yet
+// to answer, the request is refused or tried again after a pause.
+func (c *Core) widen(now time.Time, r *request) {
+	if r.state != offering {
+		return
+	}
+	fanout := c.Fanout
+	if fanout <= 0 {
+		fanout = DefaultFanout
+	}
+	for _, o := range c.choose(now, r, fanout) {
+		c.offer(now, r, o)
+	}
+	r.nextWiden = now.Add(r.widenAfter(now))
+	if r.waiting() == 0 {
+		c.exhausted(now, r)
+		return
+	}
+	c.rewake(r)
+}
+
+func (c *Core) offer(now time.Time, r *request, o *route) {
+	r.offers[o.peer.name] = waiting
+	o.sent++
+	terms := r.Terms
+	if r.preempted >= mostPreempted {
+		terms.Preemptible = false
+	}
+	c.emit(Send{Peer: o.peer.name, Message: message.Offer{
+		Request:      r.id,
+		Attempt:      r.attempt,
+		Target:       r.Target,
+		Terms:        terms,
+		Age:          now.Sub(r.accepted),
+		PromptTokens: r.PromptTokens,
+		Prefix:       r.Prefix,
+	}})
+}
+
+// widenAfter is a share of the time left to meet the target.
+func (r *request) widenAfter(now time.Time) time.Duration {
+	slack := r.accepted.Add(r.Terms.FirstToken).Sub(now)
+	return min(mostWiden, max(leastWiden, slack/slackShare))
+}
+
+// exhausted handles a request that no agent in reach has in its queue.
+func (c *Core) exhausted(now time.Time, r *request) {
+	if r.onlyFull() && c.allTried(now, r) {
+		c.refuse(r, result.QueueFull)
+		return
+	}
+	pause := min(mostBackoff, firstBackoff<<min(r.rounds, 5))
+	pause = pause/2 + time.Duration(c.Rand.Int64N(int64(pause/2)))
+	r.rounds++
+	clear(r.offers)
+	r.nextWiden = now.Add(pause)
+	c.rewake(r)
+}
+
+// allTried tells whether every agent that serves the target and is not leaving
+// was asked, ejected ones too.
+func (c *Core) allTried(now time.Time, r *request) bool {
+	for _, o := range c.routes[r.Target] {
+		if !o.peer.leaving && !r.tried(o.peer.name) && o.peer.mayOffer(now) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Core) refuse(r *request, code result.Code) {
+	c.withdraw(r, "")
+	c.close(r, Finish{Request: r.id, Code: code, Run: r.run(), RetryAfter: c.retryAfter(r)})
+}
+
+// retryAfter is the shortest wait any agent expects for the request's tier.
+func (c *Core) retryAfter(r *request) time.Duration {
+	best := time.Duration(-1)
+	for _, o := range c.routes[r.Target] {
+		if w := o.wait(r.Terms.Tier); best < 0 || w < best {
+			best = w
+		}
+	}
+	return min(time.Minute, max(leastRetry, best))
+}
+
+// withdraw takes back all waiting offers but the one to the named agent.
+func (c *Core) withdraw(r *request, except string) {
+	for _, name := range r.waitingPeers() {
+		delete(r.offers, name)
+		if name == except {
+			continue
+		}
+		c.emit(Send{Peer: name, Message: message.Withdraw{Request: r.id, Attempt: r.attempt}})
+	}
+}
+
+func (r *request) waitingPeers() []string {
+	var names []string
+	for n, o := range r.offers {
+		if o == waiting {
+			names = append(names, n)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (c *Core) close(r *request, f Finish) {
+	r.fire(end)
+	if p := c.peers[r.startedAt]; p != nil {
+		p.started--
+	}
+	r.startedAt = ""
+	delete(c.requests, r.id)
+	heap.Remove(&c.wakes, r.place)
+	c.emit(f)
+}
+
+// rewake files the request under the next time it wants attention.
+func (c *Core) rewake(r *request) {
+	if r.state == started {
+		r.wake = r.lastToken.Add(r.stallBound())
+	} else {
+		r.wake = r.giveUpAt()
+		if r.nextWiden.Before(r.wake) {
+			r.wake = r.nextWiden
+		}
+	}
+	heap.Fix(&c.wakes, r.place)
+}
+
+// stallBound is later than the agent's own, which normally comes first.
+func (r *request) stallBound() time.Duration {
+	if r.Terms.StallAfter <= 0 {
+		return time.Hour
+	}
+	return r.Terms.StallAfter + stallGrace
+}
+
+// Ready answers an agent's ready with the start, or gives the slot back.
+func (c *Core) Ready(now time.Time, name string, m message.Ready) []Action {
+	r := c.requests[m.Request]
+	if r == nil || r.attempt != m.Attempt || r.offers[name] != waiting || !r.fire(bind) {
+		c.emit(Send{Peer: name, Message: message.Withdraw{Request: m.Request, Attempt: m.Attempt}})
+		return c.take()
+	}
+	c.withdraw(r, name)
+	r.startedAt = name
+	r.mayHaveRun = true
+	r.lastToken = now
+	if p := c.peers[name]; p != nil {
+		p.started++
+	}
+	c.seen.Put(r.Prefix, name)
+	c.rewake(r)
+	c.emit(Start{Peer: name, Request: r.id, Attempt: r.attempt})
+	return c.take()
+}
+
+// Declined notes that an agent won't run an offer.
+func (c *Core) Declined(now time.Time, name string, m message.Declined) []Action {
+	if m.Code == result.AgentLeaving {
+		c.PeerLeaving(name)
+	}
+	r := c.requests[m.Request]
+	if r == nil || r.attempt != m.Attempt || r.offers[name] != waiting {
+		return c.take()
+	}
+	r.offers[name] = failed
+	if m.Code == result.AgentFull || m.Code == result.Evicted {
+		r.offers[name] = full
+	}
+	c.widen(now, r)
+	return c.take()
+}
+
+// Progress tells whether a piece of an answer belongs to the current attempt
+// and so may be passed to the caller. Stuck says that the answer can't be
+// continued by another endpoint once this piece is out.
+func (c *Core) Progress(now time.Time, id message.RequestID, a message.Attempt, stuck bool) bool {
+	r := c.requests[id]
+	if r == nil || r.state != started || r.attempt != a {
+		return false
+	}
+	r.delivered = true
+	r.stuck = r.stuck || stuck
+	r.lastToken = now
+	return true
+}
+
+// End handles the end of an attempt.
+func (c *Core) End(now time.Time, name string, m message.End) []Action {
+	r := c.requests[m.Request]
+	if r == nil || r.state != started || r.attempt != m.Attempt || r.startedAt != name {
+		return c.take()
+	}
+	p := c.peers[name]
+	switch {
+	case m.Code == result.OK:
+		if p != nil {
+			p.circuit.Succeeded(now)
+		}
+		c.close(r, Finish{Request: r.id, Code: result.OK, Run: result.Ran, End: m})
+	case m.Run == result.NotRun:
+		r.mayHaveRun = r.delivered
+		c.again(now, r)
+	case m.Code == result.Preempted:
+		r.preempted++
+		c.retry(now, r, m, false)
+	default:
+		c.blame(now, p)
+		c.retry(now, r, m, true)
+	}
+	return c.take()
+}
+
+// blame counts a failure against an agent, within the bound on ejected ones.
+func (c *Core) blame(now time.Time, p *peer) {
+	if p == nil {
+		return
+	}
+	ejected := 0
+	for _, o := range c.peers {
+		if o.circuit.State() == health.Ejected {
+			ejected++
+		}
+	}
+	p.circuit.Failed(now, health.MayEject(ejected, len(c.peers)))
+}
+
+// lost handles a start whose outcome can't be learned any more.
+func (c *Core) lost(now time.Time, r *request) {
+	m := message.End{Request: r.id, Attempt: r.attempt, Code: result.EndpointLost, Run: result.Unknown}
+	c.retry(now, r, m, true)
+}
+
+// retry tries the request again if it may be repeated and its attempts, its
+// class's budget and the answer so far allow it.
+func (c *Core) retry(now time.Time, r *request, m message.End, spend bool) {
+	code := m.Code
+	switch {
+	case !r.Terms.Repeatable:
+	case r.stuck:
+		code = result.Unresumable
+	case spend && (r.attempt >= mostAttempts || !c.spendRetry(r)):
+		code = result.RetriesUsed
+	default:
+		c.again(now, r)
+		return
+	}
+	c.close(r, Finish{Request: r.id, Code: code, Run: m.Run, RetryAfter: c.retryAfter(r), End: m})
+}
+
+// again offers the request anew. The agent that had it is left out until the
+// others have been asked.
+func (c *Core) again(now time.Time, r *request) {
+	if p := c.peers[r.startedAt]; p != nil {
+		p.started--
+	}
+	last := r.startedAt
+	r.startedAt = ""
+	r.fire(unbind)
+	r.attempt++
+	clear(r.offers)
+	if c.peers[last] != nil {
+		r.offers[last] = failed
+	}
+	c.widen(now, r)
+}
+
+// earnRetries adds the share of a fresh request to its class's budget.
+func (c *Core) earnRetries(q Request) {
+	b, ok := c.budgets[q.Terms.Class]
+	if !ok {
+		b = retryBurst
+	}
+	c.budgets[q.Terms.Class] = min(retryBurst, b+float64(q.RetryPermill)/1000)
+}
+
+func (c *Core) spendRetry(r *request) bool {
+	if c.budgets[r.Terms.Class] < 1 {
+		return false
+	}
+	c.budgets[r.Terms.Class]--
+	return true
+}
+
+// Hangup ends a request whose caller has gone.
+func (c *Core) Hangup(id message.RequestID) []Action {
+	r := c.requests[id]
+	if r == nil {
+		return nil
+	}
+	run := r.run()
+	if r.state == started {
+		run = result.Ran
+		c.emit(Cancel{Peer: r.startedAt, Request: r.id, Attempt: r.attempt})
+	}
+	c.withdraw(r, "")
+	c.close(r, Finish{Request: r.id, Code: result.Cancelled, Run: run})
+	return c.take()
+}
+
+// Tick widens, gives up and ends what stands still.
+func (c *Core) Tick(now time.Time) []Action {
+	for len(c.wakes) > 0 && !c.wakes[0].wake.After(now) {
+		r := c.wakes[0]
+		switch {
+		case r.state == started:
+			c.checkStall(now, r)
+		case !r.giveUpAt().After(now):
+			c.refuse(r, result.GaveUp)
+		default:
+			c.widen(now, r)
+		}
+	}
+	return c.take()
+}
+
+func (c *Core) checkStall(now time.Time, r *request) {
+	if now.Sub(r.lastToken) < r.stallBound() {
+		c.rewake(r)
+		return
+	}
+	c.emit(Cancel{Peer: r.startedAt, Request: r.id, Attempt: r.attempt})
+	c.blame(now, c.peers[r.startedAt])
+	m := message.End{Request: r.id, Attempt: r.attempt, Code: result.Stalled, Run: result.Unknown}
+	c.retry(now, r, m, true)
+}
+
+// Next returns when Tick has something to do; ok is false when nothing waits.
+func (c *Core) Next() (at time.Time, ok bool) {
+	if len(c.wakes) == 0 {
+		return time.Time{}, false
+	}
+	return c.wakes[0].wake, true
+}
+
+// Drain refuses new requests from now on.
+func (c *Core) Drain() { c.draining = true }
+
+// Open returns how many requests are not finished.
+func (c *Core) Open() int { return len(c.requests) }
+
+// Targets returns how many targets some agent serves.
+func (c *Core) Targets() int { return len(c.routes) }
+
+// Reporting returns how many agents have sent a report.
+func (c *Core) Reporting() int {
+	count := 0
+	for _, p := range c.peers {
+		if len(p.routes) > 0 {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/coord/binding/dump.go
@@ -0,0 +1,98 @@
+package binding
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"foxcross.dev/coord/message"
+)
+
+// Dump is the state of a Core at one moment.
+type Dump struct {
+	Draining bool               `json:"draining"`
+	Peers    []PeerDump         `json:"peers"`
+	Requests []RequestDump      `json:"requests"`
+	Budgets  map[string]float64 `json:"retry_budgets"`
+}
+
+// PeerDump is one agent.
+type PeerDump struct {
+	Name     string      `json:"name"`
+	Leaving  bool        `json:"leaving"`
+	Health   string      `json:"health"`
+	Started  int         `json:"started"`
+	ReportMS int64       `json:"report_age_ms"`
+	Loads    []RouteDump `json:"loads"`
+}
+
+// RouteDump is one target at an agent, as last reported.
+type RouteDump struct {
+	Target string               `json:"target"`
+	Slots  int                  `json:"slots"`
+	Free   int                  `json:"free"`
+	Sent   int                  `json:"offers_since_report"`
+	Queued [message.Tiers]int   `json:"queued_by_tier"`
+	WaitMS [message.Tiers]int64 `json:"wait_ms_by_tier"`
+}
+
+// RequestDump is one open request.
+type RequestDump struct {
+	Request  message.RequestID `json:"request"`
+	Class    string            `json:"class"`
+	Team     string            `json:"team"`
+	State    string            `json:"state"`
+	Attempt  message.Attempt   `json:"attempt"`
+	Offers   int               `json:"offers_waiting"`
+	Tried    int               `json:"agents_asked"`
+	At       string            `json:"started_at,omitempty"`
+	AgeMS    int64             `json:"age_ms"`
+	Retrying int               `json:"rounds"`
+}
+
+// mostDumped bounds the open requests of a dump.
+const mostDumped = 1000
+
+// Dump returns the state.
+func (c *Core) Dump(now time.Time) Dump {
+	d := Dump{Draining: c.draining, Budgets: maps.Clone(c.budgets)}
+	for _, n := range slices.Sorted(maps.Keys(c.peers)) {
+		d.Peers = append(d.Peers, c.peers[n].dump(now))
+	}
+	for _, r := range c.sorted() {
+		if len(d.Requests) == mostDumped {
+			break
+		}
+		d.Requests = append(d.Requests, r.dump(now))
+	}
+	return d
+}
+
+func (p *peer) dump(now time.Time) PeerDump {
+	d := PeerDump{Name: p.name, Leaving: p.leaving, Health: string(p.circuit.State()), Started: p.started}
+	for _, t := range slices.Sorted(maps.Keys(p.routes)) {
+		r := p.routes[t]
+		l := RouteDump{Target: t, Slots: r.load.Slots, Free: r.load.Free, Sent: r.sent, Queued: r.load.Queued}
+		for tier, w := range r.load.Wait {
+			l.WaitMS[tier] = w.Milliseconds()
+		}
+		d.Loads = append(d.Loads, l)
+		d.ReportMS = now.Sub(r.reported).Milliseconds()
+	}
+	return d
+}
+
+func (r *request) dump(now time.Time) RequestDump {
+	return RequestDump{
+		Request:  r.id,
+		Class:    r.Terms.Class,
+		Team:     r.Terms.Team,
+		State:    string(r.state),
+		Attempt:  r.attempt,
+		Offers:   r.waiting(),
+		Tried:    len(r.offers),
+		At:       r.startedAt,
+		AgeMS:    now.Sub(r.accepted).Milliseconds(),
+		Retrying: r.rounds,
+	}
+}
--- /dev/null
+++ b/coord/binding/peer.go
@@ -0,0 +1,114 @@
+package binding
+
+import (
+	"slices"
+	"time"
+
+	"foxcross.dev/coord/health"
+	"foxcross.dev/coord/message"
+)
+
+// peer is an agent with a connection.
+type peer struct {
+	name    string
+	hash    uint64
+	leaving bool
+	trip    time.Duration // round trip of the connection
+	circuit health.Circuit
+	routes  map[string]*route
+	started int // attempts running there
+}
+
+// route is what is known of one target at one agent.
+type route struct {
+	peer     *peer
+	load     message.Load
+	reported time.Time
+	sent     int // offers sent since the last report
+}
+
+// mayOffer tells whether the agent may get an offer now.
+func (p *peer) mayOffer(now time.Time) bool {
+	return !p.leaving && p.circuit.Allows(now, p.started)
+}
+
+// PeerUp makes an agent known whose connection has opened.
+func (c *Core) PeerUp(now time.Time, name string, trip time.Duration) []Action {
+	c.init()
+	if c.peers[name] != nil {
+		c.dropPeer(now, name)
+	}
+	c.peers[name] = &peer{name: name, hash: hashName(name), trip: trip, routes: map[string]*route{}}
+	return c.take()
+}
+
+// PeerDown handles the loss of an agent's connection: its offers were not run,
+// its starts may have been.
+func (c *Core) PeerDown(now time.Time, name string) []Action {
+	if c.peers[name] != nil {
+		c.dropPeer(now, name)
+	}
+	return c.take()
+}
+
+func (c *Core) dropPeer(now time.Time, name string) {
+	p := c.peers[name]
+	delete(c.peers, name)
+	for target, r := range p.routes {
+		c.unroute(target, r)
+	}
+	for _, r := range c.sorted() {
+		switch {
+		case r.startedAt == name:
+			c.lost(now, r)
+		case r.offers[name] == waiting:
+			r.offers[name] = failed
+			c.widen(now, r)
+		}
+	}
+}
+
+func (c *Core) unroute(target string, r *route) {
+	c.routes[target] = slices.DeleteFunc(c.routes[target], func(o *route) bool { return o == r })
+	if len(c.routes[target]) == 0 {
+		delete(c.routes, target)
+	}
+}
+
+// PeerLeaving notes that an agent takes no new work, whoever says so.
+func (c *Core) PeerLeaving(name string) {
+	if p := c.peers[name]; p != nil {
+		p.leaving = true
+	}
+}
+
+// Heartbeat takes an agent's report.
+func (c *Core) Heartbeat(now time.Time, name string, h message.Heartbeat) []Action {
+	p := c.peers[name]
+	if p == nil {
+		return nil
+	}
+	p.leaving = p.leaving || h.Leaving
+	for _, l := range h.Loads {
+		r := p.routes[l.Target]
+		if r == nil {
+			r = &route{peer: p}
+			p.routes[l.Target] = r
+			c.routes[l.Target] = append(c.routes[l.Target], r)
+			c.wakeWaiting(now, l.Target)
+		}
+		r.load = l
+		r.reported = now
+		r.sent = 0
+	}
+	return c.take()
+}
+
+// wakeWaiting lets requests that have no offer out look at a new route.
+func (c *Core) wakeWaiting(now time.Time, target string) {
+	for _, r := range c.sorted() {
+		if r.Target == target && r.waiting() == 0 && r.state == offering {
+			c.widen(now, r)
+		}
+	}
+}
--- /dev/null
+++ b/coord/binding/request.go
@@ -0,0 +1,164 @@
+package binding
+
+import (
+	"context"
+	"time"
+
+	"foxcross.dev/coord/message"
+	"foxcross.dev/coord/result"
+
+	"github.com/qmuntal/stateless"
+)
+
+// Request is what the entry knows of a request when it accepts it.
+type Request struct {
+	Target       string // model or service
+	Terms        message.Terms
+	GiveUp       time.Duration // longest wait for a start
+	RetryPermill int           // retries per thousand fresh requests of the class
+	PromptTokens int
+	Prefix       []uint64
+}
+
+// life is the state of a request.
+type life string
+
+const (
+	offering life = "offering" // no start is out
+	started  life = "started"  // one start is out
+	ended    life = "ended"
+)
+
+type step string
+
+const (
+	bind   step = "bind"   // a start is sent
+	unbind step = "unbind" // the attempt is over, another may follow
+	end    step = "end"
+)
+
+// offer is what became of an offer to one agent in this round.
+type offer uint8
+
+const (
+	waiting offer = iota + 1 // sent, not answered
+	full                     // declined for lack of room
+	failed                   // declined for another reason, or connection lost
+)
+
+// request is the state of an accepted request.
+type request struct {
+	Request
+	id         message.RequestID
+	accepted   time.Time
+	state      life
+	attempt    message.Attempt
+	offers     map[string]offer
+	startedAt  string // agent that has the start
+	mayHaveRun bool   // a start was sent that is not known to be not run
+	delivered  bool   // the caller has part of the answer
+	stuck      bool   // the part can't be continued elsewhere
+	preempted  int
+	rounds     int // times all agents were tried in vain
+	nextWiden  time.Time
+	lastToken  time.Time
+	wake       time.Time
+	place      int // in the heap of wake times
+}
+
+type requestKey struct{}
+
+// machine is shared by all requests: the state lives in the request.
+var machine = lifeMachine()
+
+func lifeMachine() *stateless.StateMachine {
+	m := stateless.NewStateMachineWithExternalStorage(
+		func(ctx context.Context) (stateless.State, error) { return requestOf(ctx).state, nil },
+		func(ctx context.Context, s stateless.State) error {
+			requestOf(ctx).state = s.(life)
+			return nil
+		},
+		stateless.FiringImmediate,
+	)
+	m.Configure(offering).Permit(bind, started, mayStart).Permit(end, ended)
+	m.Configure(started).Permit(unbind, offering).Permit(end, ended)
+	m.Configure(ended)
+	return m
+}
+
+func requestOf(ctx context.Context) *request { return ctx.Value(requestKey{}).(*request) }
+
+// mayStart forbids a second start of what may not be repeated.
+func mayStart(ctx context.Context, _ ...any) bool {
+	r := requestOf(ctx)
+	return r.Terms.Repeatable || !r.mayHaveRun
+}
+
+// fire moves the request on; false means that the step is not allowed.
+func (r *request) fire(s step) bool {
+	ctx := context.WithValue(context.Background(), requestKey{}, r)
+	return machine.FireCtx(ctx, s) == nil
+}
+
+func (r *request) tried(peer string) bool {
+	_, ok := r.offers[peer]
+	return ok
+}
+
+func (r *request) waiting() int {
+	count := 0
+	for _, o := range r.offers {
+		if o == waiting {
+			count++
+		}
+	}
+	return count
+}
+
+// onlyFull tells whether every agent in reach declined for lack of room.
+func (r *request) onlyFull() bool {
+	for _, o := range r.offers {
+		if o != full {
+			return false
+		}
+	}
+	return len(r.offers) > 0
+}
+
+// run is what the caller is told about execution.
+func (r *request) run() result.Run {
+	if r.mayHaveRun {
+		return result.Unknown
+	}
+	return result.NotRun
+}
+
+// giveUpAt returns when a request that was not started is refused.
+func (r *request) giveUpAt() time.Time { return r.accepted.Add(r.GiveUp) }
+
+// wakeHeap orders requests by the time they want to be looked at.
+type wakeHeap []*request
+
+func (h wakeHeap) Len() int           { return len(h) }
+func (h wakeHeap) Less(a, b int) bool { return h[a].wake.Before(h[b].wake) }
+func (h wakeHeap) Swap(a, b int) {
+	h[a], h[b] = h[b], h[a]
+	h[a].place = a
+	h[b].place = b
+}
+
+// Push is for container/heap.
+func (h *wakeHeap) Push(x any) {
+	r := x.(*request)
+	r.place = len(*h)
+	*h = append(*h, r)
+}
+
+// Pop is for container/heap.
+func (h *wakeHeap) Pop() any {
+	last := len(*h) - 1
+	r := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return r
+}
--- /dev/null
+++ b/coord/claim/claim.go
@@ -0,0 +1,130 @@
+// Package claim decides who owns an idempotency key. The keys of a partition
+// stand in one value of a key-value service, the head. A claim is in force once
+// a compare-and-swap has put it there; that swap alone is the fence. When a
+// period is over or the head is full, its claims move to a segment that never
+// changes, and the head names it. All steps are pure; the caller does the I/O.
+package claim
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"maps"
+	"time"
+)
+
+// MostClaims is how many claims a head holds before they move to a segment, so
+// that a value stays far below a megabyte.
+const MostClaims = 8192
+
+// Key is the hash of an idempotency key.
+type Key [16]byte
+
+// Nonce tells one claim of a key from another.
+type Nonce string
+
+// HashKey returns the hash of a key.
+func HashKey(key string) Key {
+	sum := sha256.Sum256([]byte(key))
+	return Key(sum[:len(Key{})])
+}
+
+// Head is the value that is swapped. The zero value is a partition without
+// claims. Heads are immutable: With returns a changed copy.
+type Head struct {
+	Period   int64         `cbor:"1,keyasint"` // number of the period, never falls
+	Claims   map[Key]Nonce `cbor:"2,keyasint,omitempty"`
+	Segments []Segment     `cbor:"3,keyasint,omitempty"`
+}
+
+// Segment names claims that are no longer in the head.
+type Segment struct {
+	Name   string `cbor:"1,keyasint"`
+	Period int64  `cbor:"2,keyasint"`
+}
+
+// Rules are the settings of a partition; the same at all entries.
+type Rules struct {
+	Period time.Duration // length of a period
+	Retain int64         // periods that a claim is kept for at least
+}
+
+// At returns the number of the period at a time.
+func (r Rules) At(now time.Time) int64 { return now.UnixNano() / int64(r.Period) }
+
+// Due tells whether the head's claims are to move to a segment first.
+func (h Head) Due(now time.Time, r Rules) bool {
+	if len(h.Claims) >= MostClaims {
+		return true
+	}
+	return len(h.Claims) > 0 && r.At(now) > h.Period
+}
+
+// Roll returns the head after its claims were stored under the name, without
+// segments that are past retention. A clock that is behind changes no period.
+func (h Head) Roll(now time.Time, r Rules, name string) Head {
+	next := Head{Period: max(h.Period, r.At(now))}
+	for _, s := range append(h.Segments[:len(h.Segments):len(h.Segments)], Segment{Name: name, Period: h.Period}) {
+		if s.Period+r.Retain >= next.Period {
+			next.Segments = append(next.Segments, s)
+		}
+	}
+	return next
+}
+
+// SegmentName is unique to a state of the head, given the value's revision.
+func (h Head) SegmentName(revision uint64) string {
+	return fmt.Sprintf("%d-%d", h.Period, revision)
+}
+
+// Request is a claim or the release of one.
+type Request struct {
+	Key     Key
+	Nonce   Nonce
+	Release bool
+}
+
+// Verdict is what became of a request.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Mine  Verdict = iota + 1 // the claim is in the head that With returned
+	Taken                    // another holds the key
+	Freed                    // the release is in the head that With returned
+)
+
+// With applies requests to a head. Older holds the claims of the head's
+// segments. The verdicts hold once the returned head is stored.
+func (h Head) With(now time.Time, r Rules, batch []Request, older func(Key) (Nonce, bool)) (Head, []Verdict) {
+	next := h
+	next.Period = max(h.Period, r.At(now))
+	next.Claims = maps.Clone(h.Claims)
+	if next.Claims == nil {
+		next.Claims = map[Key]Nonce{}
+	}
+	verdicts := make([]Verdict, len(batch))
+	for n, q := range batch {
+		verdicts[n] = next.apply(q, older)
+	}
+	return next, verdicts
+}
+
+func (h Head) apply(q Request, older func(Key) (Nonce, bool)) Verdict {
+	holder, held := h.Claims[q.Key]
+	if q.Release {
+		if held && holder == q.Nonce {
+			delete(h.Claims, q.Key)
+		}
+		return Freed
+	}
+	if !held {
+		holder, held = older(q.Key)
+	}
+	if held && holder != q.Nonce {
+		return Taken
+	}
+	if !held {
+		h.Claims[q.Key] = q.Nonce
+	}
+	return Mine
+}
--- /dev/null
+++ b/coord/dispatch/core.go
@@ -0,0 +1,467 @@
+package dispatch
+
+import (
+	"time"
+
+	"foxcross.dev/coord/health"
+	"foxcross.dev/coord/message"
+	"foxcross.dev/coord/queue"
+	"foxcross.dev/coord/result"
+)
+
+// Default settings of a Core.
+const (
+	DefaultHold = 250 * time.Millisecond
+	idleTick    = 500 * time.Millisecond
+)
+
+// Core decides for one agent. The zero value has no endpoints; add them first.
+type Core struct {
+	Hold  time.Duration // how long a slot waits for its start
+	Bound int           // most queued offers per target
+	FIFO  bool          // serve in order of arrival; a baseline for measurements
+
+	pools   map[string]*pool
+	names   []string // targets in the order they were added
+	work    map[queue.Key]*work
+	leaving bool
+	out     []Action
+}
+
+// Add makes a local endpoint known.
+func (c *Core) Add(d Endpoint) {
+	if c.pools == nil {
+		c.pools = map[string]*pool{}
+		c.work = map[queue.Key]*work{}
+	}
+	p, ok := c.pools[d.Target]
+	if !ok {
+		p = &pool{target: d.Target, classes: map[string]int{}}
+		p.queue = queue.Queue{Bound: c.Bound, FIFO: c.FIFO}
+		c.pools[d.Target] = p
+		c.names = append(c.names, d.Target)
+	}
+	p.endpoints = append(p.endpoints, &endpoint{
+		Endpoint: d,
+		work:     map[queue.Key]*work{},
+		targets:  map[time.Duration]int{},
+	})
+}
+
+// take returns the collected actions.
+func (c *Core) take() []Action {
+	out := c.out
+	c.out = nil
+	return out
+}
+
+func (c *Core) emit(a Action) { c.out = append(c.out, a) }
+
+// Offer takes an offer into the queue or declines it.
+func (c *Core) Offer(now time.Time, owner uint64, o message.Offer) []Action {
+	key := queue.Key{Owner: owner, Request: o.Request}
+	p, ok := c.pools[o.Target]
+	switch {
+	case c.leaving:
+		c.decline(key, o.Attempt, result.AgentLeaving)
+	case !ok:
+		c.decline(key, o.Attempt, result.AgentNoTarget)
+	case c.work[key] != nil || p.queue.Get(key) != nil:
+		c.decline(key, o.Attempt, result.Withdrawn)
+	default:
+		c.enqueue(now, p, key, o)
+		c.fill(now, p)
+	}
+	return c.take()
+}
+
+func (c *Core) enqueue(now time.Time, p *pool, key queue.Key, o message.Offer) {
+	arrived := now.Add(-o.Age)
+	item := &queue.Item{Key: key, Offer: o, Arrived: arrived, Deadline: p.latestStart(arrived, o.Terms)}
+	evicted, accepted := p.queue.Push(item, now)
+	if evicted != nil {
+		c.decline(evicted.Key, evicted.Offer.Attempt, result.Evicted)
+	}
+	if !accepted {
+		c.decline(key, o.Attempt, result.AgentFull)
+	}
+}
+
+func (c *Core) decline(k queue.Key, a message.Attempt, code result.Code) {
+	c.emit(Reply{Owner: k.Owner, Message: message.Declined{Request: k.Request, Attempt: a, Code: code}})
+}
+
+// fill holds slots for the offers that are next, as far as there is room.
+func (c *Core) fill(now time.Time, p *pool) {
+	for p.queue.Len() > 0 {
+		item := p.queue.Peek(now, p.roomFor())
+		e := p.roomiest(now, item)
+		if e == nil {
+			c.preempt(now, p)
+			return
+		}
+		c.hold(now, p, e, item, false)
+	}
+}
+
+// preempt holds slots on lower-tier work for offers that would else miss their
+// target. Nothing is stopped before the start comes.
+func (c *Core) preempt(now time.Time, p *pool) {
+	if c.FIFO {
+		return
+	}
+	for tier := range message.Tiers - 1 {
+		for {
+			item := p.queue.PeekTier(tier, now)
+			if item == nil || !p.urgent(now, item) {
+				break
+			}
+			e := p.mostStoppable(now, tier)
+			if e == nil {
+				break
+			}
+			c.hold(now, p, e, item, true)
+		}
+	}
+}
+
+// urgent tells whether the item misses its target if it waits for a slot, and
+// still meets it if it starts now.
+func (p *pool) urgent(now time.Time, i *queue.Item) bool {
+	return !now.Before(p.preemptAt(i)) && !i.Deadline.Before(now)
+}
+
+func (p *pool) preemptAt(i *queue.Item) time.Time {
+	return i.Deadline.Add(-time.Duration(preemptLead * float64(p.step())))
+}
+
+func (p *pool) mostStoppable(now time.Time, tier int) *endpoint {
+	var best *endpoint
+	most := 0
+	for _, e := range p.endpoints {
+		if !e.circuit.Allows(now, e.occupied()) {
+			continue
+		}
+		if s := e.stoppable(tier); s > most {
+			most = s
+			best = e
+		}
+	}
+	return best
+}
+
+func (c *Core) hold(now time.Time, p *pool, e *endpoint, i *queue.Item, preempt bool) {
+	at, bounded := i.StarveAt()
+	w := &work{item: i, endpoint: e, preempt: preempt, until: now.Add(c.holdTime())}
+	w.guarded = bounded && !at.After(now)
+	p.queue.Take(i)
+	p.classes[i.Offer.Terms.Class]++
+	c.work[i.Key] = w
+	e.add(w)
+	c.emit(Reply{Owner: i.Key.Owner, Message: message.Ready{
+		Request: i.Key.Request,
+		Attempt: i.Offer.Attempt,
+		Hold:    c.holdTime(),
+		Preempt: preempt,
+	}})
+}
+
+func (c *Core) holdTime() time.Duration {
+	if c.Hold > 0 {
+		return c.Hold
+	}
+	return DefaultHold
+}
+
+// release gives a slot back.
+func (c *Core) release(w *work) *pool {
+	p := c.pools[w.item.Offer.Target]
+	class := w.item.Offer.Terms.Class
+	w.endpoint.remove(w)
+	delete(c.work, w.item.Key)
+	p.classes[class]--
+	if p.classes[class] == 0 {
+		delete(p.classes, class)
+	}
+	return p
+}
+
+// Withdraw takes an offer back, queued or held.
+func (c *Core) Withdraw(now time.Time, owner uint64, m message.Withdraw) []Action {
+	key := queue.Key{Owner: owner, Request: m.Request}
+	if w := c.work[key]; w != nil {
+		if w.state == held && w.item.Offer.Attempt == m.Attempt {
+			c.fill(now, c.release(w))
+		}
+		return c.take()
+	}
+	for _, n := range c.names {
+		p := c.pools[n]
+		if i := p.queue.Get(key); i != nil && i.Offer.Attempt == m.Attempt {
+			p.queue.Remove(key)
+		}
+	}
+	return c.take()
+}
+
+// Start runs an attempt in the slot held for it. Without such a slot the
+// attempt ends as not run.
+func (c *Core) Start(now time.Time, owner uint64, m message.Start) []Action {
+	key := queue.Key{Owner: owner, Request: m.Request}
+	w := c.work[key]
+	if w != nil && w.item.Offer.Attempt == m.Attempt && w.state != held {
+		return c.take() // a copy of a start that was obeyed
+	}
+	if w == nil || w.item.Offer.Attempt != m.Attempt {
+		c.finish(key, m.Attempt, result.SlotGone, result.NotRun)
+		return c.take()
+	}
+	if c.leaving {
+		c.release(w)
+		c.finish(key, m.Attempt, result.AgentLeaving, result.NotRun)
+		return c.take()
+	}
+	if w.preempt && !c.makeRoom(now, w) {
+		p := c.release(w)
+		c.finish(key, m.Attempt, result.SlotGone, result.NotRun)
+		c.fill(now, p)
+		return c.take()
+	}
+	c.run(now, w, m)
+	return c.take()
+}
+
+// makeRoom stops lower-tier work for a preempting start, unless a slot has
+// fallen free meanwhile.
+func (c *Core) makeRoom(now time.Time, w *work) bool {
+	if w.endpoint.room(now, sampleTarget(w.item)) > 0 {
+		return true
+	}
+	v := w.endpoint.victim(w.item.Offer.Terms.Tier)
+	if v == nil {
+		return false
+	}
+	c.stop(v, result.Preempted)
+	return true
+}
+
+func (c *Core) stop(w *work, code result.Code) {
+	w.state = stopping
+	c.emit(Stop{Key: w.item.Key, Endpoint: w.endpoint.Name, Code: code})
+	c.finish(w.item.Key, w.item.Offer.Attempt, code, result.Ran)
+}
+
+func (c *Core) finish(k queue.Key, a message.Attempt, code result.Code, run result.Run) {
+	c.emit(Finish{Key: k, End: message.End{Request: k.Request, Attempt: a, Code: code, Run: run}})
+}
+
+func (c *Core) run(now time.Time, w *work, m message.Start) {
+	w.state = running
+	w.preempt = false
+	w.started = now
+	w.last = now
+	o := w.item.Offer
+	w.endpoint.cached.Put(o.Prefix, w.endpoint.Name)
+	c.emit(Run{Key: w.item.Key, Endpoint: w.endpoint.Name, Terms: o.Terms, Target: o.Target, Start: m})
+}
+
+// Progress notes tokens of running work, or bytes of a service with tokens 0.
+func (c *Core) Progress(now time.Time, k queue.Key, tokens int) {
+	w := c.work[k]
+	if w == nil || w.state != running {
+		return
+	}
+	p := c.pools[w.item.Offer.Target]
+	if w.tokens == 0 && tokens > 0 {
+		p.first.add(now.Sub(w.started))
+	} else if tokens > 0 {
+		gap := now.Sub(w.last) / time.Duration(tokens)
+		p.between.add(gap)
+		w.endpoint.learned.Observe(now, w.endpoint.occupied(), gap)
+	}
+	w.tokens += tokens
+	w.last = now
+}
+
+// Ended notes that an endpoint has finished or given up work. The end goes to
+// the owner unless it was told of the end before.
+func (c *Core) Ended(now time.Time, k queue.Key, end message.End) []Action {
+	w := c.work[k]
+	if w == nil {
+		return c.take()
+	}
+	p := c.release(w)
+	if w.state != stopping {
+		c.judge(now, p, w, end)
+		end.Request = k.Request
+		end.Attempt = w.item.Offer.Attempt
+		c.emit(Finish{Key: k, End: end})
+	}
+	c.fill(now, p)
+	return c.take()
+}
+
+// judge learns from an end that the endpoint itself brought about.
+func (c *Core) judge(now time.Time, p *pool, w *work, end message.End) {
+	if end.Code != result.OK {
+		w.endpoint.circuit.Failed(now, health.MayEject(p.ejected(), len(p.endpoints)))
+		return
+	}
+	w.endpoint.circuit.Succeeded(now)
+	p.span.add(now.Sub(w.started))
+	if w.item.Offer.Terms.BetweenTokens == 0 {
+		w.endpoint.learned.Observe(now, w.endpoint.occupied()+1, now.Sub(w.started))
+	}
+}
+
+func (p *pool) ejected() int {
+	count := 0
+	for _, e := range p.endpoints {
+		if e.circuit.State() == health.Ejected {
+			count++
+		}
+	}
+	return count
+}
+
+// Cancel stops an attempt because its owner asks for it.
+func (c *Core) Cancel(now time.Time, owner uint64, m message.Cancel) []Action {
+	key := queue.Key{Owner: owner, Request: m.Request}
+	w := c.work[key]
+	if w == nil || w.item.Offer.Attempt != m.Attempt {
+		return c.take()
+	}
+	switch w.state {
+	case held:
+		c.fill(now, c.release(w))
+	case running:
+		c.stop(w, result.Cancelled)
+	case stopping:
+	}
+	return c.take()
+}
+
+// OwnerLost drops the offers of a connection that is gone, and stops its
+// repeatable work. Work that may not be repeated runs to its end.
+func (c *Core) OwnerLost(now time.Time, owner uint64) []Action {
+	for _, n := range c.names {
+		p := c.pools[n]
+		for _, i := range p.queue.Items() {
+			if i.Key.Owner == owner {
+				p.queue.Remove(i.Key)
+			}
+		}
+	}
+	for k, w := range c.work {
+		if k.Owner != owner {
+			continue
+		}
+		switch {
+		case w.state == held:
+			c.release(w)
+		case w.state == running && w.item.Offer.Terms.Repeatable:
+			c.stop(w, result.EndpointLost)
+		}
+	}
+	c.fillAll(now)
+	return c.take()
+}
+
+func (c *Core) fillAll(now time.Time) {
+	for _, n := range c.names {
+		c.fill(now, c.pools[n])
+	}
+}
+
+// Leave makes the agent take no new work. Queued offers and held slots are
+// declined; running work goes on.
+func (c *Core) Leave(time.Time) []Action {
+	c.leaving = true
+	for _, n := range c.names {
+		p := c.pools[n]
+		for _, i := range p.queue.Items() {
+			p.queue.Remove(i.Key)
+			c.decline(i.Key, i.Offer.Attempt, result.AgentLeaving)
+		}
+	}
+	for k, w := range c.work {
+		if w.state == held {
+			c.release(w)
+			c.decline(k, w.item.Offer.Attempt, result.AgentLeaving)
+		}
+	}
+	return c.take()
+}
+
+// Leaving tells whether the agent takes no new work.
+func (c *Core) Leaving() bool { return c.leaving }
+
+// Idle tells whether nothing is queued, held or running.
+func (c *Core) Idle() bool {
+	for _, n := range c.names {
+		if c.pools[n].queue.Len() > 0 {
+			return false
+		}
+	}
+	return len(c.work) == 0
+}
+
+// Tick gives back slots whose start did not come, ends stalled work and looks
+// at the queues again.
+func (c *Core) Tick(now time.Time) []Action {
+	for k, w := range c.work {
+		switch {
+		case w.state == held && !w.until.After(now):
+			c.release(w)
+			c.decline(k, w.item.Offer.Attempt, result.SlotGone)
+		case w.state == running && w.stalled(now):
+			c.stop(w, result.Stalled)
+			p := c.pools[w.item.Offer.Target]
+			w.endpoint.circuit.Failed(now, health.MayEject(p.ejected(), len(p.endpoints)))
+		}
+	}
+	c.fillAll(now)
+	return c.take()
+}
+
+func (w *work) stalled(now time.Time) bool {
+	bound := w.item.Offer.Terms.StallAfter
+	return bound > 0 && now.Sub(w.last) >= bound
+}
+
+// Next returns when Tick has something to do at the latest.
+func (c *Core) Next(now time.Time) time.Time {
+	next := now.Add(idleTick)
+	for _, w := range c.work {
+		if w.state == held && w.until.Before(next) {
+			next = w.until
+		}
+	}
+	for _, n := range c.names {
+		next = c.pools[n].nextLook(now, next)
+	}
+	return next
+}
+
+// nextLook returns when a waiting offer becomes urgent, if before next.
+func (p *pool) nextLook(now, next time.Time) time.Time {
+	for tier := range message.Tiers - 1 {
+		i := p.queue.PeekTier(tier, now)
+		if i == nil {
+			continue
+		}
+		if at := p.preemptAt(i); at.After(now) && at.Before(next) {
+			next = at
+		}
+	}
+	return next
+}
+
+// Loads describes every target to entries.
+func (c *Core) Loads(now time.Time) []message.Load {
+	loads := make([]message.Load, 0, len(c.names))
+	for _, n := range c.names {
+		loads = append(loads, c.pools[n].load(now))
+	}
+	return loads
+}
--- /dev/null
+++ b/coord/dispatch/pool.go
@@ -0,0 +1,133 @@
+package dispatch
+
+import (
+	"time"
+
+	"foxcross.dev/coord/message"
+	"foxcross.dev/coord/queue"
+)
+
+// Weights of the running means.
+const (
+	meanWeight  = 0.1
+	firstGuess  = 200 * time.Millisecond // time to first token before any is seen
+	spanGuess   = 2 * time.Second        // time of a piece of work before any is seen
+	preemptLead = 1.5                    // steps before the deadline at which work is preempted
+)
+
+// mean is an exponentially weighted running mean.
+type mean struct {
+	value time.Duration
+	known bool
+}
+
+func (m *mean) add(d time.Duration) {
+	if !m.known {
+		m.value = d
+		m.known = true
+		return
+	}
+	m.value += time.Duration(meanWeight * float64(d-m.value))
+}
+
+func (m *mean) or(guess time.Duration) time.Duration {
+	if m.known {
+		return m.value
+	}
+	return guess
+}
+
+// pool is the queue and the endpoints of one target.
+type pool struct {
+	target    string
+	queue     queue.Queue
+	endpoints []*endpoint
+	first     mean // from start to first token
+	between   mean // between tokens
+	span      mean // from start to end
+	classes   map[string]int
+}
+
+// slots returns how much work the endpoints allow at their present mix.
+func (p *pool) slots() int {
+	sum := 0
+	for _, e := range p.endpoints {
+		sum += max(1, e.limit(0))
+	}
+	return max(1, sum)
+}
+
+// step is the expected time between two slots that fall free.
+func (p *pool) step() time.Duration {
+	return p.span.or(spanGuess) / time.Duration(p.slots())
+}
+
+func (p *pool) runningOf(class string) int { return p.classes[class] }
+
+func (p *pool) roomFor() queue.Room {
+	return queue.Room{Slots: p.slots(), NextFree: p.step(), Running: p.runningOf}
+}
+
+// latestStart returns the latest start that still meets the offer's target.
+func (p *pool) latestStart(arrived time.Time, t message.Terms) time.Time {
+	if t.BetweenTokens == 0 {
+		return arrived.Add(t.FirstToken - min(t.FirstToken/2, p.span.or(0)))
+	}
+	return arrived.Add(t.FirstToken - min(t.FirstToken*3/4, p.first.or(firstGuess)))
+}
+
+// roomiest returns the endpoint with most room for the item, or nil. Among
+// equals the one that has seen most of the prompt's beginning is taken.
+func (p *pool) roomiest(now time.Time, i *queue.Item) *endpoint {
+	var best *endpoint
+	bestRoom := 0
+	bestSeen := 0
+	for _, e := range p.endpoints {
+		room := e.room(now, sampleTarget(i))
+		if room <= 0 {
+			continue
+		}
+		seen := e.cached.Longest(i.Offer.Prefix)[e.Name]
+		if best == nil || seen > bestSeen || (seen == bestSeen && room > bestRoom) {
+			best = e
+			bestRoom = room
+			bestSeen = seen
+		}
+	}
+	return best
+}
+
+// load describes the pool to entries.
+func (p *pool) load(now time.Time) message.Load {
+	l := message.Load{
+		Target:     p.target,
+		Slots:      p.slots(),
+		Step:       p.step(),
+		FirstToken: p.first.or(firstGuess),
+		Between:    p.between.or(0),
+	}
+	for _, e := range p.endpoints {
+		l.Free += max(0, e.room(now, e.strictest()))
+		for tier := range l.Preemptible {
+			l.Preemptible[tier] += max(0, e.stoppable(tier))
+		}
+	}
+	ahead := 0
+	for tier := range l.Wait {
+		l.Queued[tier] = p.queue.LenTier(tier)
+		ahead += l.Queued[tier]
+		l.Wait[tier] = time.Duration(max(0, ahead+1-l.Free)) * l.Step
+	}
+	return l
+}
+
+// strictest returns the strictest target that runs, or zero.
+func (e *endpoint) strictest() time.Duration {
+	var least time.Duration
+	for d := range e.targets {
+		if least == 0 || d < least {
+			least = d
+		}
+	}
+	return least
+}
--- /dev/null
+++ b/coord/result/code.go
@@ -0,0 +1,125 @@
+// Package result holds the numbered codes that end every request, offer and
+// operator call, and what each code says about whether the work was run.
+package result
+
+import (
+	"fmt"
+	"time"
+)
+
+// Code is the number of an outcome. docs/CODES.md lists every code.
+type Code uint16
+
+// The codes. The first digits group them: 10 success, 11 the caller's input,
+// 12 capacity, 13 endpoints, 14 an agent's reasons, 15 the platform,
+// 16 the settings tree, 17 a process's own settings file.
+const (
+	OK Code = 1000
+
+	BadRequest      Code = 1101
+	BodyTooLarge    Code = 1102
+	UnknownModel    Code = 1103
+	UnknownClass    Code = 1104
+	UnknownTeam     Code = 1105
+	UnknownService  Code = 1106
+	DuplicateKey    Code = 1107
+	HeadersTooLarge Code = 1108
+	NotFound        Code = 1109
+	BadKey          Code = 1110
+
+	QueueFull   Code = 1201
+	GaveUp      Code = 1202
+	TeamLimit   Code = 1203
+	NoEndpoint  Code = 1204
+	Draining    Code = 1205
+	NotReady    Code = 1206
+	EntryFull   Code = 1207
+	RetriesUsed Code = 1208
+
+	EndpointFailed Code = 1301
+	EndpointLost   Code = 1302
+	Stalled        Code = 1303
+	Cancelled      Code = 1304
+	Preempted      Code = 1305
+	Unresumable    Code = 1306
+
+	AgentLeaving  Code = 1401
+	AgentFull     Code = 1402
+	Evicted       Code = 1403
+	SlotGone      Code = 1404
+	AgentNoTarget Code = 1405
+	Withdrawn     Code = 1406
+
+	ClaimUnavailable Code = 1501
+	StoreUnavailable Code = 1502
+
+	SettingsInvalid  Code = 1601
+	SettingsConflict Code = 1602
+	SettingsUnknown  Code = 1603
+	SettingsVersion  Code = 1604
+
+	FileUnreadable Code = 1701
+	FileSyntax     Code = 1702
+	FileField      Code = 1703
+)
+
+// Run says whether a request was executed at an endpoint.
+type Run uint8
+
+// The three answers. The zero value is the cautious one.
+const (
+	Unknown Run = iota
+	NotRun
+	Ran
+)
+
+// String returns the words callers see.
+func (r Run) String() string {
+	switch r {
+	case NotRun:
+		return "not run"
+	case Ran:
+		return "run"
+	default:
+		return "unknown"
+	}
+}
+
+// Entry is one row of the table of codes.
+type Entry struct {
+	Code   Code
+	Name   string
+	Status int // HTTP status towards callers and operators
+	Text   string
+}
+
+// String returns the number and the name of the code.
+func (c Code) String() string {
+	return fmt.Sprintf("%d %s", uint16(c), c.Entry().Name)
+}
+
+// Entry returns the row of the code; an unlisted code yields a row that says so.
+func (c Code) Entry() Entry {
+	if e, ok := byCode[c]; ok {
+		return e
+	}
+	return Entry{Code: c, Name: "unlisted", Status: 500, Text: "this code is not in the table"}
+}
+
+// Error is an error that carries a code and what is known about execution.
+type Error struct {
+	Code       Code
+	Run        Run
+	Reason     string
+	RetryAfter time.Duration // when to ask again, 0 for unknown
+}
+
+// Error returns the code, its name and the reason.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: %s (%s)", e.Code, e.Reason, e.Run)
+}
+
+// Errorf returns an error with the given code for work that was not run.
+func Errorf(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Run: NotRun, Reason: fmt.Sprintf(format, args...)}
+}
--- /dev/null
+++ b/coord/settings/fields.go
@@ -0,0 +1,95 @@
+// Package settings holds the tree that operators edit: its nodes, what a node
+// inherits, how a tree is checked, and how versions of it follow each other.
+package settings
+
+import (
+	"reflect"
+	"time"
+)
+
+// Kind says what a node stands for.
+type Kind string
+
+// The kinds. A group only passes its fields on.
+const (
+	Group Kind = ""
+	Class Kind = "class"
+	Team  Kind = "team"
+)
+
+// Match selects calls of a plain service by method and path.
+type Match struct {
+	Method string `json:"method,omitempty"` // empty for any
+	Prefix string `json:"prefix"`           // of the path below the service
+}
+
+// Fields are the settings a node may set. Nil means inherited. docs/SETTINGS.md
+// lists each with its unit, default and range.
+type Fields struct {
+	Tier            *int      `json:"tier,omitempty"`
+	Model           *string   `json:"model,omitempty"`
+	Service         *string   `json:"service,omitempty"`
+	Match           *[]Match  `json:"match,omitempty"`
+	FirstTokenMS    *int      `json:"first_token_ms,omitempty"`
+	BetweenTokensMS *int      `json:"between_tokens_ms,omitempty"`
+	CompleteMS      *int      `json:"complete_ms,omitempty"`
+	Repeatable      *bool     `json:"repeatable,omitempty"`
+	Preemptible     *bool     `json:"preemptible,omitempty"`
+	FloorPermille   *int      `json:"floor_permille,omitempty"`
+	StarveAfterMS   *int      `json:"starve_after_ms,omitempty"`
+	StallAfterMS    *int      `json:"stall_after_ms,omitempty"`
+	GiveUpMS        *int      `json:"give_up_ms,omitempty"`
+	RetryPermille   *int      `json:"retry_permille,omitempty"`
+	KeyHashes       *[]string `json:"key_hashes,omitempty"`
+	Weight          *int      `json:"weight,omitempty"`
+	RatePerSecond   *float64  `json:"rate_per_s,omitempty"`
+	Concurrency     *int      `json:"concurrency,omitempty"`
+	DefaultClass    *string   `json:"default_class,omitempty"`
+	Classes         *[]string `json:"classes,omitempty"`
+}
+
+// Over returns the fields with those of the child laid over them.
+func (f Fields) Over(child Fields) Fields {
+	merged := f
+	to := reflect.ValueOf(&merged).Elem()
+	from := reflect.ValueOf(child)
+	for n := range from.NumField() {
+		if !from.Field(n).IsNil() {
+			to.Field(n).Set(from.Field(n))
+		}
+	}
+	return merged
+}
+
+// Defaults are the values of fields that no node sets.
+var Defaults = Fields{
+	Tier:            ptr(1),
+	FirstTokenMS:    ptr(2000),
+	BetweenTokensMS: ptr(100),
+	CompleteMS:      ptr(60000),
+	Repeatable:      ptr(false),
+	Preemptible:     ptr(false),
+	FloorPermille:   ptr(10),
+	StarveAfterMS:   ptr(60000),
+	StallAfterMS:    ptr(10000),
+	GiveUpMS:        ptr(30000),
+	RetryPermille:   ptr(200),
+	Weight:          ptr(1),
+	RatePerSecond:   ptr(0.0),
+	Concurrency:     ptr(0),
+}
+
+func ptr[T any](v T) *T { return &v }
+
+// value returns what a pointer points to, or the zero value.
+func value[T any](p *T) T {
+	if p == nil {
+		var zero T
+		return zero
+	}
+	return *p
+}
+
+func milliseconds(p *int) time.Duration {
+	return time.Duration(value(p)) * time.Millisecond
+}
--- /dev/null
+++ b/coord/settings/schema.go
@@ -0,0 +1,62 @@
+package settings
+
+import (
+	"bytes"
+	_ "embed" // the schema
+	"errors"
+	"strings"
+
+	"foxcross.dev/coord/result"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+//go:embed schema.json
+var schemaText []byte
+
+const schemaName = "settings.json"
+
+var (
+	schema  = compileSchema()
+	printer = message.NewPrinter(language.English)
+)
+
+func compileSchema() *jsonschema.Schema {
+	parsed, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaText))
+	if err != nil {
+		panic("settings: schema: " + err.Error())
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource(schemaName, parsed); err != nil {
+		panic("settings: schema: " + err.Error())
+	}
+	return c.MustCompile(schemaName)
+}
+
+// checkSchema names the first wrong field and the reason.
+func checkSchema(data []byte) error {
+	parsed, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		return result.Errorf(result.SettingsInvalid, "settings tree is not JSON: %v", err)
+	}
+	err = schema.Validate(parsed)
+	if err == nil {
+		return nil
+	}
+	var wrong *jsonschema.ValidationError
+	if !errors.As(err, &wrong) {
+		return result.Errorf(result.SettingsInvalid, "settings tree: %v", err)
+	}
+	field, reason := Explain(wrong)
+	return result.Errorf(result.SettingsInvalid, "settings tree: %s: %s", field, reason)
+}
+
+// Explain returns the place and the reason of the innermost first failure.
+func Explain(wrong *jsonschema.ValidationError) (field, reason string) {
+	for len(wrong.Causes) > 0 {
+		wrong = wrong.Causes[0]
+	}
+	return "/" + strings.Join(wrong.InstanceLocation, "/"), wrong.ErrorKind.LocalizedString(printer)
+}
--- /dev/null
+++ b/coord/settings/snapshot.go
@@ -0,0 +1,267 @@
+package settings
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"strings"
+	"time"
+
+	"foxcross.dev/coord/message"
+	"foxcross.dev/coord/result"
+)
+
+// ClassInfo is a class with everything it inherits.
+type ClassInfo struct {
+	Name         string
+	Model        string
+	Service      string
+	Match        []Match
+	Terms        message.Terms // Team and Weight are filled per request
+	Complete     time.Duration
+	GiveUp       time.Duration
+	RetryPermill int
+}
+
+// Target returns the model or service that the class asks for.
+func (c ClassInfo) Target() string {
+	if c.Service != "" {
+		return ServiceTarget(c.Service)
+	}
+	return c.Model
+}
+
+// ServiceTarget returns the target name of a plain service.
+func ServiceTarget(service string) string { return servicePrefix + service }
+
+const servicePrefix = "service:"
+
+// TeamInfo is a team with everything it inherits.
+type TeamInfo struct {
+	Name         string
+	Weight       int
+	Rate         float64 // requests a second, 0 for no limit
+	Concurrency  int     // requests at once, 0 for no limit
+	DefaultClass string
+	Classes      []string // empty for all
+}
+
+// MayUse tells whether the team may use the class.
+func (t TeamInfo) MayUse(class string) bool {
+	return len(t.Classes) == 0 || slices.Contains(t.Classes, class)
+}
+
+// Snapshot is a tree made ready for look-ups. It is immutable.
+type Snapshot struct {
+	classes map[string]ClassInfo
+	byModel map[string][]string // classes of a model, in order
+	service map[string][]string // classes of a service, in order
+	teams   map[string]TeamInfo // by hash of key
+	names   []string            // of classes, in order
+}
+
+// HashKey returns the hash under which a bearer key stands in the tree.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Class returns a class by name.
+func (s Snapshot) Class(name string) (ClassInfo, bool) {
+	c, ok := s.classes[name]
+	return c, ok
+}
+
+// Classes returns the names of all classes in order.
+func (s Snapshot) Classes() []string { return s.names }
+
+// Team returns the team that a bearer key belongs to.
+func (s Snapshot) Team(key string) (TeamInfo, bool) {
+	t, ok := s.teams[HashKey(key)]
+	return t, ok
+}
+
+// ServesModel tells whether some class asks for the model.
+func (s Snapshot) ServesModel(model string) bool { return len(s.byModel[model]) > 0 }
+
+// ModelClasses returns the classes of a model, in order of path.
+func (s Snapshot) ModelClasses(model string) []ClassInfo {
+	var all []ClassInfo
+	for _, n := range s.byModel[model] {
+		all = append(all, s.classes[n])
+	}
+	return all
+}
+
+// ServiceClass returns the class whose match covers the call best: the longest
+// prefix, and among equals the one that names the method.
+func (s Snapshot) ServiceClass(service, method, path string) (ClassInfo, bool) {
+	best := ""
+	bestRank := -1
+	for _, n := range s.service[service] {
+		c := s.classes[n]
+		if rank := c.rank(method, path); rank > bestRank {
+			best = n
+			bestRank = rank
+		}
+	}
+	c, ok := s.classes[best]
+	return c, ok
+}
+
+// rank is -1 where the class does not cover the call.
+func (c ClassInfo) rank(method, path string) int {
+	if len(c.Match) == 0 {
+		return 0
+	}
+	best := -1
+	for _, m := range c.Match {
+		if !strings.HasPrefix(path, m.Prefix) || (m.Method != "" && m.Method != method) {
+			continue
+		}
+		rank := 2 * len(m.Prefix)
+		if m.Method != "" {
+			rank++
+		}
+		best = max(best, rank)
+	}
+	return best
+}
+
+// HasService tells whether some class serves the service.
+func (s Snapshot) HasService(service string) bool { return len(s.service[service]) > 0 }
+
+// Compile checks what a tree means and makes it ready for look-ups.
+func Compile(t Tree) (Snapshot, error) {
+	s := Snapshot{
+		classes: map[string]ClassInfo{},
+		byModel: map[string][]string{},
+		service: map[string][]string{},
+		teams:   map[string]TeamInfo{},
+	}
+	paths := t.Paths()
+	if err := t.checkParents(paths); err != nil {
+		return Snapshot{}, err
+	}
+	for _, p := range paths {
+		if err := s.addClass(t, p); err != nil {
+			return Snapshot{}, err
+		}
+	}
+	for _, p := range paths {
+		if err := s.addTeam(t, p); err != nil {
+			return Snapshot{}, err
+		}
+	}
+	slices.Sort(s.names)
+	return s, nil
+}
+
+func (t Tree) checkParents(paths []string) error {
+	for _, p := range paths {
+		up, ok := parent(p)
+		if !ok {
+			continue
+		}
+		n, there := t.nodes[up]
+		if !there {
+			return result.Errorf(result.SettingsInvalid, "node %q has no parent", p)
+		}
+		if n.Kind != Group {
+			return result.Errorf(result.SettingsInvalid, "node %q lies below a %s", p, n.Kind)
+		}
+	}
+	return nil
+}
+
+func last(path string) string { return path[strings.LastIndexByte(path, '/')+1:] }
+
+func (s *Snapshot) addClass(t Tree, path string) error {
+	if t.nodes[path].Kind != Class {
+		return nil
+	}
+	f := t.Resolve(path)
+	c := ClassInfo{
+		Name:         last(path),
+		Model:        value(f.Model),
+		Service:      value(f.Service),
+		Match:        value(f.Match),
+		Complete:     milliseconds(f.CompleteMS),
+		GiveUp:       milliseconds(f.GiveUpMS),
+		RetryPermill: value(f.RetryPermille),
+		Terms: message.Terms{
+			Class:         last(path),
+			Tier:          value(f.Tier),
+			FirstToken:    milliseconds(f.FirstTokenMS),
+			BetweenTokens: milliseconds(f.BetweenTokensMS),
+			StarveAfter:   milliseconds(f.StarveAfterMS),
+			StallAfter:    milliseconds(f.StallAfterMS),
+			FloorPermille: value(f.FloorPermille),
+			Repeatable:    value(f.Repeatable),
+			Preemptible:   value(f.Preemptible),
+		},
+	}
+	if err := s.checkClass(path, c); err != nil {
+		return err
+	}
+	if c.Service != "" {
+		c.Terms.BetweenTokens = 0
+		s.service[c.Service] = append(s.service[c.Service], c.Name)
+	} else {
+		s.byModel[c.Model] = append(s.byModel[c.Model], c.Name)
+	}
+	s.classes[c.Name] = c
+	s.names = append(s.names, c.Name)
+	return nil
+}
+
+func (s *Snapshot) checkClass(path string, c ClassInfo) error {
+	_, twice := s.classes[c.Name]
+	switch {
+	case twice:
+		return result.Errorf(result.SettingsInvalid, "class %q: another class has the name %q", path, c.Name)
+	case c.Model == "" && c.Service == "":
+		return result.Errorf(result.SettingsInvalid, "class %q: neither model nor service is set", path)
+	case c.Model != "" && c.Service != "":
+		return result.Errorf(result.SettingsInvalid, "class %q: both model and service are set", path)
+	case c.Terms.Preemptible && !c.Terms.Repeatable:
+		return result.Errorf(result.SettingsInvalid, "class %q: preemptible needs repeatable", path)
+	case c.Service == "" && c.Terms.BetweenTokens == 0:
+		return result.Errorf(result.SettingsInvalid, "class %q: between_tokens_ms must not be 0 for a model", path)
+	default:
+		return nil
+	}
+}
+
+func (s *Snapshot) addTeam(t Tree, path string) error {
+	if t.nodes[path].Kind != Team {
+		return nil
+	}
+	f := t.Resolve(path)
+	team := TeamInfo{
+		Name:         last(path),
+		Weight:       value(f.Weight),
+		Rate:         value(f.RatePerSecond),
+		Concurrency:  value(f.Concurrency),
+		DefaultClass: value(f.DefaultClass),
+		Classes:      value(f.Classes),
+	}
+	for _, n := range append(slices.Clone(team.Classes), team.DefaultClass) {
+		if _, ok := s.classes[n]; !ok && n != "" {
+			return result.Errorf(result.SettingsInvalid, "team %q: there is no class %q", path, n)
+		}
+	}
+	if team.DefaultClass != "" && !team.MayUse(team.DefaultClass) {
+		return result.Errorf(result.SettingsInvalid, "team %q: default_class %q is not among classes", path, team.DefaultClass)
+	}
+	for _, h := range value(f.KeyHashes) {
+		if o, taken := s.teams[h]; taken {
+			return result.Errorf(result.SettingsInvalid, "team %q: team %q has the same key", path, o.Name)
+		}
+		s.teams[h] = team
+	}
+	return nil
+}
+
+// IsService tells whether a target name is a plain service's.
+func IsService(target string) bool { return strings.HasPrefix(target, servicePrefix) }
--- /dev/null
+++ b/coord/settings/tree.go
@@ -0,0 +1,245 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"foxcross.dev/coord/result"
+)
+
+// Node is one node without its children.
+type Node struct {
+	Kind Kind   `json:"kind,omitempty"`
+	Set  Fields `json:"set,omitzero"`
+}
+
+// Tree is an immutable tree of settings. The zero value is empty.
+type Tree struct {
+	nodes map[string]Node // by path, the root's path is ""
+}
+
+// document is the nested form that operators read and write.
+type document struct {
+	Name     string     `json:"name,omitempty"`
+	Kind     Kind       `json:"kind,omitempty"`
+	Set      Fields     `json:"set,omitzero"`
+	Children []document `json:"children,omitempty"`
+}
+
+// Len returns the number of nodes.
+func (t Tree) Len() int { return len(t.nodes) }
+
+// Node returns the node at the path.
+func (t Tree) Node(path string) (Node, bool) {
+	n, ok := t.nodes[path]
+	return n, ok
+}
+
+// Paths returns the paths of all nodes in order.
+func (t Tree) Paths() []string {
+	return slices.Sorted(maps.Keys(t.nodes))
+}
+
+// With returns a tree with the node at the path set.
+func (t Tree) With(path string, n Node) Tree {
+	nodes := maps.Clone(t.nodes)
+	if nodes == nil {
+		nodes = map[string]Node{}
+	}
+	nodes[path] = n
+	return Tree{nodes}
+}
+
+// Without returns a tree without the node at the path and those below it.
+func (t Tree) Without(path string) Tree {
+	nodes := maps.Clone(t.nodes)
+	maps.DeleteFunc(nodes, func(p string, _ Node) bool { return within(p, path) })
+	return Tree{nodes}
+}
+
+// within tells whether the path is the ancestor's or lies below it.
+func within(path, ancestor string) bool {
+	return path == ancestor || ancestor == "" || strings.HasPrefix(path, ancestor+"/")
+}
+
+// parent returns the path above; the root has none.
+func parent(path string) (string, bool) {
+	if path == "" {
+		return "", false
+	}
+	cut := strings.LastIndexByte(path, '/')
+	if cut < 0 {
+		return "", true
+	}
+	return path[:cut], true
+}
+
+// Resolve returns the fields in force at the path: the defaults, overlaid with
+// each node from the root down.
+func (t Tree) Resolve(path string) Fields {
+	up, ok := parent(path)
+	if !ok {
+		return Defaults.Over(t.nodes[""].Set)
+	}
+	return t.Resolve(up).Over(t.nodes[path].Set)
+}
+
+// Parse reads the nested form and checks it against the schema. The tree's
+// meaning is checked by Compile.
+func Parse(data []byte) (Tree, error) {
+	if err := checkSchema(data); err != nil {
+		return Tree{}, err
+	}
+	var d document
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&d); err != nil {
+		return Tree{}, result.Errorf(result.SettingsInvalid, "settings tree: %v", err)
+	}
+	t := Tree{nodes: map[string]Node{}}
+	if err := t.flatten("", d); err != nil {
+		return Tree{}, err
+	}
+	return t, nil
+}
+
+func (t Tree) flatten(path string, d document) error {
+	t.nodes[path] = Node{Kind: d.Kind, Set: d.Set}
+	for _, k := range d.Children {
+		below := join(path, k.Name)
+		if _, twice := t.nodes[below]; twice {
+			return result.Errorf(result.SettingsInvalid, "node %q stands twice", below)
+		}
+		if err := t.flatten(below, k); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "/" + name
+}
+
+// MarshalJSON returns the nested form, children in order of name.
+func (t Tree) MarshalJSON() ([]byte, error) {
+	below := map[string][]string{}
+	for _, p := range t.Paths() {
+		if up, ok := parent(p); ok {
+			below[up] = append(below[up], p)
+		}
+	}
+	return json.Marshal(t.nest("", "", below))
+}
+
+func (t Tree) nest(path, name string, below map[string][]string) document {
+	n := t.nodes[path]
+	d := document{Name: name, Kind: n.Kind, Set: n.Set}
+	for _, p := range below[path] {
+		last := p[strings.LastIndexByte(p, '/')+1:]
+		d.Children = append(d.Children, t.nest(p, last, below))
+	}
+	return d
+}
+
+// Difference is a node that two trees hold differently.
+type Difference struct {
+	Path   string `json:"path"`
+	Before *Node  `json:"before,omitempty"`
+	After  *Node  `json:"after,omitempty"`
+}
+
+// Diff lists the nodes that differ, by path.
+func Diff(before, after Tree) []Difference {
+	var all []Difference
+	paths := maps.Clone(before.nodes)
+	if paths == nil {
+		paths = map[string]Node{}
+	}
+	maps.Copy(paths, after.nodes)
+	for _, p := range slices.Sorted(maps.Keys(paths)) {
+		b, inBefore := before.nodes[p]
+		a, inAfter := after.nodes[p]
+		if inBefore == inAfter && equal(b, a) {
+			continue
+		}
+		d := Difference{Path: p}
+		if inBefore {
+			d.Before = &b
+		}
+		if inAfter {
+			d.After = &a
+		}
+		all = append(all, d)
+	}
+	return all
+}
+
+func equal(a, b Node) bool {
+	left, errLeft := json.Marshal(a)
+	right, errRight := json.Marshal(b)
+	return errLeft == nil && errRight == nil && bytes.Equal(left, right)
+}
+
+// Apply lays the differences over a tree.
+func (t Tree) Apply(all []Difference) Tree {
+	nodes := maps.Clone(t.nodes)
+	if nodes == nil {
+		nodes = map[string]Node{}
+	}
+	for _, d := range all {
+		if d.After == nil {
+			delete(nodes, d.Path)
+			continue
+		}
+		nodes[d.Path] = *d.After
+	}
+	return Tree{nodes}
+}
+
+// Rebase lays a change that was made on base over a newer tree. It fails with
+// a conflict where both touched the same node, or one removed a node that the
+// other's change lies below.
+func Rebase(base, mine, newer Tree) (Tree, error) {
+	own := Diff(base, mine)
+	for _, theirs := range Diff(base, newer) {
+		for _, d := range own {
+			if !overlap(d, theirs) {
+				continue
+			}
+			return Tree{}, result.Errorf(result.SettingsConflict,
+				"node %q was changed by another operator first", theirs.Path)
+		}
+	}
+	return newer.Apply(own), nil
+}
+
+func overlap(a, b Difference) bool {
+	switch {
+	case a.Path == b.Path:
+		return !sameAfter(a, b)
+	case a.After == nil:
+		return within(b.Path, a.Path) && b.After != nil
+	case b.After == nil:
+		return within(a.Path, b.Path)
+	default:
+		return false
+	}
+}
+
+func sameAfter(a, b Difference) bool {
+	if a.After == nil || b.After == nil {
+		return a.After == nil && b.After == nil
+	}
+	return equal(*a.After, *b.After)
+}
+
+// String returns the number of nodes, for logs.
+func (t Tree) String() string { return fmt.Sprintf("tree of %d nodes", len(t.nodes)) }
--- /dev/null
+++ b/examples/local/deployment.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	trees "foxcross.dev/foxcross/examples/settings"
+	"foxcross.dev/foxcross/internal/fleet"
+	"foxcross.dev/foxcross/internal/history"
+	"foxcross.dev/foxcross/internal/standin"
+
+	"foxcross.dev/coord/settings"
+)
+
+// deployment is one user's fleet and its mix of requests.
+type deployment struct {
+	name     string
+	tree     []byte
+	model    string
+	service  string
+	centres  []string
+	mix      []kind
+	fleet    *fleet.Fleet
+	recorder history.Recorder
+	engines  []*standin.Engine
+	services []*standin.Service
+	urls     []string
+}
+
+// kind is one class of the mix.
+type kind struct {
+	class  string
+	team   string
+	rate   float64 // requests a second
+	prompt int     // bytes
+	method string  // plain services
+	path   string  // plain services
+}
+
+func deployments() []*deployment {
+	return []*deployment{
+		{
+			name: "Ovenhuis", tree: trees.Ovenhuis, model: "glaze-8b", service: "bookings",
+			centres: []string{"gent", "leuven", "namur", "mechelen"},
+			mix: []kind{
+				{class: "glaze-question", team: "gent", rate: 20, prompt: 400},
+				{class: "firing-plan", team: "leuven", rate: 15, prompt: 1200},
+				{class: "load-check", team: "technicians", rate: 15, prompt: 800},
+				{class: "booking-confirm", team: "namur", rate: 10, method: http.MethodPost, path: "/confirmations"},
+				{class: "booking-lookup", team: "schools", rate: 10, method: http.MethodGet, path: "/slots"},
+			},
+		},
+		{
+			name: "Alumni", tree: trees.Alumni, model: "memoria-7b", service: "portal",
+			centres: []string{"zona-4", "zona-10", "mixco"},
+			mix: []kind{
+				{class: "member-chat", team: "members", rate: 20, prompt: 300},
+				{class: "reunion-summary", team: "coordinators", rate: 5, prompt: 20000},
+				{class: "donor-tag", team: "nightly", rate: 15, prompt: 500},
+				{class: "member-card", team: "members", rate: 15, method: http.MethodGet, path: "/cards"},
+				{class: "event-page", team: "zona-4", rate: 10, method: http.MethodGet, path: "/events"},
+			},
+		},
+	}
+}
+
+// start brings up an agent with a new and an old card and a service in each
+// data centre, and two entries.
+func (d *deployment) start(ctx context.Context) error {
+	f, err := fleet.New()
+	if err != nil {
+		return err
+	}
+	d.fleet = f
+	if err := f.Put(ctx, d.tree); err != nil {
+		return err
+	}
+	for _, c := range d.centres {
+		if err := d.addAgents(c); err != nil {
+			return err
+		}
+	}
+	for n := range 2 {
+		e, err := f.AddEntry(fmt.Sprintf("entry-%d", n+1), d.centres[n])
+		if err != nil {
+			return err
+		}
+		d.urls = append(d.urls, e.URL)
+	}
+	return f.WaitReady(ctx)
+}
+
+func (d *deployment) addAgents(centre string) error {
+	fresh := &standin.Engine{Step: 4 * time.Millisecond, Batch: 16}
+	old := &standin.Engine{Step: 10 * time.Millisecond, Batch: 8}
+	for _, e := range []*standin.Engine{fresh, old} {
+		d.engines = append(d.engines, e)
+		e.OnStart = func(prompt string) { d.executed(prompt, centre) }
+	}
+	_, err := d.fleet.AddAgent("runner-"+centre, centre,
+		fleet.Local{Target: d.model, Handler: fresh.Handler()},
+		fleet.Local{Target: d.model, Handler: old.Handler()})
+	if err != nil {
+		return err
+	}
+	service := &standin.Service{Takes: 5 * time.Millisecond}
+	service.OnStart = func(call string) { d.executed(call, centre) }
+	d.services = append(d.services, service)
+	_, err = d.fleet.AddAgent("app-"+centre, centre,
+		fleet.Local{Target: settings.ServiceTarget(d.service), Handler: service})
+	return err
+}
+
+// executed records that an endpoint began to work on a request. The request's
+// id is in its text between two marks.
+func (d *deployment) executed(text, endpoint string) {
+	_, after, _ := strings.Cut(text, idMark)
+	id, _, _ := strings.Cut(after, idMark)
+	d.recorder.Add(history.Executed{ID: id, Endpoint: endpoint, At: time.Now()})
+}
+
+// commands are lines that work while the deployment is up.
+func (d *deployment) commands() []string {
+	var lines []string
+	for _, k := range d.mix {
+		key := fmt.Sprintf("-H 'Authorization: Bearer %s%s' -H 'X-Foxcross-Class: %s'", k.team, trees.KeySuffix, k.class)
+		if k.method != "" {
+			lines = append(lines, fmt.Sprintf("curl -i -X %s %s %s/services/%s%s/1", k.method, key, d.urls[0], d.service, k.path))
+			continue
+		}
+		body := fmt.Sprintf(`{"model":"%s","stream":true,"messages":[{"role":"user","content":"Which glaze for cone 6?"}]}`, d.model)
+		lines = append(lines, fmt.Sprintf("curl -iN %s -d '%s' %s/v1/chat/completions", key, body, d.urls[0]))
+	}
+	return lines
+}
--- /dev/null
+++ b/examples/local/main.go
@@ -0,0 +1,83 @@
+// Command local runs both users' deployments in one process, on stand-ins and
+// loopback, sends a mix of requests and prints what became of them.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"time"
+
+	"foxcross.dev/foxcross/internal/logs"
+
+	"github.com/jessevdk/go-flags"
+)
+
+const setupTime = 20 * time.Second
+
+// options are the flags.
+type options struct {
+	Stay     bool          `long:"stay" description:"keep everything up after the run and print commands to try"`
+	Duration time.Duration `long:"duration" default:"6s" description:"how long requests are sent"`
+	Seed     uint64        `long:"seed" default:"1" description:"seed of the mix"`
+	Level    string        `long:"log-level" default:"warn" description:"debug, info, warn or error"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var f *flags.Error
+		if errors.As(err, &f) && f.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(2)
+	}
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, "local:", err)
+		os.Exit(1)
+	}
+}
+
+func run(o options) error {
+	if err := logs.Setup(os.Stderr, "text", o.Level); err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	var all []*deployment
+	for _, d := range deployments() {
+		setup, cancel := context.WithTimeout(ctx, setupTime)
+		err := d.start(setup)
+		cancel()
+		if err != nil {
+			return err
+		}
+		defer d.fleet.Close()
+		all = append(all, d)
+	}
+	broken := 0
+	for _, d := range all {
+		broken += d.measure(ctx, o)
+	}
+	if o.Stay {
+		stay(ctx, all)
+	}
+	if broken > 0 {
+		return fmt.Errorf("%d promises were broken", broken)
+	}
+	return nil
+}
+
+// stay prints commands and waits for an interrupt.
+func stay(ctx context.Context, all []*deployment) {
+	fmt.Println("Still up. Try:")
+	for _, d := range all {
+		for _, line := range d.commands() {
+			fmt.Println("  " + line)
+		}
+	}
+	fmt.Println("End with Ctrl-C.")
+	<-ctx.Done()
+}
--- /dev/null
+++ b/internal/agent/dump.go
@@ -0,0 +1,75 @@
+package agent
+
+import (
+	"time"
+
+	"foxcross.dev/coord/dispatch"
+	"foxcross.dev/coord/message"
+	"foxcross.dev/foxcross/internal/lifecycle"
+)
+
+// recentSize is how many ended attempts are kept for the dump.
+const recentSize = 64
+
+// RecentEnd is an attempt that has ended.
+type RecentEnd struct {
+	At      time.Time         `json:"at"`
+	Owner   uint64            `json:"owner"`
+	Request message.RequestID `json:"request"`
+	Attempt message.Attempt   `json:"attempt"`
+	Code    string            `json:"code"`
+	Run     string            `json:"run"`
+	Reason  string            `json:"reason,omitempty"`
+}
+
+// recentEnds is a ring of the last ended attempts.
+type recentEnds struct {
+	ends []RecentEnd
+	next int
+}
+
+func (r *recentEnds) add(x dispatch.Finish) {
+	e := RecentEnd{
+		At:      time.Now(),
+		Owner:   x.Key.Owner,
+		Request: x.Key.Request,
+		Attempt: x.End.Attempt,
+		Code:    x.End.Code.String(),
+		Run:     x.End.Run.String(),
+		Reason:  x.End.Reason,
+	}
+	if len(r.ends) < recentSize {
+		r.ends = append(r.ends, e)
+		return
+	}
+	r.ends[r.next] = e
+	r.next = (r.next + 1) % recentSize
+}
+
+// Dump is the state of an agent at one moment.
+type Dump struct {
+	Name     string            `json:"name"`
+	State    lifecycle.State   `json:"state"`
+	Settings uint64            `json:"settings_version"`
+	Owners   map[uint64]string `json:"owners"`
+	Dispatch dispatch.Dump     `json:"dispatch"`
+	Recent   []RecentEnd       `json:"recent"`
+}
+
+// Dump returns the state.
+func (a *Agent) Dump() Dump {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	d := Dump{
+		Name:     a.options.Name,
+		State:    a.life.State(),
+		Settings: a.version(),
+		Owners:   map[uint64]string{},
+		Dispatch: a.core.Dump(time.Now()),
+		Recent:   append([]RecentEnd(nil), a.recent.ends...),
+	}
+	for id, o := range a.owners {
+		d.Owners[id] = o.name
+	}
+	return d
+}
--- /dev/null
+++ b/internal/agent/owner.go
@@ -0,0 +1,180 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"foxcross.dev/coord/message"
+	"foxcross.dev/coord/queue"
+	"foxcross.dev/foxcross/internal/link"
+)
+
+const helloTimeout = 5 * time.Second
+
+// owner is a connection from an entry.
+type owner struct {
+	id      uint64
+	name    string
+	session link.Session
+	outbox  chan message.Message
+}
+
+// send queues a control message. An owner that does not read is cut off.
+func (o *owner) send(m message.Message) {
+	select {
+	case o.outbox <- m:
+	default:
+		log.Warnf("Entry %s does not read, connection closed.", o.name)
+		o.session.Close()
+	}
+}
+
+// serveOwner handles one connection until it is gone.
+func (a *Agent) serveOwner(ctx context.Context, s link.Session) {
+	defer s.Close()
+	stop := context.AfterFunc(ctx, s.Close)
+	defer stop()
+	hello, ok := receiveHello(s)
+	if !ok {
+		return
+	}
+	o := a.addOwner(s, hello)
+	defer a.dropOwner(o)
+	a.announced(o, hello.Settings)
+	go a.sendControl(o)
+	go a.acceptStreams(ctx, o)
+	for {
+		m, err := s.Control().Receive()
+		if err != nil {
+			return
+		}
+		a.control(o, m)
+	}
+}
+
+// receiveHello waits a bounded time for the first message.
+func receiveHello(s link.Session) (message.Hello, bool) {
+	timer := time.AfterFunc(helloTimeout, s.Close)
+	defer timer.Stop()
+	m, err := s.Control().Receive()
+	if err != nil {
+		return message.Hello{}, false
+	}
+	h, ok := m.(message.Hello)
+	return h, ok
+}
+
+func (a *Agent) addOwner(s link.Session, h message.Hello) *owner {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.last++
+	o := &owner{id: a.last, name: h.Name, session: s, outbox: make(chan message.Message, outboxSize)}
+	a.owners[o.id] = o
+	o.send(message.Hello{Name: a.options.Name, DataCentre: a.options.DataCentre, Settings: a.version()})
+	o.send(a.report())
+	log.Infof("Entry %s connected.", h.Name)
+	return o
+}
+
+func (a *Agent) dropOwner(o *owner) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.owners, o.id)
+	a.perform(a.core.OwnerLost(time.Now(), o.id))
+	log.Infof("Entry %s is gone.", o.name)
+}
+
+// sendControl writes the outbox until the connection is gone.
+func (a *Agent) sendControl(o *owner) {
+	for {
+		select {
+		case <-o.session.Done():
+			return
+		case m := <-o.outbox:
+			if err := o.session.Control().Send(m); err != nil {
+				o.session.Close()
+				return
+			}
+		}
+	}
+}
+
+// control handles one control message.
+func (a *Agent) control(o *owner, m message.Message) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch m := m.(type) {
+	case message.Offer:
+		a.perform(a.core.Offer(now, o.id, m))
+		a.wake()
+	case message.Withdraw:
+		a.perform(a.core.Withdraw(now, o.id, m))
+	case message.Heartbeat:
+		a.announced(o, m.Settings)
+	default:
+		log.Warnf("Entry %s sent an unexpected %T.", o.name, m)
+	}
+}
+
+// announced tells the settings which version the entry holds.
+func (a *Agent) announced(o *owner, version uint64) {
+	if a.options.Versions == nil {
+		return
+	}
+	a.options.Versions.Announced(version, func(ctx context.Context, q message.SettingsRequest) (message.SettingsReply, error) {
+		return link.FetchSettings(ctx, o.session, q)
+	})
+}
+
+// acceptStreams takes the streams that the entry opens.
+func (a *Agent) acceptStreams(ctx context.Context, o *owner) {
+	for {
+		st, err := o.session.Accept(ctx)
+		if err != nil {
+			return
+		}
+		if err := a.pool.Do(func() { a.serveStream(o, st) }); err != nil {
+			st.Reset()
+		}
+	}
+}
+
+// serveStream handles the first message of a stream.
+func (a *Agent) serveStream(o *owner, st link.Stream) {
+	m, err := st.Receive()
+	if err != nil {
+		st.Reset()
+		return
+	}
+	switch m := m.(type) {
+	case message.Start:
+		a.serveStart(o, st, m)
+	case message.SettingsRequest:
+		if a.options.Versions != nil {
+			_ = st.Send(a.options.Versions.Reply(m)) // a lost reply is asked for again
+		}
+		_ = st.CloseSend()
+	default:
+		st.Reset()
+	}
+}
+
+// serveStart runs an attempt and stays with its stream for a cancel.
+func (a *Agent) serveStart(o *owner, st link.Stream, m message.Start) {
+	key := queue.Key{Owner: o.id, Request: m.Request}
+	a.start(o, st, key, m)
+	for {
+		n, err := st.Receive()
+		if err != nil {
+			return
+		}
+		c, ok := n.(message.Cancel)
+		if !ok {
+			continue
+		}
+		a.mu.Lock()
+		a.perform(a.core.Cancel(time.Now(), o.id, c))
+		a.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/caller/caller.go
@@ -0,0 +1,222 @@
+// Package caller sends requests to entries the way an application does, and
+// measures the answers. Examples, the load tool and tests use it.
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"foxcross.dev/coord/result"
+	"foxcross.dev/coord/settings"
+
+	"github.com/tmaxmax/go-sse"
+)
+
+const mostEvent = 1 << 20
+
+// Caller sends requests to one entry. The zero Client is the default one.
+type Caller struct {
+	URL    string
+	Key    string // bearer key of the team
+	Class  string // empty: the entry chooses
+	Idem   string // idempotency key, empty for none
+	Client *http.Client
+}
+
+// Answer is what came back.
+type Answer struct {
+	Code   result.Code // 0: the connection broke
+	Run    result.Run
+	Body   string
+	Tokens int
+	First  time.Duration   // to the first token or byte
+	Whole  time.Duration   // to the end
+	Gaps   []time.Duration // between tokens
+	Retry  string          // Retry-After
+	Err    error
+}
+
+// failure is the body of an answer that is not OK.
+type failure struct {
+	Error struct {
+		Code result.Code `json:"code"`
+		Run  string      `json:"run"`
+	} `json:"error"`
+}
+
+func (c Caller) do(ctx context.Context, method, path, body string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.URL+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+c.Key)
+	if c.Class != "" {
+		request.Header.Set("X-Foxcross-Class", c.Class)
+	}
+	if c.Idem != "" {
+		request.Header.Set("Idempotency-Key", c.Idem)
+	}
+	client := c.Client
+	if client == nil {
+		client = shared
+	}
+	return client.Do(request)
+}
+
+// mostIdle keeps connections for bursts.
+const mostIdle = 512
+
+var shared = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: mostIdle}}
+
+// Chat sends a prompt and reads the streamed answer.
+func (c Caller) Chat(ctx context.Context, model, prompt string) Answer {
+	body, err := json.Marshal(map[string]any{
+		"model": model, "stream": true,
+		"messages": []map[string]string{{"role": "user", "content": prompt}},
+	})
+	if err != nil {
+		return Answer{Err: err}
+	}
+	began := time.Now()
+	response, err := c.do(ctx, http.MethodPost, "/v1/chat/completions", string(body))
+	if err != nil {
+		return Answer{Err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return refused(response)
+	}
+	return readChat(response.Body, began)
+}
+
+func refused(response *http.Response) Answer {
+	a := Answer{Code: result.BadRequest, Retry: response.Header.Get("Retry-After")}
+	data, err := io.ReadAll(io.LimitReader(response.Body, mostEvent))
+	if err != nil {
+		return Answer{Err: err}
+	}
+	a.setFailure(data)
+	return a
+}
+
+func (a *Answer) setFailure(data []byte) {
+	var f failure
+	if err := json.Unmarshal(data, &f); err != nil {
+		a.Err = err
+		return
+	}
+	a.Code = f.Error.Code
+	a.Run = parseRun(f.Error.Run)
+}
+
+func parseRun(text string) result.Run {
+	for _, r := range []result.Run{result.Ran, result.NotRun} {
+		if r.String() == text {
+			return r
+		}
+	}
+	return result.Unknown
+}
+
+type chatEvent struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+	Error *json.RawMessage `json:"error"`
+}
+
+func readChat(body io.Reader, began time.Time) Answer {
+	var a Answer
+	var text strings.Builder
+	last := began
+	for event, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: mostEvent}) {
+		if err != nil {
+			a.Err = err
+			break
+		}
+		if event.Data == "[DONE]" {
+			a.Code = result.OK
+			a.Run = result.Ran
+			break
+		}
+		var e chatEvent
+		if err := json.Unmarshal([]byte(event.Data), &e); err != nil {
+			a.Err = err
+			break
+		}
+		if e.Error != nil {
+			a.setFailure([]byte(event.Data))
+			break
+		}
+		if len(e.Choices) > 0 && e.Choices[0].Delta.Content != "" {
+			text.WriteString(e.Choices[0].Delta.Content)
+			last = a.token(began, last)
+		}
+	}
+	a.Body = text.String()
+	a.Whole = time.Since(began)
+	return a
+}
+
+// token notes the time of a token.
+func (a *Answer) token(began, last time.Time) time.Time {
+	now := time.Now()
+	if a.Tokens == 0 {
+		a.First = now.Sub(began)
+	} else {
+		a.Gaps = append(a.Gaps, now.Sub(last))
+	}
+	a.Tokens++
+	return now
+}
+
+// Service calls a plain service.
+func (c Caller) Service(ctx context.Context, service, method, path string) Answer {
+	began := time.Now()
+	response, err := c.do(ctx, method, "/services/"+service+path, "")
+	if err != nil {
+		return Answer{Err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	code, err := strconv.Atoi(response.Header.Get("X-Foxcross-Code"))
+	if err != nil {
+		return Answer{Err: fmt.Errorf("no code: %w", err)}
+	}
+	if result.Code(code) != result.OK {
+		return refused(response)
+	}
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	took := time.Since(began)
+	return Answer{Code: result.OK, Run: result.Ran, Body: string(data), First: took, Whole: took}
+}
+
+// Meets tells whether the answer met the targets of its class.
+func (a Answer) Meets(c settings.ClassInfo) bool {
+	if a.Code != result.OK || a.First > c.Terms.FirstToken || a.Whole > c.Complete {
+		return false
+	}
+	return c.Terms.BetweenTokens == 0 || Quantile(a.Gaps, 0.95) <= c.Terms.BetweenTokens
+}
+
+// Quantile returns the smallest duration that at least the share of all are
+// not above, 0 for none.
+func Quantile(all []time.Duration, share float64) time.Duration {
+	if len(all) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(all))
+	at := int(share * float64(len(sorted)))
+	return sorted[min(at, len(sorted)-1)]
+}
--- /dev/null
+++ b/internal/endpoint/chat.go
@@ -0,0 +1,216 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"foxcross.dev/coord/message"
+	"foxcross.dev/coord/result"
+
+	"github.com/tmaxmax/go-sse"
+)
+
+const (
+	chatPath  = "/v1/chat/completions"
+	mostEvent = 1 << 20
+	doneEvent = "[DONE]"
+)
+
+func init() { Drivers.Register("openai", newChat) }
+
+// chat is the driver of an engine that speaks the chat-completions protocol
+// with server-sent events.
+type chat struct {
+	address string
+	client  *http.Client
+}
+
+func newChat(s Settings) (Driver, error) {
+	base, err := baseURL(s)
+	if err != nil {
+		return nil, err
+	}
+	return &chat{address: base.JoinPath(chatPath).String(), client: newClient(true)}, nil
+}
+
+// Run streams an answer. The engine is told the tier as its priority, and the
+// text that the caller already has as the beginning of the answer.
+func (e *chat) Run(ctx context.Context, c Call, k Sink) message.End {
+	body, err := chatBody(c)
+	if err != nil {
+		return failed(result.NotRun, err.Error())
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, e.address, bytes.NewReader(body))
+	if err != nil {
+		return failed(result.NotRun, err.Error())
+	}
+	request.Header.Set("Content-Type", "application/json")
+	answer, end := do(e.client, request)
+	if answer == nil {
+		return end
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return failed(result.Ran, fmt.Sprintf("engine answered %s", answer.Status))
+	}
+	return readEvents(answer, k)
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// chatBody changes only the fields that are the router's own.
+func chatBody(c Call) ([]byte, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(c.Start.Body, &fields); err != nil {
+		return nil, fmt.Errorf("body: %w", err)
+	}
+	fields["stream"] = json.RawMessage("true")
+	fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	fields["priority"] = json.RawMessage(fmt.Sprint(c.Terms.Tier))
+	if c.Start.Sent != "" {
+		if err := continueAnswer(fields, c.Start); err != nil {
+			return nil, err
+		}
+	}
+	return json.Marshal(fields)
+}
+
+// continueAnswer asks the engine to go on from the text already sent.
+func continueAnswer(fields map[string]json.RawMessage, m message.Start) error {
+	var messages []json.RawMessage
+	if err := json.Unmarshal(fields["messages"], &messages); err != nil {
+		return fmt.Errorf("messages: %w", err)
+	}
+	sent, err := json.Marshal(chatMessage{Role: "assistant", Content: m.Sent})
+	if err != nil {
+		return err
+	}
+	joined, err := json.Marshal(append(messages, sent))
+	if err != nil {
+		return err
+	}
+	fields["messages"] = joined
+	fields["continue_final_message"] = json.RawMessage("true")
+	fields["add_generation_prompt"] = json.RawMessage("false")
+	return shortenLimit(fields, m.Tokens)
+}
+
+// shortenLimit takes the tokens already sent off the caller's limit.
+func shortenLimit(fields map[string]json.RawMessage, sent int) error {
+	for _, name := range []string{"max_tokens", "max_completion_tokens"} {
+		raw, ok := fields[name]
+		if !ok || string(raw) == "null" {
+			continue
+		}
+		var most int
+		if err := json.Unmarshal(raw, &most); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		fields[name] = json.RawMessage(fmt.Sprint(max(1, most-sent)))
+	}
+	return nil
+}
+
+// chatEvent is the part of an event that the driver reads.
+type chatEvent struct {
+	Choices json.RawMessage `json:"choices"`
+	Usage   *struct {
+		Prompt     int `json:"prompt_tokens"`
+		Completion int `json:"completion_tokens"`
+	} `json:"usage"`
+	Error *struct {
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+// chatChoice is one choice of an event. What stands in other fields than these
+// makes the answer more than text.
+type chatChoice map[string]json.RawMessage
+
+func readEvents(answer *http.Response, k Sink) message.End {
+	end := message.End{Code: result.OK, Run: result.Ran}
+	whole := false
+	for event, err := range sse.Read(answer.Body, &sse.ReadConfig{MaxEventSize: mostEvent}) {
+		if err != nil {
+			return failed(result.Ran, err.Error())
+		}
+		if event.Data == doneEvent {
+			whole = true
+			break
+		}
+		if err := readEvent([]byte(event.Data), k, &end); err != nil {
+			return failed(result.Ran, err.Error())
+		}
+	}
+	if !whole {
+		return failed(result.Ran, "the engine broke off the answer")
+	}
+	return end
+}
+
+func readEvent(data []byte, k Sink, end *message.End) error {
+	var e chatEvent
+	if err := json.Unmarshal(data, &e); err != nil {
+		return fmt.Errorf("event: %w", err)
+	}
+	if e.Error != nil {
+		return fmt.Errorf("engine: %s", e.Error.Message)
+	}
+	if e.Usage != nil {
+		end.Prompt = e.Usage.Prompt
+		end.Tokens = e.Usage.Completion
+	}
+	if text, finish, plain := plainText(e.Choices); plain {
+		if finish != "" {
+			end.Finish = finish
+		}
+		if text == "" {
+			return nil
+		}
+		return k.Text(text, 1)
+	}
+	return k.Data(e.Choices, 1)
+}
+
+// plainText tells whether the choices are one choice of text, or none.
+func plainText(raw json.RawMessage) (text, finish string, plain bool) {
+	if len(raw) == 0 {
+		return "", "", true
+	}
+	var choices []chatChoice
+	if err := json.Unmarshal(raw, &choices); err != nil || len(choices) > 1 {
+		return "", "", false
+	}
+	if len(choices) == 0 {
+		return "", "", true
+	}
+	c := choices[0]
+	var delta chatChoice
+	var index int
+	ok := c.take("index", &index) && c.take("finish_reason", &finish) && c.take("delta", &delta) &&
+		delta.take("content", &text) && delta.take("role", new(string))
+	return text, finish, ok && index == 0 && c.empty() && delta.empty()
+}
+
+// take reads and removes a field; a missing or null one leaves v as it is.
+func (c chatChoice) take(name string, v any) bool {
+	raw, ok := c[name]
+	delete(c, name)
+	return !ok || json.Unmarshal(raw, v) == nil
+}
+
+// empty tells whether only null fields are left.
+func (c chatChoice) empty() bool {
+	for _, raw := range c {
+		if string(raw) != "null" {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/entry/dump.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"time"
+
+	"foxcross.dev/coord/binding"
+	"foxcross.dev/coord/message"
+	"foxcross.dev/foxcross/internal/lifecycle"
+)
+
+// recentSize is how many finished requests are kept for the dump.
+const recentSize = 128
+
+// RecentResult is a request that has its answer.
+type RecentResult struct {
+	At      time.Time         `json:"at"`
+	Request message.RequestID `json:"request"`
+	Class   string            `json:"class"`
+	Team    string            `json:"team"`
+	Code    string            `json:"code"`
+	Run     string            `json:"run"`
+	Reason  string            `json:"reason,omitempty"`
+}
+
+// recentResults is a ring of the last finished requests.
+type recentResults struct {
+	results []RecentResult
+	next    int
+}
+
+func (r *recentResults) add(c *call, f binding.Finish) {
+	n := RecentResult{
+		At:      time.Now(),
+		Request: f.Request,
+		Class:   c.request.Terms.Class,
+		Team:    c.request.Terms.Team,
+		Code:    f.Code.String(),
+		Run:     f.Run.String(),
+		Reason:  f.End.Reason,
+	}
+	if len(r.results) < recentSize {
+		r.results = append(r.results, n)
+		return
+	}
+	r.results[r.next] = n
+	r.next = (r.next + 1) % recentSize
+}
+
+// Dump is the state of an entry at one moment.
+type Dump struct {
+	Name     string          `json:"name"`
+	State    lifecycle.State `json:"state"`
+	Settings uint64          `json:"settings_version"`
+	Entries  int             `json:"live_entries"`
+	Open     int             `json:"open_requests"`
+	Binding  binding.Dump    `json:"binding"`
+	Recent   []RecentResult  `json:"recent"`
+}
+
+// Dump returns the state.
+func (e *Entry) Dump() Dump {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return Dump{
+		Name:     e.options.Name,
+		State:    e.life.State(),
+		Settings: e.options.Settings.Version(),
+		Entries:  e.entries,
+		Open:     len(e.calls),
+		Binding:  e.core.Dump(time.Now()),
+		Recent:   append([]RecentResult(nil), e.recent.results...),
+	}
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,258 @@
+// Package entry is the process that takes callers' requests. It owns each
+// request it has accepted, lets package binding decide, and talks to agents.
+//
+// Lock order: Entry.mu, then call.mu. Nothing blocks while Entry.mu is held.
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"foxcross.dev/coord/binding"
+	"foxcross.dev/coord/limit"
+	"foxcross.dev/coord/message"
+	"foxcross.dev/coord/result"
+	"foxcross.dev/foxcross/internal/lifecycle"
+	"foxcross.dev/foxcross/internal/link"
+	"foxcross.dev/foxcross/internal/logs"
+	"foxcross.dev/foxcross/internal/platform"
+	"foxcross.dev/foxcross/internal/versions"
+	"foxcross.dev/foxcross/internal/workers"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// Defaults of Options.
+const (
+	DefaultMostBody  = 8 << 20
+	DefaultListEvery = time.Second
+	outboxSize       = 16384
+)
+
+var log = logs.For("entry")
+
+// Options are what an entry is made of.
+type Options struct {
+	Name       string
+	DataCentre string
+	Dialer     link.Dialer
+	Members    platform.Members
+	Settings   *versions.Holder
+	Metrics    tally.Scope
+	Seed       uint64        // of the choice among equals
+	MostBody   int           // bytes, 0 for DefaultMostBody
+	Requests   int           // most requests at once, 0 for the default
+	Fanout     int           // agents offered at once, 0 for the default
+	ListEvery  time.Duration // how often the member list is read, 0 for DefaultListEvery
+	Claims     Claims        // nil: idempotency keys are refused
+}
+
+// Claims takes idempotency keys for requests that may not be repeated.
+type Claims interface {
+	// Claim returns once the key is this request's alone. The returned function
+	// frees it, for a request that was not run after all.
+	Claim(ctx context.Context, key string) (release func(), err error)
+}
+
+// Entry is one entry process. Create it with New.
+type Entry struct {
+	options Options
+	life    *lifecycle.Life
+	pool    workers.Pool
+	metrics tally.Scope
+
+	mu       sync.Mutex
+	core     binding.Core
+	calls    map[message.RequestID]*call
+	attempts map[attemptKey]*attempt
+	peers    map[string]*peer // by name, dialled or connected
+	teams    limit.Teams
+	entries  int // live entries by the member list
+	kick     chan struct{}
+	onIdle   chan struct{}
+	recent   recentResults
+}
+
+// New returns an entry that does not run yet.
+func New(o Options) *Entry {
+	if o.MostBody <= 0 {
+		o.MostBody = DefaultMostBody
+	}
+	if o.ListEvery <= 0 {
+		o.ListEvery = DefaultListEvery
+	}
+	e := &Entry{
+		options:  o,
+		life:     lifecycle.New(),
+		metrics:  o.Metrics,
+		calls:    map[message.RequestID]*call{},
+		attempts: map[attemptKey]*attempt{},
+		peers:    map[string]*peer{},
+		entries:  1,
+		kick:     make(chan struct{}, 1),
+		onIdle:   make(chan struct{}, 1),
+	}
+	e.core = binding.Core{
+		Rand:     rand.New(rand.NewPCG(o.Seed, o.Seed+1)),
+		Fanout:   o.Fanout,
+		Requests: o.Requests,
+	}
+	if e.metrics == nil {
+		e.metrics = tally.NoopScope
+	}
+	return e
+}
+
+// Run keeps connections to the agents and the clock of the core until ctx is
+// done.
+func (e *Entry) Run(ctx context.Context) {
+	e.options.Settings.OnChange(e.announce)
+	go e.tick(ctx)
+	e.follow(ctx)
+}
+
+// tick calls the core when it has something to do.
+func (e *Entry) tick(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-e.kick:
+		}
+		e.mu.Lock()
+		e.perform(e.core.Tick(time.Now()))
+		if at, ok := e.core.Next(); ok {
+			timer.Reset(max(time.Millisecond, time.Until(at)))
+		}
+		e.mu.Unlock()
+	}
+}
+
+// wake lets the tick loop look at the core again.
+func (e *Entry) wake() {
+	select {
+	case e.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Ready tells whether the balancer may send requests here.
+func (e *Entry) Ready() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.options.Settings.Version() > 0 && e.core.Targets() > 0 {
+		e.life.Ready()
+	}
+	return e.life.State() == lifecycle.Serving
+}
+
+// Connected returns how many agents have reported their loads.
+func (e *Entry) Connected() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.core.Reporting()
+}
+
+// State returns where the entry is in its life.
+func (e *Entry) State() lifecycle.State { return e.life.State() }
+
+// StopTaking makes the readiness check fail, while requests are still taken:
+// the balancer needs a moment to see it.
+func (e *Entry) StopTaking() { e.life.Stop() }
+
+// Drain refuses new requests and waits for the last answer, or until ctx is
+// done.
+func (e *Entry) Drain(ctx context.Context) error {
+	e.life.Stop()
+	e.mu.Lock()
+	e.core.Drain()
+	e.mu.Unlock()
+	defer e.life.Done()
+	for e.open() > 0 {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("entry: stopped with requests open: %w", ctx.Err())
+		case <-e.onIdle:
+		}
+	}
+	log.Info("All requests are answered.")
+	return nil
+}
+
+// open counts the requests whose answer is not written yet.
+func (e *Entry) open() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.calls)
+}
+
+// accept gives a request to the core.
+func (e *Entry) accept(q binding.Request, s message.Start, a limit.Allowance) (*call, *result.Error) {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	team := q.Terms.Team
+	ok, retry := e.teams.Acquire(now, team, a.Share(e.entries))
+	if !ok {
+		return nil, &result.Error{Code: result.TeamLimit, Run: result.NotRun, RetryAfter: retry, Reason: "team " + team}
+	}
+	c := newCall(q, s)
+	id, actions := e.core.Accept(now, q)
+	c.id = id
+	e.calls[id] = c
+	e.perform(actions)
+	e.wake()
+	return c, nil
+}
+
+// release forgets a call whose answer is written or whose caller is gone.
+func (e *Entry) release(c *call) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.perform(e.core.Hangup(c.id))
+	delete(e.calls, c.id)
+	e.teams.Release(c.request.Terms.Team)
+	if len(e.calls) == 0 {
+		select {
+		case e.onIdle <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// perform carries out the core's actions. Entry.mu is held.
+func (e *Entry) perform(actions []binding.Action) {
+	for _, x := range actions {
+		switch x := x.(type) {
+		case binding.Send:
+			if p := e.peers[x.Peer]; p != nil {
+				p.send(x.Message)
+			}
+		case binding.Start:
+			e.startAttempt(x)
+		case binding.Cancel:
+			e.cancelAttempt(x)
+		case binding.Finish:
+			e.finish(x)
+		}
+	}
+}
+
+func (e *Entry) finish(x binding.Finish) {
+	c := e.calls[x.Request]
+	if c == nil {
+		return
+	}
+	c.put(finished{x})
+	e.recent.add(c, x)
+	e.metrics.Tagged(map[string]string{
+		"class": c.request.Terms.Class,
+		"code":  x.Code.Entry().Name,
+	}).Counter("requests").Inc(1)
+}
--- /dev/null
+++ b/internal/entry/peers.go
@@ -0,0 +1,291 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"foxcross.dev/coord/message"
+	"foxcross.dev/foxcross/internal/link"
+	"foxcross.dev/foxcross/internal/platform"
+	"foxcross.dev/foxcross/internal/versions"
+
+	"github.com/cenkalti/backoff/v5"
+)
+
+const (
+	dialTimeout = 3 * time.Second
+	firstRedial = 50 * time.Millisecond
+	mostRedial  = 5 * time.Second
+	listTimeout = 2 * time.Second
+	keepAbsent  = time.Minute // an agent missing from the list is kept so long
+)
+
+// peer is an agent that the entry keeps a connection to.
+type peer struct {
+	name    string
+	address string
+	session link.Session // nil while not connected
+	outbox  chan message.Message
+	stop    context.CancelFunc
+	absent  time.Time // since when the list lacks the agent
+}
+
+// send queues a control message. Entry.mu is held. An agent that does not read
+// is cut off.
+func (p *peer) send(m message.Message) {
+	if p.session == nil {
+		return
+	}
+	select {
+	case p.outbox <- m:
+	default:
+		log.Warnf("Agent %s does not read, connection closed.", p.name)
+		p.session.Close()
+	}
+}
+
+// follow reads the member list again and again and keeps the connections to
+// match it.
+func (e *Entry) follow(ctx context.Context) {
+	ticker := time.NewTicker(e.options.ListEvery)
+	defer ticker.Stop()
+	for {
+		e.readList(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (e *Entry) readList(ctx context.Context) {
+	wait, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	members, err := e.options.Members.Members(wait)
+	if err != nil {
+		log.Debugf("The member list can't be read, keeping the old one: %v.", err)
+		return
+	}
+	e.apply(ctx, time.Now(), members)
+}
+
+// apply takes a list. It may lag or be empty by mistake: an agent that is not
+// on it is only dropped after a while without a connection.
+func (e *Entry) apply(ctx context.Context, now time.Time, members []platform.Member) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	listed := map[string]bool{}
+	entries := 0
+	for _, m := range members {
+		switch m.Role {
+		case platform.Entry:
+			if !m.Leaving {
+				entries++
+			}
+		case platform.Agent:
+			listed[m.Name] = true
+			e.applyAgent(ctx, m)
+		}
+	}
+	e.entries = max(1, entries)
+	for _, p := range e.peers {
+		e.applyAbsence(now, p, listed[p.name])
+	}
+}
+
+func (e *Entry) applyAgent(ctx context.Context, m platform.Member) {
+	p := e.peers[m.Name]
+	if p != nil && p.address != m.Address {
+		e.dropPeer(p)
+		p = nil
+	}
+	if p == nil && !m.Leaving {
+		p = &peer{name: m.Name, address: m.Address}
+		e.peers[m.Name] = p
+		own, stop := context.WithCancel(ctx)
+		p.stop = stop
+		go e.keepPeer(own, p)
+	}
+	if p != nil && m.Leaving {
+		e.core.PeerLeaving(m.Name)
+	}
+}
+
+func (e *Entry) applyAbsence(now time.Time, p *peer, listed bool) {
+	switch {
+	case listed:
+		p.absent = time.Time{}
+	case p.absent.IsZero():
+		p.absent = now
+	case p.session == nil && now.Sub(p.absent) > keepAbsent:
+		e.dropPeer(p)
+	}
+}
+
+func (e *Entry) dropPeer(p *peer) {
+	p.stop()
+	delete(e.peers, p.name)
+	if p.session != nil {
+		p.session.Close()
+		p.session = nil
+		e.perform(e.core.PeerDown(time.Now(), p.name))
+	}
+}
+
+// keepPeer connects again and again until the peer is dropped.
+func (e *Entry) keepPeer(ctx context.Context, p *peer) {
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval = firstRedial
+	wait.MaxInterval = mostRedial
+	for ctx.Err() == nil {
+		s, h, err := e.dial(ctx, p.address)
+		if err == nil {
+			wait.Reset()
+			e.servePeer(ctx, p, s, h)
+		} else {
+			log.Debugf("Agent %s can't be reached: %v.", p.name, err)
+		}
+		timer := time.NewTimer(wait.NextBackOff())
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// dial connects and exchanges hellos.
+func (e *Entry) dial(ctx context.Context, address string) (link.Session, message.Hello, error) {
+	wait, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	s, err := e.options.Dialer.Dial(wait, address)
+	if err != nil {
+		return nil, message.Hello{}, err
+	}
+	stop := context.AfterFunc(wait, s.Close)
+	defer stop()
+	hello := message.Hello{
+		Name:       e.options.Name,
+		DataCentre: e.options.DataCentre,
+		Settings:   e.options.Settings.Version(),
+	}
+	if err := s.Control().Send(hello); err != nil {
+		s.Close()
+		return nil, message.Hello{}, err
+	}
+	m, err := s.Control().Receive()
+	h, ok := m.(message.Hello)
+	if err == nil && !ok {
+		err = errNoHello
+	}
+	if err != nil {
+		s.Close()
+		return nil, message.Hello{}, err
+	}
+	return s, h, nil
+}
+
+// servePeer handles one connection until it is gone.
+func (e *Entry) servePeer(ctx context.Context, p *peer, s link.Session, h message.Hello) {
+	defer s.Close()
+	stop := context.AfterFunc(ctx, s.Close)
+	defer stop()
+	if h.Name != p.name {
+		log.Errorf("Agent %s answers at the address of %s.", h.Name, p.name)
+		return
+	}
+	if !e.connected(p, s) {
+		return
+	}
+	defer e.disconnected(p, s)
+	e.announced(s, h.Settings)
+	go sendControl(s, p.outbox)
+	for {
+		m, err := s.Control().Receive()
+		if err != nil {
+			return
+		}
+		e.control(p, s, m)
+	}
+}
+
+func (e *Entry) connected(p *peer, s link.Session) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.peers[p.name] != p {
+		return false
+	}
+	p.session = s
+	p.outbox = make(chan message.Message, outboxSize)
+	e.perform(e.core.PeerUp(time.Now(), p.name, s.Trip()))
+	log.Infof("Agent %s connected.", p.name)
+	return true
+}
+
+func (e *Entry) disconnected(p *peer, s link.Session) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if p.session != s {
+		return
+	}
+	p.session = nil
+	e.perform(e.core.PeerDown(time.Now(), p.name))
+	e.wake()
+	log.Infof("Agent %s is gone.", p.name)
+}
+
+// sendControl writes the outbox until the connection is gone.
+func sendControl(s link.Session, outbox <-chan message.Message) {
+	for {
+		select {
+		case <-s.Done():
+			return
+		case m := <-outbox:
+			if err := s.Control().Send(m); err != nil {
+				s.Close()
+				return
+			}
+		}
+	}
+}
+
+// control handles one control message.
+func (e *Entry) control(p *peer, s link.Session, m message.Message) {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if p.session != s {
+		return
+	}
+	switch m := m.(type) {
+	case message.Ready:
+		e.perform(e.core.Ready(now, p.name, m))
+	case message.Declined:
+		e.perform(e.core.Declined(now, p.name, m))
+	case message.Heartbeat:
+		e.perform(e.core.Heartbeat(now, p.name, m))
+		e.announced(s, m.Settings)
+	case message.Leaving:
+		e.core.PeerLeaving(p.name)
+	default:
+		log.Warnf("Agent %s sent an unexpected %T.", p.name, m)
+	}
+	e.wake()
+}
+
+// announced tells the settings which version an agent holds.
+func (e *Entry) announced(s link.Session, version uint64) {
+	e.options.Settings.Announced(version, func(ctx context.Context, q message.SettingsRequest) (message.SettingsReply, error) {
+		return link.FetchSettings(ctx, s, q)
+	})
+}
+
+// announce tells every agent that a new version is in force here.
+func (e *Entry) announce(v versions.State) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.peers {
+		p.send(message.Heartbeat{Settings: v.Root.Version})
+	}
+}
--- /dev/null
+++ b/internal/keys/keys.go
@@ -0,0 +1,170 @@
+// Package keys makes and loads the certificates that foxcross's processes show
+// each other.
+package keys
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"fmt"
+	"math/big"
+	"os"
+	"time"
+)
+
+// ServerName is the name that every process's certificate bears: who a process
+// is follows from the authority that signed it, not from its address.
+const ServerName = "foxcross.internal"
+
+const (
+	clockSkew  = time.Hour
+	serialBits = 120
+)
+
+// Authority signs certificates of processes.
+type Authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+// Pair is a certificate and its key in PEM form.
+type Pair struct {
+	Certificate []byte
+	Key         []byte
+}
+
+// NewAuthority makes an authority that is valid for a time.
+func NewAuthority(now time.Time, life time.Duration) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, fmt.Errorf("keys: %w", err)
+	}
+	template := template("foxcross authority", now, life)
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, fmt.Errorf("keys: %w", err)
+	}
+	certificate, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, fmt.Errorf("keys: %w", err)
+	}
+	return &Authority{certificate, key}, nil
+}
+
+func template(name string, now time.Time, life time.Duration) *x509.Certificate {
+	serial, _ := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits)) // never fails
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-clockSkew),
+		NotAfter:     now.Add(life),
+	}
+}
+
+// Certificate returns the authority's certificate in PEM form.
+func (a *Authority) Certificate() []byte { return encode("CERTIFICATE", a.certificate.Raw) }
+
+// KeyPair returns the authority's certificate and key in PEM form.
+func (a *Authority) KeyPair() (Pair, error) {
+	key, err := x509.MarshalECPrivateKey(a.key)
+	if err != nil {
+		return Pair{}, fmt.Errorf("keys: %w", err)
+	}
+	return Pair{Certificate: a.Certificate(), Key: encode("EC PRIVATE KEY", key)}, nil
+}
+
+// LoadAuthority reads what KeyPair returned.
+func LoadAuthority(p Pair) (*Authority, error) {
+	pair, err := tls.X509KeyPair(p.Certificate, p.Key)
+	if err != nil {
+		return nil, fmt.Errorf("keys: authority: %w", err)
+	}
+	key, ok := pair.PrivateKey.(*ecdsa.PrivateKey)
+	if !ok {
+		return nil, errors.New("keys: authority: not an elliptic curve key")
+	}
+	certificate, err := x509.ParseCertificate(pair.Certificate[0])
+	if err != nil {
+		return nil, fmt.Errorf("keys: authority: %w", err)
+	}
+	return &Authority{certificate, key}, nil
+}
+
+// Issue makes a certificate for a process.
+func (a *Authority) Issue(name string, now time.Time, life time.Duration) (Pair, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Pair{}, fmt.Errorf("keys: %w", err)
+	}
+	template := template(name, now, life)
+	template.DNSNames = []string{ServerName}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	if err != nil {
+		return Pair{}, fmt.Errorf("keys: %w", err)
+	}
+	raw, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return Pair{}, fmt.Errorf("keys: %w", err)
+	}
+	return Pair{Certificate: encode("CERTIFICATE", der), Key: encode("EC PRIVATE KEY", raw)}, nil
+}
+
+func encode(kind string, der []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+}
+
+// Config returns TLS settings for both directions: the process shows its
+// certificate and trusts what the authorities have signed. The files may hold
+// several authorities while one replaces another.
+func Config(authorities []byte, p Pair) (*tls.Config, error) {
+	trusted := x509.NewCertPool()
+	if !trusted.AppendCertsFromPEM(authorities) {
+		return nil, errors.New("keys: no certificate of an authority")
+	}
+	own, err := tls.X509KeyPair(p.Certificate, p.Key)
+	if err != nil {
+		return nil, fmt.Errorf("keys: %w", err)
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{own},
+		RootCAs:      trusted,
+		ClientCAs:    trusted,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		ServerName:   ServerName,
+		MinVersion:   tls.VersionTLS13,
+	}, nil
+}
+
+// Files name the files of a process's certificates.
+type Files struct {
+	Authorities string `json:"authorities"`
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+}
+
+// Load reads the files and returns TLS settings.
+func (f Files) Load() (*tls.Config, error) {
+	authorities, err := os.ReadFile(f.Authorities)
+	if err != nil {
+		return nil, fmt.Errorf("keys: %w", err)
+	}
+	certificate, err := os.ReadFile(f.Certificate)
+	if err != nil {
+		return nil, fmt.Errorf("keys: %w", err)
+	}
+	key, err := os.ReadFile(f.Key)
+	if err != nil {
+		return nil, fmt.Errorf("keys: %w", err)
+	}
+	return Config(authorities, Pair{Certificate: certificate, Key: key})
+}
--- /dev/null
+++ b/internal/platform/httpkv/client.go
@@ -0,0 +1,187 @@
+// Package httpkv is the platform driver "http": a key-value service and a
+// member list over plain HTTP. A value is the body of GET and PUT under
+// ValuePath; its revision is in RevisionField. PUT stores only on the revision
+// it names; 409 means it has changed, 404 that there is none, 503 that nothing
+// was done. GET with the query "after" waits for a later revision.
+package httpkv
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"foxcross.dev/foxcross/internal/platform"
+)
+
+// The protocol's paths and field.
+const (
+	ValuePath     = "/v1/values/"
+	ListPath      = "/v1/keys"
+	MembersPath   = "/v1/members"
+	LeasePath     = "/v1/leases"
+	RevisionField = "X-Revision"
+)
+
+const (
+	callTimeout = 5 * time.Second
+	dialTimeout = 2 * time.Second
+	mostAnswer  = 16 << 20
+)
+
+func init() { platform.Drivers.Register("http", New) }
+
+type client struct {
+	base *url.URL
+	http *http.Client
+}
+
+// New returns a client of the service at a base URL.
+func New(address string) (platform.Platform, error) {
+	base, err := url.Parse(address)
+	if err != nil || base.Host == "" {
+		return nil, fmt.Errorf("httpkv: %q is not a URL", address)
+	}
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+	return &client{base: base, http: &http.Client{Transport: transport}}, nil
+}
+
+// answer is the part of an HTTP answer that the client needs.
+type answer struct {
+	status   int
+	body     []byte
+	revision uint64
+}
+
+// call makes one call. An error before a connection means that nothing was
+// done; any later one leaves the outcome open.
+func (c *client) call(ctx context.Context, method, path string, query url.Values, body []byte, revision uint64) (answer, error) {
+	to := c.base.JoinPath(path)
+	to.RawQuery = query.Encode()
+	var reader io.Reader
+	if body != nil {
+		reader = struct{ io.Reader }{bytes.NewReader(body)} // never sent twice by the library
+	}
+	request, err := http.NewRequestWithContext(ctx, method, to.String(), reader)
+	if err != nil {
+		return answer{}, err
+	}
+	request.Header.Set(RevisionField, strconv.FormatUint(revision, 10))
+	response, err := c.http.Do(request)
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return answer{}, fmt.Errorf("%w: %v", platform.ErrUnavailable, err)
+	}
+	if err != nil {
+		return answer{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, mostAnswer))
+	if err != nil {
+		return answer{}, err
+	}
+	number, _ := strconv.ParseUint(response.Header.Get(RevisionField), 10, 64) // absent is 0
+	return answer{status: response.StatusCode, body: data, revision: number}, statusError(response.StatusCode)
+}
+
+func statusError(status int) error {
+	switch status {
+	case http.StatusOK, http.StatusNoContent:
+		return nil
+	case http.StatusNotFound:
+		return platform.ErrNotFound
+	case http.StatusConflict:
+		return platform.ErrConflict
+	case http.StatusServiceUnavailable:
+		return platform.ErrUnavailable
+	default:
+		return fmt.Errorf("httpkv: status %d", status)
+	}
+}
+
+// Get returns a value.
+func (c *client) Get(ctx context.Context, key string) (platform.Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	a, err := c.call(ctx, http.MethodGet, ValuePath+key, nil, nil, 0)
+	return platform.Value{Data: a.body, Revision: a.revision}, err
+}
+
+// List returns the keys with the prefix.
+func (c *client) List(ctx context.Context, prefix string) ([]string, error) {
+	var keys []string
+	err := c.read(ctx, ListPath, url.Values{"prefix": {prefix}}, &keys)
+	return keys, err
+}
+
+// Members returns the member list.
+func (c *client) Members(ctx context.Context) ([]platform.Member, error) {
+	var members []platform.Member
+	err := c.read(ctx, MembersPath, nil, &members)
+	return members, err
+}
+
+func (c *client) read(ctx context.Context, path string, query url.Values, v any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	a, err := c.call(ctx, http.MethodGet, path, query, nil, 0)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(a.body, v)
+}
+
+// Swap stores a value on a revision.
+func (c *client) Swap(ctx context.Context, key string, data []byte, revision uint64) (uint64, error) {
+	return c.SwapLeased(ctx, key, data, revision, 0)
+}
+
+// SwapLeased stores a value under a lease.
+func (c *client) SwapLeased(ctx context.Context, key string, data []byte, revision, lease uint64) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var query url.Values
+	if lease != 0 {
+		query = url.Values{"lease": {strconv.FormatUint(lease, 10)}}
+	}
+	if data == nil {
+		data = []byte{}
+	}
+	a, err := c.call(ctx, http.MethodPut, ValuePath+key, query, data, revision)
+	return a.revision, err
+}
+
+// Watch waits for a later revision.
+func (c *client) Watch(ctx context.Context, key string, after uint64) (platform.Value, error) {
+	query := url.Values{"after": {strconv.FormatUint(after, 10)}}
+	a, err := c.call(ctx, http.MethodGet, ValuePath+key, query, nil, 0)
+	return platform.Value{Data: a.body, Revision: a.revision}, err
+}
+
+// Grant opens a lease.
+func (c *client) Grant(ctx context.Context, life time.Duration) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	a, err := c.call(ctx, http.MethodPost, LeasePath, url.Values{"life": {life.String()}}, nil, 0)
+	if err != nil {
+		return 0, err
+	}
+	var id uint64
+	err = json.Unmarshal(a.body, &id)
+	return id, err
+}
+
+// Renew prolongs a lease.
+func (c *client) Renew(ctx context.Context, lease uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := c.call(ctx, http.MethodPut, LeasePath+"/"+strconv.FormatUint(lease, 10), nil, []byte{}, 0)
+	return err
+}
--- /dev/null
+++ b/internal/standin/store.go
@@ -0,0 +1,263 @@
+// Package standin holds small stand-ins for what lies outside foxcross: the
+// platform's key-value service and member list, a model engine, a plain
+// service. They exist for examples and tests and can be made to fail.
+package standin
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"foxcross.dev/foxcross/internal/platform"
+)
+
+// MostValue is the largest value in bytes that the store takes.
+const MostValue = 1 << 20
+
+// Faults are what can go wrong with the store.
+type Faults struct {
+	Down      bool
+	Delay     time.Duration
+	LoseSwaps int // so many swaps take effect but are not answered
+}
+
+// Calls counts calls by kind; a waiting watch counts as one.
+type Calls struct {
+	Gets, Lists, Swaps, Watches, Leases int
+}
+
+// Store is a key-value service in memory. The zero value is empty.
+type Store struct {
+	Now func() time.Time // nil for the wall clock
+
+	mu       sync.Mutex
+	values   map[string]stored
+	leases   map[uint64]lease
+	revision uint64
+	waiters  map[string][]chan struct{}
+	faults   Faults
+	calls    Calls
+	members  []platform.Member
+}
+
+type stored struct {
+	platform.Value
+	lease uint64
+}
+
+type lease struct {
+	life  time.Duration
+	until time.Time
+}
+
+// SetFaults changes what goes wrong from now on.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.wakeAll()
+}
+
+// Calls returns how often the store was called.
+func (s *Store) Calls() Calls {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// SetMembers replaces the member list.
+func (s *Store) SetMembers(m []platform.Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.members = slices.Clone(m)
+}
+
+// Members returns the list.
+func (s *Store) Members(ctx context.Context) ([]platform.Member, error) {
+	if err := s.enter(ctx, nil); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.members), nil
+}
+
+// enter counts a call and lets the faults act.
+func (s *Store) enter(ctx context.Context, count func(*Calls)) error {
+	s.mu.Lock()
+	if count != nil {
+		count(&s.calls)
+	}
+	f := s.faults
+	s.mu.Unlock()
+	if f.Delay > 0 {
+		timer := time.NewTimer(f.Delay)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return platform.ErrUnavailable
+		}
+	}
+	if f.Down {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+func (s *Store) now() time.Time {
+	if s.Now != nil {
+		return s.Now()
+	}
+	return time.Now()
+}
+
+// look returns a value whose lease has not lapsed. The lock is held.
+func (s *Store) look(key string) (stored, bool) {
+	v, ok := s.values[key]
+	if ok && v.lease != 0 && s.leases[v.lease].until.Before(s.now()) {
+		delete(s.values, key)
+		return stored{}, false
+	}
+	return v, ok
+}
+
+// Get returns a value.
+func (s *Store) Get(ctx context.Context, key string) (platform.Value, error) {
+	if err := s.enter(ctx, func(c *Calls) { c.Gets++ }); err != nil {
+		return platform.Value{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v, ok := s.look(key)
+	if !ok {
+		return platform.Value{}, platform.ErrNotFound
+	}
+	return v.Value, nil
+}
+
+// List returns keys in order.
+func (s *Store) List(ctx context.Context, prefix string) ([]string, error) {
+	if err := s.enter(ctx, func(c *Calls) { c.Lists++ }); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var keys []string
+	for k := range s.values {
+		if _, ok := s.look(k); ok && strings.HasPrefix(k, prefix) {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	return keys, nil
+}
+
+// Swap stores data if the revision is the present one.
+func (s *Store) Swap(ctx context.Context, key string, data []byte, revision uint64) (uint64, error) {
+	return s.SwapLeased(ctx, key, data, revision, 0)
+}
+
+// SwapLeased is Swap under a lease, 0 for none.
+func (s *Store) SwapLeased(ctx context.Context, key string, data []byte, revision, under uint64) (uint64, error) {
+	if err := s.enter(ctx, func(c *Calls) { c.Swaps++ }); err != nil {
+		return 0, err
+	}
+	if len(data) > MostValue {
+		return 0, errTooLarge
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l, ok := s.leases[under]; under != 0 && (!ok || l.until.Before(s.now())) {
+		return 0, platform.ErrNotFound
+	}
+	if v, _ := s.look(key); v.Revision != revision {
+		return 0, platform.ErrConflict
+	}
+	if s.values == nil {
+		s.values = map[string]stored{}
+	}
+	s.revision++
+	s.values[key] = stored{platform.Value{Data: slices.Clone(data), Revision: s.revision}, under}
+	s.wake(key)
+	if s.faults.LoseSwaps > 0 {
+		s.faults.LoseSwaps--
+		return 0, errLost
+	}
+	return s.revision, nil
+}
+
+// Watch waits for a later revision.
+func (s *Store) Watch(ctx context.Context, key string, after uint64) (platform.Value, error) {
+	if err := s.enter(ctx, func(c *Calls) { c.Watches++ }); err != nil {
+		return platform.Value{}, err
+	}
+	for {
+		s.mu.Lock()
+		v, ok := s.look(key)
+		down := s.faults.Down
+		woken := make(chan struct{})
+		if s.waiters == nil {
+			s.waiters = map[string][]chan struct{}{}
+		}
+		s.waiters[key] = append(s.waiters[key], woken)
+		s.mu.Unlock()
+		if down {
+			return platform.Value{}, platform.ErrUnavailable
+		}
+		if ok && v.Revision > after {
+			return v.Value, nil
+		}
+		select {
+		case <-woken:
+		case <-ctx.Done():
+			return platform.Value{}, ctx.Err()
+		}
+	}
+}
+
+func (s *Store) wake(key string) {
+	for _, w := range s.waiters[key] {
+		close(w)
+	}
+	delete(s.waiters, key)
+}
+
+func (s *Store) wakeAll() {
+	for k := range s.waiters {
+		s.wake(k)
+	}
+}
+
+// Grant opens a lease.
+func (s *Store) Grant(ctx context.Context, life time.Duration) (uint64, error) {
+	if err := s.enter(ctx, func(c *Calls) { c.Leases++ }); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leases == nil {
+		s.leases = map[uint64]lease{}
+	}
+	s.revision++
+	s.leases[s.revision] = lease{life: life, until: s.now().Add(life)}
+	return s.revision, nil
+}
+
+// Renew prolongs a lease.
+func (s *Store) Renew(ctx context.Context, id uint64) error {
+	if err := s.enter(ctx, func(c *Calls) { c.Leases++ }); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.leases[id]
+	if !ok || l.until.Before(s.now()) {
+		return platform.ErrNotFound
+	}
+	l.until = s.now().Add(l.life)
+	s.leases[id] = l
+	return nil
+}
--- /dev/null
+++ b/internal/standin/storehttp.go
@@ -0,0 +1,143 @@
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"foxcross.dev/foxcross/internal/platform"
+	"foxcross.dev/foxcross/internal/platform/httpkv"
+
+	"github.com/alexedwards/flow"
+)
+
+var (
+	errLost     = errors.New("standin: the answer was lost")
+	errTooLarge = errors.New("standin: the value is too large")
+)
+
+// mostWatch is how long a watch waits over HTTP before it is asked again.
+const mostWatch = 30 * time.Second
+
+// Handler serves the store over HTTP, as package httpkv describes it.
+func (s *Store) Handler() http.Handler {
+	mux := flow.New()
+	mux.HandleFunc(httpkv.ValuePath+"...", s.serveGet, http.MethodGet)
+	mux.HandleFunc(httpkv.ValuePath+"...", s.servePut, http.MethodPut)
+	mux.HandleFunc(httpkv.ListPath, s.serveList, http.MethodGet)
+	mux.HandleFunc(httpkv.MembersPath, s.serveMembers, http.MethodGet)
+	mux.HandleFunc(httpkv.LeasePath, s.serveGrant, http.MethodPost)
+	mux.HandleFunc(httpkv.LeasePath+"/:lease", s.serveRenew, http.MethodPut)
+	mux.HandleFunc("/v1/faults", s.serveFaults, http.MethodPut)
+	return mux
+}
+
+func keyOf(r *http.Request) string { return strings.TrimPrefix(r.URL.Path, httpkv.ValuePath) }
+
+func number(text string) uint64 {
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+func (s *Store) serveGet(w http.ResponseWriter, r *http.Request) {
+	var v platform.Value
+	var err error
+	if after := r.URL.Query().Get("after"); after != "" {
+		timer := time.AfterFunc(mostWatch, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.wake(keyOf(r))
+		})
+		v, err = s.Watch(r.Context(), keyOf(r), number(after))
+		timer.Stop()
+	} else {
+		v, err = s.Get(r.Context(), keyOf(r))
+	}
+	if err != nil {
+		writeStoreError(w, err)
+		return
+	}
+	w.Header().Set(httpkv.RevisionField, strconv.FormatUint(v.Revision, 10))
+	_, _ = w.Write(v.Data) // the caller may be gone
+}
+
+func (s *Store) servePut(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MostValue))
+	if err != nil {
+		http.Error(w, errTooLarge.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	under := number(r.URL.Query().Get("lease"))
+	revision, err := s.SwapLeased(r.Context(), keyOf(r), data, number(r.Header.Get(httpkv.RevisionField)), under)
+	if err != nil {
+		writeStoreError(w, err)
+		return
+	}
+	w.Header().Set(httpkv.RevisionField, strconv.FormatUint(revision, 10))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Store) serveList(w http.ResponseWriter, r *http.Request) {
+	keys, err := s.List(r.Context(), r.URL.Query().Get("prefix"))
+	writeStoreJSON(w, keys, err)
+}
+
+func (s *Store) serveMembers(w http.ResponseWriter, r *http.Request) {
+	members, err := s.Members(r.Context())
+	writeStoreJSON(w, members, err)
+}
+
+func (s *Store) serveGrant(w http.ResponseWriter, r *http.Request) {
+	life, err := time.ParseDuration(r.URL.Query().Get("life"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	id, err := s.Grant(r.Context(), life)
+	writeStoreJSON(w, id, err)
+}
+
+func (s *Store) serveRenew(w http.ResponseWriter, r *http.Request) {
+	err := s.Renew(r.Context(), number(flow.Param(r.Context(), "lease")))
+	writeStoreJSON(w, struct{}{}, err)
+}
+
+// serveFaults lets a person switch faults by hand.
+func (s *Store) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func writeStoreJSON(w http.ResponseWriter, v any, err error) {
+	if err != nil {
+		writeStoreError(w, err)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(v) // the caller may be gone
+}
+
+// writeStoreError answers an error; a lost answer is a broken connection.
+func writeStoreError(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, errLost):
+		panic(http.ErrAbortHandler)
+	case errors.Is(err, platform.ErrNotFound):
+		w.WriteHeader(http.StatusNotFound)
+	case errors.Is(err, platform.ErrConflict):
+		w.WriteHeader(http.StatusConflict)
+	default:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
--- /dev/null
+++ b/internal/workers/pool.go
@@ -0,0 +1,90 @@
+// Package workers runs jobs on a bounded pool of goroutines.
+package workers
+
+import (
+	"errors"
+	"sync"
+)
+
+// DefaultMost is how many workers a zero Pool may start.
+const DefaultMost = 4096
+
+// ErrFull means that every worker is busy.
+var ErrFull = errors.New("workers: all workers are busy")
+
+// Pool starts workers as they are needed and keeps them for later jobs. The
+// zero value is ready.
+type Pool struct {
+	Most int
+
+	mu   sync.Mutex
+	idle []chan func()
+	all  int
+	wait sync.WaitGroup
+}
+
+// Do hands a job to a worker. It never blocks.
+func (p *Pool) Do(job func()) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if last := len(p.idle) - 1; last >= 0 {
+		w := p.idle[last]
+		p.idle = p.idle[:last]
+		w <- job
+		return nil
+	}
+	if p.all >= p.most() {
+		return ErrFull
+	}
+	p.all++
+	w := make(chan func(), 1)
+	w <- job
+	p.wait.Add(1)
+	go p.work(w)
+	return nil
+}
+
+func (p *Pool) most() int {
+	if p.Most > 0 {
+		return p.Most
+	}
+	return DefaultMost
+}
+
+// work runs jobs until the pool has no place for an idle worker.
+func (p *Pool) work(w chan func()) {
+	defer p.wait.Done()
+	for job := range w {
+		job()
+		if !p.park(w) {
+			return
+		}
+	}
+}
+
+// mostIdle is how many workers wait for jobs; the others end.
+const mostIdle = 64
+
+func (p *Pool) park(w chan func()) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) >= mostIdle {
+		p.all--
+		return false
+	}
+	p.idle = append(p.idle, w)
+	return true
+}
+
+// Close ends the idle workers and waits for the busy ones. Do must not be
+// called any more.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	for _, w := range p.idle {
+		close(w)
+	}
+	p.all -= len(p.idle)
+	p.idle = make([]chan func(), mostIdle) // full: workers that end are not parked
+	p.mu.Unlock()
+	p.wait.Wait()
+}
