Let agents fetch settings from entries and end streams in order

Cause: entries took no streams from agents, so each agent's fetch ran into its time limit; a stopping agent could end before its last frames had arrived. Change: entries answer settings requests; an agent's stop waits until each owner has closed the attempt's stream.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -69,7 +69,7 @@
 	kick    chan struct{}
 	recent  recentEnds
 	onIdle  chan struct{}
-	stopped bool
+	streams int // attempts whose stream is not over
 }
 
 var log = logs.For("agent")
@@ -170,9 +170,12 @@
 }
 
 // wake lets the tick loop look at the core again.
-func (a *Agent) wake() {
+func (a *Agent) wake() { signal(a.kick) }
+
+// signal sends on a channel of size one without blocking.
+func signal(c chan struct{}) {
 	select {
-	case a.kick <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -180,8 +183,8 @@
 // State returns where the agent is in its life.
 func (a *Agent) State() lifecycle.State { return a.life.State() }
 
-// Stop takes no new work and waits until the running work has ended, or ctx is
-// done.
+// Stop takes no new work and waits until the running work has ended and the
+// owners have its ends, or ctx is done.
 func (a *Agent) Stop(ctx context.Context) error {
 	a.mu.Lock()
 	a.life.Stop()
@@ -207,5 +210,5 @@
 func (a *Agent) idle() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.core.Idle() && len(a.runs) == 0
+	return a.core.Idle() && a.streams == 0
 }
--- a/internal/agent/owner.go
+++ b/internal/agent/owner.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"time"
 
 	"foxcross.dev/coord/message"
@@ -160,21 +162,32 @@
 	}
 }
 
-// serveStart runs an attempt and stays with its stream for a cancel.
+// serveStart runs an attempt and stays with its stream until the owner has the
+// end. A cancel or a broken stream stops the attempt.
 func (a *Agent) serveStart(o *owner, st link.Stream, m message.Start) {
 	key := queue.Key{Owner: o.id, Request: m.Request}
 	a.start(o, st, key, m)
+	defer a.streamOver()
 	for {
 		n, err := st.Receive()
-		if err != nil {
+		if errors.Is(err, io.EOF) {
 			return
 		}
-		c, ok := n.(message.Cancel)
-		if !ok {
-			continue
+		_, cancelled := n.(message.Cancel)
+		if err != nil || cancelled {
+			a.mu.Lock()
+			a.perform(a.core.Cancel(time.Now(), o.id, message.Cancel{Request: m.Request, Attempt: m.Attempt}))
+			a.mu.Unlock()
+		}
+		if err != nil {
+			return
 		}
-		a.mu.Lock()
-		a.perform(a.core.Cancel(time.Now(), o.id, c))
-		a.mu.Unlock()
 	}
 }
+
+func (a *Agent) streamOver() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.streams--
+	signal(a.onIdle)
+}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -32,6 +32,7 @@
 func (a *Agent) start(o *owner, st link.Stream, k queue.Key, m message.Start) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.streams++
 	if old := a.runs[k]; old != nil && old.attempt == m.Attempt {
 		st.Reset() // a copy of a start that was obeyed
 		return
@@ -93,12 +94,7 @@
 	defer a.mu.Unlock()
 	a.perform(a.core.Ended(time.Now(), k, end))
 	a.wake()
-	if a.core.Idle() && len(a.runs) == 0 {
-		select {
-		case a.onIdle <- struct{}{}:
-		default:
-		}
-	}
+	signal(a.onIdle)
 }
 
 // finish sends the end without holding up the caller.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -135,12 +135,7 @@
 }
 
 // wake lets the tick loop look at the core again.
-func (e *Entry) wake() {
-	select {
-	case e.kick <- struct{}{}:
-	default:
-	}
-}
+func (e *Entry) wake() { signal(e.kick) }
 
 // Ready tells whether the balancer may send requests here.
 func (e *Entry) Ready() bool {
@@ -218,12 +213,7 @@
 	e.perform(e.core.Hangup(c.id))
 	delete(e.calls, c.id)
 	e.teams.Release(c.request.Terms.Team)
-	if len(e.calls) == 0 {
-		select {
-		case e.onIdle <- struct{}{}:
-		default:
-		}
-	}
+	signal(e.onIdle)
 }
 
 // perform carries out the core's actions. Entry.mu is held.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -201,6 +201,7 @@
 	defer e.disconnected(p, s)
 	e.announced(s, h.Settings)
 	go sendControl(s, p.outbox)
+	go e.acceptStreams(ctx, s)
 	for {
 		m, err := s.Control().Receive()
 		if err != nil {
@@ -274,6 +275,19 @@
 	e.wake()
 }
 
+// acceptStreams answers an agent that asks for settings.
+func (e *Entry) acceptStreams(ctx context.Context, s link.Session) {
+	for {
+		st, err := s.Accept(ctx)
+		if err != nil {
+			return
+		}
+		if err := e.pool.Do(func() { link.ServeSettings(st, e.options.Settings.Reply) }); err != nil {
+			st.Reset()
+		}
+	}
+}
+
 // announced tells the settings which version an agent holds.
 func (e *Entry) announced(s link.Session, version uint64) {
 	e.options.Settings.Announced(version, func(ctx context.Context, q message.SettingsRequest) (message.SettingsReply, error) {
--- a/internal/link/settings.go
+++ b/internal/link/settings.go
@@ -29,3 +29,15 @@
 	}
 	return reply, nil
 }
+
+// ServeSettings answers the request that a peer sends on a stream of its own.
+func ServeSettings(st Stream, reply func(message.SettingsRequest) message.SettingsReply) {
+	m, err := st.Receive()
+	q, ok := m.(message.SettingsRequest)
+	if err != nil || !ok {
+		st.Reset()
+		return
+	}
+	_ = st.Send(reply(q)) // a lost reply is asked for again
+	_ = st.CloseSend()
+}
