Add the two programs, their settings files and the checks

Cause: the parts ran only inside an example. Change: foxcross-entry and foxcross-agent with checked settings files, an admin server with the settings tree (ETag, dry run, diff, history, rollback), command line, metrics, state dump; check.sh runs format, vet, linter and tests. A request for a target that no agent serves any more is refused at once: it had waited for its whole give-up time. Measured: by hand with two entries, two agents and stand-ins as separate processes: chat streamed and whole, a booking once and its copy refused, racing settings changes, rollback, eight kinds of bad input each with its code, clean stops with exit code 0.

--- /dev/null
+++ b/cmd/foxcross-entry/main.go
@@ -0,0 +1,13 @@
+// Command foxcross-entry takes callers' requests and is the operators' tool.
+package main
+
+import (
+	"os"
+
+	"foxcross.dev/foxcross/internal/command"
+	_ "foxcross.dev/foxcross/internal/platform/httpkv" // registers its driver
+)
+
+func main() {
+	os.Exit(command.Main(&command.Entry{}, os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/coord/binding/core.go
+++ b/coord/binding/core.go
@@ -105,13 +105,23 @@
 		return result.Draining
 	case len(c.requests) >= bound:
 		return result.EntryFull
-	case len(c.routes[q.Target]) == 0:
+	case !c.served(q.Target):
 		return result.NoEndpoint
 	default:
 		return result.OK
 	}
 }
 
+// served tells whether an agent that is not leaving serves the target.
+func (c *Core) served(target string) bool {
+	for _, o := range c.routes[target] {
+		if !o.peer.leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // widen offers the request to more agents; when none is left and none has yet
 // to answer, the request is refused or tried again after a pause.
 func (c *Core) widen(now time.Time, r *request) {
@@ -159,6 +169,10 @@
 
 // exhausted handles a request that no agent in reach has in its queue.
 func (c *Core) exhausted(now time.Time, r *request) {
+	if r.attempt == 1 && !c.served(r.Target) {
+		c.refuse(r, result.NoEndpoint)
+		return
+	}
 	if r.onlyFull() && c.allTried(now, r) {
 		c.refuse(r, result.QueueFull)
 		return
--- a/coord/settings/snapshot.go
+++ b/coord/settings/snapshot.go
@@ -265,3 +265,17 @@
 
 // IsService tells whether a target name is a plain service's.
 func IsService(target string) bool { return strings.HasPrefix(target, servicePrefix) }
+
+// Check tells whether a tree may be put in force: its form by the schema and
+// its meaning by Compile.
+func Check(t Tree) error {
+	data, err := t.MarshalJSON()
+	if err != nil {
+		return result.Errorf(result.SettingsInvalid, "%v", err)
+	}
+	if err := checkSchema(data); err != nil {
+		return err
+	}
+	_, err = Compile(t)
+	return err
+}
--- a/examples/local/deployment.go
+++ b/examples/local/deployment.go
@@ -94,8 +94,8 @@
 }
 
 func (d *deployment) addAgents(centre string) error {
-	fresh := &standin.Engine{Step: 4 * time.Millisecond, Batch: 16}
-	old := &standin.Engine{Step: 10 * time.Millisecond, Batch: 8}
+	fresh := &standin.Engine{Card: standin.Card{Step: 4 * time.Millisecond, Batch: 16}}
+	old := &standin.Engine{Card: standin.Card{Step: 10 * time.Millisecond, Batch: 8}}
 	for _, e := range []*standin.Engine{fresh, old} {
 		d.engines = append(d.engines, e)
 		e.OnStart = func(prompt string) { d.executed(prompt, centre) }
--- /dev/null
+++ b/internal/process/agent.go
@@ -0,0 +1,98 @@
+package process
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"foxcross.dev/foxcross/internal/admin"
+	"foxcross.dev/foxcross/internal/agent"
+	"foxcross.dev/foxcross/internal/config"
+	"foxcross.dev/foxcross/internal/endpoint"
+	"foxcross.dev/foxcross/internal/link"
+	"foxcross.dev/foxcross/internal/metrics"
+	"foxcross.dev/foxcross/internal/versions"
+
+	"foxcross.dev/coord/dispatch"
+)
+
+// RunAgent runs an agent until it is told to stop.
+func RunAgent(path string) error {
+	c, err := config.ReadAgent(path)
+	if err != nil {
+		return err
+	}
+	if err := setupLog(c.Log); err != nil {
+		return err
+	}
+	tls, err := c.TLS.Load()
+	if err != nil {
+		return err
+	}
+	locals, err := localsOf(c.Endpoints)
+	if err != nil {
+		return err
+	}
+	scope, served, closer := metrics.New("agent")
+	defer func() { _ = closer.Close() }()
+	a := agent.New(agent.Options{
+		Name:       c.Name,
+		DataCentre: c.DataCentre,
+		Hold:       config.Milliseconds(c.HoldMS, 0),
+		QueueBound: c.QueueBound,
+		Locals:     locals,
+		Metrics:    scope,
+		Versions:   &versions.Holder{},
+	})
+	l, err := link.ListenQUIC(c.Listen, tls)
+	if err != nil {
+		return err
+	}
+	dump := func() any { return a.Dump() }
+	operators, err := listen(c.Admin.Address, admin.Handler(admin.Options{
+		KeyHash: c.Admin.KeyHash, Dump: dump, Metrics: served,
+	}))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = operators.Close() }()
+	first, second := stopSignals()
+	dumpOnSignal(second, dump)
+	return serveAgent(a, l, first, second, config.Milliseconds(c.StopTimeoutMS, config.DefaultStopTimeout))
+}
+
+// serveAgent serves until the first signal and then until the work has ended.
+func serveAgent(a *agent.Agent, l link.Listener, first, second context.Context, timeout time.Duration) error {
+	serving, end := context.WithCancel(context.Background())
+	defer end()
+	failed := make(chan error, 1)
+	go func() { failed <- a.Serve(serving, l) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-first.Done():
+	}
+	stopping, cancel := context.WithTimeout(second, timeout)
+	defer cancel()
+	return a.Stop(stopping)
+}
+
+func localsOf(all []config.Endpoint) ([]agent.Local, error) {
+	var locals []agent.Local
+	for _, e := range all {
+		factory, err := endpoint.Drivers.Get(e.Driver)
+		if err != nil {
+			return nil, fmt.Errorf("endpoint %s: %w", e.Name, err)
+		}
+		d, err := factory(endpoint.Settings{Name: e.Name, Address: e.Address, Fenced: e.Fenced})
+		if err != nil {
+			return nil, err
+		}
+		locals = append(locals, agent.Local{
+			Description: dispatch.Endpoint{Name: e.Name, Target: e.Target(), Most: e.Most},
+			Driver:      d,
+		})
+	}
+	return locals, nil
+}
+
--- /dev/null
+++ b/internal/standin/card.go
@@ -0,0 +1,214 @@
+package standin
+
+import (
+	"context"
+	"hash/fnv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Card is an accelerator that batches: every token takes longer the more
+// requests run. The zero value is a fast card without faults.
+type Card struct {
+	Step    time.Duration // between tokens with one request, 0 for 5 ms
+	Batch   int           // requests at which a step takes twice as long, 0 for 16
+	Prefill float64       // prompt bytes a second, 0 for a million
+
+	// OnStart, if set, is called with the prompt of each request that is begun.
+	OnStart func(prompt string)
+
+	mu      sync.Mutex
+	running int
+	slow    float64 // factor, 0 for none
+	broken  bool    // answers break off and new requests fail
+	frozen  chan struct{}
+	cached  map[uint64]bool
+	started int
+	tokens  int
+}
+
+// Slow makes every step take so many times as long.
+func (c *Card) Slow(factor float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.slow = factor
+}
+
+// Break makes the card fail, or work again.
+func (c *Card) Break(broken bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.broken = broken
+}
+
+// Freeze makes the card stand still until the returned function is called.
+func (c *Card) Freeze() (thaw func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	frozen := make(chan struct{})
+	c.frozen = frozen
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.frozen == frozen {
+			c.frozen = nil
+		}
+		close(frozen)
+	}
+}
+
+// Started returns how many requests were begun.
+func (c *Card) Started() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.started
+}
+
+// Tokens returns how many tokens were made.
+func (c *Card) Tokens() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tokens
+}
+
+// Running returns how many requests run.
+func (c *Card) Running() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.running
+}
+
+// begin takes a request in, unless the card is broken.
+func (c *Card) begin(prompt []string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.broken {
+		return false
+	}
+	c.running++
+	c.started++
+	if c.OnStart != nil && len(prompt) > 0 {
+		c.OnStart(prompt[0])
+	}
+	return true
+}
+
+func (c *Card) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running--
+}
+
+// prefill is the time for a prompt; a prompt seen before takes a tenth.
+func (c *Card) prefill(prompt []string) time.Duration {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(strings.Join(prompt, "\x00"))) // a hash never fails
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rate := c.Prefill
+	if rate <= 0 {
+		rate = 1e6
+	}
+	took := time.Duration(float64(size(prompt)) / rate * float64(time.Second))
+	if c.cached == nil {
+		c.cached = map[uint64]bool{}
+	}
+	if c.cached[h.Sum64()] {
+		took /= 10
+	}
+	c.cached[h.Sum64()] = true
+	return c.slowed(took)
+}
+
+func (c *Card) slowed(d time.Duration) time.Duration {
+	if c.slow > 0 {
+		return time.Duration(float64(d) * c.slow)
+	}
+	return d
+}
+
+// step is the time of one token with what runs now.
+func (c *Card) step() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	step := c.Step
+	if step <= 0 {
+		step = 5 * time.Millisecond
+	}
+	batch := c.Batch
+	if batch <= 0 {
+		batch = 16
+	}
+	return c.slowed(step + step*time.Duration(c.running-1)/time.Duration(batch))
+}
+
+func (c *Card) isBroken() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.broken
+}
+
+func (c *Card) count() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tokens++
+}
+
+// sleep waits, longer while the card is frozen.
+func (c *Card) sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return
+	}
+	c.mu.Lock()
+	frozen := c.frozen
+	c.mu.Unlock()
+	if frozen == nil {
+		return
+	}
+	select {
+	case <-frozen:
+	case <-ctx.Done():
+	}
+}
+
+// outcome is how the making of an answer ended.
+type outcome uint8
+
+const (
+	whole outcome = iota
+	cancelled
+	broke
+)
+
+// generate makes the tokens from a place on and passes each to put, until put
+// fails, ctx is done or the card breaks.
+func (c *Card) generate(ctx context.Context, prompt, tokens []string, from int, put func(string) error) outcome {
+	c.sleep(ctx, c.prefill(prompt))
+	for n := from; n < len(tokens); n++ {
+		c.sleep(ctx, c.step())
+		if ctx.Err() != nil {
+			return cancelled
+		}
+		if c.isBroken() {
+			return broke
+		}
+		c.count()
+		if err := put(tokens[n]); err != nil {
+			return cancelled
+		}
+	}
+	return whole
+}
+
+func size(texts []string) int {
+	sum := 0
+	for _, t := range texts {
+		sum += len(t)
+	}
+	return sum
+}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -1,11 +1,16 @@
 package standin
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"sync"
 	"time"
+
+	"foxcross.dev/coord/message"
+	"foxcross.dev/coord/result"
+	"foxcross.dev/foxcross/internal/endpoint"
 )
 
 // Service is a plain service that records what it executes. The zero value is
@@ -27,7 +32,13 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	call := fmt.Sprintf("%s %s %s", r.Method, r.URL.RequestURI(), body)
+	answer := s.execute(r.Method, r.URL.RequestURI(), r.URL.Path, body)
+	_, _ = io.WriteString(w, answer) // the caller may be gone
+}
+
+// execute records a call, takes its time and returns the answer.
+func (s *Service) execute(method, uri, path string, body []byte) string {
+	call := fmt.Sprintf("%s %s %s", method, uri, body)
 	s.mu.Lock()
 	if s.executions == nil {
 		s.executions = map[string]int{}
@@ -35,10 +46,23 @@
 	s.executions[call]++
 	s.mu.Unlock()
 	if s.OnStart != nil {
-		s.OnStart(r.URL.Path + " " + string(body))
+		s.OnStart(path + " " + string(body))
 	}
 	time.Sleep(s.Takes)
-	_, _ = fmt.Fprintf(w, "done: %s", call) // the caller may be gone
+	return "done: " + call
+}
+
+// Run makes the service a driver, for tests without a network. Like most
+// services it finishes what it has begun.
+func (s *Service) Run(_ context.Context, c endpoint.Call, k endpoint.Sink) message.End {
+	answer := s.execute(c.Start.Method, c.Start.Path, c.Start.Path, c.Start.Body)
+	if err := k.Head(http.StatusOK, nil); err != nil {
+		return message.End{Code: result.EndpointFailed, Run: result.Ran, Reason: err.Error()}
+	}
+	if err := k.Data([]byte(answer), 0); err != nil {
+		return message.End{Code: result.EndpointFailed, Run: result.Ran, Reason: err.Error()}
+	}
+	return message.End{Code: result.OK, Run: result.Ran}
 }
 
 // Executions returns how often each call was executed.
