Add scenario benchmarks in virtual time

Cause: no measurement spoke for or against the choosing, the queue and the learned limit. An endpoint that comes back is no longer taken for one that is leaving: the first checker did so in the rolling stop.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -39,6 +39,7 @@
 	DataCentre string
 	Hold       time.Duration // how long a slot waits for its start, 0 for the default
 	QueueBound int           // offers per target, 0 for the default
+	FIFO       bool          // serve in order of arrival; a baseline for measurements
 	Locals     []Local
 	Metrics    tally.Scope
 	Versions   Versions
@@ -62,6 +63,7 @@
 	metrics tally.Scope
 
 	mu      sync.Mutex
+	base    context.Context // of all runs, ends with Serve
 	core    dispatch.Core
 	owners  map[uint64]*owner
 	runs    map[queue.Key]*run
@@ -81,7 +83,7 @@
 		drivers: map[string]endpoint.Driver{},
 		life:    lifecycle.New(),
 		metrics: o.Metrics,
-		core:    dispatch.Core{Hold: o.Hold, Bound: o.QueueBound},
+		core:    dispatch.Core{Hold: o.Hold, Bound: o.QueueBound, FIFO: o.FIFO},
 		owners:  map[uint64]*owner{},
 		runs:    map[queue.Key]*run{},
 		kick:    make(chan struct{}, 1),
@@ -101,6 +103,10 @@
 func (a *Agent) Serve(ctx context.Context, l link.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer a.pool.Close()
+	a.mu.Lock()
+	a.base = ctx
+	a.mu.Unlock()
 	a.life.Ready()
 	log.Infof("Serving on %s.", l.Address())
 	go a.tick(ctx)
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -67,7 +67,7 @@
 // launch runs the work on a worker.
 func (a *Agent) launch(x dispatch.Run) {
 	r := a.runs[x.Key]
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(a.base)
 	r.cancel = cancel
 	a.metrics.Tagged(map[string]string{"class": x.Terms.Class}).Counter("starts").Inc(1)
 	job := func() {
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -27,6 +27,7 @@
 	Key    string // bearer key of the team
 	Class  string // empty: the entry chooses
 	Idem   string // idempotency key, empty for none
+	Most   int    // tokens of a chat's answer, 0 for no limit
 	Client *http.Client
 }
 
@@ -77,9 +78,11 @@
 
 // Chat sends a prompt and reads the streamed answer.
 func (c Caller) Chat(ctx context.Context, model, prompt string) Answer {
-	body, err := json.Marshal(map[string]any{
-		"model": model, "stream": true,
-		"messages": []map[string]string{{"role": "user", "content": prompt}},
+	body, err := json.Marshal(chatBody{
+		Model:    model,
+		Stream:   true,
+		Most:     c.Most,
+		Messages: []chatMessage{{Role: "user", Content: prompt}},
 	})
 	if err != nil {
 		return Answer{Err: err}
@@ -125,6 +128,18 @@
 	return result.Unknown
 }
 
+type chatBody struct {
+	Model    string        `json:"model"`
+	Stream   bool          `json:"stream"`
+	Most     int           `json:"max_tokens,omitempty"`
+	Messages []chatMessage `json:"messages"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
 type chatEvent struct {
 	Choices []struct {
 		Delta struct {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -42,12 +42,13 @@
 	Members    platform.Members
 	Settings   *versions.Holder
 	Metrics    tally.Scope
-	Seed       uint64        // of the choice among equals
-	MostBody   int           // bytes, 0 for DefaultMostBody
-	Requests   int           // most requests at once, 0 for the default
-	Fanout     int           // agents offered at once, 0 for the default
-	ListEvery  time.Duration // how often the member list is read, 0 for DefaultListEvery
-	Claims     Claims        // nil: idempotency keys are refused
+	Seed       uint64          // of the choice among equals
+	MostBody   int             // bytes, 0 for DefaultMostBody
+	Requests   int             // most requests at once, 0 for the default
+	Fanout     int             // agents offered at once, 0 for the default
+	ListEvery  time.Duration   // how often the member list is read, 0 for DefaultListEvery
+	Claims     Claims          // nil: idempotency keys are refused
+	Choose     binding.Chooser // a baseline for measurements, else nil
 }
 
 // Claims takes idempotency keys for requests that may not be repeated.
@@ -99,6 +100,7 @@
 		Rand:     rand.New(rand.NewPCG(o.Seed, o.Seed+1)),
 		Fanout:   o.Fanout,
 		Requests: o.Requests,
+		Choose:   o.Choose,
 	}
 	if e.metrics == nil {
 		e.metrics = tally.NoopScope
@@ -109,6 +111,7 @@
 // Run keeps connections to the agents and the clock of the core until ctx is
 // done.
 func (e *Entry) Run(ctx context.Context) {
+	defer e.pool.Close()
 	e.options.Settings.OnChange(e.announce)
 	go e.tick(ctx)
 	e.follow(ctx)
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -54,6 +54,12 @@
 	At       time.Time
 }
 
+// Joined is an endpoint that takes work, again or for the first time.
+type Joined struct {
+	Endpoint string
+	At       time.Time
+}
+
 // Accepted is a settings version that an operator was told is accepted.
 type Accepted struct {
 	Version uint64
@@ -72,6 +78,7 @@
 func (Answered) event()  {}
 func (Displaced) event() {}
 func (Left) event()      {}
+func (Joined) event()    {}
 func (Accepted) event()  {}
 func (InForce) event()   {}
 
--- a/internal/process/agent.go
+++ b/internal/process/agent.go
@@ -95,4 +95,3 @@
 	}
 	return locals, nil
 }
-
--- /dev/null
+++ b/internal/trial/trial.go
@@ -0,0 +1,285 @@
+// Package trial runs real entries and agents over the link in memory, with fake
+// engines, so that tests can run them in virtual time.
+package trial
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"foxcross.dev/foxcross/internal/agent"
+	"foxcross.dev/foxcross/internal/caller"
+	"foxcross.dev/foxcross/internal/claims"
+	"foxcross.dev/foxcross/internal/endpoint"
+	"foxcross.dev/foxcross/internal/entry"
+	"foxcross.dev/foxcross/internal/history"
+	"foxcross.dev/foxcross/internal/link"
+	"foxcross.dev/foxcross/internal/platform"
+	"foxcross.dev/foxcross/internal/standin"
+	"foxcross.dev/foxcross/internal/versions"
+
+	"foxcross.dev/coord/binding"
+	"foxcross.dev/coord/dispatch"
+	"foxcross.dev/coord/settings"
+)
+
+// Variant is a way to choose agents and to order their queues.
+type Variant struct {
+	Name   string
+	Fanout int                             // agents offered at once
+	Choose func(entry int) binding.Chooser // baseline, nil for late binding
+	FIFO   bool
+}
+
+// idMark stands on both sides of a request's id in its text.
+const idMark = "~"
+
+// Trial is a deployment under test. Create it with New.
+type Trial struct {
+	Network  link.Memory
+	Store    standin.Store
+	Recorder history.Recorder
+	Snapshot settings.Snapshot
+
+	variant Variant
+	ctx     context.Context
+	cancel  context.CancelFunc
+	agents  map[string]*Agent
+	entries []*Entry
+	members []platform.Member
+	changes int
+}
+
+// Agent is an agent under test.
+type Agent struct {
+	*agent.Agent
+	Name     string
+	Engines  []*standin.Engine
+	Versions *versions.Holder
+	cancel   context.CancelFunc
+	listener link.Listener
+	options  agent.Options
+}
+
+// Entry is an entry under test.
+type Entry struct {
+	*entry.Entry
+	Name   string
+	Caller caller.Caller // without key and class
+	Store  *versions.Store
+	cancel context.CancelFunc
+}
+
+// New returns a trial with the tree in force.
+func New(tree []byte, v Variant, delay time.Duration) (*Trial, error) {
+	t := &Trial{variant: v, agents: map[string]*Agent{}}
+	t.Network.Delay = delay
+	t.ctx, t.cancel = context.WithCancel(context.Background())
+	parsed, err := settings.Parse(tree)
+	if err != nil {
+		return nil, err
+	}
+	if t.Snapshot, err = settings.Compile(parsed); err != nil {
+		return nil, err
+	}
+	_, err = t.store("setup", &versions.Holder{}).Commit(t.ctx, versions.Change{Tree: parsed})
+	return t, err
+}
+
+// Close ends everything.
+func (t *Trial) Close() {
+	t.cancel()
+	for _, a := range t.agents {
+		_ = a.listener.Close()
+		t.Network.Cut(a.Name)
+	}
+}
+
+func (t *Trial) store(name string, h *versions.Holder) *versions.Store {
+	return &versions.Store{KeyValue: &t.Store, Holder: h, Now: time.Now, NewID: func() string {
+		t.changes++
+		return fmt.Sprintf("%s-%d", name, t.changes)
+	}}
+}
+
+// AddAgent starts an agent with engines for a model.
+func (t *Trial) AddAgent(name, model string, engines ...*standin.Engine) *Agent {
+	o := agent.Options{Name: name, FIFO: t.variant.FIFO}
+	for n, e := range engines {
+		e.OnStart = func(prompt string) { t.executed(prompt, name) }
+		o.Locals = append(o.Locals, agent.Local{
+			Description: dispatch.Endpoint{Name: fmt.Sprintf("%s-%d", name, n), Target: model},
+			Driver:      e,
+		})
+	}
+	return t.startAgent(o, engines)
+}
+
+// AddService starts an agent with a plain service.
+func (t *Trial) AddService(name, service string, s *standin.Service) *Agent {
+	s.OnStart = func(call string) { t.executed(call, name) }
+	return t.startAgent(agent.Options{Name: name, FIFO: t.variant.FIFO, Locals: []agent.Local{{
+		Description: dispatch.Endpoint{Name: name + "-0", Target: settings.ServiceTarget(service)},
+		Driver:      endpoint.Driver(s),
+	}}}, nil)
+}
+
+func (t *Trial) startAgent(o agent.Options, engines []*standin.Engine) *Agent {
+	h := &versions.Holder{}
+	t.watch(o.Name, h)
+	o.Versions = h
+	ctx, cancel := context.WithCancel(t.ctx)
+	a := &Agent{Agent: agent.New(o), Name: o.Name, Engines: engines, Versions: h, cancel: cancel, options: o}
+	a.listener = t.Network.Listen(o.Name)
+	t.Recorder.Add(history.Joined{Endpoint: o.Name, At: time.Now()})
+	go func() { _ = a.Serve(ctx, a.listener) }() // ends with the trial
+	t.agents[o.Name] = a
+	t.setMember(platform.Member{Name: o.Name, Role: platform.Agent, Address: o.Name})
+	return a
+}
+
+// watch records which versions a process works by.
+func (t *Trial) watch(process string, h *versions.Holder) {
+	h.OnChange(func(s versions.State) {
+		t.Recorder.Add(history.InForce{Process: process, Version: s.Root.Version, At: time.Now()})
+	})
+}
+
+func (t *Trial) executed(text, at string) {
+	t.Recorder.Add(history.Executed{ID: idIn(text), Endpoint: at, At: time.Now()})
+}
+
+func idIn(text string) string {
+	_, after, _ := strings.Cut(text, idMark)
+	id, _, _ := strings.Cut(after, idMark)
+	return id
+}
+
+func (t *Trial) setMember(m platform.Member) {
+	t.dropMember(m.Name)
+	t.members = append(t.members, m)
+	t.Store.SetMembers(t.members)
+}
+
+func (t *Trial) dropMember(name string) {
+	var kept []platform.Member
+	for _, m := range t.members {
+		if m.Name != name {
+			kept = append(kept, m)
+		}
+	}
+	t.members = kept
+	t.Store.SetMembers(kept)
+}
+
+// AddEntry starts an entry.
+func (t *Trial) AddEntry(name string) *Entry {
+	h := &versions.Holder{}
+	t.watch(name, h)
+	ctx, cancel := context.WithCancel(t.ctx)
+	e := &Entry{Name: name, Store: t.store(name, h), cancel: cancel}
+	batcher := claims.New(claims.Options{KeyValue: &t.Store, Owner: name})
+	o := entry.Options{
+		Name:     name,
+		Dialer:   &t.Network,
+		Members:  &t.Store,
+		Settings: h,
+		Seed:     uint64(len(t.entries) + 1),
+		Fanout:   t.variant.Fanout,
+		Claims:   batcher,
+	}
+	if t.variant.Choose != nil {
+		o.Choose = t.variant.Choose(len(t.entries))
+	}
+	e.Entry = entry.New(o)
+	e.Caller = caller.Caller{URL: "http://" + name, Client: caller.Direct(e.Handler())}
+	go e.Store.Watch(ctx)
+	go batcher.Run(ctx)
+	go e.Run(ctx)
+	t.entries = append(t.entries, e)
+	t.setMember(platform.Member{Name: name, Role: platform.Entry, Address: name})
+	return e
+}
+
+// Kill ends an agent at once.
+func (t *Trial) Kill(a *Agent) {
+	a.cancel()
+	_ = a.listener.Close()
+	t.Network.Cut(a.Name)
+}
+
+// Restart starts a killed or stopped agent again.
+func (t *Trial) Restart(a *Agent) *Agent {
+	o := a.options
+	return t.startAgent(o, a.Engines)
+}
+
+// Stop stops an agent cleanly and takes it off the list.
+func (t *Trial) Stop(ctx context.Context, a *Agent) error {
+	t.Recorder.Add(history.Left{Endpoint: a.Name, At: time.Now()})
+	err := a.Agent.Stop(ctx)
+	t.Kill(a)
+	t.dropMember(a.Name)
+	return err
+}
+
+// Mark returns the text by which the executions of a request are known.
+func Mark(id string) string { return idMark + id + idMark }
+
+// Chat sends a chat request and records it and its answer.
+func (t *Trial) Chat(ctx context.Context, e *Entry, q Ask) caller.Answer {
+	class, ok := t.Snapshot.Class(q.Class)
+	if !ok {
+		panic("trial: no class " + q.Class)
+	}
+	prompt := standin.Prompt(Mark(q.ID), q.Prompt)
+	t.Recorder.Add(history.Submitted{
+		ID: q.ID, Class: q.Class, Tier: class.Terms.Tier, Repeatable: class.Terms.Repeatable,
+		Want: standin.AnswerText([]string{prompt}, q.Tokens), At: time.Now(),
+	})
+	c := e.Caller
+	c.Key = q.Team + keySuffix
+	c.Class = q.Class
+	c.Most = q.Tokens
+	a := c.Chat(ctx, class.Model, prompt)
+	t.answered(q.ID, a)
+	return a
+}
+
+// Call calls a plain service and records the call and its answer.
+func (t *Trial) Call(ctx context.Context, e *Entry, q Ask, method, path string) caller.Answer {
+	class, ok := t.Snapshot.Class(q.Class)
+	if !ok {
+		panic("trial: no class " + q.Class)
+	}
+	path += "/" + Mark(q.ID)
+	t.Recorder.Add(history.Submitted{
+		ID: q.ID, Class: q.Class, Tier: class.Terms.Tier, Repeatable: class.Terms.Repeatable,
+		Want: fmt.Sprintf("done: %s %s ", method, path), At: time.Now(),
+	})
+	c := e.Caller
+	c.Key = q.Team + keySuffix
+	c.Class = q.Class
+	c.Idem = q.Key
+	a := c.Service(ctx, class.Service, method, path)
+	t.answered(q.ID, a)
+	return a
+}
+
+func (t *Trial) answered(id string, a caller.Answer) {
+	t.Recorder.Add(history.Answered{ID: id, Code: a.Code, Run: a.Run, Body: a.Body, At: time.Now()})
+}
+
+// keySuffix ends the bearer keys of the example teams.
+const keySuffix = "-key"
+
+// Ask is a request of a trial.
+type Ask struct {
+	ID     string
+	Class  string
+	Team   string
+	Key    string // idempotency key
+	Prompt int    // bytes
+	Tokens int    // of the answer
+}
--- a/internal/workers/pool.go
+++ b/internal/workers/pool.go
@@ -9,18 +9,18 @@
 // DefaultMost is how many workers a zero Pool may start.
 const DefaultMost = 4096
 
-// ErrFull means that every worker is busy.
-var ErrFull = errors.New("workers: all workers are busy")
+// ErrFull means that every worker is busy or the pool is closed.
+var ErrFull = errors.New("workers: no worker is free")
 
 // Pool starts workers as they are needed and keeps them for later jobs. The
 // zero value is ready.
 type Pool struct {
 	Most int
 
-	mu   sync.Mutex
-	idle []chan func()
-	all  int
-	wait sync.WaitGroup
+	mu     sync.Mutex
+	idle   []chan func()
+	all    int
+	closed bool
 }
 
 // Do hands a job to a worker. It never blocks.
@@ -33,13 +33,12 @@
 		w <- job
 		return nil
 	}
-	if p.all >= p.most() {
+	if p.closed || p.all >= p.most() {
 		return ErrFull
 	}
 	p.all++
 	w := make(chan func(), 1)
 	w <- job
-	p.wait.Add(1)
 	go p.work(w)
 	return nil
 }
@@ -53,7 +52,6 @@
 
 // work runs jobs until the pool has no place for an idle worker.
 func (p *Pool) work(w chan func()) {
-	defer p.wait.Done()
 	for job := range w {
 		job()
 		if !p.park(w) {
@@ -68,7 +66,7 @@
 func (p *Pool) park(w chan func()) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle) >= mostIdle {
+	if p.closed || len(p.idle) >= mostIdle {
 		p.all--
 		return false
 	}
@@ -76,15 +74,14 @@
 	return true
 }
 
-// Close ends the idle workers and waits for the busy ones. Do must not be
-// called any more.
+// Close ends the idle workers, and the busy ones after their job. Do refuses
+// jobs from then on.
 func (p *Pool) Close() {
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
 	for _, w := range p.idle {
 		close(w)
 	}
-	p.all -= len(p.idle)
-	p.idle = make([]chan func(), mostIdle) // full: workers that end are not parked
-	p.mu.Unlock()
-	p.wait.Wait()
+	p.idle = nil
 }
