Learn the concurrency limit from a fitted line

Cause: stepwise raising and lowering swings about the target, and running work can't be taken back. Ruled out: choice of agent and order of the queue, which missed as much under every variant. Change: a line through samples against running work gives the limit for any target.

--- a/coord/dispatch/core.go
+++ b/coord/dispatch/core.go
@@ -277,7 +277,7 @@
 	} else if tokens > 0 {
 		gap := now.Sub(w.last) / time.Duration(tokens)
 		p.between.add(gap)
-		w.endpoint.learned.Observe(now, w.endpoint.occupied(), gap)
+		w.endpoint.learned.Observe(w.endpoint.occupied(), gap)
 	}
 	w.tokens += tokens
 	w.last = now
@@ -310,7 +310,7 @@
 	w.endpoint.circuit.Succeeded(now)
 	p.span.add(now.Sub(w.started))
 	if w.item.Offer.Terms.BetweenTokens == 0 {
-		w.endpoint.learned.Observe(now, w.endpoint.occupied()+1, now.Sub(w.started))
+		w.endpoint.learned.Observe(w.endpoint.occupied()+1, now.Sub(w.started))
 	}
 }
 
--- a/coord/dispatch/dump.go
+++ b/coord/dispatch/dump.go
@@ -92,11 +92,12 @@
 		Target:   e.Target,
 		Health:   string(e.circuit.State()),
 		Occupied: e.occupied(),
-		Limits:   e.learned.Limits(),
+		Limits:   map[string]int{},
 		Running:  map[string]int{},
 	}
 	for t, n := range e.targets {
 		d.Running[t.String()] = n
+		d.Limits[t.String()] = e.learned.For(t)
 	}
 	if u := e.circuit.Until(); !u.IsZero() {
 		d.Until = &u
--- a/coord/dispatch/endpoint.go
+++ b/coord/dispatch/endpoint.go
@@ -91,7 +91,6 @@
 
 func (e *endpoint) add(w *work) {
 	target := sampleTarget(w.item)
-	e.learned.Watch(target)
 	e.work[w.item.Key] = w
 	e.targets[target]++
 }
--- a/coord/limit/learned.go
+++ b/coord/limit/learned.go
@@ -3,6 +3,7 @@
 package limit
 
 import (
+	"math"
 	"time"
 )
 
@@ -10,116 +11,75 @@
 const (
 	FirstLimit = 4    // limit of an endpoint nothing is known of
 	MostLimit  = 1024 // no limit is raised above this
-	mostTarget = 16   // targets told apart per endpoint
 )
 
 const (
-	windowSamples = 24
-	windowTime    = time.Second
-	slowShare     = 0.05 // share of samples that may be over the target
-	shrink        = 0.85
-	grow          = 1.08
-	inUse         = 0.85 // share of the limit that must have run for it to rise
+	memory      = 512.0 // samples after which an old one counts a third
+	fewSamples  = 16    // below, the first limit holds
+	leastSpread = 0.5   // variance of the running work below which no slope is seen
+	margin      = 0.95  // share of the target that is used
+	tail        = 1.65  // standard deviations that 95 in 100 samples lie below
+	flattest    = 8.0   // the slope is at least this part of the mean sample per work
+	growth      = 1.5   // the limit goes this far beyond the most work seen lately
+	headroom    = 4     // and by so many more
+	peakFade    = 0.999 // per sample
 )
 
-// Learned finds how much work an endpoint may run at once, for each target of
-// the time between tokens (or of a service's answer). Every sample teaches all
-// targets. The zero value starts at FirstLimit.
+// Learned finds how much work an endpoint may run at once so that 95 in 100
+// samples stay within a target. A sample is the time between tokens of a model
+// or of a whole answer of a plain service. It fits a line through the samples
+// against the work that ran, newer samples counting more. The zero value allows
+// FirstLimit.
 type Learned struct {
-	targets map[time.Duration]*learner
-}
-
-// learner is what is known for one target.
-type learner struct {
-	limit   float64
-	missed  bool // the target was missed at least once: rise slowly
-	samples int
-	slow    int
-	running int // most work seen in the window
-	since   time.Time
-}
-
-// For returns the limit for a target; a target of zero has the highest limit.
-func (l *Learned) For(target time.Duration) int {
-	if t, ok := l.targets[target]; ok {
-		return int(t.limit)
-	}
-	return int(l.guess(target))
-}
-
-// guess takes the limit of the nearest stricter target as a first value.
-func (l *Learned) guess(target time.Duration) float64 {
-	best := float64(FirstLimit)
-	var nearest time.Duration
-	for d, t := range l.targets {
-		if d <= target && d >= nearest {
-			nearest = d
-			best = t.limit
-		}
-	}
-	return best
-}
-
-// Watch makes the limit for a target be learned from now on.
-func (l *Learned) Watch(target time.Duration) {
-	if l.targets == nil {
-		l.targets = map[time.Duration]*learner{}
-	}
-	if _, ok := l.targets[target]; ok || len(l.targets) >= mostTarget {
-		return
-	}
-	l.targets[target] = &learner{limit: l.guess(target)}
+	count   float64
+	work    float64 // mean of the running work
+	took    float64 // mean sample, in seconds
+	spread  float64 // variance of the running work
+	scatter float64 // variance of the samples
+	joint   float64 // covariance
+	peak    float64 // most work seen, fading
 }
 
 // Observe takes a sample: the time one unit of work needed while so many ran.
-func (l *Learned) Observe(now time.Time, running int, took time.Duration) {
-	for d, t := range l.targets {
-		t.observe(now, running, took > d && d > 0)
-	}
+func (l *Learned) Observe(running int, took time.Duration) {
+	l.count = min(l.count+1, memory)
+	weight := 1 / l.count
+	byWork := float64(running) - l.work
+	byTook := took.Seconds() - l.took
+	l.work += weight * byWork
+	l.took += weight * byTook
+	l.spread += weight * ((1-weight)*byWork*byWork - l.spread)
+	l.scatter += weight * ((1-weight)*byTook*byTook - l.scatter)
+	l.joint += weight * ((1-weight)*byWork*byTook - l.joint)
+	l.peak = max(float64(running), l.peak*peakFade)
 }
 
-func (t *learner) observe(now time.Time, running int, slow bool) {
-	if t.samples == 0 {
-		t.since = now
-		t.running = 0
-	}
-	t.samples++
-	t.running = max(t.running, running)
-	if slow {
-		t.slow++
+// For returns the limit for a target; a target of 0 is no bound on the time.
+func (l *Learned) For(target time.Duration) int {
+	if l.count < fewSamples {
+		return FirstLimit
 	}
-	full := t.samples >= max(windowSamples, 2*running)
-	if !full && (now.Sub(t.since) < windowTime || t.samples < windowSamples/3) {
-		return
+	most := min(MostLimit, l.peak*growth+headroom)
+	if target <= 0 {
+		return int(most)
 	}
-	t.adjust()
-	t.samples = 0
-	t.slow = 0
+	slope := l.slope()
+	noise := tail * math.Sqrt(max(0, l.scatter-slope*l.joint))
+	fits := l.work + (margin*target.Seconds()-noise-l.took)/slope
+	return int(max(1, min(most, fits)))
 }
 
-// adjust lowers the limit after a slow window and raises it after a good one
-// in which the limit was used.
-func (t *learner) adjust() {
-	if float64(t.slow) > slowShare*float64(t.samples) {
-		t.missed = true
-		t.limit = max(1, min(t.limit, float64(t.running))*shrink)
-		return
-	}
-	if float64(t.running) < inUse*t.limit {
-		return
-	}
-	if t.missed {
-		t.limit = min(MostLimit, max(t.limit+0.5, t.limit*grow))
-		return
+// slope is the seconds that one more piece of work adds to a sample. It is
+// bounded: a sample can't grow faster than the work, and some growth is assumed
+// where none is seen.
+func (l *Learned) slope() float64 {
+	steepest := l.took / max(1, l.work)
+	if l.spread < leastSpread {
+		return steepest / 2
 	}
-	t.limit = min(MostLimit, t.limit*1.5)
+	return max(steepest/flattest, min(steepest, l.joint/l.spread))
 }
 
-// Limits returns the learned limits by target, for a state dump.
-func (l *Learned) Limits() map[string]int {
-	all := make(map[string]int, len(l.targets))
-	for d, t := range l.targets {
-		all[d.String()] = int(t.limit)
-	}
-	return all
-}
+// Slope returns the seconds that one more piece of work adds to a sample, for a
+// state dump.
+func (l *Learned) Slope() float64 { return l.slope() }
--- a/internal/trial/load.go
+++ b/internal/trial/load.go
@@ -35,6 +35,8 @@
 	Attained int                 `json:"attained"`
 	Codes    map[result.Code]int `json:"codes"`
 	Tokens   int                 `json:"tokens"`
+	InTime   int                 `json:"tokens_in_time"` // of answers whole while requests were sent
+	Useful   int                 `json:"tokens_useful"`  // of answers that met all targets
 	firsts   []time.Duration
 }
 
@@ -69,12 +71,14 @@
 	kind    Kind
 	figures *Figures
 	random  *rand.Rand
+	end     time.Time
 	mu      sync.Mutex
 }
 
 func (s *sender) send(ctx context.Context, length time.Duration) {
 	var open sync.WaitGroup
 	began := time.Now()
+	s.end = began.Add(length)
 	for n := 0; time.Since(began) < length && ctx.Err() == nil; n++ {
 		rate := s.kind.Rate(time.Since(began))
 		if rate <= 0 {
@@ -110,8 +114,12 @@
 	}
 	f.OK++
 	f.Tokens += a.Tokens
+	if time.Now().Before(s.end) {
+		f.InTime += a.Tokens
+	}
 	f.firsts = append(f.firsts, a.First)
 	if a.Meets(class) {
 		f.Attained++
+		f.Useful += a.Tokens
 	}
 }
--- a/internal/trial/scenario_test.go
+++ b/internal/trial/scenario_test.go
@@ -125,7 +125,8 @@
 	Variant  string          `json:"variant"`
 	Seed     uint64          `json:"seed"`
 	Figures  []trial.Figures `json:"figures"`
-	Goodput  float64         `json:"goodput_tokens_per_s"`
+	Goodput  float64         `json:"goodput_tokens_per_s"` // answers whole while requests were sent
+	Useful   float64         `json:"useful_tokens_per_s"`  // answers that met all targets
 	Wasted   float64         `json:"wasted_share"`
 	Breaches []string        `json:"broken_promises"`
 }
@@ -155,10 +156,8 @@
 			r.AddEntry(fmt.Sprintf("entry-%d", n))
 		}
 		time.Sleep(3 * time.Second)
-		began := time.Now()
 		go s.fault(r, agents)
 		o.Figures = r.Load(context.Background(), seed, lengthOfRun, s.kinds())
-		took := time.Since(began)
 		time.Sleep(time.Second)
 		made, delivered := 0, 0
 		for _, e := range engines {
@@ -166,8 +165,9 @@
 		}
 		for _, f := range o.Figures {
 			delivered += f.Tokens
+			o.Goodput += float64(f.InTime) / lengthOfRun.Seconds()
+			o.Useful += float64(f.Useful) / lengthOfRun.Seconds()
 		}
-		o.Goodput = float64(delivered) / took.Seconds()
 		o.Wasted = float64(made-delivered) / float64(max(1, made))
 		for _, b := range history.Check(r.Recorder.Events(), history.Rules{LeaveWithin: 3 * time.Second, End: time.Now()}) {
 			o.Breaches = append(o.Breaches, b.String())
@@ -178,9 +178,9 @@
 
 func (o outcome) print(w *tabwriter.Writer) {
 	for _, f := range o.Figures {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%.3f\t%.3f\t%.3f\t%.0f\t%.0f\t%.3f\t%d\t\n", o.Variant, f.Class, f.Sent,
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%.3f\t%.3f\t%.3f\t%.0f\t%.0f\t%.0f\t%.3f\t%d\t\n", o.Variant, f.Class, f.Sent,
 			float64(f.OK)/float64(max(1, f.Sent)), f.FirstShare(), f.Attainment(),
-			f.FirstQuantile(0.95).Seconds()*1000, o.Goodput, o.Wasted, len(o.Breaches))
+			f.FirstQuantile(0.95).Seconds()*1000, o.Goodput, o.Useful, o.Wasted, len(o.Breaches))
 	}
 }
 
@@ -203,7 +203,7 @@
 		}
 		fmt.Printf("\n%s, seed %d\n", s.name, *seedFlag)
 		w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
-		_, _ = fmt.Fprintln(w, "variant\tclass\tsent\tok\tfirst met\tattained\tfirst p95 ms\tgoodput\twasted\tbroken\t")
+		_, _ = fmt.Fprintln(w, "variant\tclass\tsent\tok\tfirst met\tattained\tfirst p95 ms\tgoodput\tuseful\twasted\tbroken\t")
 		for _, v := range variants {
 			if !strings.Contains(v.Name, *variant) {
 				continue
