Remind agents that hold an older settings version

Cause: entries announced a version once; an agent whose fetch failed, as when its connection was frozen, stayed behind until the next change. Change: an entry answers the heartbeat of an agent that is behind with its own version.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -267,6 +267,7 @@
 	case message.Heartbeat:
 		e.perform(e.core.Heartbeat(now, p.name, m))
 		e.announced(s, m.Settings)
+		e.remind(p, m.Settings)
 	case message.Leaving:
 		e.core.PeerLeaving(p.name)
 	default:
@@ -295,6 +296,14 @@
 	})
 }
 
+// remind tells an agent that is behind which version is in force here. Its last
+// fetch may have failed.
+func (e *Entry) remind(p *peer, held uint64) {
+	if own := e.options.Settings.Version(); held < own {
+		p.send(message.Heartbeat{Settings: own})
+	}
+}
+
 // announce tells every agent that a new version is in force here.
 func (e *Entry) announce(v versions.State) {
 	e.mu.Lock()
