Test the coordination parts

Cause: the queue, binding, dispatch, limits, settings and claims had no tests of their own. Change: specifications and properties with fixed seeds. They found that a slot which fell free went to a lower tier while a higher one held a promise to preempt; its start was then refused.

--- /dev/null
+++ b/coord/binding/binding_test.go
@@ -0,0 +1,201 @@
+package binding_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"foxcross.dev/coord/binding"
+	"foxcross.dev/coord/message"
+	"foxcross.dev/coord/result"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const target = "m"
+
+// newCore returns a core that knows agents with free slots.
+func newCore(names ...string) *binding.Core {
+	c := &binding.Core{Rand: rand.New(rand.NewPCG(1, 1))}
+	for _, n := range names {
+		c.PeerUp(now, n, time.Millisecond)
+		c.Heartbeat(now, n, message.Heartbeat{Loads: []message.Load{{Target: target, Slots: 4, Free: 4, Step: time.Millisecond}}})
+	}
+	return c
+}
+
+func request(repeatable bool) binding.Request {
+	return binding.Request{
+		Target:       target,
+		GiveUp:       10 * time.Second,
+		RetryPermill: 200,
+		Terms: message.Terms{
+			Class: "c", FirstToken: time.Second, BetweenTokens: time.Second,
+			StallAfter: 5 * time.Second, Repeatable: repeatable,
+		},
+	}
+}
+
+// of returns the actions of one type.
+func of[T binding.Action](actions []binding.Action) []T {
+	var all []T
+	for _, a := range actions {
+		if t, ok := a.(T); ok {
+			all = append(all, t)
+		}
+	}
+	return all
+}
+
+// started accepts a request and answers its first offer.
+func started(c *binding.Core, q binding.Request) (message.RequestID, binding.Start) {
+	id, actions := c.Accept(now, q)
+	sent := of[binding.Send](actions)
+	Expect(sent).NotTo(BeEmpty())
+	starts := of[binding.Start](c.Ready(now, sent[0].Peer, message.Ready{Request: id, Attempt: 1}))
+	Expect(starts).To(HaveLen(1))
+	return id, starts[0]
+}
+
+var _ = Describe("Core", func() {
+	It("starts a request once however many agents are ready", func() {
+		c := newCore("a", "b", "c")
+		id, actions := c.Accept(now, request(true))
+		starts := 0
+		for _, s := range of[binding.Send](actions) {
+			starts += len(of[binding.Start](c.Ready(now, s.Peer, message.Ready{Request: id, Attempt: 1})))
+		}
+		Expect(starts).To(Equal(1))
+	})
+
+	It("says not run while it has sent no start", func() {
+		c := newCore("a")
+		id, _ := c.Accept(now, request(false))
+		finish := of[binding.Finish](c.Tick(now.Add(time.Minute)))
+		Expect(finish).To(HaveLen(1))
+		Expect(finish[0].Request).To(Equal(id))
+		Expect(finish[0].Code).To(Equal(result.GaveUp))
+		Expect(finish[0].Run).To(Equal(result.NotRun))
+	})
+
+	It("says unknown when the agent is lost after a start that may not be repeated", func() {
+		c := newCore("a", "b")
+		_, s := started(c, request(false))
+		actions := c.PeerDown(now, s.Peer)
+		Expect(of[binding.Start](actions)).To(BeEmpty())
+		finish := of[binding.Finish](actions)
+		Expect(finish).To(HaveLen(1))
+		Expect(finish[0].Code).To(Equal(result.EndpointLost))
+		Expect(finish[0].Run).To(Equal(result.Unknown))
+	})
+
+	It("offers again what an agent says it did not run, even if it may not be repeated", func() {
+		c := newCore("a", "b")
+		id, s := started(c, request(false))
+		actions := c.End(now, s.Peer, message.End{Request: id, Attempt: 1, Code: result.SlotGone, Run: result.NotRun})
+		sent := of[binding.Send](actions)
+		Expect(sent).To(HaveLen(1))
+		Expect(sent[0].Peer).NotTo(Equal(s.Peer))
+		Expect(sent[0].Message).To(BeAssignableToTypeOf(message.Offer{}))
+	})
+
+	It("goes on elsewhere with what may be repeated and drops the frames of the old attempt", func() {
+		c := newCore("a", "b")
+		id, s := started(c, request(true))
+		Expect(c.Progress(now, id, 1, false)).To(BeTrue())
+		sent := of[binding.Send](c.PeerDown(now, s.Peer))
+		Expect(sent).To(HaveLen(1))
+		Expect(c.Progress(now, id, 1, false)).To(BeFalse())
+		Expect(of[binding.Start](c.Ready(now, sent[0].Peer, message.Ready{Request: id, Attempt: 2}))).To(HaveLen(1))
+		Expect(of[binding.Finish](c.End(now, s.Peer, message.End{Request: id, Attempt: 1}))).To(BeEmpty())
+	})
+
+	It("does not continue an answer that is more than text", func() {
+		c := newCore("a", "b")
+		id, s := started(c, request(true))
+		Expect(c.Progress(now, id, 1, true)).To(BeTrue())
+		finish := of[binding.Finish](c.PeerDown(now, s.Peer))
+		Expect(finish).To(HaveLen(1))
+		Expect(finish[0].Code).To(Equal(result.Unresumable))
+		Expect(c.Open()).To(BeZero())
+		Expect(id).NotTo(BeZero())
+	})
+
+	It("refuses for lack of room only after every agent in reach has declined", func() {
+		c := newCore("a", "b", "c", "d", "e")
+		id, actions := c.Accept(now, request(true))
+		asked := map[string]bool{}
+		for {
+			sent := of[binding.Send](actions)
+			finish := of[binding.Finish](actions)
+			if len(finish) > 0 {
+				Expect(finish[0].Code).To(Equal(result.QueueFull))
+				break
+			}
+			for _, s := range sent {
+				asked[s.Peer] = true
+			}
+			actions = nil
+			for _, s := range sent {
+				actions = append(actions, c.Declined(now, s.Peer, message.Declined{Request: id, Attempt: 1, Code: result.AgentFull})...)
+			}
+		}
+		Expect(asked).To(HaveLen(5))
+	})
+
+	It("widens on its timer while nobody answers", func() {
+		c := newCore("a", "b", "c", "d", "e")
+		_, actions := c.Accept(now, request(true))
+		Expect(of[binding.Send](actions)).To(HaveLen(binding.DefaultFanout))
+		at, ok := c.Next()
+		Expect(ok).To(BeTrue())
+		Expect(of[binding.Send](c.Tick(at))).To(HaveLen(2))
+	})
+
+	It("bounds retries when many agents die", func() {
+		c := newCore("a", "b")
+		retries := 0
+		for range 500 {
+			q := request(true)
+			q.RetryPermill = 100
+			id, s := started(c, q)
+			end := message.End{Request: id, Attempt: 1, Code: result.EndpointFailed, Run: result.Ran}
+			actions := c.End(now, s.Peer, end)
+			if len(of[binding.Finish](actions)) == 0 {
+				retries++
+				c.Hangup(id)
+			}
+			c.PeerDown(now, s.Peer)
+			c.PeerUp(now, s.Peer, time.Millisecond)
+			c.Heartbeat(now, s.Peer, message.Heartbeat{Loads: []message.Load{{Target: target, Slots: 4, Free: 4}}})
+		}
+		Expect(retries).To(BeNumerically("<=", 50+500/10))
+	})
+
+	It("sends nothing new to an agent that leaves", func() {
+		c := newCore("a", "b")
+		c.PeerLeaving("a")
+		for range 20 {
+			_, actions := c.Accept(now, request(true))
+			for _, s := range of[binding.Send](actions) {
+				Expect(s.Peer).To(Equal("b"))
+			}
+		}
+	})
+
+	It("refuses at once when the only agent leaves", func() {
+		c := newCore("a")
+		c.PeerLeaving("a")
+		_, actions := c.Accept(now, request(true))
+		Expect(of[binding.Finish](actions)[0].Code).To(Equal(result.NoEndpoint))
+	})
+
+	It("withdraws and cancels when the caller hangs up", func() {
+		c := newCore("a", "b")
+		id, s := started(c, request(true))
+		Expect(of[binding.Cancel](c.Hangup(id))).To(ConsistOf(binding.Cancel{Peer: s.Peer, Request: id, Attempt: 1}))
+		Expect(c.Open()).To(BeZero())
+	})
+})
--- /dev/null
+++ b/coord/claim/claim_test.go
@@ -0,0 +1,75 @@
+package claim_test
+
+import (
+	"fmt"
+	"time"
+
+	"foxcross.dev/coord/claim"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var rules = claim.Rules{Period: time.Minute, Retain: 2}
+
+func none(claim.Key) (claim.Nonce, bool) { return "", false }
+
+func request(key, nonce string) claim.Request {
+	return claim.Request{Key: claim.HashKey(key), Nonce: claim.Nonce(nonce)}
+}
+
+var _ = Describe("Head", func() {
+	now := time.Unix(6000, 0)
+
+	It("gives a key to the first that asks, also within a batch", func() {
+		h, v := claim.Head{}.With(now, rules, []claim.Request{request("k", "a"), request("k", "b")}, none)
+		Expect(v).To(Equal([]claim.Verdict{claim.Mine, claim.Taken}))
+		_, v = h.With(now, rules, []claim.Request{request("k", "c"), request("k", "a")}, none)
+		Expect(v).To(Equal([]claim.Verdict{claim.Taken, claim.Mine}))
+	})
+
+	It("frees a key for its owner only", func() {
+		h, _ := claim.Head{}.With(now, rules, []claim.Request{request("k", "a")}, none)
+		other := request("k", "b")
+		other.Release = true
+		own := request("k", "a")
+		own.Release = true
+		h, _ = h.With(now, rules, []claim.Request{other}, none)
+		Expect(h.Claims).To(HaveLen(1))
+		h, _ = h.With(now, rules, []claim.Request{own}, none)
+		Expect(h.Claims).To(BeEmpty())
+	})
+
+	It("keeps claims for the retention after the head has moved on", func() {
+		h, _ := claim.Head{}.With(now, rules, []claim.Request{request("k", "a")}, none)
+		kept := h.Claims
+		later := now.Add(time.Minute)
+		Expect(h.Due(now, rules)).To(BeFalse())
+		Expect(h.Due(later, rules)).To(BeTrue())
+		h = h.Roll(later, rules, "s")
+		older := func(k claim.Key) (claim.Nonce, bool) {
+			n, ok := kept[k]
+			return n, ok
+		}
+		_, v := h.With(later, rules, []claim.Request{request("k", "b")}, older)
+		Expect(v).To(Equal([]claim.Verdict{claim.Taken}))
+		Expect(h.Roll(now.Add(2*time.Minute), rules, "t").Segments).To(HaveLen(2))
+		Expect(h.Roll(now.Add(10*time.Minute), rules, "t").Segments).To(HaveLen(0))
+	})
+
+	It("does not go back for a clock that is behind", func() {
+		h, _ := claim.Head{}.With(now.Add(time.Hour), rules, []claim.Request{request("k", "a")}, none)
+		behind, v := h.With(now, rules, []claim.Request{request("k", "b")}, none)
+		Expect(v).To(Equal([]claim.Verdict{claim.Taken}))
+		Expect(behind.Period).To(Equal(h.Period))
+		Expect(h.Due(now, rules)).To(BeFalse())
+	})
+})
+
+func ExampleHead_With() {
+	now := time.Unix(0, 0)
+	batch := []claim.Request{request("order-7", "entry-1"), request("order-7", "entry-2")}
+	_, verdicts := claim.Head{}.With(now, rules, batch, none)
+	fmt.Println(verdicts[0] == claim.Mine, verdicts[1] == claim.Taken)
+	// Output: true true
+}
--- a/coord/dispatch/core.go
+++ b/coord/dispatch/core.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"foxcross.dev/coord/health"
@@ -93,6 +94,7 @@
 
 // fill holds slots for the offers that are next, as far as there is room.
 func (c *Core) fill(now time.Time, p *pool) {
+	p.settle(now)
 	for p.queue.Len() > 0 {
 		item := p.queue.Peek(now, p.roomFor())
 		e := p.roomiest(now, item)
@@ -104,6 +106,18 @@
 	}
 }
 
+// settle gives slots that have fallen free to starts that were to preempt.
+func (p *pool) settle(now time.Time) {
+	for _, e := range p.endpoints {
+		for w := e.firstPreempting(); w != nil; w = e.firstPreempting() {
+			if e.room(now, sampleTarget(w.item)) <= 0 {
+				break
+			}
+			w.preempt = false
+		}
+	}
+}
+
 // preempt holds slots on lower-tier work for offers that would else miss their
 // target. Nothing is stopped before the start comes.
 func (c *Core) preempt(now time.Time, p *pool) {
@@ -352,10 +366,7 @@
 			}
 		}
 	}
-	for k, w := range c.work {
-		if k.Owner != owner {
-			continue
-		}
+	for _, w := range c.pick(func(w *work) bool { return w.item.Key.Owner == owner }) {
 		switch {
 		case w.state == held:
 			c.release(w)
@@ -373,6 +384,23 @@
 	}
 }
 
+// pick returns the work that matches, in an order that is the same each run.
+func (c *Core) pick(match func(*work) bool) []*work {
+	var all []*work
+	for _, w := range c.work {
+		if match(w) {
+			all = append(all, w)
+		}
+	}
+	slices.SortFunc(all, func(a, b *work) int {
+		if a.worseThan(b) {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
 // Leave makes the agent take no new work. Queued offers and held slots are
 // declined; running work goes on.
 func (c *Core) Leave(time.Time) []Action {
@@ -384,11 +412,9 @@
 			c.decline(i.Key, i.Offer.Attempt, result.AgentLeaving)
 		}
 	}
-	for k, w := range c.work {
-		if w.state == held {
-			c.release(w)
-			c.decline(k, w.item.Offer.Attempt, result.AgentLeaving)
-		}
+	for _, w := range c.pick(func(w *work) bool { return w.state == held }) {
+		c.release(w)
+		c.decline(w.item.Key, w.item.Offer.Attempt, result.AgentLeaving)
 	}
 	return c.take()
 }
@@ -409,16 +435,14 @@
 // Tick gives back slots whose start did not come, ends stalled work and looks
 // at the queues again.
 func (c *Core) Tick(now time.Time) []Action {
-	for k, w := range c.work {
-		switch {
-		case w.state == held && !w.until.After(now):
-			c.release(w)
-			c.decline(k, w.item.Offer.Attempt, result.SlotGone)
-		case w.state == running && w.stalled(now):
-			c.stop(w, result.Stalled)
-			p := c.pools[w.item.Offer.Target]
-			w.endpoint.circuit.Failed(now, health.MayEject(p.ejected(), len(p.endpoints)))
-		}
+	for _, w := range c.pick(func(w *work) bool { return w.state == held && !w.until.After(now) }) {
+		c.release(w)
+		c.decline(w.item.Key, w.item.Offer.Attempt, result.SlotGone)
+	}
+	for _, w := range c.pick(func(w *work) bool { return w.state == running && w.stalled(now) }) {
+		c.stop(w, result.Stalled)
+		p := c.pools[w.item.Offer.Target]
+		w.endpoint.circuit.Failed(now, health.MayEject(p.ejected(), len(p.endpoints)))
 	}
 	c.fillAll(now)
 	return c.take()
--- a/coord/dispatch/endpoint.go
+++ b/coord/dispatch/endpoint.go
@@ -142,6 +142,21 @@
 	return w.item.Key.Request > o.item.Key.Request
 }
 
+// firstPreempting returns the held work of the highest tier whose start would
+// stop other work, or nil.
+func (e *endpoint) firstPreempting() *work {
+	var first *work
+	for _, w := range e.work {
+		if w.state != held || !w.preempt {
+			continue
+		}
+		if first == nil || first.worseThan(w) {
+			first = w
+		}
+	}
+	return first
+}
+
 // stoppable counts running work that a start of the tier may stop, less what
 // held preempting slots already count on.
 func (e *endpoint) stoppable(tier int) int {
--- /dev/null
+++ b/internal/endpoint/suite_test.go
@@ -0,0 +1,13 @@
+package endpoint_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestEndpoint(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "endpoint")
+}
--- /dev/null
+++ b/internal/history/suite_test.go
@@ -0,0 +1,13 @@
+package history_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestHistory(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "history")
+}
