Keep in mind that an earlier attempt may have run

Cause: when a later attempt was said to be not run, the request was, although an attempt before it had been lost after its start. Found by reading, while mutants showed which rules no test held. Change: the end of an attempt as not run restores what was known before it; three specifications close gaps that the mutants showed.

--- a/coord/binding/binding_test.go
+++ b/coord/binding/binding_test.go
@@ -109,9 +109,25 @@
 		Expect(sent).To(HaveLen(1))
 		Expect(c.Progress(now, id, 1, false)).To(BeFalse())
 		Expect(of[binding.Start](c.Ready(now, sent[0].Peer, message.Ready{Request: id, Attempt: 2}))).To(HaveLen(1))
+		Expect(c.Progress(now, id, 1, false)).To(BeFalse())
+		Expect(c.Progress(now, id, 2, false)).To(BeTrue())
 		Expect(of[binding.Finish](c.End(now, s.Peer, message.End{Request: id, Attempt: 1}))).To(BeEmpty())
 	})
 
+	It("does not say not run when only the last attempt was not run", func() {
+		c := newCore("a", "b")
+		id, s := started(c, request(true))
+		sent := of[binding.Send](c.PeerDown(now, s.Peer))
+		c.Ready(now, sent[0].Peer, message.Ready{Request: id, Attempt: 2})
+		c.End(now, sent[0].Peer, message.End{Request: id, Attempt: 2, Code: result.SlotGone, Run: result.NotRun})
+		var finish []binding.Finish
+		for at := now; len(finish) == 0; at = at.Add(time.Second) {
+			finish = of[binding.Finish](c.Tick(at))
+		}
+		Expect(finish[0].Code).To(Equal(result.GaveUp))
+		Expect(finish[0].Run).To(Equal(result.Unknown))
+	})
+
 	It("does not continue an answer that is more than text", func() {
 		c := newCore("a", "b")
 		id, s := started(c, request(true))
--- a/coord/binding/core.go
+++ b/coord/binding/core.go
@@ -275,6 +275,7 @@
 	}
 	c.withdraw(r, name)
 	r.startedAt = name
+	r.ranBefore = r.mayHaveRun
 	r.mayHaveRun = true
 	r.lastToken = now
 	if p := c.peers[name]; p != nil {
@@ -311,7 +312,6 @@
 	if r == nil || r.state != started || r.attempt != a {
 		return false
 	}
-	r.delivered = true
 	r.stuck = r.stuck || stuck
 	r.lastToken = now
 	return true
@@ -331,7 +331,7 @@
 		}
 		c.close(r, Finish{Request: r.id, Code: result.OK, Run: result.Ran, End: m})
 	case m.Run == result.NotRun:
-		r.mayHaveRun = r.delivered
+		r.mayHaveRun = r.ranBefore
 		c.again(now, r)
 	case m.Code == result.Preempted:
 		r.preempted++
--- a/coord/binding/request.go
+++ b/coord/binding/request.go
@@ -56,7 +56,7 @@
 	offers     map[string]offer
 	startedAt  string // agent that has the start
 	mayHaveRun bool   // a start was sent that is not known to be not run
-	delivered  bool   // the caller has part of the answer
+	ranBefore  bool   // the same, before the start that is out
 	stuck      bool   // the part can't be continued elsewhere
 	preempted  int
 	rounds     int // times all agents were tried in vain
--- a/coord/dispatch/dispatch_test.go
+++ b/coord/dispatch/dispatch_test.go
@@ -116,11 +116,11 @@
 	})
 
 	It("never preempts the same tier, nor what may not be repeated", func() {
-		for _, t := range []message.Terms{terms(0), {Class: "x", Tier: 2, BetweenTokens: time.Second, FirstToken: time.Second}} {
+		for _, t := range []message.Terms{terms(1), {Class: "x", Tier: 2, BetweenTokens: time.Second, FirstToken: time.Second}} {
 			c := newCore(1)
 			c.Offer(now, owner, offer(1, t))
 			start(c, 1)
-			c.Offer(now, owner, offer(2, terms(0)))
+			Expect(replies[message.Ready](c.Offer(now, owner, offer(2, terms(1))))).To(BeEmpty())
 			for at := now; at.Before(now.Add(3 * time.Second)); at = at.Add(20 * time.Millisecond) {
 				Expect(replies[message.Ready](c.Tick(at))).To(BeEmpty())
 			}
