--- a/coord/binding/core.go
+++ b/coord/binding/core.go
@@ -86,7 +86,7 @@
 		c.emit(Finish{Request: id, Code: code, Run: result.NotRun, RetryAfter: leastRetry})
 		return id, c.take()
 	}
-	r := &request{Request: q, id: id, accepted: now, state: offering, attempt: 1, offers: map[string]offer{}}
+	r := &request{Request: q, id: id, accepted: now, waits: now, state: offering, attempt: 1, offers: map[string]offer{}}
 	r.wake = now.Add(q.GiveUp)
 	c.requests[id] = r
 	heap.Push(&c.wakes, r)
@@ -374,6 +374,7 @@
 	case spend && (r.attempt >= mostAttempts || !c.spendRetry(r)):
 		code = result.RetriesUsed
 	default:
+		r.waits = now
 		c.again(now, r)
 		return
 	}
--- a/coord/binding/request.go
+++ b/coord/binding/request.go
@@ -51,6 +51,7 @@
 	Request
 	id         message.RequestID
 	accepted   time.Time
+	waits      time.Time // since when it waits for a start
 	state      life
 	attempt    message.Attempt
 	offers     map[string]offer
@@ -134,7 +135,7 @@
 }
 
 // giveUpAt returns when a request that was not started is refused.
-func (r *request) giveUpAt() time.Time { return r.accepted.Add(r.GiveUp) }
+func (r *request) giveUpAt() time.Time { return r.waits.Add(r.GiveUp) }
 
 // wakeHeap orders requests by the time they want to be looked at.
 type wakeHeap []*request
--- a/coord/dispatch/pool.go
+++ b/coord/dispatch/pool.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"foxcross.dev/coord/health"
 	"foxcross.dev/coord/message"
 	"foxcross.dev/coord/queue"
 )
@@ -76,22 +77,38 @@
 	return arrived.Add(t.FirstToken - min(t.FirstToken*3/4, p.first.or(firstGuess)))
 }
 
-// roomiest returns the endpoint with most room for the item, or nil. Among
-// equals the one that has seen most of the prompt's beginning is taken.
+// fit is how well an endpoint suits an item.
+type fit struct {
+	room    int
+	seen    int // blocks of the prompt's beginning that it has seen
+	suspect bool
+}
+
+// betterThan prefers endpoints that did not fail last, then those that have
+// seen most of the prompt's beginning, then those with most room.
+func (f fit) betterThan(o fit) bool {
+	if f.suspect != o.suspect {
+		return o.suspect
+	}
+	if f.seen != o.seen {
+		return f.seen > o.seen
+	}
+	return f.room > o.room
+}
+
+// roomiest returns the endpoint with room that suits the item best, or nil.
 func (p *pool) roomiest(now time.Time, i *queue.Item) *endpoint {
 	var best *endpoint
-	bestRoom := 0
-	bestSeen := 0
+	var bestFit fit
 	for _, e := range p.endpoints {
-		room := e.room(now, sampleTarget(i))
-		if room <= 0 {
-			continue
+		f := fit{
+			room:    e.room(now, sampleTarget(i)),
+			seen:    e.cached.Longest(i.Offer.Prefix)[e.Name],
+			suspect: e.circuit.State() != health.Healthy,
 		}
-		seen := e.cached.Longest(i.Offer.Prefix)[e.Name]
-		if best == nil || seen > bestSeen || (seen == bestSeen && room > bestRoom) {
+		if f.room > 0 && (best == nil || f.betterThan(bestFit)) {
 			best = e
-			bestRoom = room
-			bestSeen = seen
+			bestFit = f
 		}
 	}
 	return best
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -20,7 +20,9 @@
 type Faults struct {
 	Down      bool
 	Delay     time.Duration
-	LoseSwaps int // so many swaps take effect but are not answered
+	LoseSwaps int  // so many swaps take effect but are not answered
+	ListDown  bool // the member list does not answer
+	ListEmpty bool // the member list is empty by mistake
 }
 
 // Calls counts calls by kind; a waiting watch counts as one.
@@ -74,22 +76,26 @@
 	s.members = slices.Clone(m)
 }
 
-// Members returns the list.
-func (s *Store) Members(ctx context.Context) ([]platform.Member, error) {
-	if err := s.enter(ctx, nil); err != nil {
-		return nil, err
-	}
+// Members returns the list. It is a service of its own: the store's faults do
+// not touch it.
+func (s *Store) Members(context.Context) ([]platform.Member, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clone(s.members), nil
+	s.calls.Lists++
+	switch {
+	case s.faults.ListDown:
+		return nil, platform.ErrUnavailable
+	case s.faults.ListEmpty:
+		return nil, nil
+	default:
+		return slices.Clone(s.members), nil
+	}
 }
 
 // enter counts a call and lets the faults act.
 func (s *Store) enter(ctx context.Context, count func(*Calls)) error {
 	s.mu.Lock()
-	if count != nil {
-		count(&s.calls)
-	}
+	count(&s.calls)
 	f := s.faults
 	s.mu.Unlock()
 	if f.Delay > 0 {
--- a/internal/trial/load.go
+++ b/internal/trial/load.go
@@ -93,12 +93,19 @@
 			Prompt: s.kind.Prompt,
 			Tokens: 1 + int(s.random.ExpFloat64()*float64(s.kind.Tokens-1)),
 		}
-		e := s.trial.entries[s.random.IntN(len(s.trial.entries))]
+		e := s.trial.pick(s.random)
 		open.Go(func() { s.note(s.trial.Chat(ctx, e, q)) })
 	}
 	open.Wait()
 }
 
+// pick returns an entry as a balancer would.
+func (t *Trial) pick(random *rand.Rand) *Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.entries[random.IntN(len(t.entries))]
+}
+
 func (s *sender) note(a caller.Answer) {
 	class, _ := s.trial.Snapshot.Class(s.kind.Class)
 	s.mu.Lock()
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -8,6 +8,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"foxcross.dev/foxcross/internal/agent"
@@ -45,6 +46,7 @@
 	Snapshot settings.Snapshot
 
 	variant Variant
+	mu      sync.Mutex // guards what follows
 	ctx     context.Context
 	cancel  context.CancelFunc
 	agents  map[string]*Agent
@@ -93,7 +95,7 @@
 // Close ends everything.
 func (t *Trial) Close() {
 	t.cancel()
-	for _, a := range t.agents {
+	for _, a := range t.Agents() {
 		_ = a.listener.Close()
 		t.Network.Cut(a.Name)
 	}
@@ -101,6 +103,8 @@
 
 func (t *Trial) store(name string, h *versions.Holder) *versions.Store {
 	return &versions.Store{KeyValue: &t.Store, Holder: h, Now: time.Now, NewID: func() string {
+		t.mu.Lock()
+		defer t.mu.Unlock()
 		t.changes++
 		return fmt.Sprintf("%s-%d", name, t.changes)
 	}}
@@ -129,6 +133,8 @@
 }
 
 func (t *Trial) startAgent(o agent.Options, engines []*standin.Engine) *Agent {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	h := &versions.Holder{}
 	t.starts++
 	t.watch(fmt.Sprintf("%s.%d", o.Name, t.starts), h)
@@ -160,12 +166,14 @@
 	return id
 }
 
+// setMember adds or replaces a member. The lock is held.
 func (t *Trial) setMember(m platform.Member) {
 	t.dropMember(m.Name)
 	t.members = append(t.members, m)
 	t.Store.SetMembers(t.members)
 }
 
+// dropMember takes a member off the list. The lock is held.
 func (t *Trial) dropMember(name string) {
 	var kept []platform.Member
 	for _, m := range t.members {
@@ -177,11 +185,28 @@
 	t.Store.SetMembers(kept)
 }
 
+// StopEntry stops an entry cleanly, as a balancer that has seen it leave would.
+func (t *Trial) StopEntry(ctx context.Context, e *Entry) error {
+	t.mu.Lock()
+	t.entries = slices.DeleteFunc(t.entries, func(o *Entry) bool { return o == e })
+	t.dropMember(e.Name)
+	t.mu.Unlock()
+	err := e.Drain(ctx)
+	e.cancel()
+	return err
+}
+
 // Entries returns the entries in the order they were added.
-func (t *Trial) Entries() []*Entry { return t.entries }
+func (t *Trial) Entries() []*Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.entries)
+}
 
 // Agents returns the agents that run now, by name.
 func (t *Trial) Agents() []*Agent {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	var all []*Agent
 	for _, name := range slices.Sorted(maps.Keys(t.agents)) {
 		all = append(all, t.agents[name])
@@ -191,6 +216,8 @@
 
 // AddEntry starts an entry.
 func (t *Trial) AddEntry(name string) *Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	h := &versions.Holder{}
 	t.watch(name, h)
 	ctx, cancel := context.WithCancel(t.ctx)
@@ -236,6 +263,8 @@
 	t.Recorder.Add(history.Left{Endpoint: a.Name, At: time.Now()})
 	err := a.Agent.Stop(ctx)
 	t.Kill(a)
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.dropMember(a.Name)
 	return err
 }
