Prove that a leaving agent gets nothing new

Cause: the rolling restart ended each agent before the bound was reached, so mutants that ignore a leaving agent passed. Change: a test with long answers, for the agent's own frame within 100 ms and for the list alone within 3 s.

--- a/internal/trial/promise_test.go
+++ b/internal/trial/promise_test.go
@@ -438,3 +438,36 @@
 		return history.Rules{}
 	})
 }
+
+// An agent that leaves while long answers run gets nothing new, whether it says
+// so itself or only the list does.
+func TestLeavingGetsNothingNew(t *testing.T) {
+	leave := map[string]func(r *trial.Trial, a *trial.Agent){
+		"own frame": func(r *trial.Trial, a *trial.Agent) {
+			if err := r.Stop(background, a); err != nil {
+				t.Error(err)
+			}
+		},
+		"list only": func(r *trial.Trial, a *trial.Agent) { r.MarkLeaving(a) },
+	}
+	within := map[string]time.Duration{"own frame": 100 * time.Millisecond, "list only": 3 * time.Second}
+	for name, f := range leave {
+		t.Run(name, func(t *testing.T) {
+			deployment(t, trees.Ovenhuis, func(r *trial.Trial) history.Rules {
+				leaving := r.AddAgent("hall-0", "glaze-8b", card())
+				r.AddAgent("hall-1", "glaze-8b", card())
+				e := r.AddEntry("e")
+				ready()
+				var all sync.WaitGroup
+				for n := range 4 {
+					all.Go(func() { r.Chat(background, e, glaze(fmt.Sprint("long-", n), 1000)) })
+				}
+				time.Sleep(time.Second)
+				all.Go(func() { f(r, leaving) })
+				all.Go(func() { r.Load(background, 1, 8*time.Second, ovenhuisLoad(0.1, 0.1, 0.1)()) })
+				all.Wait()
+				return history.Rules{LeaveWithin: within[name]}
+			})
+		})
+	}
+}
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -269,6 +269,14 @@
 	return err
 }
 
+// MarkLeaving makes only the list say that an agent leaves.
+func (t *Trial) MarkLeaving(a *Agent) {
+	t.Recorder.Add(history.Left{Endpoint: a.Name, At: time.Now()})
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.setMember(platform.Member{Name: a.Name, Role: platform.Agent, Address: a.Name, Leaving: true})
+}
+
 // Mark returns the text by which the executions of a request are known.
 func Mark(id string) string { return idMark + id + idMark }
 
