--- a/coord/binding/choose.go
+++ b/coord/binding/choose.go
@@ -1,6 +1,7 @@
 package binding
 
 import (
+	"math/bits"
 	"slices"
 	"time"
 
@@ -30,15 +31,18 @@
 	if c.Choose != nil {
 		return c.chooseBaseline(now, r, count)
 	}
-	seen := c.seen.Longest(r.Prefix)
+	defer c.markSeen(r)()
 	home := c.home(r)
+	clock := now.UnixNano()
 	best := c.scratch[:0]
 	for _, o := range c.routes[r.Target] {
-		if r.tried(o.peer.name) || !o.peer.mayOffer(now) {
+		if len(r.offers) > 0 && r.tried(o.peer.name) || !o.peer.mayOffer(now) {
 			continue
 		}
-		s := c.score(now, r, o, seen[o.peer.name], o == home)
-		best = insert(best, candidate{o, s}, count)
+		s := c.score(clock, r, o, o == home)
+		if len(best) < count || s < best[len(best)-1].score {
+			best = insert(best, candidate{o, s}, count)
+		}
 	}
 	c.scratch = best
 	chosen := make([]*route, len(best))
@@ -48,6 +52,24 @@
 	return chosen
 }
 
+// markSeen notes at each agent how much of the prompt's beginning it has seen,
+// until the returned function is called.
+func (c *Core) markSeen(r *request) (clear func()) {
+	seen := c.seen.Longest(r.Prefix)
+	for name, blocks := range seen {
+		if p := c.peers[name]; p != nil {
+			p.seen = blocks
+		}
+	}
+	return func() {
+		for name := range seen {
+			if p := c.peers[name]; p != nil {
+				p.seen = 0
+			}
+		}
+	}
+}
+
 // insert keeps the count best candidates in order.
 func insert(best []candidate, k candidate, count int) []candidate {
 	at := len(best)
@@ -90,21 +112,26 @@
 }
 
 // score is the expected time to the first token at the agent.
-func (c *Core) score(now time.Time, r *request, o *route, blocks int, home bool) time.Duration {
+func (c *Core) score(clock int64, r *request, o *route, home bool) time.Duration {
 	wait := o.wait(r.Terms.Tier)
-	if age := now.Sub(o.reported); age > freshReport {
+	if age := time.Duration(clock - o.reported); age > freshReport {
 		wait += time.Duration(staleShare * float64(age-freshReport))
 	}
 	first := o.load.FirstToken
-	saving := 0.0
-	if blocks > 0 && r.PromptTokens > 0 {
-		saving = cachedSaving * min(1, float64(blocks*affinity.BlockTokens)/float64(r.PromptTokens))
+	if o.peer.seen > 0 && r.PromptTokens > 0 {
+		saving := cachedSaving * min(1, float64(o.peer.seen*affinity.BlockTokens)/float64(r.PromptTokens))
+		first -= time.Duration(saving * float64(first))
 	} else if home {
-		saving = hashSaving
+		first -= time.Duration(hashSaving * float64(first))
 	}
-	first -= time.Duration(saving * float64(first))
-	jitter := time.Duration(c.Rand.Int64N(int64(o.load.Step/4) + 1))
-	return wait + first + o.slowness(r.Terms) + o.peer.trip/2 + jitter
+	return wait + first + o.slowness(r.Terms) + o.peer.trip/2 + c.jitter(o.load.Step/4)
+}
+
+// jitter is a random duration below most, so that entries with the same view
+// don't all choose the same agent.
+func (c *Core) jitter(most time.Duration) time.Duration {
+	high, _ := bits.Mul64(c.Rand.Uint64(), uint64(most))
+	return time.Duration(high)
 }
 
 // wait is the reported wait of the tier, corrected by own offers since.
--- a/coord/binding/dump.go
+++ b/coord/binding/dump.go
@@ -77,7 +77,7 @@
 			l.WaitMS[tier] = w.Milliseconds()
 		}
 		d.Loads = append(d.Loads, l)
-		d.ReportMS = now.Sub(r.reported).Milliseconds()
+		d.ReportMS = time.Duration(now.UnixNano() - r.reported).Milliseconds()
 	}
 	return d
 }
--- a/coord/binding/peer.go
+++ b/coord/binding/peer.go
@@ -17,14 +17,15 @@
 	circuit health.Circuit
 	routes  map[string]*route
 	started int // attempts running there
+	seen    int // blocks of the prompt that is being placed, else 0
 }
 
 // route is what is known of one target at one agent.
 type route struct {
 	peer     *peer
 	load     message.Load
-	reported time.Time
-	sent     int // offers sent since the last report
+	reported int64 // time of the report in ns
+	sent     int   // offers sent since the last report
 }
 
 // mayOffer tells whether the agent may get an offer now.
@@ -98,7 +99,7 @@
 			c.wakeWaiting(now, l.Target)
 		}
 		r.load = l
-		r.reported = now
+		r.reported = now.UnixNano()
 		r.sent = 0
 	}
 	return c.take()
--- a/coord/dispatch/core.go
+++ b/coord/dispatch/core.go
@@ -113,7 +113,7 @@
 			if e.room(now, sampleTarget(w.item)) <= 0 {
 				break
 			}
-			w.preempt = false
+			e.promote(w)
 		}
 	}
 }
@@ -271,7 +271,7 @@
 
 func (c *Core) run(now time.Time, w *work, m message.Start) {
 	w.state = running
-	w.preempt = false
+	w.endpoint.promote(w)
 	w.started = now
 	w.last = now
 	o := w.item.Offer
--- a/coord/dispatch/endpoint.go
+++ b/coord/dispatch/endpoint.go
@@ -24,6 +24,7 @@
 	cached  affinity.Table
 	work    map[queue.Key]*work // held, running and stopping
 	targets map[time.Duration]int
+	pending int // held work whose start is to stop other work; it takes no slot yet
 }
 
 // state of a piece of work.
@@ -58,14 +59,14 @@
 }
 
 // occupied counts the slots in use. Work that is being stopped still counts.
-func (e *endpoint) occupied() int {
-	count := 0
-	for _, w := range e.work {
-		if !(w.state == held && w.preempt) {
-			count++
-		}
+func (e *endpoint) occupied() int { return len(e.work) - e.pending }
+
+// promote gives a slot to held work that was to stop other work.
+func (e *endpoint) promote(w *work) {
+	if w.preempt {
+		w.preempt = false
+		e.pending--
 	}
-	return count
 }
 
 // limit returns how much work may run once work with the target is added.
@@ -93,11 +94,15 @@
 	target := sampleTarget(w.item)
 	e.work[w.item.Key] = w
 	e.targets[target]++
+	if w.preempt {
+		e.pending++
+	}
 }
 
 func (e *endpoint) remove(w *work) {
 	target := sampleTarget(w.item)
 	delete(e.work, w.item.Key)
+	e.promote(w)
 	e.targets[target]--
 	if e.targets[target] == 0 {
 		delete(e.targets, target)
@@ -145,6 +150,9 @@
 // firstPreempting returns the held work of the highest tier whose start would
 // stop other work, or nil.
 func (e *endpoint) firstPreempting() *work {
+	if e.pending == 0 {
+		return nil
+	}
 	var first *work
 	for _, w := range e.work {
 		if w.state != held || !w.preempt {
@@ -165,9 +173,6 @@
 		if w.state == running && w.mayStop(tier) {
 			count++
 		}
-		if w.state == held && w.preempt {
-			count--
-		}
 	}
-	return count
+	return count - e.pending
 }
--- a/internal/link/memory.go
+++ b/internal/link/memory.go
@@ -171,8 +171,10 @@
 	return own, other
 }
 
-func (s *memorySession) Control() Stream       { return s.control }
-func (s *memorySession) Trip() time.Duration   { return 2 * s.network.Delay }
+func (s *memorySession) Control() Stream                { return s.control }
+func (s *memorySession) Trip() time.Duration            { return 2 * s.network.Delay }
+func (s *memorySession) Bytes() (sent, received uint64) { return 0, 0 }
+
 func (s *memorySession) Done() <-chan struct{} { return s.done }
 func (s *memorySession) Close()                { s.once.Do(func() { close(s.done) }) }
 
