Connect each entry to a bounded subset of the agents

Cause: connections, reports and scoring grew with the whole fleet. Change: rendezvous hashing over the member list, three quarters in the own data centre, the rest spread; 64 agents unless set. Agents that fall out of the subset are dropped once nothing runs there.

--- a/coord/binding/peer.go
+++ b/coord/binding/peer.go
@@ -83,6 +83,16 @@
 	}
 }
 
+// Uses tells whether the agent has offers or work of this entry.
+func (c *Core) Uses(name string) bool {
+	for _, r := range c.requests {
+		if r.startedAt == name || r.offers[name] == waiting {
+			return true
+		}
+	}
+	return false
+}
+
 // Heartbeat takes an agent's report.
 func (c *Core) Heartbeat(now time.Time, name string, h message.Heartbeat) []Action {
 	p := c.peers[name]
--- /dev/null
+++ b/coord/subset/subset.go
@@ -0,0 +1,107 @@
+// Package subset chooses which agents an entry keeps connections to, so that
+// neither side's connections grow with the fleet. Every process that sees the
+// same list comes to the same choice, and a change of the list by one agent
+// changes few choices.
+package subset
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Default is the most agents of an entry where its settings say nothing.
+const Default = 64
+
+// nearShare of the agents are taken from the entry's own data centre, in
+// quarters.
+const nearShare = 3
+
+// Agent is an agent of the member list.
+type Agent struct {
+	Name       string
+	DataCentre string
+}
+
+// ranked is an agent and its place in an entry's order (rendezvous hashing,
+// Thaler and Ravishankar, 1998).
+type ranked struct {
+	Agent
+	rank uint64
+}
+
+// Choose returns up to most agents for an entry: three quarters from its own
+// data centre, the others spread over the other data centres. What one side
+// can't fill the other does.
+func Choose(entry, dataCentre string, agents []Agent, most int) []Agent {
+	if len(agents) <= most {
+		return slices.Clone(agents)
+	}
+	near, far := split(entry, dataCentre, agents)
+	wantNear := min(len(near), most*nearShare/4)
+	wantFar := min(len(far), most-wantNear)
+	wantNear = min(len(near), most-wantFar)
+	chosen := make([]Agent, 0, most)
+	for _, r := range near[:wantNear] {
+		chosen = append(chosen, r.Agent)
+	}
+	return append(chosen, spread(far, wantFar)...)
+}
+
+// split ranks the agents of the own data centre and of the others.
+func split(entry, dataCentre string, agents []Agent) (near, far []ranked) {
+	seed := xxhash.Sum64String(entry)
+	for _, a := range agents {
+		r := ranked{Agent: a, rank: mix(seed ^ xxhash.Sum64String(a.Name))}
+		if a.DataCentre == dataCentre {
+			near = append(near, r)
+		} else {
+			far = append(far, r)
+		}
+	}
+	slices.SortFunc(near, byRank)
+	slices.SortFunc(far, byRank)
+	return near, far
+}
+
+func byRank(a, b ranked) int {
+	switch {
+	case a.rank < b.rank:
+		return -1
+	case a.rank > b.rank:
+		return 1
+	default:
+		return strings.Compare(a.Name, b.Name)
+	}
+}
+
+// spread takes agents in order of rank, one from each data centre at a time.
+func spread(agents []ranked, count int) []Agent {
+	taken := map[string]int{}
+	type turn struct {
+		Agent
+		round int
+	}
+	turns := make([]turn, 0, len(agents))
+	for _, r := range agents {
+		turns = append(turns, turn{r.Agent, taken[r.DataCentre]})
+		taken[r.DataCentre]++
+	}
+	slices.SortStableFunc(turns, func(a, b turn) int { return a.round - b.round })
+	chosen := make([]Agent, 0, count)
+	for _, t := range turns[:count] {
+		chosen = append(chosen, t.Agent)
+	}
+	return chosen
+}
+
+// mix spreads the bits of a value (the finaliser of splitmix64, Steele and
+// others, OOPSLA 2014).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -47,6 +47,7 @@
 	Log            Log        `json:"log"`
 	MostBodyBytes  int        `json:"most_body_bytes"`
 	MostRequests   int        `json:"most_requests"`
+	MostAgents     int        `json:"most_agents"` // connections to agents
 	Fanout         int        `json:"fanout"`
 	StopGraceMS    int        `json:"stop_grace_ms"`    // between not ready and refusing
 	StopTimeoutMS  int        `json:"stop_timeout_ms"`  // for running answers
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"foxcross.dev/coord/limit"
 	"foxcross.dev/coord/message"
 	"foxcross.dev/coord/result"
+	"foxcross.dev/coord/subset"
 	"foxcross.dev/foxcross/internal/lifecycle"
 	"foxcross.dev/foxcross/internal/link"
 	"foxcross.dev/foxcross/internal/logs"
@@ -45,6 +46,7 @@
 	Seed       uint64          // of the choice among equals
 	MostBody   int             // bytes, 0 for DefaultMostBody
 	Requests   int             // most requests at once, 0 for the default
+	Agents     int             // most agents connected to, 0 for subset.Default
 	Fanout     int             // agents offered at once, 0 for the default
 	ListEvery  time.Duration   // how often the member list is read, 0 for DefaultListEvery
 	Claims     Claims          // nil: idempotency keys are refused
@@ -82,6 +84,9 @@
 	if o.MostBody <= 0 {
 		o.MostBody = DefaultMostBody
 	}
+	if o.Agents <= 0 {
+		o.Agents = subset.Default
+	}
 	if o.ListEvery <= 0 {
 		o.ListEvery = DefaultListEvery
 	}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"foxcross.dev/coord/message"
+	"foxcross.dev/coord/subset"
 	"foxcross.dev/foxcross/internal/link"
 	"foxcross.dev/foxcross/internal/platform"
 	"foxcross.dev/foxcross/internal/versions"
@@ -76,6 +77,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	listed := map[string]bool{}
+	wanted := e.wanted(members)
 	entries := 0
 	for _, m := range members {
 		switch m.Role {
@@ -85,7 +87,7 @@
 			}
 		case platform.Agent:
 			listed[m.Name] = true
-			e.applyAgent(ctx, m)
+			e.applyAgent(ctx, m, wanted[m.Name])
 		}
 	}
 	e.entries = max(1, entries)
@@ -94,13 +96,28 @@
 	}
 }
 
-func (e *Entry) applyAgent(ctx context.Context, m platform.Member) {
+// wanted returns the agents of the entry's subset.
+func (e *Entry) wanted(members []platform.Member) map[string]bool {
+	var agents []subset.Agent
+	for _, m := range members {
+		if m.Role == platform.Agent && !m.Leaving {
+			agents = append(agents, subset.Agent{Name: m.Name, DataCentre: m.DataCentre})
+		}
+	}
+	wanted := map[string]bool{}
+	for _, a := range subset.Choose(e.options.Name, e.options.DataCentre, agents, e.options.Agents) {
+		wanted[a.Name] = true
+	}
+	return wanted
+}
+
+func (e *Entry) applyAgent(ctx context.Context, m platform.Member, wanted bool) {
 	p := e.peers[m.Name]
-	if p != nil && p.address != m.Address {
+	if p != nil && (p.address != m.Address || !wanted && !m.Leaving && !e.core.Uses(m.Name)) {
 		e.dropPeer(p)
 		p = nil
 	}
-	if p == nil && !m.Leaving {
+	if p == nil && wanted {
 		p = &peer{name: m.Name, address: m.Address}
 		e.peers[m.Name] = p
 		own, stop := context.WithCancel(ctx)
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -69,6 +69,7 @@
 		Seed:       uint64(time.Now().UnixNano()),
 		MostBody:   c.MostBodyBytes,
 		Requests:   c.MostRequests,
+		Agents:     c.MostAgents,
 		Fanout:     c.Fanout,
 		ListEvery:  config.Milliseconds(c.MemberListMS, 0),
 		Claims:     batcher,
