--- a/coord/dispatch/core.go
+++ b/coord/dispatch/core.go
@@ -271,6 +271,7 @@
 
 func (c *Core) run(now time.Time, w *work, m message.Start) {
 	w.state = running
+	w.endpoint.active++
 	w.endpoint.promote(w)
 	w.started = now
 	w.last = now
@@ -291,7 +292,7 @@
 	} else if tokens > 0 {
 		gap := now.Sub(w.last) / time.Duration(tokens)
 		p.between.add(gap)
-		w.endpoint.learned.Observe(w.endpoint.occupied(), gap)
+		w.endpoint.learned.Observe(w.endpoint.active, gap)
 	}
 	w.tokens += tokens
 	w.last = now
@@ -324,7 +325,7 @@
 	w.endpoint.circuit.Succeeded(now)
 	p.span.add(now.Sub(w.started))
 	if w.item.Offer.Terms.BetweenTokens == 0 {
-		w.endpoint.learned.Observe(w.endpoint.occupied()+1, now.Sub(w.started))
+		w.endpoint.learned.Observe(w.endpoint.active+1, now.Sub(w.started))
 	}
 }
 
--- a/coord/dispatch/endpoint.go
+++ b/coord/dispatch/endpoint.go
@@ -25,6 +25,7 @@
 	work    map[queue.Key]*work // held, running and stopping
 	targets map[time.Duration]int
 	pending int // held work whose start is to stop other work; it takes no slot yet
+	active  int // work on the endpoint, not held
 }
 
 // state of a piece of work.
@@ -103,6 +104,9 @@
 	target := sampleTarget(w.item)
 	delete(e.work, w.item.Key)
 	e.promote(w)
+	if w.state != held {
+		e.active--
+	}
 	e.targets[target]--
 	if e.targets[target] == 0 {
 		delete(e.targets, target)
