Let entries die in the random run

Cause: only agents were killed in it. Change: one of two entries is killed at a time, with its callers' connections; the list lags by five seconds.

--- a/internal/trial/chaos_test.go
+++ b/internal/trial/chaos_test.go
@@ -58,6 +58,7 @@
 	seed    uint64
 	agents  []*trial.Agent
 	engines []*standin.Engine
+	lasting map[string]bool // entries that were there from the start
 	stop    context.Context
 	faults  sync.WaitGroup
 }
@@ -73,10 +74,10 @@
 	}()
 	stop, cancel := context.WithTimeout(context.Background(), chaosLength)
 	defer cancel()
-	c := &chaos{Trial: r, t: t, seed: seed, stop: stop}
+	c := &chaos{Trial: r, t: t, seed: seed, lasting: map[string]bool{}, stop: stop}
 	c.build()
 	time.Sleep(3 * time.Second)
-	for _, fault := range []func(){c.agentFaults, c.engineFaults, c.storeFaults, c.operators} {
+	for _, fault := range []func(){c.agentFaults, c.engineFaults, c.entryFaults, c.storeFaults, c.operators} {
 		c.faults.Go(fault)
 	}
 	var load sync.WaitGroup
@@ -89,7 +90,9 @@
 	c.checkCalm()
 	rules := history.Rules{LeaveWithin: 3 * time.Second, ForceWithin: 11 * time.Second, End: time.Now()}
 	for _, e := range r.Entries() {
-		rules.Processes = append(rules.Processes, e.Name)
+		if c.lasting[e.Name] {
+			rules.Processes = append(rules.Processes, e.Name)
+		}
 	}
 	for _, b := range history.Check(r.Recorder.Events(), rules) {
 		t.Errorf("seed %d: %v", seed, b)
@@ -106,7 +109,17 @@
 		c.agents = append(c.agents, c.AddService(fmt.Sprintf("app-%d", n), "bookings", &standin.Service{Takes: 50 * time.Millisecond}))
 	}
 	for n := range 2 {
-		c.AddEntry(fmt.Sprintf("entry-%d", n))
+		c.lasting[c.AddEntry(fmt.Sprintf("entry-%d", n)).Name] = true
+	}
+}
+
+// entryFaults kills one of two entries at a time and starts another.
+func (c *chaos) entryFaults() {
+	random := rand.New(rand.NewPCG(c.seed, 6))
+	for n := 0; c.pause(random, 20*time.Second); n++ {
+		c.AddEntry(fmt.Sprintf("entry-new-%d", n))
+		time.Sleep(3 * time.Second)
+		c.KillEntry(c.Entries()[random.IntN(2)])
 	}
 }
 
@@ -222,7 +235,7 @@
 		}
 		q.Key = q.ID
 		q.Copies = 2
-		for _, e := range c.Entries() {
+		for _, e := range c.Entries()[:q.Copies] {
 			open.Go(func() { c.Call(context.Background(), e, q, http.MethodPost, "/confirmations") })
 		}
 	}
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -73,6 +73,7 @@
 	Name   string
 	Caller caller.Caller // without key and class
 	Store  *versions.Store
+	ctx    context.Context // ends when the entry is killed
 	cancel context.CancelFunc
 }
 
@@ -185,6 +186,33 @@
 	t.Store.SetMembers(kept)
 }
 
+// KillEntry ends an entry at once; its callers see broken connections. The list
+// lags behind.
+func (t *Trial) KillEntry(e *Entry) {
+	t.mu.Lock()
+	t.entries = slices.DeleteFunc(t.entries, func(o *Entry) bool { return o == e })
+	t.mu.Unlock()
+	e.cancel()
+	time.AfterFunc(listLag, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.dropMember(e.Name)
+	})
+}
+
+// listLag is how long the list still names an entry that was killed.
+const listLag = 5 * time.Second
+
+// joined returns a context that also ends when the entry is killed.
+func (e *Entry) joined(ctx context.Context) (context.Context, context.CancelFunc) {
+	both, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(e.ctx, cancel)
+	return both, func() {
+		stop()
+		cancel()
+	}
+}
+
 // StopEntry stops an entry cleanly, as a balancer that has seen it leave would.
 func (t *Trial) StopEntry(ctx context.Context, e *Entry) error {
 	t.mu.Lock()
@@ -221,7 +249,7 @@
 	h := &versions.Holder{}
 	t.watch(name, h)
 	ctx, cancel := context.WithCancel(t.ctx)
-	e := &Entry{Name: name, Store: t.store(name, h), cancel: cancel}
+	e := &Entry{Name: name, Store: t.store(name, h), ctx: ctx, cancel: cancel}
 	batcher := claims.New(claims.Options{KeyValue: &t.Store, Owner: name, Entries: func() int { return e.Entries() }})
 	o := entry.Options{
 		Name:     name,
@@ -295,6 +323,8 @@
 	c.Key = q.Team + keySuffix
 	c.Class = q.Class
 	c.Most = q.Tokens
+	ctx, done := e.joined(ctx)
+	defer done()
 	a := c.Chat(ctx, class.Model, prompt)
 	t.answered(q.ID, a)
 	return a
@@ -315,6 +345,8 @@
 	c.Key = q.Team + keySuffix
 	c.Class = q.Class
 	c.Idem = q.Key
+	ctx, done := e.joined(ctx)
+	defer done()
 	a := c.Service(ctx, class.Service, method, path)
 	t.answered(q.ID, a)
 	return a
