Split large files and complete the engine stand-in

Change: packages heaps and rendezvous; start, leave, retry and partition have files of their own; the engine's batch may be bounded, lets lower numbers in first and reports its load late. The platform's driver is tested against the stand-in.

--- a/coord/binding/choose.go
+++ b/coord/binding/choose.go
@@ -7,8 +7,7 @@
 
 	"foxcross.dev/coord/affinity"
 	"foxcross.dev/coord/message"
-
-	"github.com/cespare/xxhash/v2"
+	"foxcross.dev/coord/rendezvous"
 )
 
 const (
@@ -18,8 +17,6 @@
 	hashSaving   = 0.3             // the same where only the hash says who has them
 )
 
-func hashName(name string) uint64 { return xxhash.Sum64String(name) }
-
 // candidate is a route with its expected time to first token.
 type candidate struct {
 	route *route
@@ -92,7 +89,7 @@
 	var best *route
 	var most uint64
 	for _, o := range c.routes[r.Target] {
-		h := mix(r.Prefix[0] ^ o.peer.hash)
+		h := rendezvous.Rank(r.Prefix[0], o.peer.hash)
 		if best == nil || h > most {
 			best = o
 			most = h
@@ -101,16 +98,6 @@
 	return best
 }
 
-// mix spreads the bits of a value (the finaliser of splitmix64, Steele and
-// others, OOPSLA 2014).
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // score is the expected time to the first token at the agent.
 func (c *Core) score(clock int64, r *request, o *route, home bool) time.Duration {
 	wait := o.wait(r.Terms.Tier)
--- a/coord/binding/core.go
+++ b/coord/binding/core.go
@@ -1,13 +1,12 @@
 package binding
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"foxcross.dev/coord/affinity"
-	"foxcross.dev/coord/health"
+	"foxcross.dev/coord/heaps"
 	"foxcross.dev/coord/message"
 	"foxcross.dev/coord/result"
 )
@@ -39,7 +38,7 @@
 	peers    map[string]*peer
 	routes   map[string][]*route
 	requests map[message.RequestID]*request
-	wakes    wakeHeap
+	wakes    heaps.Heap[*request] // by the time they want to be looked at
 	seen     affinity.Table
 	budgets  map[string]float64
 	last     message.RequestID
@@ -89,7 +88,7 @@
 	r := &request{Request: q, id: id, accepted: now, waits: now, state: offering, attempt: 1, offers: map[string]offer{}}
 	r.wake = now.Add(q.GiveUp)
 	c.requests[id] = r
-	heap.Push(&c.wakes, r)
+	c.wakes.Push(r)
 	c.earnRetries(q)
 	c.widen(now, r)
 	return id, c.take()
@@ -241,7 +240,7 @@
 	}
 	r.startedAt = ""
 	delete(c.requests, r.id)
-	heap.Remove(&c.wakes, r.place)
+	c.wakes.Remove(r.place)
 	c.emit(f)
 }
 
@@ -255,7 +254,7 @@
 			r.wake = r.nextWiden
 		}
 	}
-	heap.Fix(&c.wakes, r.place)
+	c.wakes.Fix(r.place)
 }
 
 // stallBound is later than the agent's own, which normally comes first.
@@ -343,78 +342,6 @@
 	return c.take()
 }
 
-// blame counts a failure against an agent, within the bound on ejected ones.
-func (c *Core) blame(now time.Time, p *peer) {
-	if p == nil {
-		return
-	}
-	ejected := 0
-	for _, o := range c.peers {
-		if o.circuit.State() == health.Ejected {
-			ejected++
-		}
-	}
-	p.circuit.Failed(now, health.MayEject(ejected, len(c.peers)))
-}
-
-// lost handles a start whose outcome can't be learned any more.
-func (c *Core) lost(now time.Time, r *request) {
-	m := message.End{Request: r.id, Attempt: r.attempt, Code: result.EndpointLost, Run: result.Unknown}
-	c.retry(now, r, m, true)
-}
-
-// retry tries the request again if it may be repeated and its attempts, its
-// class's budget and the answer so far allow it.
-func (c *Core) retry(now time.Time, r *request, m message.End, spend bool) {
-	code := m.Code
-	switch {
-	case !r.Terms.Repeatable:
-	case r.stuck:
-		code = result.Unresumable
-	case spend && (r.attempt >= mostAttempts || !c.spendRetry(r)):
-		code = result.RetriesUsed
-	default:
-		r.waits = now
-		c.again(now, r)
-		return
-	}
-	c.close(r, Finish{Request: r.id, Code: code, Run: m.Run, RetryAfter: c.retryAfter(r), End: m})
-}
-
-// again offers the request anew. The agent that had it is left out until the
-// others have been asked.
-func (c *Core) again(now time.Time, r *request) {
-	if p := c.peers[r.startedAt]; p != nil {
-		p.started--
-	}
-	last := r.startedAt
-	r.startedAt = ""
-	r.fire(unbind)
-	r.attempt++
-	clear(r.offers)
-	if c.peers[last] != nil {
-		r.offers[last] = failed
-	}
-	c.widen(now, r)
-}
-
-// earnRetries adds the share of a fresh request to its class's budget.
-func (c *Core) earnRetries(q Request) {
-	b, ok := c.budgets[q.Terms.Class]
-	if !ok {
-		b = retryBurst
-	}
-	c.budgets[q.Terms.Class] = min(retryBurst, b+float64(q.RetryPermill)/1000)
-}
-
-func (c *Core) spendRetry(r *request) bool {
-	if c.budgets[r.Terms.Class] < 1 {
-		return false
-	}
-	c.budgets[r.Terms.Class]--
-	return true
-}
-
 // Hangup ends a request whose caller has gone.
 func (c *Core) Hangup(id message.RequestID) []Action {
 	r := c.requests[id]
@@ -433,8 +360,8 @@
 
 // Tick widens, gives up and ends what stands still.
 func (c *Core) Tick(now time.Time) []Action {
-	for len(c.wakes) > 0 && !c.wakes[0].wake.After(now) {
-		r := c.wakes[0]
+	for c.wakes.Len() > 0 && !c.wakes.First().wake.After(now) {
+		r := c.wakes.First()
 		switch {
 		case r.state == started:
 			c.checkStall(now, r)
@@ -460,10 +387,10 @@
 
 // Next returns when Tick has something to do; ok is false when nothing waits.
 func (c *Core) Next() (at time.Time, ok bool) {
-	if len(c.wakes) == 0 {
+	if c.wakes.Len() == 0 {
 		return time.Time{}, false
 	}
-	return c.wakes[0].wake, true
+	return c.wakes.First().wake, true
 }
 
 // Drain refuses new requests from now on.
--- a/coord/binding/peer.go
+++ b/coord/binding/peer.go
@@ -6,6 +6,7 @@
 
 	"foxcross.dev/coord/health"
 	"foxcross.dev/coord/message"
+	"foxcross.dev/coord/rendezvous"
 )
 
 // peer is an agent with a connection.
@@ -39,7 +40,7 @@
 	if c.peers[name] != nil {
 		c.dropPeer(now, name)
 	}
-	c.peers[name] = &peer{name: name, hash: hashName(name), trip: trip, routes: map[string]*route{}}
+	c.peers[name] = &peer{name: name, hash: rendezvous.Hash(name), trip: trip, routes: map[string]*route{}}
 	return c.take()
 }
 
--- a/coord/binding/request.go
+++ b/coord/binding/request.go
@@ -137,29 +137,8 @@
 // giveUpAt returns when a request that was not started is refused.
 func (r *request) giveUpAt() time.Time { return r.waits.Add(r.GiveUp) }
 
-// wakeHeap orders requests by the time they want to be looked at.
-type wakeHeap []*request
-
-func (h wakeHeap) Len() int           { return len(h) }
-func (h wakeHeap) Less(a, b int) bool { return h[a].wake.Before(h[b].wake) }
-func (h wakeHeap) Swap(a, b int) {
-	h[a], h[b] = h[b], h[a]
-	h[a].place = a
-	h[b].place = b
-}
-
-// Push is for container/heap.
-func (h *wakeHeap) Push(x any) {
-	r := x.(*request)
-	r.place = len(*h)
-	*h = append(*h, r)
-}
+// Before orders requests by the time they want to be looked at.
+func (r *request) Before(o *request) bool { return r.wake.Before(o.wake) }
 
-// Pop is for container/heap.
-func (h *wakeHeap) Pop() any {
-	last := len(*h) - 1
-	r := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	return r
-}
+// Moved notes the place in the heap of wake times.
+func (r *request) Moved(place int) { r.place = place }
--- /dev/null
+++ b/coord/binding/retry.go
@@ -0,0 +1,81 @@
+package binding
+
+import (
+	"time"
+
+	"foxcross.dev/coord/health"
+	"foxcross.dev/coord/message"
+	"foxcross.dev/coord/result"
+)
+
+// blame counts a failure against an agent, within the bound on ejected ones.
+func (c *Core) blame(now time.Time, p *peer) {
+	if p == nil {
+		return
+	}
+	ejected := 0
+	for _, o := range c.peers {
+		if o.circuit.State() == health.Ejected {
+			ejected++
+		}
+	}
+	p.circuit.Failed(now, health.MayEject(ejected, len(c.peers)))
+}
+
+// lost handles a start whose outcome can't be learned any more.
+func (c *Core) lost(now time.Time, r *request) {
+	m := message.End{Request: r.id, Attempt: r.attempt, Code: result.EndpointLost, Run: result.Unknown}
+	c.retry(now, r, m, true)
+}
+
+// retry tries the request again if it may be repeated and its attempts, its
+// class's budget and the answer so far allow it.
+func (c *Core) retry(now time.Time, r *request, m message.End, spend bool) {
+	code := m.Code
+	switch {
+	case !r.Terms.Repeatable:
+	case r.stuck:
+		code = result.Unresumable
+	case spend && (r.attempt >= mostAttempts || !c.spendRetry(r)):
+		code = result.RetriesUsed
+	default:
+		r.waits = now
+		c.again(now, r)
+		return
+	}
+	c.close(r, Finish{Request: r.id, Code: code, Run: m.Run, RetryAfter: c.retryAfter(r), End: m})
+}
+
+// again offers the request anew. The agent that had it is left out until the
+// others have been asked.
+func (c *Core) again(now time.Time, r *request) {
+	if p := c.peers[r.startedAt]; p != nil {
+		p.started--
+	}
+	last := r.startedAt
+	r.startedAt = ""
+	r.fire(unbind)
+	r.attempt++
+	clear(r.offers)
+	if c.peers[last] != nil {
+		r.offers[last] = failed
+	}
+	c.widen(now, r)
+}
+
+// earnRetries adds the share of a fresh request to its class's budget.
+func (c *Core) earnRetries(q Request) {
+	b, ok := c.budgets[q.Terms.Class]
+	if !ok {
+		b = retryBurst
+	}
+	c.budgets[q.Terms.Class] = min(retryBurst, b+float64(q.RetryPermill)/1000)
+}
+
+func (c *Core) spendRetry(r *request) bool {
+	if c.budgets[r.Terms.Class] < 1 {
+		return false
+	}
+	c.budgets[r.Terms.Class]--
+	return true
+}
--- a/coord/dispatch/core.go
+++ b/coord/dispatch/core.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"foxcross.dev/coord/health"
@@ -218,68 +217,6 @@
 	return c.take()
 }
 
-// Start runs an attempt in the slot held for it. Without such a slot the
-// attempt ends as not run.
-func (c *Core) Start(now time.Time, owner uint64, m message.Start) []Action {
-	key := queue.Key{Owner: owner, Request: m.Request}
-	w := c.work[key]
-	if w != nil && w.item.Offer.Attempt == m.Attempt && w.state != held {
-		return c.take() // a copy of a start that was obeyed
-	}
-	if w == nil || w.item.Offer.Attempt != m.Attempt {
-		c.finish(key, m.Attempt, result.SlotGone, result.NotRun)
-		return c.take()
-	}
-	if c.leaving {
-		c.release(w)
-		c.finish(key, m.Attempt, result.AgentLeaving, result.NotRun)
-		return c.take()
-	}
-	if w.preempt && !c.makeRoom(now, w) {
-		p := c.release(w)
-		c.finish(key, m.Attempt, result.SlotGone, result.NotRun)
-		c.fill(now, p)
-		return c.take()
-	}
-	c.run(now, w, m)
-	return c.take()
-}
-
-// makeRoom stops lower-tier work for a preempting start, unless a slot has
-// fallen free meanwhile.
-func (c *Core) makeRoom(now time.Time, w *work) bool {
-	if w.endpoint.room(now, sampleTarget(w.item)) > 0 {
-		return true
-	}
-	v := w.endpoint.victim(w.item.Offer.Terms.Tier)
-	if v == nil {
-		return false
-	}
-	c.stop(v, result.Preempted)
-	return true
-}
-
-func (c *Core) stop(w *work, code result.Code) {
-	w.state = stopping
-	c.emit(Stop{Key: w.item.Key, Endpoint: w.endpoint.Name, Code: code})
-	c.finish(w.item.Key, w.item.Offer.Attempt, code, result.Ran)
-}
-
-func (c *Core) finish(k queue.Key, a message.Attempt, code result.Code, run result.Run) {
-	c.emit(Finish{Key: k, End: message.End{Request: k.Request, Attempt: a, Code: code, Run: run}})
-}
-
-func (c *Core) run(now time.Time, w *work, m message.Start) {
-	w.state = running
-	w.endpoint.active++
-	w.endpoint.promote(w)
-	w.started = now
-	w.last = now
-	o := w.item.Offer
-	w.endpoint.cached.Put(o.Prefix, w.endpoint.Name)
-	c.emit(Run{Key: w.item.Key, Endpoint: w.endpoint.Name, Terms: o.Terms, Target: o.Target, Start: m})
-}
-
 // Progress notes tokens of running work, or bytes of a service with tokens 0.
 func (c *Core) Progress(now time.Time, k queue.Key, tokens int) {
 	w := c.work[k]
@@ -356,70 +293,6 @@
 	return c.take()
 }
 
-// OwnerLost drops the offers of a connection that is gone, and stops its
-// repeatable work. Work that may not be repeated runs to its end.
-func (c *Core) OwnerLost(now time.Time, owner uint64) []Action {
-	for _, n := range c.names {
-		p := c.pools[n]
-		for _, i := range p.queue.Items() {
-			if i.Key.Owner == owner {
-				p.queue.Remove(i.Key)
-			}
-		}
-	}
-	for _, w := range c.pick(func(w *work) bool { return w.item.Key.Owner == owner }) {
-		switch {
-		case w.state == held:
-			c.release(w)
-		case w.state == running && w.item.Offer.Terms.Repeatable:
-			c.stop(w, result.EndpointLost)
-		}
-	}
-	c.fillAll(now)
-	return c.take()
-}
-
-func (c *Core) fillAll(now time.Time) {
-	for _, n := range c.names {
-		c.fill(now, c.pools[n])
-	}
-}
-
-// pick returns the work that matches, in an order that is the same each run.
-func (c *Core) pick(match func(*work) bool) []*work {
-	var all []*work
-	for _, w := range c.work {
-		if match(w) {
-			all = append(all, w)
-		}
-	}
-	slices.SortFunc(all, func(a, b *work) int {
-		if a.worseThan(b) {
-			return -1
-		}
-		return 1
-	})
-	return all
-}
-
-// Leave makes the agent take no new work. Queued offers and held slots are
-// declined; running work goes on.
-func (c *Core) Leave(time.Time) []Action {
-	c.leaving = true
-	for _, n := range c.names {
-		p := c.pools[n]
-		for _, i := range p.queue.Items() {
-			p.queue.Remove(i.Key)
-			c.decline(i.Key, i.Offer.Attempt, result.AgentLeaving)
-		}
-	}
-	for _, w := range c.pick(func(w *work) bool { return w.state == held }) {
-		c.release(w)
-		c.decline(w.item.Key, w.item.Offer.Attempt, result.AgentLeaving)
-	}
-	return c.take()
-}
-
 // Leaving tells whether the agent takes no new work.
 func (c *Core) Leaving() bool { return c.leaving }
 
--- a/coord/queue/class.go
+++ b/coord/queue/class.go
@@ -1,9 +1,10 @@
 package queue
 
 import (
-	"container/heap"
 	"container/list"
 	"time"
+
+	"foxcross.dev/coord/heaps"
 )
 
 // idleTeams is how many teams without items a class remembers before it
@@ -15,10 +16,9 @@
 	name    string
 	tier    int
 	teams   map[string]*team
-	fresh   teamHeap // teams with items that can meet their target
-	late    teamHeap // teams with late items
-	due     byDeadline
-	oldest  byArrival
+	ready   [2]heaps.Heap[inList] // teams with fresh and with late items
+	due     heaps.Heap[byDeadline]
+	oldest  heaps.Heap[byArrival]
 	virtual float64 // virtual time of the last pick
 }
 
@@ -43,21 +43,7 @@
 }
 
 func newClass(name string, tier int) *class {
-	return &class{
-		name:  name,
-		tier:  tier,
-		teams: map[string]*team{},
-		fresh: teamHeap{list: freshList},
-		late:  teamHeap{list: lateList},
-	}
-}
-
-// heapOf returns the heap of the teams that hold fresh or late items.
-func (c *class) heapOf(list int) *teamHeap {
-	if list == lateList {
-		return &c.late
-	}
-	return &c.fresh
+	return &class{name: name, tier: tier, teams: map[string]*team{}}
 }
 
 func (c *class) push(i *Item, now time.Time) {
@@ -67,9 +53,9 @@
 	i.due = -1
 	c.link(i)
 	if !i.late {
-		heap.Push(&c.due, i)
+		c.due.Push(byDeadline{i})
 	}
-	heap.Push(&c.oldest, i)
+	c.oldest.Push(byArrival{i})
 }
 
 func (c *class) teamOf(name string) *team {
@@ -85,7 +71,7 @@
 
 // forgetIdle drops teams that have no items and no lead to be held against them.
 func (c *class) forgetIdle() {
-	active := c.fresh.Len() + c.late.Len()
+	active := c.ready[freshList].Len() + c.ready[lateList].Len()
 	if len(c.teams) < 2*active+idleTeams {
 		return
 	}
@@ -105,7 +91,7 @@
 	list := listOf(i.late)
 	i.element = t.lists[list].PushBack(i)
 	if t.index[list] < 0 {
-		heap.Push(c.heapOf(list), t)
+		c.ready[list].Push(inList{t, list})
 	}
 }
 
@@ -116,14 +102,14 @@
 	t.lists[list].Remove(i.element)
 	i.element = nil
 	if t.lists[list].Len() == 0 {
-		heap.Remove(c.heapOf(list), t.index[list])
+		c.ready[list].Remove(t.index[list])
 	}
 }
 
 // expire moves items past their deadline to the late lists.
 func (c *class) expire(now time.Time) {
-	for len(c.due) > 0 && c.due[0].Deadline.Before(now) {
-		i := heap.Pop(&c.due).(*Item)
+	for c.due.Len() > 0 && c.due.First().Deadline.Before(now) {
+		i := c.due.Remove(0).Item
 		c.unlink(i)
 		i.late = true
 		c.link(i)
@@ -133,9 +119,9 @@
 func (c *class) remove(i *Item) {
 	c.unlink(i)
 	if i.due >= 0 {
-		heap.Remove(&c.due, i.due)
+		c.due.Remove(i.due)
 	}
-	heap.Remove(&c.oldest, i.starve)
+	c.oldest.Remove(i.starve)
 }
 
 // charge moves the team of a served item back in the order.
@@ -145,54 +131,34 @@
 	t.virtual += 1 / float64(max(1, i.Offer.Terms.Weight))
 	for list := range t.index {
 		if t.index[list] >= 0 {
-			heap.Fix(c.heapOf(list), t.index[list])
+			c.ready[list].Fix(t.index[list])
 		}
 	}
 }
 
-func (c *class) len() int { return len(c.oldest) }
+func (c *class) len() int { return c.oldest.Len() }
 
-// teamHeap orders teams by virtual time.
-type teamHeap struct {
-	teams []*team
-	list  int
+// inList is a team in the order of its fresh or its late items.
+type inList struct {
+	*team
+	list int
 }
 
-func (h teamHeap) Len() int { return len(h.teams) }
-func (h teamHeap) Less(a, b int) bool {
-	if h.teams[a].virtual != h.teams[b].virtual {
-		return h.teams[a].virtual < h.teams[b].virtual
+// Before puts the team first that has had least for its weight.
+func (t inList) Before(o inList) bool {
+	if t.virtual != o.virtual {
+		return t.virtual < o.virtual
 	}
-	return h.teams[a].name < h.teams[b].name
+	return t.name < o.name
 }
 
-func (h teamHeap) Swap(a, b int) {
-	h.teams[a], h.teams[b] = h.teams[b], h.teams[a]
-	h.teams[a].index[h.list] = a
-	h.teams[b].index[h.list] = b
-}
-
-// Push is for container/heap.
-func (h *teamHeap) Push(x any) {
-	t := x.(*team)
-	t.index[h.list] = len(h.teams)
-	h.teams = append(h.teams, t)
-}
-
-// Pop is for container/heap.
-func (h *teamHeap) Pop() any {
-	last := len(h.teams) - 1
-	t := h.teams[last]
-	h.teams[last] = nil
-	h.teams = h.teams[:last]
-	t.index[h.list] = -1
-	return t
-}
+// Moved notes the place.
+func (t inList) Moved(place int) { t.index[t.list] = place }
 
-// head returns the next item of the team that is served first.
-func (h teamHeap) head() *Item {
-	if len(h.teams) == 0 {
+// head returns the next fresh or late item of the team that is served first.
+func (c *class) head(list int) *Item {
+	if c.ready[list].Len() == 0 {
 		return nil
 	}
-	return h.teams[0].lists[h.list].Front().Value.(*Item)
+	return c.ready[list].First().lists[list].Front().Value.(*Item)
 }
--- a/coord/queue/item.go
+++ b/coord/queue/item.go
@@ -49,57 +49,20 @@
 	return i.Arrived.Add(2 * i.Offer.Terms.StarveAfter)
 }
 
-// byDeadline is a heap of a class's items that are not late.
-type byDeadline []*Item
+// byDeadline orders a class's items that are not late.
+type byDeadline struct{ *Item }
 
-func (h byDeadline) Len() int           { return len(h) }
-func (h byDeadline) Less(a, b int) bool { return h[a].Deadline.Before(h[b].Deadline) }
-func (h byDeadline) Swap(a, b int) {
-	h[a], h[b] = h[b], h[a]
-	h[a].due = a
-	h[b].due = b
-}
-
-// Push is for container/heap.
-func (h *byDeadline) Push(x any) {
-	i := x.(*Item)
-	i.due = len(*h)
-	*h = append(*h, i)
-}
-
-// Pop is for container/heap.
-func (h *byDeadline) Pop() any {
-	last := len(*h) - 1
-	i := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	i.due = -1
-	return i
-}
+// Before puts the earliest deadline first.
+func (d byDeadline) Before(o byDeadline) bool { return d.Deadline.Before(o.Deadline) }
 
-// byArrival is a heap of all items of a class, the longest waiting first.
-type byArrival []*Item
+// Moved notes the place.
+func (d byDeadline) Moved(place int) { d.due = place }
 
-func (h byArrival) Len() int           { return len(h) }
-func (h byArrival) Less(a, b int) bool { return h[a].Arrived.Before(h[b].Arrived) }
-func (h byArrival) Swap(a, b int) {
-	h[a], h[b] = h[b], h[a]
-	h[a].starve = a
-	h[b].starve = b
-}
+// byArrival orders all items of a class, the longest waiting first.
+type byArrival struct{ *Item }
 
-// Push is for container/heap.
-func (h *byArrival) Push(x any) {
-	i := x.(*Item)
-	i.starve = len(*h)
-	*h = append(*h, i)
-}
+// Before puts the earliest arrival first.
+func (a byArrival) Before(o byArrival) bool { return a.Arrived.Before(o.Arrived) }
 
-// Pop is for container/heap.
-func (h *byArrival) Pop() any {
-	last := len(*h) - 1
-	i := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	return i
-}
+// Moved notes the place.
+func (a byArrival) Moved(place int) { a.starve = place }
--- a/coord/queue/queue.go
+++ b/coord/queue/queue.go
@@ -188,18 +188,18 @@
 func bestOf(classes []*class) *Item {
 	var fresh, late *class
 	for _, c := range classes {
-		if len(c.due) > 0 && (fresh == nil || c.due[0].Deadline.Before(fresh.due[0].Deadline)) {
+		if c.due.Len() > 0 && (fresh == nil || c.due.First().Before(fresh.due.First())) {
 			fresh = c
 		}
-		if c.late.Len() > 0 && (late == nil || c.oldest[0].Arrived.Before(late.oldest[0].Arrived)) {
+		if c.ready[lateList].Len() > 0 && (late == nil || c.oldest.First().Before(late.oldest.First())) {
 			late = c
 		}
 	}
 	if fresh != nil {
-		return fresh.fresh.head()
+		return fresh.head(freshList)
 	}
 	if late != nil {
-		return late.late.head()
+		return late.head(lateList)
 	}
 	return nil
 }
@@ -213,7 +213,7 @@
 		if c.len() == 0 {
 			continue
 		}
-		i := c.oldest[0]
+		i := c.oldest.First().Item
 		at, bounded := i.StarveAt()
 		if !bounded || at.After(now) || r.floorUsed(i) {
 			continue
@@ -245,7 +245,7 @@
 		if c.tier >= tier {
 			return false
 		}
-		if len(c.due) > 0 && c.due[0].Deadline.Before(now.Add(nextFree)) {
+		if c.due.Len() > 0 && c.due.First().Deadline.Before(now.Add(nextFree)) {
 			return true
 		}
 	}
--- a/coord/subset/subset.go
+++ b/coord/subset/subset.go
@@ -8,7 +8,7 @@
 	"slices"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
+	"foxcross.dev/coord/rendezvous"
 )
 
 // Default is the most agents of an entry where its settings say nothing.
@@ -24,8 +24,7 @@
 	DataCentre string
 }
 
-// ranked is an agent and its place in an entry's order (rendezvous hashing,
-// Thaler and Ravishankar, 1998).
+// ranked is an agent and its place in an entry's order.
 type ranked struct {
 	Agent
 	rank uint64
@@ -51,9 +50,9 @@
 
 // split ranks the agents of the own data centre and of the others.
 func split(entry, dataCentre string, agents []Agent) (near, far []ranked) {
-	seed := xxhash.Sum64String(entry)
+	key := rendezvous.Hash(entry)
 	for _, a := range agents {
-		r := ranked{Agent: a, rank: mix(seed ^ xxhash.Sum64String(a.Name))}
+		r := ranked{Agent: a, rank: rendezvous.Rank(key, rendezvous.Hash(a.Name))}
 		if a.DataCentre == dataCentre {
 			near = append(near, r)
 		} else {
@@ -95,13 +94,3 @@
 	}
 	return chosen
 }
-
-// mix spreads the bits of a value (the finaliser of splitmix64, Steele and
-// others, OOPSLA 2014).
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/internal/standin/card.go
+++ b/internal/standin/card.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -14,6 +15,8 @@
 	Step    time.Duration // between tokens with one request, 0 for 5 ms
 	Batch   int           // requests at which a step takes twice as long, 0 for 16
 	Prefill float64       // prompt bytes a second, 0 for a million
+	Most    int           // requests in the batch, the others wait by priority; 0 for no bound
+	Lag     time.Duration // age of the load that is reported
 
 	// OnStart, if set, is called with the prompt of each request that is begun.
 	OnStart func(prompt string)
@@ -26,6 +29,20 @@
 	cached  map[uint64]bool
 	started int
 	tokens  int
+	waiting []*place
+	loads   []loadSample
+}
+
+// place is a request that waits for room in the batch.
+type place struct {
+	priority int // lower is served first
+	room     chan struct{}
+}
+
+// loadSample is how much ran from a time on.
+type loadSample struct {
+	at      time.Time
+	running int
 }
 
 // Slow makes every step take so many times as long.
@@ -79,14 +96,27 @@
 	return c.running
 }
 
-// begin takes a request in, unless the card is broken.
-func (c *Card) begin(prompt []string) bool {
+// begin takes a request in, after a wait if the batch is full. It fails if the
+// card is broken or ctx is done.
+func (c *Card) begin(ctx context.Context, prompt []string, priority int) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.broken {
+		c.mu.Unlock()
 		return false
 	}
-	c.running++
+	if c.Most > 0 && c.running >= c.Most {
+		p := &place{priority: priority, room: make(chan struct{})}
+		c.waiting = append(c.waiting, p)
+		slices.SortStableFunc(c.waiting, func(a, b *place) int { return a.priority - b.priority })
+		c.mu.Unlock()
+		if !c.wait(ctx, p) {
+			return false
+		}
+		c.mu.Lock()
+	} else {
+		c.change(1)
+	}
+	defer c.mu.Unlock()
 	c.started++
 	if c.OnStart != nil && len(prompt) > 0 {
 		c.OnStart(prompt[0])
@@ -94,10 +124,71 @@
 	return true
 }
 
+// wait waits for room; whoever ends gives its room to the first that waits.
+func (c *Card) wait(ctx context.Context, p *place) bool {
+	select {
+	case <-p.room:
+		return true
+	case <-ctx.Done():
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before := len(c.waiting)
+	c.waiting = slices.DeleteFunc(c.waiting, func(o *place) bool { return o == p })
+	if len(c.waiting) == before {
+		c.handOn() // the room came at the same time
+	}
+	return false
+}
+
 func (c *Card) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.running--
+	c.handOn()
+}
+
+// handOn gives the room of a request to the next, if one waits. The lock is
+// held.
+func (c *Card) handOn() {
+	if len(c.waiting) == 0 {
+		c.change(-1)
+		return
+	}
+	close(c.waiting[0].room)
+	c.waiting = c.waiting[1:]
+}
+
+// keptLoads bounds the samples that a lagged report needs.
+const keptLoads = 1024
+
+// change notes how much runs. The lock is held.
+func (c *Card) change(by int) {
+	c.running += by
+	if c.Lag <= 0 {
+		return
+	}
+	c.loads = append(c.loads, loadSample{time.Now(), c.running})
+	if len(c.loads) > keptLoads {
+		c.loads = c.loads[1:]
+	}
+}
+
+// Load returns how much ran so long ago as the lag says.
+func (c *Card) Load() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.Lag <= 0 {
+		return c.running
+	}
+	then := time.Now().Add(-c.Lag)
+	load := 0
+	for _, s := range c.loads {
+		if s.at.After(then) {
+			break
+		}
+		load = s.running
+	}
+	return load
 }
 
 // prefill is the time for a prompt; a prompt seen before takes a tenth.
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -38,6 +38,7 @@
 	Messages []engineMessage `json:"messages"`
 	Most     int             `json:"max_tokens"`
 	Continue bool            `json:"continue_final_message"`
+	Priority int             `json:"priority"`
 }
 
 const (
@@ -103,7 +104,7 @@
 		return
 	}
 	prompt, tokens, done := q.split()
-	if !e.begin(prompt) {
+	if !e.begin(r.Context(), prompt, q.Priority) {
 		http.Error(w, "engine is broken", http.StatusInternalServerError)
 		return
 	}
@@ -132,7 +133,7 @@
 }
 
 func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
-	_ = json.NewEncoder(w).Encode(map[string]int{"running": e.Running()}) // the caller may be gone
+	_ = json.NewEncoder(w).Encode(map[string]int{"running": e.Load()}) // the caller may be gone
 }
 
 // Run makes the engine a driver, for tests without a network.
@@ -152,7 +153,7 @@
 		}
 	}
 	prompt, tokens, done := q.split()
-	if !e.begin(prompt) {
+	if !e.begin(ctx, prompt, c.Terms.Tier) {
 		return message.End{Code: result.EndpointFailed, Run: result.Ran, Reason: "engine is broken"}
 	}
 	defer e.end()
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,173 @@
+package standin_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"foxcross.dev/coord/message"
+	"foxcross.dev/coord/result"
+	"foxcross.dev/foxcross/internal/endpoint"
+	"foxcross.dev/foxcross/internal/platform"
+	"foxcross.dev/foxcross/internal/platform/httpkv"
+	"foxcross.dev/foxcross/internal/standin"
+)
+
+// sink takes an answer and notes when it began.
+type sink struct{ first time.Time }
+
+func (s *sink) Head(int, []message.Field) error { return nil }
+func (s *sink) Data([]byte, int) error          { return nil }
+func (s *sink) Text(string, int) error {
+	if s.first.IsZero() {
+		s.first = time.Now()
+	}
+	return nil
+}
+
+func call(content string, tokens, tier int) endpoint.Call {
+	body, _ := json.Marshal(map[string]any{ // a plain map always has a JSON form
+		"max_tokens": tokens,
+		"messages":   []map[string]string{{"role": "user", "content": content}},
+	})
+	return endpoint.Call{Terms: message.Terms{Tier: tier}, Start: message.Start{Body: body}}
+}
+
+// A full batch lets the lower number in first, and the load is reported late.
+func TestEnginePriorityAndLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &standin.Engine{Card: standin.Card{Step: 10 * time.Millisecond, Most: 1, Lag: time.Second}}
+		var all sync.WaitGroup
+		sinks := make([]sink, 3)
+		for n, tier := range []int{0, 2, 0} {
+			all.Go(func() {
+				time.Sleep(time.Duration(n) * time.Millisecond)
+				if end := e.Run(context.Background(), call("x", 200, tier), &sinks[n]); end.Code != result.OK {
+					t.Errorf("request %d: %v", n, end)
+				}
+			})
+		}
+		time.Sleep(500 * time.Millisecond)
+		if n := e.Load(); n != 0 {
+			t.Errorf("the load of a second ago was %d", n)
+		}
+		time.Sleep(time.Second)
+		if n := e.Load(); n != 1 {
+			t.Errorf("the load of a second ago was %d", n)
+		}
+		all.Wait()
+		if !sinks[2].first.Before(sinks[1].first) {
+			t.Error("the higher tier came after the lower one")
+		}
+	})
+}
+
+// More running requests make every token slower.
+func TestEngineBatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		took := func(requests int) time.Duration {
+			e := &standin.Engine{Card: standin.Card{Step: 10 * time.Millisecond, Batch: 4}}
+			began := time.Now()
+			var all sync.WaitGroup
+			for range requests {
+				all.Go(func() { e.Run(context.Background(), call("x", 50, 0), &sink{}) })
+			}
+			all.Wait()
+			return time.Since(began)
+		}
+		if one, five := took(1), took(5); five < one*18/10 {
+			t.Errorf("one request took %v, five at once %v", one, five)
+		}
+	})
+}
+
+// The platform's driver against the stand-in: what each outcome looks like.
+func TestStoreOverHTTP(t *testing.T) {
+	var store standin.Store
+	server := httptest.NewServer(store.Handler())
+	defer server.Close()
+	p, err := httpkv.New(server.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx := context.Background()
+	if _, err := p.Get(ctx, "a/b"); err != platform.ErrNotFound {
+		t.Errorf("no value: %v", err)
+	}
+	revision, err := p.Swap(ctx, "a/b", []byte("1"), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p.Swap(ctx, "a/b", []byte("2"), 0); err != platform.ErrConflict {
+		t.Errorf("old revision: %v", err)
+	}
+	store.SetFaults(standin.Faults{LoseSwaps: 1})
+	if _, err := p.Swap(ctx, "a/b", []byte("2"), revision); err == nil || err == platform.ErrConflict || err == platform.ErrUnavailable {
+		t.Errorf("a lost answer must leave the outcome open: %v", err)
+	}
+	v, err := p.Get(ctx, "a/b")
+	if err != nil || string(v.Data) != "2" {
+		t.Errorf("after a lost answer: %q, %v", v.Data, err)
+	}
+	store.SetFaults(standin.Faults{Down: true})
+	if _, err := p.Swap(ctx, "a/b", []byte("3"), v.Revision); err != platform.ErrUnavailable {
+		t.Errorf("down: %v", err)
+	}
+	store.SetFaults(standin.Faults{})
+	if keys, err := p.List(ctx, "a/"); err != nil || len(keys) != 1 {
+		t.Errorf("list: %v, %v", keys, err)
+	}
+	watched := make(chan platform.Value, 1)
+	go func() {
+		w, err := p.Watch(ctx, "a/b", v.Revision)
+		if err != nil {
+			t.Error(err)
+		}
+		watched <- w
+	}()
+	if _, err := p.Swap(ctx, "a/b", []byte("4"), v.Revision); err != nil {
+		t.Error(err)
+	}
+	if w := <-watched; string(w.Data) != "4" {
+		t.Errorf("watch: %q", w.Data)
+	}
+	server.Close()
+	if _, err := p.Swap(ctx, "a/b", []byte("5"), 0); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("no server: %v", err)
+	}
+}
+
+// A value under a lease goes when the lease lapses, and not before.
+func TestLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var store standin.Store
+		ctx := context.Background()
+		lease, err := store.Grant(ctx, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := store.SwapLeased(ctx, "k", []byte("v"), 0, lease); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(900 * time.Millisecond)
+		if err := store.Renew(ctx, lease); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(900 * time.Millisecond)
+		if _, err := store.Get(ctx, "k"); err != nil {
+			t.Errorf("a renewed lease: %v", err)
+		}
+		time.Sleep(time.Second)
+		if _, err := store.Get(ctx, "k"); err != platform.ErrNotFound {
+			t.Errorf("a lapsed lease: %v", err)
+		}
+		if _, err := store.SwapLeased(ctx, "k", []byte("v"), 0, lease); err != platform.ErrNotFound {
+			t.Errorf("a write under a lapsed lease: %v", err)
+		}
+	})
+}
