Measure what each part brings

Cause: it was not known what widening, the correction for own sends, preemption and the order of late ones bring. Change: a scenario with long lower-tier answers; trials on a scratch copy with one part left out at a time.

--- a/internal/trial/scenario_test.go
+++ b/internal/trial/scenario_test.go
@@ -65,6 +65,7 @@
 		{"overload 1.5", trees.Ovenhuis, ovenhuisLoad(0.6, 0.5, 0.4), noFault},
 		{"monday burst", trees.Ovenhuis, mondayBurst, noFault},
 		{"quarter slow", trees.Ovenhuis, ovenhuisLoad(0.3, 0.2, 0.2), quarterSlow},
+		{"long notes", trees.Ovenhuis, longNotes, noFault},
 		{"crash", trees.Ovenhuis, ovenhuisLoad(0.3, 0.2, 0.2), crash},
 		{"rolling stop", trees.Ovenhuis, ovenhuisLoad(0.3, 0.2, 0.1), rollingStop},
 	}
@@ -83,6 +84,21 @@
 	return kinds
 }
 
+// longNotes has lower-tier work that keeps its slots for long, and a burst of
+// questions.
+func longNotes() []trial.Kind {
+	kinds := ovenhuisLoad(0.1, 0, 0.06)()
+	kinds[2].Tokens = 1500
+	usual := kinds[0].Rate(0)
+	kinds[0].Rate = func(since time.Duration) float64 {
+		if since > 15*time.Second && since < 20*time.Second {
+			return 8 * usual
+		}
+		return usual
+	}
+	return kinds
+}
+
 // quarterSlow slows the engines of a hall to a quarter for a third of the run.
 func quarterSlow(_ *trial.Trial, agents []*trial.Agent) {
 	time.Sleep(lengthOfRun / 3)
