Freeze entries and lose a data centre

Cause: only agents were frozen, and no run lost all of a data centre at once. Change: connections in memory bear their dialler's name, so entries are frozen and cut off in the random run; a test kills the entry, engines and services of one of three data centres together.

--- a/internal/link/memory.go
+++ b/internal/link/memory.go
@@ -36,15 +36,29 @@
 	return l
 }
 
+// From returns a dialer whose connections bear its name, so that they can be
+// frozen and cut by it.
+func (n *Memory) From(name string) Dialer { return memoryDialer{n, name} }
+
+type memoryDialer struct {
+	network *Memory
+	name    string
+}
+
 // Dial connects to a name that is listened on.
-func (n *Memory) Dial(ctx context.Context, address string) (Session, error) {
+func (d memoryDialer) Dial(ctx context.Context, address string) (Session, error) {
+	return d.network.dial(ctx, d.name, address)
+}
+
+func (n *Memory) dial(ctx context.Context, from, address string) (Session, error) {
 	n.mu.Lock()
 	l := n.listeners[address]
 	n.mu.Unlock()
 	if l == nil {
 		return nil, fmt.Errorf("link: nobody listens on %s", address)
 	}
-	near, far := n.newPair(address)
+	n.pass(from, ctx.Done())
+	near, far := n.newPair(from, address)
 	select {
 	case l.incoming <- far:
 	case <-l.closed:
@@ -58,12 +72,12 @@
 	return near, nil
 }
 
-// Cut ends all connections to a name.
+// Cut ends all connections from and to a name.
 func (n *Memory) Cut(address string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, s := range n.sessions {
-		if s.address == address {
+		if s.address == address || s.from == address {
 			s.Close()
 		}
 	}
@@ -142,6 +156,7 @@
 
 type memorySession struct {
 	network *Memory
+	from    string // the name that dialled
 	address string // the name that was dialled
 	control *memoryStream
 	streams chan *memoryStream // opened by the peer
@@ -150,11 +165,11 @@
 	once    *sync.Once
 }
 
-func (n *Memory) newPair(address string) (near, far *memorySession) {
+func (n *Memory) newPair(from, address string) (near, far *memorySession) {
 	done := make(chan struct{})
 	once := new(sync.Once)
-	near = &memorySession{network: n, address: address, done: done, once: once, streams: make(chan *memoryStream, memoryWindow)}
-	far = &memorySession{network: n, address: address, done: done, once: once, streams: make(chan *memoryStream, memoryWindow)}
+	near = &memorySession{network: n, from: from, address: address, done: done, once: once, streams: make(chan *memoryStream, memoryWindow)}
+	far = &memorySession{network: n, from: from, address: address, done: done, once: once, streams: make(chan *memoryStream, memoryWindow)}
 	near.peer = far
 	far.peer = near
 	near.control, far.control = near.pair()
@@ -232,6 +247,7 @@
 	select {
 	case t := <-s.in:
 		time.Sleep(time.Until(t.at))
+		s.session.network.pass(s.session.from, s.session.done)
 		s.session.network.pass(s.session.address, s.session.done)
 		if t.message == nil {
 			return nil, io.EOF
--- a/internal/trial/chaos_test.go
+++ b/internal/trial/chaos_test.go
@@ -113,13 +113,22 @@
 	}
 }
 
-// entryFaults kills one of two entries at a time and starts another.
+// entryFaults freezes entries, cuts them off, or kills one of two and starts
+// another.
 func (c *chaos) entryFaults() {
 	random := rand.New(rand.NewPCG(c.seed, 6))
-	for n := 0; c.pause(random, 20*time.Second); n++ {
-		c.AddEntry(fmt.Sprintf("entry-new-%d", n))
-		time.Sleep(3 * time.Second)
-		c.KillEntry(c.Entries()[random.IntN(2)])
+	for n := 0; c.pause(random, 10*time.Second); n++ {
+		e := c.Entries()[random.IntN(2)]
+		switch random.IntN(3) {
+		case 0:
+			c.Network.Freeze(e.Name, time.Duration(random.Int64N(int64(10*time.Second))))
+		case 1:
+			c.Network.Cut(e.Name)
+		case 2:
+			c.AddEntry(fmt.Sprintf("entry-new-%d", n))
+			time.Sleep(3 * time.Second)
+			c.KillEntry(e)
+		}
 	}
 }
 
--- a/internal/trial/promise_test.go
+++ b/internal/trial/promise_test.go
@@ -513,3 +513,49 @@
 		return rules
 	})
 }
+
+// A data centre goes at once, with its entry, its engines and its services: the
+// other entries' callers get their whole answers, nothing runs twice, and the
+// lost entry's callers are the only ones without an answer.
+func TestDataCentreLost(t *testing.T) {
+	deployment(t, trees.Ovenhuis, func(r *trial.Trial) history.Rules {
+		for n := range 3 {
+			r.AddAgent(fmt.Sprint("hall-", n), "glaze-8b", card(), card())
+			r.AddService(fmt.Sprint("app-", n), "bookings", &standin.Service{Takes: 50 * time.Millisecond})
+			r.AddEntry(fmt.Sprint("entry-", n))
+		}
+		ready()
+		lost := r.Entries()[0]
+		kept := r.Entries()[1:]
+		var all sync.WaitGroup
+		for n := range 120 {
+			time.Sleep(30 * time.Millisecond)
+			if n == 60 {
+				for _, a := range r.Agents() {
+					if a.Name == "hall-0" || a.Name == "app-0" {
+						r.Kill(a)
+					}
+				}
+				r.KillEntry(lost)
+			}
+			e := kept[n%2]
+			if n < 60 && n%3 == 0 {
+				e = lost
+			}
+			all.Go(func() {
+				a := r.Chat(background, e, glaze(fmt.Sprint("chat-", n), 100))
+				if e != lost && a.Code != result.OK {
+					t.Errorf("chat %d through %s: %v", n, e.Name, a.Code)
+				}
+			})
+			all.Go(func() {
+				a := r.Call(background, kept[n%2], booking(fmt.Sprint("book-", n)), http.MethodPost, "/confirmations")
+				if a.Code != result.OK && a.Code != result.EndpointLost {
+					t.Errorf("booking %d: %v", n, a.Code)
+				}
+			})
+		}
+		all.Wait()
+		return history.Rules{}
+	})
+}
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -253,7 +253,7 @@
 	batcher := claims.New(claims.Options{KeyValue: &t.Store, Owner: name, Entries: func() int { return e.Entries() }})
 	o := entry.Options{
 		Name:     name,
-		Dialer:   &t.Network,
+		Dialer:   t.Network.From(name),
 		Members:  &t.Store,
 		Settings: h,
 		Seed:     uint64(len(t.entries) + 1),
