Bound the attempts of a request that never runs

Cause: an attempt that an agent says was not run is no failure, so nothing bounded how often it was offered again; the number of an attempt is a byte and would have begun anew. An entry's pool was smaller than the requests it may hold. Change: the 255th attempt is the last; the pool is as large as the bound on requests.

--- a/coord/binding/binding_test.go
+++ b/coord/binding/binding_test.go
@@ -170,6 +170,29 @@
 		Expect(of[binding.Send](c.Tick(at))).To(HaveLen(2))
 	})
 
+	It("bounds the attempts of a request that no agent ever runs", func() {
+		c := newCore("a", "b")
+		id, actions := c.Accept(now, request(true))
+		at := now
+		for n := 0; n < 1000 && c.Open() > 0; n++ {
+			for _, s := range of[binding.Send](actions) {
+				o, isOffer := s.Message.(message.Offer)
+				if !isOffer {
+					continue
+				}
+				Expect(o.Attempt).NotTo(BeZero())
+				c.Ready(at, s.Peer, message.Ready{Request: id, Attempt: o.Attempt})
+				actions = c.End(at, s.Peer, message.End{Request: id, Attempt: o.Attempt, Code: result.SlotGone, Run: result.NotRun})
+				break
+			}
+			if len(of[binding.Send](actions)) == 0 {
+				at, _ = c.Next()
+				actions = c.Tick(at)
+			}
+		}
+		Expect(c.Open()).To(BeZero())
+	})
+
 	It("bounds retries when many agents die", func() {
 		c := newCore("a", "b")
 		retries := 0
--- a/coord/binding/retry.go
+++ b/coord/binding/retry.go
@@ -1,6 +1,7 @@
 package binding
 
 import (
+	"math"
 	"time"
 
 	"foxcross.dev/coord/health"
@@ -49,6 +50,10 @@
 // again offers the request anew. The agent that had it is left out until the
 // others have been asked.
 func (c *Core) again(now time.Time, r *request) {
+	if r.attempt == math.MaxUint8 {
+		c.close(r, Finish{Request: r.id, Code: result.RetriesUsed, Run: r.run(), RetryAfter: c.retryAfter(r)})
+		return
+	}
 	if p := c.peers[r.startedAt]; p != nil {
 		p.started--
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -88,6 +88,9 @@
 	if o.Agents <= 0 {
 		o.Agents = subset.Default
 	}
+	if o.Requests <= 0 {
+		o.Requests = binding.DefaultRequests
+	}
 	if o.ListEvery <= 0 {
 		o.ListEvery = DefaultListEvery
 	}
@@ -109,6 +112,7 @@
 		Requests: o.Requests,
 		Choose:   o.Choose,
 	}
+	e.pool.Most = o.Requests // an attempt never waits for a worker
 	if e.metrics == nil {
 		e.metrics = tally.NoopScope
 	}
