Count only failures against a request's attempts

Cause: attempts that were not run or were preempted used up the six that a request may fail, so one failure after them ended it. Change: failures have a counter of their own. Measured: the new specification ended with retries_used before and goes on after.

--- a/coord/binding/binding_test.go
+++ b/coord/binding/binding_test.go
@@ -206,6 +206,26 @@
 		Expect(c.Open()).To(BeZero())
 	})
 
+	It("counts only failures against the attempts of a request", func() {
+		c := newCore("a", "b")
+		id, s := started(c, request(true))
+		attempt := message.Attempt(1)
+		for _, end := range []message.End{
+			{Code: result.SlotGone, Run: result.NotRun}, {Code: result.SlotGone, Run: result.NotRun},
+			{Code: result.Preempted, Run: result.Ran}, {Code: result.Preempted, Run: result.Ran},
+			{Code: result.SlotGone, Run: result.NotRun}, {Code: result.SlotGone, Run: result.NotRun},
+			{Code: result.EndpointFailed, Run: result.Ran},
+		} {
+			end.Request = id
+			end.Attempt = attempt
+			actions := c.End(now, s.Peer, end)
+			Expect(of[binding.Finish](actions)).To(BeEmpty())
+			attempt++
+			s.Peer = of[binding.Send](actions)[0].Peer
+			Expect(of[binding.Start](c.Ready(now, s.Peer, message.Ready{Request: id, Attempt: attempt}))).To(HaveLen(1))
+		}
+	})
+
 	It("bounds retries when many agents die", func() {
 		c := newCore("a", "b")
 		retries := 0
--- a/coord/binding/core.go
+++ b/coord/binding/core.go
@@ -21,7 +21,7 @@
 	mostWiden     = 500 * time.Millisecond
 	firstBackoff  = 50 * time.Millisecond
 	mostBackoff   = time.Second
-	mostAttempts  = 6
+	mostFailures  = 6 // attempts of a request that failed
 	mostPreempted = 3 // after this many, the request asks not to be preempted
 	retryBurst    = 50
 	leastRetry    = time.Second
--- a/coord/binding/request.go
+++ b/coord/binding/request.go
@@ -60,6 +60,7 @@
 	ranBefore  bool   // the same, before the start that is out
 	stuck      bool   // the part can't be continued elsewhere
 	preempted  int
+	failures   int // attempts that failed
 	rounds     int // times all agents were tried in vain
 	nextWiden  time.Time
 	lastToken  time.Time
--- a/coord/binding/retry.go
+++ b/coord/binding/retry.go
@@ -33,11 +33,14 @@
 // class's budget and the answer so far allow it.
 func (c *Core) retry(now time.Time, r *request, m message.End, spend bool) {
 	code := m.Code
+	if spend {
+		r.failures++
+	}
 	switch {
 	case !r.Terms.Repeatable:
 	case r.stuck:
 		code = result.Unresumable
-	case spend && (r.attempt >= mostAttempts || !c.spendRetry(r)):
+	case spend && (r.failures >= mostFailures || !c.spendRetry(r)):
 		code = result.RetriesUsed
 	default:
 		r.waits = now
