Dial lost agents again within a second and a half

Entries waited up to five seconds between dials, so a restarted agent could still be unknown when the next ones were stopped, and a target whose last agent leaves is refused at once. The member list's lag, now a switch of the stand-in, made it show. Ruled out: a cut-off answer; the request was never started. The stand-in shows lists in the order they were set.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -17,7 +17,7 @@
 const (
 	dialTimeout = 3 * time.Second
 	firstRedial = 50 * time.Millisecond
-	mostRedial  = 5 * time.Second
+	mostRedial  = time.Second
 	listTimeout = 2 * time.Second
 	keepAbsent  = time.Minute // an agent missing from the list is kept so long
 )
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -190,3 +190,18 @@
 		}
 	})
 }
+
+// The member list shows a change late.
+func TestListLags(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.Store{ListLag: time.Second}
+		store.SetMembers([]platform.Member{{Name: "a"}})
+		for _, want := range []int{0, 1} {
+			members, err := store.Members(context.Background())
+			if err != nil || len(members) != want {
+				t.Errorf("%d members, want %d: %v", len(members), want, err)
+			}
+			time.Sleep(1100 * time.Millisecond)
+		}
+	})
+}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -32,7 +32,8 @@
 
 // Store is a key-value service in memory. The zero value is empty.
 type Store struct {
-	Now func() time.Time // nil for the wall clock
+	Now     func() time.Time // nil for the wall clock
+	ListLag time.Duration    // how late the member list shows a change
 
 	mu       sync.Mutex
 	values   map[string]stored
@@ -42,6 +43,8 @@
 	faults   Faults
 	calls    Calls
 	members  []platform.Member
+	lists    int // set so far
+	shown    int // number of the list that is visible
 }
 
 type stored struct {
@@ -69,11 +72,28 @@
 	return s.calls
 }
 
-// SetMembers replaces the member list.
+// SetMembers replaces the member list, after its lag.
 func (s *Store) SetMembers(m []platform.Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.members = slices.Clone(m)
+	s.lists++
+	number := s.lists
+	next := slices.Clone(m)
+	if s.ListLag <= 0 {
+		s.members = next
+		return
+	}
+	time.AfterFunc(s.ListLag, func() { s.showMembers(number, next) })
+}
+
+// showMembers makes a list visible, unless a later one is.
+func (s *Store) showMembers(number int, m []platform.Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if number > s.shown {
+		s.shown = number
+		s.members = m
+	}
 }
 
 // Members returns the list. It is a service of its own: the store's faults do
