Let one piece of code serve where two did the same

Cause: a last read of the whole change found steps that stood twice: an endpoint's failure within the bound on ejected ones, taking a request off its agent, the first steps of both programs, the set-up of two benchmarks. An agent also looked up the prompt's beginning at endpoints that have no room. Change: pool.blame, Core.detach, prepare and deploy serve both places; endpoints without room are passed over before the look-up. No behaviour, bound or test expectation changes.

--- a/coord/binding/core.go
+++ b/coord/binding/core.go
@@ -240,10 +240,7 @@
 
 func (c *Core) close(r *request, f Finish) {
 	r.fire(end)
-	if p := c.peers[r.startedAt]; p != nil {
-		p.started--
-	}
-	r.startedAt = ""
+	c.detach(r)
 	delete(c.requests, r.id)
 	c.wakes.Remove(r.place)
 	c.emit(f)
--- a/coord/binding/retry.go
+++ b/coord/binding/retry.go
@@ -57,11 +57,7 @@
 		c.close(r, Finish{Request: r.id, Code: result.RetriesUsed, Run: r.run(), RetryAfter: c.retryAfter(r)})
 		return
 	}
-	if p := c.peers[r.startedAt]; p != nil {
-		p.started--
-	}
-	last := r.startedAt
-	r.startedAt = ""
+	last := c.detach(r)
 	r.fire(unbind)
 	r.attempt++
 	clear(r.offers)
@@ -71,6 +67,17 @@
 	c.widen(now, r)
 }
 
+// detach takes the request off the agent that has its start and returns the
+// agent's name, empty if none has.
+func (c *Core) detach(r *request) string {
+	last := r.startedAt
+	r.startedAt = ""
+	if p := c.peers[last]; p != nil {
+		p.started--
+	}
+	return last
+}
+
 // earnRetries adds the share of a fresh request to its class's budget.
 func (c *Core) earnRetries(q Request) {
 	b, ok := c.budgets[q.Terms.Class]
--- a/coord/dispatch/core.go
+++ b/coord/dispatch/core.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"foxcross.dev/coord/health"
 	"foxcross.dev/coord/message"
 	"foxcross.dev/coord/queue"
 	"foxcross.dev/coord/result"
@@ -256,7 +255,7 @@
 // judge learns from an end that the endpoint itself brought about.
 func (c *Core) judge(now time.Time, p *pool, w *work, end message.End) {
 	if end.Code != result.OK {
-		w.endpoint.circuit.Failed(now, health.MayEject(p.ejected(), len(p.endpoints)))
+		p.blame(now, w.endpoint)
 		return
 	}
 	w.endpoint.circuit.Succeeded(now)
@@ -266,16 +265,6 @@
 	}
 }
 
-func (p *pool) ejected() int {
-	count := 0
-	for _, e := range p.endpoints {
-		if e.circuit.State() == health.Ejected {
-			count++
-		}
-	}
-	return count
-}
-
 // Cancel stops an attempt because its owner asks for it.
 func (c *Core) Cancel(now time.Time, owner uint64, m message.Cancel) []Action {
 	key := queue.Key{Owner: owner, Request: m.Request}
@@ -315,8 +304,7 @@
 	}
 	for _, w := range c.pick(func(w *work) bool { return w.state == running && w.stalled(now) }) {
 		c.stop(w, result.Stalled)
-		p := c.pools[w.item.Offer.Target]
-		w.endpoint.circuit.Failed(now, health.MayEject(p.ejected(), len(p.endpoints)))
+		c.pools[w.item.Offer.Target].blame(now, w.endpoint)
 	}
 	c.fillAll(now)
 	return c.take()
--- a/coord/dispatch/pool.go
+++ b/coord/dispatch/pool.go
@@ -101,12 +101,16 @@
 	var best *endpoint
 	var bestFit fit
 	for _, e := range p.endpoints {
+		room := e.room(now, sampleTarget(i))
+		if room <= 0 {
+			continue
+		}
 		f := fit{
-			room:    e.room(now, sampleTarget(i)),
+			room:    room,
 			seen:    e.cached.Longest(i.Offer.Prefix)[e.Name],
 			suspect: e.circuit.State() != health.Healthy,
 		}
-		if f.room > 0 && (best == nil || f.betterThan(bestFit)) {
+		if best == nil || f.betterThan(bestFit) {
 			best = e
 			bestFit = f
 		}
@@ -114,6 +118,21 @@
 	return best
 }
 
+// blame counts a failure against an endpoint, within the bound on ejected ones.
+func (p *pool) blame(now time.Time, e *endpoint) {
+	e.circuit.Failed(now, health.MayEject(p.ejected(), len(p.endpoints)))
+}
+
+func (p *pool) ejected() int {
+	count := 0
+	for _, e := range p.endpoints {
+		if e.circuit.State() == health.Ejected {
+			count++
+		}
+	}
+	return count
+}
+
 // load describes the pool to entries.
 func (p *pool) load(now time.Time) message.Load {
 	l := message.Load{
--- a/internal/bench/link_test.go
+++ b/internal/bench/link_test.go
@@ -124,25 +124,20 @@
 	<-done
 }
 
-// BenchmarkTrip compares a plain call through foxcross with one straight to the
-// service, in the same run.
-func BenchmarkTrip(b *testing.B) {
+// deploy starts a fleet with one agent and one entry, ready to be asked.
+func deploy(b *testing.B, l fleet.Local) (*fleet.Fleet, *fleet.Entry) {
+	b.Helper()
 	f, err := fleet.New()
 	if err != nil {
 		b.Fatal(err)
 	}
-	defer f.Close()
+	b.Cleanup(f.Close)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	service := &standin.Service{}
-	direct, err := f.ServeHTTP(service)
-	if err != nil {
-		b.Fatal(err)
-	}
 	if err := f.Put(ctx, trees.Ovenhuis); err != nil {
 		b.Fatal(err)
 	}
-	if _, err := f.AddAgent("app", "gent", fleet.Local{Target: settings.ServiceTarget("bookings"), Handler: service}); err != nil {
+	if _, err := f.AddAgent("agent", "gent", l); err != nil {
 		b.Fatal(err)
 	}
 	e, err := f.AddEntry("entry", "gent")
@@ -152,6 +147,18 @@
 	if err := f.WaitReady(ctx); err != nil {
 		b.Fatal(err)
 	}
+	return f, e
+}
+
+// BenchmarkTrip compares a plain call through foxcross with one straight to the
+// service, in the same run.
+func BenchmarkTrip(b *testing.B) {
+	service := &standin.Service{}
+	f, e := deploy(b, fleet.Local{Target: settings.ServiceTarget("bookings"), Handler: service})
+	direct, err := f.ServeHTTP(service)
+	if err != nil {
+		b.Fatal(err)
+	}
 	c := caller.Caller{URL: e.URL, Key: "gent" + trees.KeySuffix, Class: "booking-lookup"}
 	var through, straight []time.Duration
 	for b.Loop() {
@@ -247,27 +254,8 @@
 // BenchmarkStream is one token of 64 chats at once, through foxcross, with the
 // engine and the callers in the same process.
 func BenchmarkStream(b *testing.B) {
-	f, err := fleet.New()
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer f.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-	defer cancel()
-	if err := f.Put(ctx, trees.Ovenhuis); err != nil {
-		b.Fatal(err)
-	}
 	engine := &standin.Engine{Card: standin.Card{Step: 2 * time.Millisecond, Batch: 1 << 20}}
-	if _, err := f.AddAgent("hall", "gent", fleet.Local{Target: target, Handler: engine.Handler()}); err != nil {
-		b.Fatal(err)
-	}
-	e, err := f.AddEntry("entry", "gent")
-	if err != nil {
-		b.Fatal(err)
-	}
-	if err := f.WaitReady(ctx); err != nil {
-		b.Fatal(err)
-	}
+	_, e := deploy(b, fleet.Local{Target: target, Handler: engine.Handler()})
 	const chats = 64
 	var all sync.WaitGroup
 	for b.Loop() {
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -35,10 +35,7 @@
 	if err != nil {
 		return err
 	}
-	if err := setupLog(c.Log); err != nil {
-		return err
-	}
-	tls, err := c.TLS.Load()
+	tls, err := prepare(c.Log, c.TLS)
 	if err != nil {
 		return err
 	}
--- a/internal/process/signals.go
+++ b/internal/process/signals.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"foxcross.dev/foxcross/internal/config"
+	"foxcross.dev/foxcross/internal/keys"
 	"foxcross.dev/foxcross/internal/logs"
 )
 
@@ -53,10 +55,14 @@
 	}()
 }
 
-func setupLog(c config.Log) error {
+// prepare sets up the log and loads the process's certificates.
+func prepare(c config.Log, f keys.Files) (*tls.Config, error) {
 	level := c.Level
 	if level == "" {
 		level = "info"
 	}
-	return logs.Setup(os.Stderr, c.Form, level)
+	if err := logs.Setup(os.Stderr, c.Form, level); err != nil {
+		return nil, err
+	}
+	return f.Load()
 }
