--- a/cmd/foxcross-entry/main.go
+++ b/cmd/foxcross-entry/main.go
@@ -6,6 +6,7 @@
 
 	"foxcross.dev/foxcross/internal/command"
 	_ "foxcross.dev/foxcross/internal/platform/httpkv" // registers its driver
+	_ "foxcross.dev/foxcross/platform"                 // registers its driver
 )
 
 func main() {
--- /dev/null
+++ b/coord/placement/cache.go
@@ -0,0 +1,60 @@
+package placement
+
+import "container/list"
+
+// defaultMemory bounds a cache where the engine's memory is not known, in tokens.
+const defaultMemory = 200_000
+
+// mostParts bounds the parts that are remembered of one endpoint.
+const mostParts = 4096
+
+// cache is what an engine is believed to keep: the parts used last, within the
+// memory that running requests leave. The zero value is empty.
+type cache struct {
+	order  list.List // of Part, the most recent first
+	byID   map[uint64]*list.Element
+	tokens int
+}
+
+// reusable returns how many tokens of the prompt are kept: those of its first
+// parts up to the first that is missing.
+func (c *cache) reusable(p Prompt) int {
+	n := 0
+	for _, part := range p.Parts {
+		if _, ok := c.byID[part.ID]; !ok {
+			break
+		}
+		n += part.Tokens
+	}
+	return n
+}
+
+// has tells whether a part is kept.
+func (c *cache) has(id uint64) bool {
+	_, ok := c.byID[id]
+	return ok
+}
+
+// use notes that the prompt's parts have been read, and forgets the oldest
+// parts beyond the memory.
+func (c *cache) use(p Prompt, memory int) {
+	if c.byID == nil {
+		c.byID = map[uint64]*list.Element{}
+	}
+	for n := len(p.Parts) - 1; n >= 0; n-- { // the first part becomes the most recent
+		part := p.Parts[n]
+		if e, ok := c.byID[part.ID]; ok {
+			c.order.MoveToFront(e)
+			continue
+		}
+		c.byID[part.ID] = c.order.PushFront(part)
+		c.tokens += part.Tokens
+	}
+	for c.order.Len() > 0 && (c.tokens > memory || c.order.Len() > mostParts) {
+		last := c.order.Back()
+		part := last.Value.(Part)
+		c.order.Remove(last)
+		delete(c.byID, part.ID)
+		c.tokens -= part.Tokens
+	}
+}
--- /dev/null
+++ b/coord/placement/choose.go
@@ -0,0 +1,188 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Weights of the parts of a cost. The unit is the worth of one request in time.
+const (
+	lateFrom      = 0.5    // share of the aim from which lateness counts
+	lateTo        = 1.2    // share of the aim at which it counts in full
+	lateWeight    = 0.8    // of an answer that is late
+	laterWeight   = 0.1    // for each further aim
+	harmWeight    = 1.0    // of a running stream whose pause breaks
+	doomedWeight  = 0.1    // of one whose pause is broken already
+	readAgain     = 1.6e-4 // of a shared token that is read again
+	readNew       = 1e-5   // of any token that is read
+	poolWeight    = 0.5    // of leaving the pool that a prompt belongs to
+	loadWeight    = 0.1    // of a full engine
+	overWeight    = 1.5    // of a place beyond the slots
+	memoryWeight  = 1.0    // of memory beyond what there is
+	farWeight     = 0.01   // of another data centre
+	errorCost     = 2.0    // of an endpoint that always fails
+	avoidCost     = 20.0   // of an endpoint that is backed off from
+	suspectWeight = 1.0    // of an endpoint that is late by one aim
+	pauseShare    = 0.8    // of the pause allowed that may be used up
+	stepMS        = 4.0    // of one token beside no prompt, a prior
+	serviceWeight = 1.0    // of a full plain endpoint
+)
+
+// Choice is where a request goes and why.
+type Choice struct {
+	Endpoint Endpoint
+	Cost     float64
+	FirstMS  float64 // expected until the first event
+	Uncached int     // prompt tokens to be read
+	Long     bool    // the prompt breaks the shortest pause allowed
+	Pool     int     // endpoints that long prompts are kept to
+	Full     bool    // the endpoint has as many requests as slots
+}
+
+// Choose returns the endpoint of least cost that is not excluded; false if
+// there is none.
+func (t *Table) Choose(now time.Time, j Job, exclude func(id string) bool, random *rand.Rand) (Choice, bool) {
+	service := t.service(j.Service)
+	best := Choice{Cost: math.Inf(1)}
+	found := false
+	pool := service.demand.size(len(service.members))
+	equal := 0
+	for n, s := range service.members {
+		if s.Leaving || exclude(s.ID) {
+			continue
+		}
+		c := t.estimate(now, service, s, j, n < pool)
+		c.Pool = pool
+		if c.Cost == best.Cost {
+			equal++
+			if random.IntN(equal+1) > 0 {
+				continue
+			}
+		} else if c.Cost > best.Cost {
+			continue
+		} else {
+			equal = 0
+		}
+		best = c
+		found = true
+	}
+	return best, found
+}
+
+// estimate returns what the request would cost at the endpoint.
+func (t *Table) estimate(now time.Time, service *service, s *state, j Job, pool bool) Choice {
+	c := Choice{Endpoint: s.Endpoint, Full: s.Slots > 0 && len(s.jobs) >= s.Slots}
+	c.Cost = errorCost*s.errors + t.distance(s)
+	if now.Before(s.avoidTo) {
+		c.Cost += avoidCost
+	}
+	if !s.Engine {
+		c.Cost += plainCost(now, s, j)
+		return c
+	}
+	base, perToken := service.speed.line()
+	c.Uncached = j.Prompt.Tokens - min(s.cache.reusable(j.Prompt), j.Prompt.Tokens)
+	read := float64(c.Uncached) * perToken * s.factor
+	backlog := s.backlog(now)
+	overdue := s.overdue(now)
+	c.FirstMS = base*s.factor + backlog + read
+	c.Long = t.heavy(service, float64(c.Uncached)*perToken)
+	aim := max(milliseconds(j.Aim), 1)
+	c.Cost += lateness(c.FirstMS/aim) + suspectWeight*overdue/aim
+	c.Cost += s.harm(now, service, j, backlog, read)
+	c.Cost += t.rereading(now, s, j) + readNew*float64(c.Uncached)
+	c.Cost += s.crowding(service, j)
+	if pool != c.Long {
+		c.Cost += poolWeight
+	}
+	return c
+}
+
+// lateness returns the cost of a first event at a multiple of the aim.
+func lateness(share float64) float64 {
+	ramp := min(max((share-lateFrom)/(lateTo-lateFrom), 0), 1)
+	return lateWeight*ramp + laterWeight*share
+}
+
+// harm returns the cost of pauses: those of the running streams that the
+// prompt would stretch, and the request's own by long prompts to come.
+func (s *state) harm(now time.Time, service *service, j Job, backlog, read float64) float64 {
+	cost := 0.0
+	for _, p := range s.jobs {
+		limit := s.pauseLimit(service, p.job)
+		if limit <= 0 || backlog+read <= limit {
+			continue
+		}
+		if backlog > limit {
+			cost += doomedWeight
+		} else {
+			cost += harmWeight
+		}
+	}
+	if limit := s.pauseLimit(service, j); limit > 0 {
+		life := stepMS * s.factor * float64(j.Prompt.Out()) / 1000 // seconds
+		cost += harmWeight * (1 - math.Exp(-s.rate(now, limit)*life))
+	}
+	return cost
+}
+
+// pauseLimit returns how many ms of reading fit into a pause of the job; 0 or
+// less where it has no pauses.
+func (s *state) pauseLimit(service *service, j Job) float64 {
+	if j.Pause <= 0 {
+		return 0
+	}
+	event := stepMS * s.factor * float64(max(service.EventTokens, 1))
+	return max(pauseShare*milliseconds(j.Pause)-event, 1)
+}
+
+// rereading returns the cost of shared parts that another endpoint has read
+// lately and this one would read again.
+func (t *Table) rereading(now time.Time, s *state, j Job) float64 {
+	again := 0
+	kept := true
+	for n := range len(j.Prompt.Parts) - 1 {
+		part := j.Prompt.Parts[n]
+		kept = kept && s.cache.has(part.ID)
+		if at, ok := t.shared[part.ID]; !kept && ok && now.Sub(at) < t.ReuseLife {
+			again += part.Tokens
+		}
+	}
+	return readAgain * float64(again)
+}
+
+// crowding returns the cost of slots and memory that run out.
+func (s *state) crowding(service *service, j Job) float64 {
+	cost := 0.0
+	if s.Slots > 0 {
+		load := float64(len(s.jobs)+1) / float64(s.Slots)
+		cost += loadWeight*load + overWeight*max(load-1, 0)
+	}
+	if service.MemoryTokens > 0 {
+		load := float64(s.tokens+j.Prompt.Tokens+j.Prompt.Out()) / float64(service.MemoryTokens)
+		cost += memoryWeight * max(load-1, 0)
+	}
+	return cost
+}
+
+func (t *Table) distance(s *state) float64 {
+	if s.DataCentre == t.DataCentre {
+		return 0
+	}
+	return farWeight
+}
+
+// plainCost returns the cost of an endpoint that runs no model.
+func plainCost(now time.Time, s *state, j Job) float64 {
+	load := float64(len(s.jobs))
+	if s.Slots > 0 {
+		load /= float64(s.Slots)
+	}
+	oldest := 0.0
+	for _, p := range s.jobs {
+		oldest = max(oldest, milliseconds(now.Sub(p.at)))
+	}
+	late := max(oldest/max(milliseconds(j.Aim), 1)-1, 0)
+	return serviceWeight*load + overWeight*max(load-1, 0) + suspectWeight*late
+}
--- /dev/null
+++ b/coord/placement/table.go
@@ -0,0 +1,251 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"foxcross.dev/coord/rendezvous"
+)
+
+// Table is what one entry knows of all endpoints. The zero value is empty; it
+// is not safe for concurrent use.
+type Table struct {
+	DataCentre string        // of this entry
+	Self       uint64        // owner of local jobs
+	ReuseLife  time.Duration // reading a shared part again costs for so long after its last use
+
+	endpoints map[string]*state
+	services  map[string]*service
+	where     map[JobID]*state
+	shared    map[uint64]time.Time // when a shared part was last used anywhere
+}
+
+// service is what the endpoints of one service have in common.
+type service struct {
+	Service
+	members []*state // in the common order
+	speed   speed
+	demand  demand
+}
+
+// mostShared bounds the remembered shared parts.
+const mostShared = 65536
+
+// SetServices takes in what the settings say.
+func (t *Table) SetServices(all []Service) {
+	for _, s := range all {
+		t.service(s.Name).Service = s
+	}
+}
+
+func (t *Table) service(name string) *service {
+	if t.services == nil {
+		t.services = map[string]*service{}
+	}
+	s := t.services[name]
+	if s == nil {
+		s = &service{Service: Service{Name: name}}
+		t.services[name] = s
+	}
+	return s
+}
+
+// SetEndpoints takes in the list of endpoints. What is known of those that
+// stay is kept.
+func (t *Table) SetEndpoints(list []Endpoint) {
+	next := make(map[string]*state, len(list))
+	for _, e := range list {
+		s := t.endpoints[e.ID]
+		if s == nil {
+			s = &state{factor: 1, jobs: map[JobID]*placed{}, rank: rendezvous.Hash(e.ID)}
+		}
+		s.Endpoint = e
+		next[e.ID] = s
+	}
+	for id, s := range t.endpoints {
+		if next[id] == nil {
+			t.forget(s)
+		}
+	}
+	t.endpoints = next
+	t.group()
+}
+
+// forget drops the jobs of an endpoint that left the list.
+func (t *Table) forget(s *state) {
+	for id := range s.jobs {
+		delete(t.where, id)
+	}
+}
+
+func (t *Table) group() {
+	for _, s := range t.services {
+		s.members = s.members[:0]
+	}
+	for _, e := range t.endpoints {
+		s := t.service(e.Service)
+		s.members = append(s.members, e)
+	}
+	for _, s := range t.services {
+		key := rendezvous.Hash(s.Name)
+		slices.SortFunc(s.members, func(a, b *state) int {
+			ra, rb := rendezvous.Rank(key, a.rank), rendezvous.Rank(key, b.rank)
+			switch {
+			case ra < rb:
+				return -1
+			case ra > rb:
+				return 1
+			default:
+				return 0
+			}
+		})
+	}
+}
+
+// Endpoint returns an endpoint of the list.
+func (t *Table) Endpoint(id string) (Endpoint, bool) {
+	s := t.endpoints[id]
+	if s == nil {
+		return Endpoint{}, false
+	}
+	return s.Endpoint, true
+}
+
+// Len returns the number of endpoints on the list.
+func (t *Table) Len() int { return len(t.endpoints) }
+
+// Place notes that a request was sent to an endpoint, by this entry or another.
+func (t *Table) Place(now time.Time, id JobID, endpoint string, j Job) {
+	s := t.endpoints[endpoint]
+	if s == nil || s.jobs[id] != nil {
+		return
+	}
+	if t.where == nil {
+		t.where = map[JobID]*state{}
+	}
+	t.where[id] = s
+	service := t.service(s.Service)
+	base, perToken := service.speed.line()
+	uncached := j.Prompt.Tokens - min(s.cache.reusable(j.Prompt), j.Prompt.Tokens)
+	read := float64(uncached) * perToken
+	p := &placed{
+		job:      j,
+		at:       now,
+		uncached: uncached,
+		expected: base + s.backlog(now) + read*s.factor,
+		idle:     s.pendingMS <= 0 || s.backlog(now) == 0,
+		local:    id.Owner == t.Self,
+	}
+	if p.local && s.running() == 0 {
+		s.heard = now
+	}
+	s.jobs[id] = p
+	s.tokens += j.Prompt.Tokens + j.Prompt.Out()
+	if !s.Engine {
+		return
+	}
+	s.advance(now)
+	s.pendingMS += read
+	s.arrive(now, read)
+	s.cache.use(j.Prompt, memoryFor(service.MemoryTokens, s.tokens))
+	t.remember(now, j.Prompt)
+	service.demand.add(now, read, t.heavy(service, read))
+}
+
+// running returns the number of local streams that have begun.
+func (s *state) running() int {
+	n := 0
+	for _, p := range s.jobs {
+		if p.local && !p.waiting() {
+			n++
+		}
+	}
+	return n
+}
+
+// memoryFor returns the tokens that cached parts may take beside the running
+// requests.
+func memoryFor(memory, running int) int {
+	if memory <= 0 {
+		return defaultMemory
+	}
+	return max(memory-running, memory/8)
+}
+
+// remember notes the use of the parts that other requests may share.
+func (t *Table) remember(now time.Time, p Prompt) {
+	if t.shared == nil {
+		t.shared = map[uint64]time.Time{}
+	}
+	for n := range len(p.Parts) - 1 {
+		t.shared[p.Parts[n].ID] = now
+	}
+	if len(t.shared) <= mostShared {
+		return
+	}
+	for id, at := range t.shared {
+		if now.Sub(at) > t.ReuseLife {
+			delete(t.shared, id)
+		}
+	}
+}
+
+// Begin notes the first event of a request.
+func (t *Table) Begin(now time.Time, id JobID) {
+	s := t.where[id]
+	if s == nil {
+		return
+	}
+	p := s.jobs[id]
+	if !p.waiting() {
+		return
+	}
+	p.began = now
+	if !s.Engine {
+		return
+	}
+	service := t.service(s.Service)
+	observed := milliseconds(now.Sub(p.at))
+	if p.idle && p.local {
+		service.speed.observe(p.uncached, observed/s.factor)
+	}
+	if p.local {
+		s.heard = now
+		s.learn(p.expected, observed)
+	}
+	_, perToken := service.speed.line()
+	s.correctBacklog(now, perToken)
+}
+
+// Hear notes an event of a local stream.
+func (t *Table) Hear(now time.Time, endpoint string) {
+	if s := t.endpoints[endpoint]; s != nil {
+		s.heard = now
+	}
+}
+
+// End notes that a request has ended.
+func (t *Table) End(now time.Time, id JobID, o Outcome) {
+	s := t.where[id]
+	if s == nil {
+		return
+	}
+	p := s.jobs[id]
+	delete(t.where, id)
+	delete(s.jobs, id)
+	s.tokens -= p.job.Prompt.Tokens + p.job.Prompt.Out()
+	s.note(now, o)
+	if s.Engine && p.waiting() {
+		_, perToken := t.service(s.Service).speed.line()
+		s.correctBacklog(now, perToken)
+	}
+}
+
+// DropOwner forgets the requests of an entry that is gone.
+func (t *Table) DropOwner(now time.Time, owner uint64) {
+	for id := range t.where {
+		if id.Owner == owner {
+			t.End(now, id, Abandoned)
+		}
+	}
+}
--- a/coord/settings/fields.go
+++ b/coord/settings/fields.go
@@ -12,40 +12,63 @@
 
 // The kinds. A group only passes its fields on.
 const (
-	Group Kind = ""
-	Class Kind = "class"
-	Team  Kind = "team"
+	Group   Kind = ""
+	Class   Kind = "class"
+	Team    Kind = "team"
+	Service Kind = "service"
 )
 
-// Match selects calls of a plain service by method and path.
+// Match selects calls of a plain service by method and path, and requests of a
+// route by host and path.
 type Match struct {
+	Host   string `json:"host,omitempty"`   // set for a route of that host
 	Method string `json:"method,omitempty"` // empty for any
-	Prefix string `json:"prefix"`           // of the path below the service
+	Prefix string `json:"prefix"`           // of the path; below the service where no host is set
+}
+
+// Share is one service among those that a class's requests are split over.
+type Share struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
 }
 
 // Fields are the settings a node may set. Nil means inherited. docs/SETTINGS.md
 // lists each with its unit, default and range.
 type Fields struct {
-	Tier            *int      `json:"tier,omitempty"`
-	Model           *string   `json:"model,omitempty"`
-	Service         *string   `json:"service,omitempty"`
-	Match           *[]Match  `json:"match,omitempty"`
-	FirstTokenMS    *int      `json:"first_token_ms,omitempty"`
-	BetweenTokensMS *int      `json:"between_tokens_ms,omitempty"`
-	CompleteMS      *int      `json:"complete_ms,omitempty"`
-	Repeatable      *bool     `json:"repeatable,omitempty"`
-	Preemptible     *bool     `json:"preemptible,omitempty"`
-	FloorPermille   *int      `json:"floor_permille,omitempty"`
-	StarveAfterMS   *int      `json:"starve_after_ms,omitempty"`
-	StallAfterMS    *int      `json:"stall_after_ms,omitempty"`
-	GiveUpMS        *int      `json:"give_up_ms,omitempty"`
-	RetryPermille   *int      `json:"retry_permille,omitempty"`
-	KeyHashes       *[]string `json:"key_hashes,omitempty"`
-	Weight          *int      `json:"weight,omitempty"`
-	RatePerSecond   *float64  `json:"rate_per_s,omitempty"`
-	Concurrency     *int      `json:"concurrency,omitempty"`
-	DefaultClass    *string   `json:"default_class,omitempty"`
-	Classes         *[]string `json:"classes,omitempty"`
+	Tier               *int      `json:"tier,omitempty"`
+	Model              *string   `json:"model,omitempty"`
+	Service            *string   `json:"service,omitempty"`
+	Match              *[]Match  `json:"match,omitempty"`
+	FirstTokenMS       *int      `json:"first_token_ms,omitempty"`
+	BetweenTokensMS    *int      `json:"between_tokens_ms,omitempty"`
+	CompleteMS         *int      `json:"complete_ms,omitempty"`
+	Repeatable         *bool     `json:"repeatable,omitempty"`
+	Preemptible        *bool     `json:"preemptible,omitempty"`
+	FloorPermille      *int      `json:"floor_permille,omitempty"`
+	StarveAfterMS      *int      `json:"starve_after_ms,omitempty"`
+	StallAfterMS       *int      `json:"stall_after_ms,omitempty"`
+	GiveUpMS           *int      `json:"give_up_ms,omitempty"`
+	RetryPermille      *int      `json:"retry_permille,omitempty"`
+	KeyHashes          *[]string `json:"key_hashes,omitempty"`
+	Weight             *int      `json:"weight,omitempty"`
+	RatePerSecond      *float64  `json:"rate_per_s,omitempty"`
+	Concurrency        *int      `json:"concurrency,omitempty"`
+	DefaultClass       *string   `json:"default_class,omitempty"`
+	Classes            *[]string `json:"classes,omitempty"`
+	Split              *[]Share  `json:"split,omitempty"`
+	MostAttempts       *int      `json:"most_attempts,omitempty"`
+	Streaming          *bool     `json:"streaming,omitempty"`
+	Resumable          *bool     `json:"resumable,omitempty"`
+	Public             *bool     `json:"public,omitempty"`
+	EnginePriority     *int      `json:"engine_priority,omitempty"`
+	MostConnections    *int      `json:"most_connections,omitempty"`
+	EngineSlots        *int      `json:"engine_slots,omitempty"`
+	EngineMemoryTokens *int      `json:"engine_memory_tokens,omitempty"`
+	EventTokens        *int      `json:"event_tokens,omitempty"`
+	MostHeaderBytes    *int      `json:"most_header_bytes,omitempty"`
+	MostBodyBytes      *int      `json:"most_body_bytes,omitempty"`
+	HeaderTimeoutMS    *int      `json:"header_timeout_ms,omitempty"`
+	IdleTimeoutMS      *int      `json:"idle_timeout_ms,omitempty"`
 }
 
 // Over returns the fields with those of the child laid over them.
@@ -63,20 +86,32 @@
 
 // Defaults are the values of fields that no node sets.
 var Defaults = Fields{
-	Tier:            ptr(1),
-	FirstTokenMS:    ptr(2000),
-	BetweenTokensMS: ptr(100),
-	CompleteMS:      ptr(60000),
-	Repeatable:      ptr(false),
-	Preemptible:     ptr(false),
-	FloorPermille:   ptr(10),
-	StarveAfterMS:   ptr(60000),
-	StallAfterMS:    ptr(10000),
-	GiveUpMS:        ptr(30000),
-	RetryPermille:   ptr(200),
-	Weight:          ptr(1),
-	RatePerSecond:   ptr(0.0),
-	Concurrency:     ptr(0),
+	Tier:               ptr(1),
+	FirstTokenMS:       ptr(2000),
+	BetweenTokensMS:    ptr(100),
+	CompleteMS:         ptr(60000),
+	Repeatable:         ptr(false),
+	Preemptible:        ptr(false),
+	FloorPermille:      ptr(10),
+	StarveAfterMS:      ptr(60000),
+	StallAfterMS:       ptr(10000),
+	GiveUpMS:           ptr(30000),
+	RetryPermille:      ptr(200),
+	Weight:             ptr(1),
+	RatePerSecond:      ptr(0.0),
+	Concurrency:        ptr(0),
+	MostAttempts:       ptr(2),
+	Streaming:          ptr(false),
+	Resumable:          ptr(false),
+	Public:             ptr(false),
+	MostConnections:    ptr(256),
+	EngineSlots:        ptr(0),
+	EngineMemoryTokens: ptr(0),
+	EventTokens:        ptr(1),
+	MostHeaderBytes:    ptr(65536),
+	MostBodyBytes:      ptr(8388608),
+	HeaderTimeoutMS:    ptr(10000),
+	IdleTimeoutMS:      ptr(120000),
 }
 
 func ptr[T any](v T) *T { return &v }
--- /dev/null
+++ b/coord/settings/route.go
@@ -0,0 +1,169 @@
+package settings
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"foxcross.dev/coord/result"
+)
+
+// RouteInfo is what a class says of requests that are chosen by host and path.
+type RouteInfo struct {
+	Places       []Match // host and prefix of each place that the route covers
+	Split        []Share // at least one service
+	MostAttempts int     // endpoints that one request may be sent to
+	Streaming    bool
+	Resumable    bool
+	Public       bool
+	Priority     int // told to the engine, 0 first
+}
+
+// Has tells whether the class is a route.
+func (r RouteInfo) Has() bool { return len(r.Places) > 0 }
+
+// MayRepeat tells whether a request of the class may run more than once.
+func (c ClassInfo) MayRepeat() bool {
+	if c.Route.Streaming {
+		return c.Route.Resumable
+	}
+	return c.Terms.Repeatable
+}
+
+// Pick returns the service for a request, by a point in [0, 1) of the split.
+func (r RouteInfo) Pick(point float64) string {
+	total := 0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	left := point * float64(total)
+	for _, s := range r.Split {
+		left -= float64(s.Weight)
+		if left < 0 {
+			return s.Service
+		}
+	}
+	return r.Split[len(r.Split)-1].Service
+}
+
+func (r RouteInfo) check(path string) error {
+	total := 0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	if total <= 0 {
+		return result.Errorf(result.SettingsInvalid, "class %q: a route needs a service of some weight", path)
+	}
+	return nil
+}
+
+func routeOf(f Fields, c ClassInfo) RouteInfo {
+	r := RouteInfo{
+		Split:        value(f.Split),
+		MostAttempts: value(f.MostAttempts),
+		Streaming:    value(f.Streaming),
+		Resumable:    value(f.Resumable),
+		Public:       value(f.Public),
+		Priority:     c.Terms.Tier,
+	}
+	if f.EnginePriority != nil {
+		r.Priority = *f.EnginePriority
+	}
+	for _, m := range c.Match {
+		if m.Host != "" {
+			r.Places = append(r.Places, m)
+		}
+	}
+	if len(r.Split) == 0 && c.Service != "" {
+		r.Split = []Share{{Service: c.Service, Weight: 1}}
+	}
+	return r
+}
+
+// place is one prefix of a host and the class that covers it.
+type place struct {
+	prefix string
+	class  ClassInfo
+}
+
+// routeTable holds the places of each host, the longest prefix first.
+type routeTable map[string][]place
+
+func (t routeTable) add(c ClassInfo) {
+	for _, m := range c.Route.Places {
+		t[m.Host] = append(t[m.Host], place{prefix: m.Prefix, class: c})
+	}
+}
+
+func (t routeTable) sort() {
+	for _, places := range t {
+		slices.SortStableFunc(places, func(a, b place) int { return len(b.prefix) - len(a.prefix) })
+	}
+}
+
+// Route returns the class whose place of the host has the longest prefix of
+// the path.
+func (s Snapshot) Route(host, path string) (ClassInfo, bool) {
+	for _, p := range s.routes[host] {
+		if strings.HasPrefix(path, p.prefix) {
+			return p.class, true
+		}
+	}
+	return ClassInfo{}, false
+}
+
+// HasTeams tells whether any team has a key. Without teams no route asks for
+// one.
+func (s Snapshot) HasTeams() bool { return len(s.teams) > 0 }
+
+// ServiceInfo is what the tree says of the endpoints of a service.
+type ServiceInfo struct {
+	Name            string
+	MostConnections int // of one endpoint, from all entries together
+	Slots           int // requests that one engine runs at once, 0 for not known
+	MemoryTokens    int // that one engine keeps, 0 for not known
+	EventTokens     int // that one event of a stream holds
+}
+
+// ServiceNamed returns what the tree says of a service.
+func (s Snapshot) ServiceNamed(name string) (ServiceInfo, bool) {
+	i, ok := s.serving[name]
+	return i, ok
+}
+
+func (s *Snapshot) addServices(t Tree, paths []string) {
+	for _, p := range paths {
+		if t.nodes[p].Kind != Service {
+			continue
+		}
+		f := t.Resolve(p)
+		name := value(f.Service)
+		s.serving[name] = ServiceInfo{
+			Name:            name,
+			MostConnections: value(f.MostConnections),
+			Slots:           value(f.EngineSlots),
+			MemoryTokens:    value(f.EngineMemoryTokens),
+			EventTokens:     value(f.EventTokens),
+		}
+	}
+}
+
+// Limits bound what callers may send on routes.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Limits returns the bounds for callers.
+func (s Snapshot) Limits() Limits { return s.limits }
+
+func limitsOf(f Fields) Limits {
+	return Limits{
+		HeaderBytes:   value(f.MostHeaderBytes),
+		BodyBytes:     value(f.MostBodyBytes),
+		HeaderTimeout: milliseconds(f.HeaderTimeoutMS),
+		IdleTimeout:   milliseconds(f.IdleTimeoutMS),
+	}
+}
--- a/coord/settings/snapshot.go
+++ b/coord/settings/snapshot.go
@@ -21,6 +21,7 @@
 	Complete     time.Duration
 	GiveUp       time.Duration
 	RetryPermill int
+	Route        RouteInfo
 }
 
 // Target returns the model or service that the class asks for.
@@ -44,6 +45,7 @@
 	Concurrency  int     // requests at once, 0 for no limit
 	DefaultClass string
 	Classes      []string // empty for all
+	Priority     *int     // told to engines in place of the class's, nil for none
 }
 
 // MayUse tells whether the team may use the class.
@@ -58,6 +60,9 @@
 	service map[string][]string // classes of a service, in order
 	teams   map[string]TeamInfo // by hash of key
 	names   []string            // of classes, in order
+	routes  routeTable
+	limits  Limits
+	serving map[string]ServiceInfo // by name
 }
 
 // HashKey returns the hash under which a bearer key stands in the tree.
@@ -138,6 +143,9 @@
 		byModel: map[string][]string{},
 		service: map[string][]string{},
 		teams:   map[string]TeamInfo{},
+		routes:  routeTable{},
+		limits:  limitsOf(t.Resolve("")),
+		serving: map[string]ServiceInfo{},
 	}
 	paths := t.Paths()
 	if err := t.checkParents(paths); err != nil {
@@ -153,6 +161,8 @@
 			return Snapshot{}, err
 		}
 	}
+	s.addServices(t, paths)
+	s.routes.sort()
 	slices.Sort(s.names)
 	return s, nil
 }
@@ -201,9 +211,16 @@
 			Preemptible:   value(f.Preemptible),
 		},
 	}
+	c.Route = routeOf(f, c)
 	if err := s.checkClass(path, c); err != nil {
 		return err
 	}
+	if c.Route.Has() {
+		s.routes.add(c)
+		s.classes[c.Name] = c
+		s.names = append(s.names, c.Name)
+		return nil
+	}
 	if c.Service != "" {
 		c.Terms.BetweenTokens = 0
 		s.service[c.Service] = append(s.service[c.Service], c.Name)
@@ -220,6 +237,8 @@
 	switch {
 	case twice:
 		return result.Errorf(result.SettingsInvalid, "class %q: another class has the name %q", path, c.Name)
+	case c.Route.Has():
+		return c.Route.check(path)
 	case c.Model == "" && c.Service == "":
 		return result.Errorf(result.SettingsInvalid, "class %q: neither model nor service is set", path)
 	case c.Model != "" && c.Service != "":
@@ -245,6 +264,7 @@
 		Concurrency:  value(f.Concurrency),
 		DefaultClass: value(f.DefaultClass),
 		Classes:      value(f.Classes),
+		Priority:     f.EnginePriority,
 	}
 	for _, n := range append(slices.Clone(team.Classes), team.DefaultClass) {
 		if _, ok := s.classes[n]; !ok && n != "" {
--- a/coord/settings/tree.go
+++ b/coord/settings/tree.go
@@ -30,6 +30,12 @@
 	Children []document `json:"children,omitempty"`
 }
 
+// NewTree returns a tree of the nodes, by path. The map is copied.
+func NewTree(nodes map[string]Node) Tree { return Tree{maps.Clone(nodes)} }
+
+// Nodes returns a copy of the nodes, by path.
+func (t Tree) Nodes() map[string]Node { return maps.Clone(t.nodes) }
+
 // Len returns the number of nodes.
 func (t Tree) Len() int { return len(t.nodes) }
 
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,175 @@
+// Package directory holds what a process knows of the settings and of the
+// endpoints: read from the platform's store, told by other entries, and never
+// going back within the life of the process.
+package directory
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"foxcross.dev/coord/placement"
+	"foxcross.dev/coord/settings"
+	"foxcross.dev/foxcross/internal/logs"
+	"foxcross.dev/foxcross/internal/site"
+)
+
+var log = logs.For("directory")
+
+// InForce is one version of the settings, ready for look-ups.
+type InForce struct {
+	Version  uint64
+	Tree     settings.Tree
+	Snapshot settings.Snapshot
+}
+
+// Directory is the state. Create it with New.
+type Directory struct {
+	onSettings  func(InForce)
+	onEndpoints func([]placement.Endpoint)
+
+	mu        sync.Mutex
+	settings  *InForce
+	confirmed time.Time // when the settings were last known to be the newest
+	revision  uint64    // of the endpoints
+	listed    bool
+	endpoints map[string]placement.Endpoint
+}
+
+// New returns an empty directory. The functions are called, one at a time and
+// with the directory locked, when something changes.
+func New(onSettings func(InForce), onEndpoints func([]placement.Endpoint)) *Directory {
+	return &Directory{
+		onSettings:  onSettings,
+		onEndpoints: onEndpoints,
+		endpoints:   map[string]placement.Endpoint{},
+	}
+}
+
+// Settings returns the version in force, nil before the first.
+func (d *Directory) Settings() *InForce {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.settings
+}
+
+// Versions returns the version of the settings and the revision of the list.
+func (d *Directory) Versions() (version, revision uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.settings != nil {
+		version = d.settings.Version
+	}
+	return version, d.revision
+}
+
+// Known tells whether both settings and endpoints have been read.
+func (d *Directory) Known() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.settings != nil && d.listed
+}
+
+// Confirmed returns when the settings were last known to be the newest.
+func (d *Directory) Confirmed() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.confirmed
+}
+
+// Confirm notes that the version was the newest at the time.
+func (d *Directory) Confirm(version uint64, at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.settings != nil && d.settings.Version == version && at.After(d.confirmed) {
+		d.confirmed = at
+	}
+}
+
+// TakeSettings puts a version in force unless it is older than the present one.
+func (d *Directory) TakeSettings(version uint64, t settings.Tree, source string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	before := uint64(0)
+	if d.settings != nil {
+		before = d.settings.Version
+	}
+	if version <= before {
+		return
+	}
+	snapshot, err := settings.Compile(t)
+	if err != nil {
+		log.With("version", version).With("from", source).Errorf("The settings can't be used: %v.", err)
+		return
+	}
+	d.settings = &InForce{Version: version, Tree: t, Snapshot: snapshot}
+	log.With("version", version).With("before", before).With("from", source).Info("New settings are in force.")
+	d.onSettings(*d.settings)
+}
+
+// TakeEndpoints replaces the list unless it is older than the present one.
+func (d *Directory) TakeEndpoints(list site.Endpoints, source string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.listed && list.Revision <= d.revision {
+		return
+	}
+	d.revision = list.Revision
+	d.listed = true
+	clear(d.endpoints)
+	for _, e := range list.List {
+		d.endpoints[e.ID] = e
+	}
+	log.With("revision", d.revision).With("endpoints", len(d.endpoints)).With("from", source).Info("The list of endpoints was read.")
+	d.onEndpoints(d.list())
+}
+
+// Apply takes in changes of the list since the revision that was waited from.
+func (d *Directory) Apply(c site.Change) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c.Revision <= d.revision {
+		return
+	}
+	d.revision = c.Revision
+	if len(c.Changed) == 0 && len(c.Gone) == 0 {
+		return
+	}
+	for _, e := range c.Changed {
+		d.endpoints[e.ID] = e
+		log.With("endpoint", e.ID).With("service", e.Service).With("leaving", e.Leaving).With("revision", c.Revision).Info("An endpoint changed.")
+	}
+	for _, id := range c.Gone {
+		delete(d.endpoints, id)
+		log.With("endpoint", id).With("revision", c.Revision).Info("An endpoint is gone.")
+	}
+	d.onEndpoints(d.list())
+}
+
+// Endpoints returns the list.
+func (d *Directory) Endpoints() site.Endpoints {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return site.Endpoints{Revision: d.revision, List: d.list()}
+}
+
+// Listed tells whether the list has been read.
+func (d *Directory) Listed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listed
+}
+
+func (d *Directory) list() []placement.Endpoint {
+	list := make([]placement.Endpoint, 0, len(d.endpoints))
+	for _, e := range d.endpoints {
+		list = append(list, e)
+	}
+	slices.SortFunc(list, func(a, b placement.Endpoint) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -46,6 +46,12 @@
 	return Logger{prefix: l.prefix, fields: fields}
 }
 
+// Fields are the named values of a line.
+type Fields = log.Fields
+
+// Event logs a line with many fields at once.
+func (l Logger) Event(line string, f Fields) { log.WithFields(f).Info(l.prefix + line) }
+
 // Debugf logs a line for developers.
 func (l Logger) Debugf(format string, args ...any) {
 	log.WithFields(l.fields).Debugf(l.prefix+format, args...)
--- /dev/null
+++ b/internal/process/gateway.go
@@ -0,0 +1,144 @@
+package process
+
+import (
+	"context"
+	"encoding/binary"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"foxcross.dev/foxcross/internal/gateway"
+	"foxcross.dev/foxcross/internal/logs"
+	"foxcross.dev/foxcross/internal/metrics"
+	"foxcross.dev/foxcross/internal/peers"
+	"foxcross.dev/foxcross/internal/site"
+
+	crand "crypto/rand"
+
+	"github.com/alexedwards/flow"
+)
+
+// reloadEvery is how often the settings file is looked at: it may change
+// without a signal.
+const reloadEvery = 2 * time.Second
+
+// RunGateway runs an entry on a platform until it is told to stop.
+func RunGateway(driverName string) error {
+	if err := logs.Setup(logs.NewAsync(os.Stdout), "json", "info"); err != nil {
+		return err
+	}
+	factory, err := site.Drivers.Get(driverName)
+	if err != nil {
+		return err
+	}
+	driver := factory()
+	place, err := driver.Process()
+	if err != nil {
+		return err
+	}
+	scope, served, closer := metrics.New("entry")
+	defer func() { _ = closer.Close() }()
+	g := gateway.New(gateway.Options{
+		Process: place,
+		Driver:  driver,
+		Owner:   randomID(),
+		Seed:    randomID(),
+		Metrics: scope,
+	})
+	running, end := context.WithCancel(context.Background())
+	defer end()
+	if err := join(running, g, place); err != nil {
+		return err
+	}
+	go g.Directory().Follow(running, driver.Source(place))
+	go g.Run(running)
+	go reload(running, g, driver)
+	if err := serveChecks(g, driver, place, served); err != nil {
+		return err
+	}
+	callers, err := g.Serve(place.Callers)
+	if err != nil {
+		return err
+	}
+	log.With("name", place.Name).With("address", place.Callers).Info("The entry takes requests.")
+	first, _ := stopSignals()
+	<-first.Done()
+	return g.Stop(callers, g.Grace())
+}
+
+// randomID returns a number that is not 0 and does not repeat.
+func randomID() uint64 {
+	var b [8]byte
+	_, _ = crand.Read(b[:]) // never fails
+	return binary.LittleEndian.Uint64(b[:]) | 1
+}
+
+// join meets the other entries.
+func join(ctx context.Context, g *gateway.Gateway, place site.Process) error {
+	d := g.Directory()
+	group, err := peers.New(peers.Options{
+		Name:     place.Name,
+		Address:  place.Peers,
+		Owner:    g.Owner(),
+		Seeds:    place.Seeds,
+		Listener: g,
+		Book:     d,
+		Fetch: func(ctx context.Context, address string) {
+			if err := peers.FetchState(ctx, d, address); err != nil {
+				log.With("peer", address).With("reason", err.Error()).Warnf("Another entry's state can't be read.")
+			}
+		},
+	})
+	if err != nil {
+		return err
+	}
+	if _, err := listen(place.Peers, peers.StateHandler(d)); err != nil {
+		return err
+	}
+	g.Join(group)
+	go group.Run(ctx)
+	return nil
+}
+
+// serveChecks serves the balancer's check and the process's own figures.
+func serveChecks(g *gateway.Gateway, driver site.Driver, place site.Process, served http.Handler) error {
+	checks := flow.New()
+	checks.HandleFunc(driver.ReadyPath(), func(w http.ResponseWriter, _ *http.Request) {
+		if !g.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}, http.MethodGet)
+	if _, err := listen(place.Readiness, checks); err != nil {
+		return err
+	}
+	figures := flow.New()
+	figures.Handle("/metrics", served, http.MethodGet)
+	_, err := listen(place.Metrics, figures)
+	return err
+}
+
+// reload takes in changes of the settings file.
+func reload(ctx context.Context, g *gateway.Gateway, driver site.Driver) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ticker := time.NewTicker(reloadEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			log.Info("Reading the settings file again.")
+		case <-ticker.C:
+		}
+		place, err := driver.Process()
+		if err != nil {
+			log.With("reason", err.Error()).Errorf("The settings file can't be used; the old settings stay.")
+			continue
+		}
+		g.SetBounds(place.Bounds)
+	}
+}
--- /dev/null
+++ b/internal/site/site.go
@@ -0,0 +1,122 @@
+// Package site describes what a process of the direct way needs from the
+// platform that it runs on: its own place, the settings tree, the list of
+// endpoints and the spelling of header fields. Drivers for real platforms
+// register themselves.
+package site
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"foxcross.dev/coord/placement"
+	"foxcross.dev/coord/settings"
+	"foxcross.dev/foxcross/internal/kernel"
+)
+
+// Errors of a source.
+var (
+	// ErrHistoryGone means that changes since the revision can't be told; read anew.
+	ErrHistoryGone = errors.New("site: the history since the revision is gone")
+	// ErrUnavailable means that the source doesn't answer or turns us away.
+	ErrUnavailable = errors.New("site: the source is not available")
+	// ErrNotFound means that the source holds no such thing yet.
+	ErrNotFound = errors.New("site: the source holds no such thing")
+)
+
+// Process is the place of one process.
+type Process struct {
+	Name       string
+	DataCentre string
+	Callers    string   // address for callers' requests
+	Readiness  string   // address of the balancer's check
+	Peers      string   // address for other entries, TCP and UDP
+	Metrics    string   // address of the process's own figures
+	Seeds      []string // addresses at which some other entries may be met
+	Source     string   // address of the platform's store
+	Bounds     Bounds
+}
+
+// Bounds are the times and shares that the operator holds the system to.
+type Bounds struct {
+	StopGrace    time.Duration // from the signal to stop to the end by force
+	ConfigApply  time.Duration // from a change of the settings to its being in force
+	RetryRatio   float64       // repeats per request of a service, over all entries
+	RetryWindow  time.Duration
+	RetrySlack   int           // repeats beside the ratio in a window
+	ReuseWithin  time.Duration // a shared part is kept warm for so long after its last use
+	EventLatency time.Duration // longest that an event may be held by the system
+}
+
+// Settings is one version of the settings tree.
+type Settings struct {
+	Version  uint64        `cbor:"1,keyasint"`
+	Revision uint64        `cbor:"2,keyasint"` // of the source when it was read
+	Tree     settings.Tree `cbor:"-"`
+}
+
+// Endpoints is the list of endpoints at a revision of the source.
+type Endpoints struct {
+	Revision uint64               `cbor:"1,keyasint"`
+	List     []placement.Endpoint `cbor:"2,keyasint"`
+}
+
+// Topic is something that a source can be asked to wait for.
+type Topic int
+
+// The topics.
+const (
+	SettingsTopic Topic = iota
+	EndpointsTopic
+)
+
+// Change is what a wait brought.
+type Change struct {
+	Revision uint64               // to wait from next
+	Settings *Settings            // nil for none
+	Changed  []placement.Endpoint // endpoints as they now are
+	Gone     []string             // ids of endpoints that left the list
+}
+
+// Source is the platform's store as a process reads it. Each call counts
+// against the platform's rates.
+type Source interface {
+	ReadSettings(ctx context.Context) (Settings, error)
+	ReadEndpoints(ctx context.Context) (Endpoints, error)
+	// Wait returns the changes after the revision as soon as there are any, or
+	// none after the time. ErrHistoryGone asks for a fresh read.
+	Wait(ctx context.Context, t Topic, after uint64, most time.Duration) (Change, error)
+}
+
+// Fields are the names of header fields towards callers and endpoints.
+type Fields struct {
+	RequestID string
+	Deadline  string // milliseconds left
+	Key       string // of the team, alone
+	Team      string // told to endpoints
+	Target    string // id of the endpoint that is meant
+	Instance  string // id of the endpoint that answered
+	NotRun    string // an endpoint's word that the request has not run
+	Seal      string // marks an endpoint's own answer
+	Priority  string
+	LastEvent string
+	Internal  []string // others that only the system may set; callers' are dropped
+}
+
+// Driver knows one platform's names, formats and calls.
+type Driver interface {
+	// Process reads the settings file of this process.
+	Process() (Process, error)
+	// Source returns a client of the platform's store.
+	Source(p Process) Source
+	// Fields returns the names of header fields.
+	Fields() Fields
+	// Prompt returns what a request says of its prompt.
+	Prompt(h http.Header) placement.Prompt
+	// ReadyPath is the path of the balancer's check.
+	ReadyPath() string
+}
+
+// Drivers are the registered drivers.
+var Drivers kernel.Registry[func() Driver]
--- /dev/null
+++ b/internal/upstream/exchange.go
@@ -0,0 +1,246 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Bounds of what is read beside the answer that is waited for.
+const (
+	mostSurplus     = 4       // answers of other requests that are skipped
+	mostSurplusBody = 1 << 20 // bytes of such an answer
+	wholeAtOnce     = 32 << 10
+)
+
+// Errors of an exchange. After any but ErrUnreachable the endpoint may have run
+// the request.
+var (
+	ErrBroken   = errors.New("upstream: the connection broke off")
+	ErrNoAnswer = errors.New("upstream: what came is no answer")
+)
+
+// Request is what is sent to an endpoint.
+type Request struct {
+	Endpoint string // id
+	Address  string
+	Method   string
+	Target   string // path and query as the caller sent them
+	Host     string
+	Header   http.Header
+	Body     []byte
+	HasBody  bool   // a body was sent, be it empty
+	ID       string // that the answer must carry
+}
+
+// Names are the header fields by which answers are told apart.
+type Names struct {
+	RequestID string
+	NotRun    string
+}
+
+// Answer is an endpoint's answer. Its Body must be read to the end or closed by
+// Close.
+type Answer struct {
+	Status int
+	Header http.Header
+	Length int64 // of the body, -1 for not known
+	Body   io.Reader
+	Reused bool // the connection had served before
+
+	response *http.Response
+	conn     *conn
+	pool     *Pool
+	request  *Request
+	stop     func() bool
+	written  *writing
+}
+
+// Do sends the request and returns the head of its answer. The context bounds
+// the whole exchange, its body included.
+func (p *Pool) Do(ctx context.Context, names Names, r *Request) (*Answer, error) {
+	c := p.take(r.Endpoint)
+	if c == nil {
+		var err error
+		if c, err = p.dial(ctx, r.Address); err != nil {
+			return nil, err
+		}
+	}
+	reused := c.used
+	c.used = true
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	w := c.send(r)
+	a, err := c.receive(names, r)
+	if err != nil {
+		stop()
+		c.close()
+		return nil, err
+	}
+	a.Reused = reused
+	a.pool = p
+	a.stop = stop
+	a.written = w
+	return a, nil
+}
+
+// writing is a request on its way out.
+type writing struct {
+	mu   sync.Mutex
+	done bool
+	err  error
+}
+
+func (w *writing) finish(err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.done = true
+	w.err = err
+}
+
+// whole tells whether all of the request has been written.
+func (w *writing) whole() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.done && w.err == nil
+}
+
+// send writes the request. A long one is written beside the reading, since an
+// endpoint may answer before it has read all.
+func (c *conn) send(r *Request) *writing {
+	w := &writing{}
+	data := r.encode()
+	if len(data) <= wholeAtOnce {
+		_, err := c.Write(data)
+		w.finish(err)
+		return w
+	}
+	go func() {
+		_, err := c.Write(data)
+		w.finish(err)
+	}()
+	return w
+}
+
+// encode returns the request's bytes. Its parts have been checked by the
+// server that read them.
+func (r *Request) encode() []byte {
+	var b bytes.Buffer
+	b.Grow(len(r.Body) + readBuffer)
+	b.WriteString(r.Method)
+	b.WriteByte(' ')
+	b.WriteString(r.Target)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(r.Host)
+	b.WriteString("\r\n")
+	_ = r.Header.Write(&b) // a buffer takes all
+	if r.HasBody {
+		b.WriteString("Content-Length: ")
+		b.WriteString(strconv.Itoa(len(r.Body)))
+		b.WriteString("\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	return b.Bytes()
+}
+
+// receive reads heads until that of the request's own answer.
+func (c *conn) receive(names Names, r *Request) (*Answer, error) {
+	for range mostSurplus {
+		answer, err := c.readHead(r.Method)
+		if err != nil {
+			return nil, err
+		}
+		id := answer.Header.Get(names.RequestID)
+		if id == r.ID || (id == "" && answer.Header.Get(names.NotRun) != "") || answer.StatusCode == http.StatusMisdirectedRequest {
+			return &Answer{
+				Status:   answer.StatusCode,
+				Header:   answer.Header,
+				Length:   answer.ContentLength,
+				Body:     answer.Body,
+				response: answer,
+				conn:     c,
+				request:  r,
+			}, nil
+		}
+		if id == "" || answer.ContentLength < 0 {
+			return nil, fmt.Errorf("%w: it carries id %q", ErrNoAnswer, id)
+		}
+		if _, err := io.CopyN(io.Discard, answer.Body, min(answer.ContentLength, mostSurplusBody)); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
+		}
+		c.surplus = true
+	}
+	return nil, fmt.Errorf("%w: too many answers of other requests", ErrNoAnswer)
+}
+
+// readHead reads the head of the next final answer.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	for {
+		answer, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, classify(err)
+		}
+		if answer.StatusCode >= http.StatusOK {
+			return answer, nil
+		}
+	}
+}
+
+// classify tells a connection that failed from bytes that are no answer.
+func classify(err error) error {
+	var timeout interface{ Timeout() bool }
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &timeout) {
+		return fmt.Errorf("%w: %w", ErrBroken, err)
+	}
+	return fmt.Errorf("%w: %w", ErrNoAnswer, err)
+}
+
+// framed tells whether the end of the body is known without the end of the
+// connection.
+func (a *Answer) framed() bool {
+	return a.response.ContentLength >= 0 || len(a.response.TransferEncoding) > 0
+}
+
+// Finish gives the connection back after the whole body was read.
+func (a *Answer) Finish() {
+	if !a.stop() {
+		a.conn.close()
+		return
+	}
+	reusable := a.framed() && !a.response.Close && !a.conn.surplus &&
+		a.written.whole() && a.conn.reader.Buffered() == 0
+	if !reusable {
+		a.conn.close()
+		return
+	}
+	a.conn.rest(time.Now(), a.Header)
+	a.pool.put(a.request.Endpoint, a.conn)
+}
+
+// Close ends the exchange early: the endpoint is to stop its work.
+func (a *Answer) Close() {
+	a.stop()
+	a.conn.close()
+}
+
+// mostDrained bounds what is read of a body that nobody wants.
+const mostDrained = 64 << 10
+
+// Drain reads the rest of a short body and gives the connection back.
+func (a *Answer) Drain() {
+	if !a.framed() || a.Length > mostDrained {
+		a.Close()
+		return
+	}
+	if n, err := io.Copy(io.Discard, io.LimitReader(a.Body, mostDrained)); err != nil || n == mostDrained {
+		a.Close()
+		return
+	}
+	a.Finish()
+}
