--- a/coord/placement/choose.go
+++ b/coord/placement/choose.go
@@ -35,6 +35,7 @@
 	Cost     float64
 	FirstMS  float64 // expected until the first event
 	Uncached int     // prompt tokens to be read
+	Again    int     // of them shared with prompts that were read elsewhere lately
 	Long     bool    // the prompt breaks the shortest pause allowed
 	Pool     int     // endpoints that long prompts are kept to
 	Full     bool    // the endpoint has as many requests as slots
@@ -91,7 +92,8 @@
 	aim := max(milliseconds(j.Aim), 1)
 	c.Cost += lateness(c.FirstMS/aim) + suspectWeight*overdue/aim
 	c.Cost += s.harm(now, service, j, backlog, read)
-	c.Cost += t.rereading(now, s, j) + readNew*float64(c.Uncached)
+	c.Again = t.rereading(now, s, j)
+	c.Cost += readAgain*float64(c.Again) + readNew*float64(c.Uncached)
 	c.Cost += s.crowding(service, j)
 	if pool != c.Long {
 		c.Cost += poolWeight
@@ -137,9 +139,9 @@
 	return max(pauseShare*milliseconds(j.Pause)-event, 1)
 }
 
-// rereading returns the cost of shared parts that another endpoint has read
+// rereading returns the tokens of shared parts that another endpoint has read
 // lately and this one would read again.
-func (t *Table) rereading(now time.Time, s *state, j Job) float64 {
+func (t *Table) rereading(now time.Time, s *state, j Job) int {
 	again := 0
 	kept := true
 	for n := range len(j.Prompt.Parts) - 1 {
@@ -149,7 +151,7 @@
 			again += part.Tokens
 		}
 	}
-	return readAgain * float64(again)
+	return again
 }
 
 // crowding returns the cost of slots and memory that run out.
--- a/coord/settings/snapshot.go
+++ b/coord/settings/snapshot.go
@@ -62,6 +62,7 @@
 	names   []string            // of classes, in order
 	routes  routeTable
 	limits  Limits
+	urgency map[urgency]int        // rank among those that the tree can give
 	serving map[string]ServiceInfo // by name
 }
 
@@ -163,6 +164,7 @@
 	}
 	s.addServices(t, paths)
 	s.routes.sort()
+	s.rankUrgencies()
 	slices.Sort(s.names)
 	return s, nil
 }
--- /dev/null
+++ b/coord/settings/urgency.go
@@ -0,0 +1,49 @@
+package settings
+
+import (
+	"cmp"
+	"slices"
+)
+
+// urgency orders requests: by the class's priority, then by the team's. Teams
+// without a priority of their own count as the class's.
+type urgency struct {
+	team, class int
+}
+
+func urgencyOf(t TeamInfo, c ClassInfo) urgency {
+	if t.Priority == nil {
+		return urgency{team: c.Route.Priority, class: c.Route.Priority}
+	}
+	return urgency{team: *t.Priority, class: c.Route.Priority}
+}
+
+// rankUrgencies numbers the urgencies that the tree can give, the most urgent
+// first, so that they fit into the few priorities that engines know.
+func (s *Snapshot) rankUrgencies() {
+	s.urgency = map[urgency]int{}
+	for _, name := range s.names {
+		c := s.classes[name]
+		if !c.Route.Has() {
+			continue
+		}
+		s.urgency[urgencyOf(TeamInfo{}, c)] = 0
+		for _, t := range s.teams {
+			s.urgency[urgencyOf(t, c)] = 0
+		}
+	}
+	all := make([]urgency, 0, len(s.urgency))
+	for u := range s.urgency {
+		all = append(all, u)
+	}
+	slices.SortFunc(all, func(a, b urgency) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.team, b.team))
+	})
+	for rank, u := range all {
+		s.urgency[u] = rank
+	}
+}
+
+// Urgency returns the rank of a team's requests of a class, 0 for the most
+// urgent that the tree can give.
+func (s Snapshot) Urgency(t TeamInfo, c ClassInfo) int { return s.urgency[urgencyOf(t, c)] }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -89,16 +89,14 @@
 		return g.deny(result.Errorf(result.NotFound, "no route"))
 	}
 	c.class = class
-	c.job.Priority = class.Route.Priority
+	c.job.Priority = s.Urgency(settings.TeamInfo{}, class)
 	if s.HasTeams() && !class.Route.Public {
 		team, ok := s.Team(r.Header.Get(g.fields.Key))
 		if !ok {
 			return g.deny(result.Errorf(result.UnknownTeam, "no such key"))
 		}
 		c.team = team.Name
-		if team.Priority != nil {
-			c.job.Priority = *team.Priority
-		}
+		c.job.Priority = s.Urgency(team, class)
 	}
 	g.mu.Lock()
 	point := g.random.Float64()
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -130,10 +130,11 @@
 		Cost     float64 `json:"cost"`
 		FirstMS  float64 `json:"expected_first_ms"`
 		Uncached int     `json:"uncached"`
+		Again    int     `json:"read_again"`
 		Long     bool    `json:"long"`
 		Pool     int     `json:"pool"`
 		Outcome  string  `json:"outcome"`
-	}{s.choice.Endpoint.ID, round(s.choice.Cost), round(s.choice.FirstMS), s.choice.Uncached, s.choice.Long, s.choice.Pool, s.outcome})
+	}{s.choice.Endpoint.ID, round(s.choice.Cost), round(s.choice.FirstMS), s.choice.Uncached, s.choice.Again, s.choice.Long, s.choice.Pool, s.outcome})
 }
 
 const thousandth = 1000
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -99,7 +99,7 @@
 
 // Shares of the grace in a clean stop.
 const (
-	takeShare  = 0.4  // requests are still taken: the balancer needs a moment
+	takeShare  = 0.34 // requests are still taken: the balancer needs a moment
 	quietShare = 0.3  // not before this may an idle process end
 	endShare   = 0.93 // what is open is given up
 )
