Count only prompts that an engine reads first as waiting

Engines read more urgent prompts first: requests of priority 0 and 1 came at 0.1 to 0.4 of the time foretold where long prompts waited. The backlog is kept by priority; the factor of an endpoint is learned from all entries' first events.

--- a/coord/placement/choose.go
+++ b/coord/placement/choose.go
@@ -33,6 +33,7 @@
 type Choice struct {
 	Endpoint Endpoint
 	Cost     float64
+	WaitMS   float64 // expected until the prompt is read
 	FirstMS  float64 // expected until the first event
 	Uncached int     // prompt tokens to be read
 	Again    int     // of them shared with prompts that were read elsewhere lately
@@ -85,13 +86,13 @@
 	base, perToken := service.speed.line()
 	c.Uncached = j.Prompt.Tokens - min(s.cache.reusable(j.Prompt), j.Prompt.Tokens)
 	read := float64(c.Uncached) * perToken * s.factor
-	backlog := s.backlog(now)
 	overdue := s.overdue(now)
-	c.FirstMS = base*s.factor + backlog + read
+	c.WaitMS = s.wait(now, j.Priority)
+	c.FirstMS = base*s.factor + c.WaitMS + read
 	c.Long = t.heavy(service, float64(c.Uncached)*perToken)
 	aim := max(milliseconds(j.Aim), 1)
 	c.Cost += lateness(c.FirstMS/aim) + suspectWeight*overdue/aim
-	c.Cost += s.harm(now, service, j, backlog, read)
+	c.Cost += s.harm(now, service, j, read)
 	c.Again = t.rereading(now, s, j)
 	c.Cost += readAgain*float64(c.Again) + readNew*float64(c.Uncached)
 	c.Cost += s.crowding(service, j)
@@ -109,34 +110,38 @@
 
 // harm returns the cost of pauses: those of the running streams that the
 // prompt would stretch, and the request's own by long prompts to come.
-func (s *state) harm(now time.Time, service *service, j Job, backlog, read float64) float64 {
+func (s *state) harm(now time.Time, service *service, j Job, read float64) float64 {
 	cost := 0.0
+	before := s.reading(now)
 	for _, p := range s.jobs {
-		limit := s.pauseLimit(service, p.job)
-		if limit <= 0 || backlog+read <= limit {
-			continue
-		}
-		if backlog > limit {
+		limit, bounded := s.pauseLimit(service, p.job)
+		switch {
+		case !bounded || before+read <= limit:
+		case before > limit:
 			cost += doomedWeight
-		} else {
+		default:
 			cost += harmWeight
 		}
 	}
-	if limit := s.pauseLimit(service, j); limit > 0 {
+	if limit, bounded := s.pauseLimit(service, j); bounded {
 		life := stepMS * s.factor * float64(j.Prompt.Out()) / 1000 // seconds
 		cost += harmWeight * (1 - math.Exp(-s.rate(now, limit)*life))
 	}
 	return cost
 }
 
-// pauseLimit returns how many ms of reading fit into a pause of the job; 0 or
-// less where it has no pauses.
-func (s *state) pauseLimit(service *service, j Job) float64 {
+// pauseLimit returns how many ms of reading fit into a pause of the job; false
+// where any reading does.
+func (s *state) pauseLimit(service *service, j Job) (float64, bool) {
 	if j.Pause <= 0 {
-		return 0
+		return 0, false
+	}
+	pause := milliseconds(j.Pause)
+	event := stepMS * float64(max(service.EventTokens, 1))
+	if mean := service.plain.mean; service.plain.count >= fewValues {
+		event = mean
 	}
-	event := stepMS * s.factor * float64(max(service.EventTokens, 1))
-	return max(pauseShare*milliseconds(j.Pause)-event, 1)
+	return max(pauseShare*pause-event*s.factor, 1), true
 }
 
 // rereading returns the tokens of shared parts that another endpoint has read
--- a/coord/placement/endpoint.go
+++ b/coord/placement/endpoint.go
@@ -12,6 +12,8 @@
 	expected float64   // ms until the first event, as estimated when it was placed
 	idle     bool      // nothing waited before it when it was placed
 	began    time.Time // of the first event, zero before
+	event    time.Time // of the last event
+	reading  float64   // ms of prompts that waited at the last event
 	local    bool      // placed by this entry
 }
 
@@ -27,6 +29,7 @@
 	leastFactor   = 0.5
 	mostFactor    = 20.0
 	factorWeight  = 0.25 // of the newest observation in an endpoint's factor
+	tellingMS     = 60.0 // expected time from which an observation counts in full
 	slackMS       = 150  // of a first event before an endpoint is suspected
 	silenceAfter  = 400 * time.Millisecond
 )
@@ -50,37 +53,65 @@
 	avoidTo   time.Time
 	heard     time.Time // of the last event of a local request
 	tokens    int       // of running requests
-	pendingMS float64   // to read the waiting prompts, at factor 1
-	pendingAt time.Time // since when the first of them is being read
+	pending   backlog
+	pendingAt time.Time // up to which the backlog is counted
+	arrived   time.Time // when the last prompt was placed
 }
 
-// backlog returns the ms until the waiting prompts are read.
-func (s *state) backlog(now time.Time) float64 {
-	if s.pendingMS <= 0 {
-		return 0
+// priorities is how many priorities engines know; 0 is read first.
+const priorities = 10
+
+// backlog is the ms, at factor 1, to read the prompts that wait at an engine,
+// by priority. An engine reads the most urgent first.
+type backlog [priorities]float64
+
+func level(priority int) int { return min(max(priority, 0), priorities-1) }
+
+// upTo returns the ms of the prompts that are read before one of the priority.
+func (b *backlog) upTo(priority int) float64 {
+	sum := 0.0
+	for n := range level(priority) + 1 {
+		sum += b[n]
 	}
-	passed := milliseconds(now.Sub(s.pendingAt)) / s.factor
-	return max(0, s.pendingMS-passed) * s.factor
+	return sum
 }
 
-// advance brings pendingMS up to the time, so that work can be added.
-func (s *state) advance(now time.Time) {
-	if s.pendingMS > 0 {
-		s.pendingMS = s.backlog(now) / s.factor
+// pass takes off what has been read in the ms.
+func (b *backlog) pass(ms float64) {
+	for n := range b {
+		read := min(b[n], ms)
+		b[n] -= read
+		ms -= read
 	}
+}
+
+// advance brings the backlog up to the time.
+func (s *state) advance(now time.Time) {
+	s.pending.pass(milliseconds(now.Sub(s.pendingAt)) / s.factor)
 	s.pendingAt = now
 }
 
-// began corrects the backlog: what waits is what has had no first event.
+// wait returns the ms until a prompt of the priority would be read.
+func (s *state) wait(now time.Time, priority int) float64 {
+	s.advance(now)
+	return s.pending.upTo(priority) * s.factor
+}
+
+// reading returns the ms until no prompt waits.
+func (s *state) reading(now time.Time) float64 { return s.wait(now, priorities-1) }
+
+// correctBacklog bounds the backlog by what has had no first event.
 func (s *state) correctBacklog(now time.Time, perToken float64) {
-	waiting := 0.0
+	var waiting backlog
 	for _, p := range s.jobs {
 		if p.waiting() {
-			waiting += float64(p.uncached) * perToken
+			waiting[level(p.job.Priority)] += float64(p.uncached) * perToken
 		}
 	}
 	s.advance(now)
-	s.pendingMS = min(s.pendingMS, waiting)
+	for n := range s.pending {
+		s.pending[n] = min(s.pending[n], waiting[n])
+	}
 }
 
 // overdue returns by how many ms the first event of a waiting request, or the
@@ -142,13 +173,15 @@
 	}
 }
 
-// learn takes in how long a first event took against what was expected.
+// learn takes in how long a first event took against what was expected. Short
+// times tell less: they are mostly the way to the endpoint and back.
 func (s *state) learn(expected, observed float64) {
 	if expected <= 0 {
 		return
 	}
 	seen := s.factor * observed / expected
-	s.factor += factorWeight * (min(max(seen, leastFactor), mostFactor) - s.factor)
+	weight := factorWeight * min(expected/tellingMS, 1)
+	s.factor += weight * (min(max(seen, leastFactor), mostFactor) - s.factor)
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/coord/placement/table.go
+++ b/coord/placement/table.go
@@ -23,9 +23,11 @@
 // service is what the endpoints of one service have in common.
 type service struct {
 	Service
-	members []*state // in the common order
-	speed   speed
-	demand  demand
+	members   []*state // in the common order
+	plain     spread   // of the ms between events while no prompt is read
+	stretched spread   // of the ms between events while prompts are read
+	speed     speed
+	demand    demand
 }
 
 // mostShared bounds the remembered shared parts.
@@ -132,8 +134,8 @@
 		job:      j,
 		at:       now,
 		uncached: uncached,
-		expected: base + s.backlog(now) + read*s.factor,
-		idle:     s.pendingMS <= 0 || s.backlog(now) == 0,
+		expected: base + s.wait(now, j.Priority) + read*s.factor,
+		idle:     s.reading(now) == 0,
 		local:    id.Owner == t.Self,
 	}
 	if p.local && s.running() == 0 {
@@ -144,8 +146,8 @@
 	if !s.Engine {
 		return
 	}
-	s.advance(now)
-	s.pendingMS += read
+	s.pending[level(j.Priority)] += read
+	s.arrived = now
 	s.arrive(now, read)
 	s.cache.use(j.Prompt, memoryFor(service.MemoryTokens, s.tokens))
 	t.remember(now, j.Prompt)
@@ -201,6 +203,8 @@
 		return
 	}
 	p.began = now
+	p.event = now
+	p.reading = s.reading(now)
 	if !s.Engine {
 		return
 	}
@@ -211,17 +215,31 @@
 	}
 	if p.local {
 		s.heard = now
-		s.learn(p.expected, observed)
 	}
+	s.learn(p.expected, observed)
 	_, perToken := service.speed.line()
 	s.correctBacklog(now, perToken)
 }
 
-// Hear notes an event of a local stream.
-func (t *Table) Hear(now time.Time, endpoint string) {
-	if s := t.endpoints[endpoint]; s != nil {
-		s.heard = now
+// Hear notes a later event of a local stream.
+func (t *Table) Hear(now time.Time, id JobID) {
+	s := t.where[id]
+	if s == nil {
+		return
+	}
+	p := s.jobs[id]
+	if p.waiting() {
+		return
+	}
+	s.heard = now
+	gap := milliseconds(now.Sub(p.event))
+	reading := s.reading(now)
+	service := t.service(s.Service)
+	if p.reading == 0 && reading == 0 && s.arrived.Before(p.event) {
+		service.plain.observe(gap / s.factor)
 	}
+	p.event = now
+	p.reading = reading
 }
 
 // End notes that a request has ended.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -69,7 +69,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.table.Hear(now, l.endpoint.ID)
+	g.table.Hear(now, l.id)
 }
 
 // end notes how a send ended.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -128,13 +128,14 @@
 	return json.Marshal(struct {
 		Endpoint string  `json:"endpoint"`
 		Cost     float64 `json:"cost"`
+		WaitMS   float64 `json:"expected_wait_ms"`
 		FirstMS  float64 `json:"expected_first_ms"`
 		Uncached int     `json:"uncached"`
 		Again    int     `json:"read_again"`
 		Long     bool    `json:"long"`
 		Pool     int     `json:"pool"`
 		Outcome  string  `json:"outcome"`
-	}{s.choice.Endpoint.ID, round(s.choice.Cost), round(s.choice.FirstMS), s.choice.Uncached, s.choice.Again, s.choice.Long, s.choice.Pool, s.outcome})
+	}{s.choice.Endpoint.ID, round(s.choice.Cost), round(s.choice.WaitMS), round(s.choice.FirstMS), s.choice.Uncached, s.choice.Again, s.choice.Long, s.choice.Pool, s.outcome})
 }
 
 const thousandth = 1000
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -72,8 +72,10 @@
 			return err
 		}
 		if len(event) > 0 {
+			if l.begun {
+				s.gateway.hear(l)
+			}
 			s.open(l, a)
-			s.gateway.hear(l)
 			if id, ok := eventID(event); ok {
 				s.last = id
 			}
