--- a/coord/placement/demand.go
+++ b/coord/placement/demand.go
@@ -8,6 +8,8 @@
 const (
 	demandLife     = 6 * time.Second // time constant of the demand
 	poolHysteresis = 0.8             // endpoints by which the pool's size must be off
+	restLoad       = 0.4             // share of its time that an endpoint may read short prompts beside running streams
+	longLoad       = 0.8             // share of its time that an endpoint of the pool may read
 	heavyShare     = 0.5             // of the shortest pause allowed, beyond which a prompt is long
 )
 
@@ -34,13 +36,20 @@
 	}
 }
 
-// size returns how many of the endpoints long prompts are kept to.
+// size returns how many of the endpoints long prompts are kept to: what the
+// others leave, or their share of the whole where there is enough for both.
 func (d *demand) size(endpoints int) int {
 	if d.long <= 0 || endpoints < 2 {
 		d.pool = 0
 		return 0
 	}
-	wanted := float64(endpoints) * d.long / (d.long + d.rest)
+	life := milliseconds(demandLife)
+	rest := d.rest / life / restLoad
+	long := d.long / life / longLoad
+	wanted := float64(endpoints) - rest
+	if total := rest + long; total < float64(endpoints) {
+		wanted = float64(endpoints) * long / total
+	}
 	if math.Abs(wanted-float64(d.pool)) > poolHysteresis || d.pool == 0 {
 		d.pool = int(math.Round(wanted))
 	}
