--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -32,20 +32,24 @@
 }
 
 // place chooses an endpoint and notes the request there.
-func (g *Gateway) place(c *call, tried map[string]bool) (*leg, bool) {
+func (g *Gateway) place(c *call, tried map[string]bool) (*leg, *result.Error) {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	choice, ok := g.table.Choose(now, c.job, func(id string) bool { return tried[id] }, g.random)
 	if !ok {
-		return nil, false
+		return nil, c.failure(result.NoEndpoint, "")
+	}
+	if retry, admitted := choice.Admit(c.job, c.left()); !admitted && len(c.sends) == 0 {
+		c.sends = append(c.sends, send{choice: choice, at: now, outcome: "refused"})
+		return nil, &result.Error{Code: result.QueueFull, Run: result.NotRun, RetryAfter: retry, Reason: "prompts wait too long"}
 	}
 	g.number++
 	id := placement.JobID{Owner: g.options.Owner, Number: g.number}
 	g.table.Place(now, id, choice.Endpoint.ID, c.job)
 	g.tell(peers.Note{Kind: peers.Placed, Number: g.number, Endpoint: choice.Endpoint.ID, Job: &c.job})
 	c.sends = append(c.sends, send{choice: choice, at: now, outcome: "open"})
-	return &leg{id: id, endpoint: choice.Endpoint, index: len(c.sends) - 1}, true
+	return &leg{id: id, endpoint: choice.Endpoint, index: len(c.sends) - 1}, nil
 }
 
 // begin notes the first event of a send.
@@ -97,9 +101,9 @@
 		if sent > 0 && !g.mayRepeat(c) {
 			return c.failure(result.RetriesUsed, "the service's budget of repeats is used up"), false
 		}
-		l, ok := g.place(c, tried)
-		if !ok {
-			return c.failure(result.NoEndpoint, ""), false
+		l, refusal := g.place(c, tried)
+		if refusal != nil {
+			return refusal, false
 		}
 		tried[l.endpoint.ID] = true
 		answer, err := g.exchange(ctx, c, l)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -151,8 +151,8 @@
 	}
 	tried := map[string]bool{l.endpoint.ID: true}
 	for len(c.sends) < c.class.Route.MostAttempts && g.mayRepeat(c) {
-		next, ok := g.place(c, tried)
-		if !ok {
+		next, refusal := g.place(c, tried)
+		if refusal != nil {
 			return failed
 		}
 		tried[next.endpoint.ID] = true
