Ask the store often from two entries only

One watch covers all keys, and only two entries, by rank among those that the store answers, renew it every 1.5 s; the others wait for 10 s and learn from those two what they miss.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -4,6 +4,7 @@
 package directory
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -34,6 +35,10 @@
 	revision  uint64    // of the endpoints
 	listed    bool
 	endpoints map[string]placement.Endpoint
+
+	contact    time.Time          // when the last call was made that the source answered
+	relaxed    bool               // others ask the source often
+	cancelWait context.CancelFunc // of a long wait, else nil
 }
 
 // New returns an empty directory. The functions are called, one at a time and
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -12,7 +12,8 @@
 
 // Times of following the source.
 const (
-	waitFor     = 1500 * time.Millisecond // of one watch; a lost one is noticed soon after
+	shortWait   = 1500 * time.Millisecond // of a sentinel's watch: a lost one is noticed soon after
+	longWait    = 10 * time.Second        // of the others': a sentinel tells them what they miss
 	firstRetry  = 60 * time.Millisecond
 	longRetry   = 500 * time.Millisecond
 	retryFactor = 1.6
@@ -20,135 +21,147 @@
 
 // Follow keeps the directory up to date from the source until ctx is done.
 func (d *Directory) Follow(ctx context.Context, s site.Source) {
-	go d.followEndpoints(ctx, s)
-	d.followSettings(ctx, s)
+	f := &follower{directory: d, source: s}
+	f.wait.InitialInterval = firstRetry
+	f.wait.MaxInterval = longRetry
+	f.wait.Multiplier = retryFactor
+	f.wait.RandomizationFactor = backoff.DefaultRandomizationFactor
+	f.wait.Reset()
+	for ctx.Err() == nil {
+		if err := f.step(ctx); err != nil {
+			f.pause(ctx, err)
+			continue
+		}
+		f.succeeded()
+	}
 }
 
-// pause is the wait between failed calls.
-type pause struct {
-	wait   backoff.ExponentialBackOff
-	failed bool
+// follower reads the source: all of it at first and when changes were missed,
+// then the changes.
+type follower struct {
+	directory *Directory
+	source    site.Source
+	revision  uint64 // to wait from, 0 to read all
+	wait      backoff.ExponentialBackOff
+	failed    bool
 }
 
-func newPause() *pause {
-	p := &pause{}
-	p.wait = *backoff.NewExponentialBackOff()
-	p.wait.InitialInterval = firstRetry
-	p.wait.MaxInterval = longRetry
-	p.wait.Multiplier = retryFactor
-	return p
+func (f *follower) step(ctx context.Context) error {
+	if f.revision == 0 {
+		return f.readAll(ctx)
+	}
+	return f.readChanges(ctx)
 }
 
-// after waits after a failed call and logs the first of a row.
-func (p *pause) after(ctx context.Context, what string, err error) {
-	if !p.failed {
-		p.failed = true
-		log.With("reason", err.Error()).Warnf("The source of the %s is lost.", what)
+// readAll reads the settings and the list of endpoints.
+func (f *follower) readAll(ctx context.Context) error {
+	asked := time.Now()
+	read, err := f.source.ReadSettings(ctx)
+	if err != nil && !errors.Is(err, site.ErrNotFound) {
+		return err
 	}
-	timer := time.NewTimer(p.wait.NextBackOff())
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+	none := err != nil
+	if !none {
+		f.directory.TakeSettings(read.Version, read.Tree, "store")
+		f.directory.Confirm(read.Version, asked)
+	}
+	list, err := f.source.ReadEndpoints(ctx)
+	if err != nil {
+		return err
+	}
+	f.directory.TakeEndpoints(list, "store")
+	f.directory.contacted(asked)
+	f.revision = list.Revision
+	if !none {
+		f.revision = min(read.Revision, list.Revision)
 	}
+	return nil
 }
 
-func (p *pause) succeeded(what string) {
-	if p.failed {
-		log.Infof("The source of the %s answers again.", what)
+// readChanges waits for changes and takes them in.
+func (f *follower) readChanges(ctx context.Context) error {
+	most, waiting, cancel := f.directory.waiting(ctx)
+	defer cancel()
+	asked := time.Now()
+	c, err := f.source.Wait(waiting, f.revision, most)
+	switch {
+	case errors.Is(err, site.ErrHistoryGone):
+		log.With("revision", f.revision).Info("The history of the source is gone.")
+		f.revision = 0
+		return nil
+	case err != nil && waiting.Err() != nil && ctx.Err() == nil:
+		return nil // to wait for a shorter time
+	case err != nil:
+		return err
 	}
-	p.failed = false
-	p.wait.Reset()
+	if c.Settings != nil {
+		f.directory.TakeSettings(c.Settings.Version, c.Settings.Tree, "watch")
+	}
+	f.directory.Apply(c)
+	version, _ := f.directory.Versions()
+	f.directory.Confirm(version, asked)
+	f.directory.contacted(asked)
+	f.revision = c.Revision
+	return nil
 }
 
-func (d *Directory) followSettings(ctx context.Context, s site.Source) {
-	p := newPause()
-	revision := uint64(0)
-	for ctx.Err() == nil {
-		asked := time.Now()
-		var err error
-		if revision == 0 {
-			revision, err = d.readSettings(ctx, s, asked)
-		} else {
-			revision, err = d.waitSettings(ctx, s, revision, asked)
-		}
-		if err != nil {
-			p.after(ctx, "settings", err)
-			continue
-		}
-		p.succeeded("settings")
+// pause waits after a failed call and logs the first of a row.
+func (f *follower) pause(ctx context.Context, err error) {
+	if !f.failed {
+		f.failed = true
+		log.With("reason", err.Error()).Warnf("The source is lost.")
+	}
+	timer := time.NewTimer(f.wait.NextBackOff())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
 
-// readSettings returns the revision to wait from.
-func (d *Directory) readSettings(ctx context.Context, s site.Source, asked time.Time) (uint64, error) {
-	read, err := s.ReadSettings(ctx)
-	if err != nil {
-		return 0, err
+func (f *follower) succeeded() {
+	if f.failed {
+		log.Info("The source answers again.")
 	}
-	d.TakeSettings(read.Version, read.Tree, "store")
-	d.Confirm(read.Version, asked)
-	return read.Revision, nil
+	f.failed = false
+	f.wait.Reset()
 }
 
-// waitSettings returns the revision to wait from next, 0 to read anew.
-func (d *Directory) waitSettings(ctx context.Context, s site.Source, revision uint64, asked time.Time) (uint64, error) {
-	c, err := s.Wait(ctx, site.SettingsTopic, revision, waitFor)
-	if errors.Is(err, site.ErrHistoryGone) {
-		log.With("revision", revision).Info("The history of the settings is gone.")
-		return 0, nil
-	}
-	if err != nil {
-		// A watch that failed says nothing of what was missed.
-		return 0, err
-	}
-	if c.Settings != nil {
-		d.TakeSettings(c.Settings.Version, c.Settings.Tree, "watch")
+// waiting returns how long the next watch may take, and a context that ends
+// when this process becomes a sentinel meanwhile.
+func (d *Directory) waiting(ctx context.Context) (time.Duration, context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.relaxed {
+		return shortWait, ctx, cancel
 	}
-	version, _ := d.Versions()
-	d.Confirm(version, asked)
-	return c.Revision, nil
+	d.cancelWait = cancel
+	return longWait, ctx, cancel
 }
 
-func (d *Directory) followEndpoints(ctx context.Context, s site.Source) {
-	p := newPause()
-	fresh := false
-	for ctx.Err() == nil {
-		var err error
-		if !fresh {
-			err = d.readEndpoints(ctx, s)
-			fresh = err == nil
-		} else {
-			fresh, err = d.waitEndpoints(ctx, s)
-		}
-		if err != nil {
-			p.after(ctx, "endpoints", err)
-			continue
-		}
-		p.succeeded("endpoints")
+// SetSentinel tells whether this process is one of the few that ask the source
+// often. One that is not still waits for changes, but longer.
+func (d *Directory) SetSentinel(sentinel bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.relaxed = !sentinel
+	if sentinel && d.cancelWait != nil {
+		d.cancelWait()
+		d.cancelWait = nil
 	}
 }
 
-func (d *Directory) readEndpoints(ctx context.Context, s site.Source) error {
-	list, err := s.ReadEndpoints(ctx)
-	if err != nil {
-		return err
-	}
-	d.TakeEndpoints(list, "store")
-	return nil
+// contacted notes that the source answered a call made at the time.
+func (d *Directory) contacted(at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.contact = at
 }
 
-// waitEndpoints returns false to read the list anew.
-func (d *Directory) waitEndpoints(ctx context.Context, s site.Source) (bool, error) {
-	_, revision := d.Versions()
-	c, err := s.Wait(ctx, site.EndpointsTopic, revision, waitFor)
-	if errors.Is(err, site.ErrHistoryGone) {
-		log.With("revision", revision).Info("The history of the endpoints is gone.")
-		return false, nil
-	}
-	if err != nil {
-		return false, err
-	}
-	d.Apply(c)
-	return true, nil
+// Contact returns when the last call was made that the source answered.
+func (d *Directory) Contact() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.contact
 }
--- a/internal/peers/packet.go
+++ b/internal/peers/packet.go
@@ -38,6 +38,7 @@
 	Members   []string `cbor:"6,keyasint,omitempty"` // addresses of live entries, in heartbeats
 	Notes     []Note   `cbor:"7,keyasint,omitempty"`
 	Leaving   bool     `cbor:"8,keyasint,omitempty"`
+	SourceMS  int64    `cbor:"9,keyasint,omitempty"` // since the source last answered a call of the sender, -1 for never
 }
 
 // Sizes and times.
@@ -50,6 +51,8 @@
 	mostPeers      = 256
 	mostNotes      = 4096
 	seedEvery      = time.Second
+	sentinels      = 2
+	contactFor     = 3 * time.Second // a sentinel that the source hasn't answered for so long is replaced
 	fetchTimeout   = time.Second
 	fetchAfter     = 120 * time.Millisecond // a peer is ahead for so long before it is asked
 )
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"foxcross.dev/coord/rendezvous"
 	"foxcross.dev/foxcross/internal/logs"
 
 	"github.com/fxamacker/cbor/v2"
@@ -28,6 +29,8 @@
 	Versions() (version, revision uint64)
 	Confirmed() time.Time
 	Confirm(version uint64, at time.Time)
+	Contact() time.Time
+	SetSentinel(sentinel bool)
 }
 
 // Group is the entry's view of the other entries. Create it with New.
@@ -58,6 +61,8 @@
 	to    *net.UDPAddr
 	heard time.Time
 	ahead time.Time // since when it knows something newer, zero for not
+	asked time.Time // when the source last answered it, zero for never
+	rank  uint64    // among those that may be sentinels
 }
 
 // Options are what a group is made of.
@@ -154,6 +159,7 @@
 			g.expire(now)
 			g.sendHeartbeat(now)
 			g.catchUp(ctx, now)
+			g.book.SetSentinel(g.sentinel(now))
 		case <-g.kick:
 			g.delayFlush(ctx)
 		}
@@ -213,11 +219,30 @@
 
 func (g *Group) packet() packet {
 	version, revision := g.book.Versions()
-	confirm := int64(-1)
-	if at := g.book.Confirmed(); !at.IsZero() {
-		confirm = time.Since(at).Milliseconds()
+	return packet{
+		Owner:     g.owner,
+		Name:      g.name,
+		Version:   version,
+		Revision:  revision,
+		ConfirmMS: age(g.book.Confirmed()),
+		SourceMS:  age(g.book.Contact()),
 	}
-	return packet{Owner: g.owner, Name: g.name, Version: version, Revision: revision, ConfirmMS: confirm}
+}
+
+// age returns the milliseconds since the time, -1 for never.
+func age(at time.Time) int64 {
+	if at.IsZero() {
+		return -1
+	}
+	return time.Since(at).Milliseconds()
+}
+
+// since returns the time that an age stands for.
+func since(now time.Time, ms int64) time.Time {
+	if ms < 0 {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(ms) * time.Millisecond)
 }
 
 func (g *Group) send(p packet, to []*net.UDPAddr) {
@@ -331,7 +356,7 @@
 		g.listener.Lost(lost)
 	}
 	if p.ConfirmMS >= 0 && p.Version == version {
-		g.book.Confirm(version, now.Add(-time.Duration(p.ConfirmMS)*time.Millisecond))
+		g.book.Confirm(version, since(now, p.ConfirmMS))
 	}
 	if len(p.Notes) > 0 {
 		g.listener.Heard(p.Owner, p.Notes)
@@ -355,12 +380,34 @@
 		lost = other.owner
 		other.owner = p.Owner
 		other.name = p.Name
+		other.rank = rankOf(p.Name)
 		log.With("peer", p.Name).With("address", key).Info("Another entry is heard.")
 	}
 	other.heard = now
+	other.asked = since(now, p.SourceMS)
 	return other, lost
 }
 
+// rankOf orders the entries that may be sentinels, alike at all of them.
+func rankOf(name string) uint64 {
+	return rendezvous.Rank(rendezvous.Hash("sentinel"), rendezvous.Hash(name))
+}
+
+// sentinel tells whether this entry is to ask the source often: whether fewer
+// than the wanted number of those ranked before it are answered by the source.
+func (g *Group) sentinel(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	own := rankOf(g.name)
+	before := 0
+	for _, p := range g.peers {
+		if p.alive(now) && p.rank < own && now.Sub(p.asked) < contactFor {
+			before++
+		}
+	}
+	return before < sentinels
+}
+
 // learn adds an entry that another one knows. The group is locked.
 func (g *Group) learn(address string) {
 	if address == g.address || g.peers[address] != nil || len(g.peers) >= mostPeers || slices.Contains(g.seeds, address) {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -62,15 +62,6 @@
 	List     []placement.Endpoint `cbor:"2,keyasint"`
 }
 
-// Topic is something that a source can be asked to wait for.
-type Topic int
-
-// The topics.
-const (
-	SettingsTopic Topic = iota
-	EndpointsTopic
-)
-
 // Change is what a wait brought.
 type Change struct {
 	Revision uint64               // to wait from next
@@ -86,7 +77,7 @@
 	ReadEndpoints(ctx context.Context) (Endpoints, error)
 	// Wait returns the changes after the revision as soon as there are any, or
 	// none after the time. ErrHistoryGone asks for a fresh read.
-	Wait(ctx context.Context, t Topic, after uint64, most time.Duration) (Change, error)
+	Wait(ctx context.Context, after uint64, most time.Duration) (Change, error)
 }
 
 // Fields are the names of header fields towards callers and endpoints.
