Never pass on a promise that the endpoint did not give

A test against the new stand-in of the platform found it: an endpoint's 429 or 408 without its word that the request has not run went to the caller as it was, which promises that it never will run. It is a failure of the endpoint now, as 503 was. A stream that breaks off hands over the events that came.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -159,7 +159,7 @@
 	switch {
 	case g.notRun(a):
 		return g.judgeNotRun(w, c, l, a, more)
-	case a.Status >= http.StatusInternalServerError:
+	case a.Status >= http.StatusInternalServerError || promises(a.Status):
 		return g.judgeError(w, c, l, a, more)
 	case a.Status/100 == 2 && a.Header.Get(g.fields.Seal) == "":
 		a.Close()
--- /dev/null
+++ b/internal/gateway/forward_test.go
@@ -0,0 +1,208 @@
+package gateway_test
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"foxcross.dev/foxcross/internal/standin/fleet"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var ok = fleet.Answer{Status: 200, Body: "the whole answer"}
+
+var _ = Describe("forwarding", func() {
+	It("passes the request on untouched but for the system's own fields", func() {
+		w := start(ok)
+		q := w.request(http.MethodPost, "/book/a%2Fb/../c?page=3&sort=new", "the body")
+		q.Header.Set(fleet.TeamField, "somebody-else")
+		q.Header.Set("X-Own", "kept")
+		q.Header.Set("Kv-From", "10.0.0.1:1/x")
+		q.Header.Set("Connection", "X-Hop")
+		q.Header.Set("X-Hop", "dropped")
+		a := w.do(q)
+		a.whole(200)
+		Expect(a.body).To(Equal("the whole answer"))
+		Expect(a.header.Get(fleet.SealField)).To(Equal("seal-" + q.Header.Get(fleet.RequestIDField)))
+		run := w.runners[0].Runs()[0]
+		Expect(run.Method).To(Equal("POST"))
+		Expect(run.Target).To(Equal("/book/a%2Fb/../c?page=3&sort=new"))
+		Expect(string(run.Body)).To(Equal("the body"))
+		Expect(run.Host).To(Equal(routeHost))
+		Expect(run.Header.Get(fleet.KeyField)).To(BeEmpty())
+		Expect(run.Header.Get(fleet.TeamField)).To(Equal("studio-1"))
+		Expect(run.Header.Get(fleet.TargetField)).To(Equal("i-1"))
+		Expect(run.Header.Get("X-Own")).To(Equal("kept"))
+		Expect(run.Header).NotTo(HaveKey("X-Hop"))
+		Expect(run.Header).NotTo(HaveKey("Kv-From"))
+		left, err := strconv.Atoi(run.Header.Get(fleet.DeadlineField))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(left).To(BeNumerically("<=", 15000))
+		Expect(left).To(BeNumerically(">", 10000))
+	})
+
+	It("uses a connection again", func() {
+		w := start(ok)
+		for range 5 {
+			w.get("/page/1").whole(200)
+		}
+		Expect(w.runners[0].Dialed()).To(Equal(1))
+	})
+
+	It("runs what may not be repeated at most once and promises nothing", func() {
+		w := start(fleet.Break{}, fleet.Break{})
+		a := w.do(w.request(http.MethodPost, "/book/1", "x"))
+		a.whole(502)
+		Expect(w.runs()).To(Equal(1))
+	})
+
+	It("repeats what may be repeated at another endpoint, within the route's attempts", func() {
+		w := start(fleet.Break{}, fleet.Break{}, fleet.Break{})
+		w.get("/page/1").whole(502)
+		Expect(w.runs()).To(Equal(2))
+		for _, r := range w.runners {
+			Expect(len(r.Runs())).To(BeNumerically("<=", 1))
+		}
+	})
+
+	It("does not send a request of one attempt twice", func() {
+		w := start(fleet.Break{}, fleet.Break{})
+		w.get("/once/1").whole(502)
+		Expect(w.runs()).To(Equal(1))
+	})
+
+	It("says that a request has not run only if the endpoint says so", func() {
+		w := start(fleet.Refuse{Status: 503})
+		a := w.do(w.request(http.MethodPost, "/book/1", "x"))
+		a.whole(503)
+		Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(w.runs()).To(Equal(0))
+	})
+
+	It("does not pass on a promise that the endpoint did not give", func() {
+		for _, status := range []int{503, 429, 408} {
+			w := start(fleet.Fail{Status: status})
+			w.do(w.request(http.MethodPost, "/book/1", "x")).whole(502)
+		}
+	})
+
+	It("promises nothing after a first send that may have run", func() {
+		w := start(fleet.Break{}, fleet.Break{})
+		w.runners[0].Next(fleet.Break{})
+		w.runners[1].Next(fleet.Refuse{Status: 503})
+		for range 4 {
+			a := w.get("/page/1")
+			if w.runs() > 0 {
+				Expect(a.status).To(Equal(502))
+			}
+		}
+	})
+
+	It("passes an endpoint's own failure on unchanged", func() {
+		w := start(fleet.Answer{Status: 500, Body: "its words"})
+		a := w.do(w.request(http.MethodPost, "/book/1", "x"))
+		a.whole(500)
+		Expect(a.body).To(Equal("its words"))
+		Expect(a.header.Get(fleet.SealField)).NotTo(BeEmpty())
+	})
+
+	It("tells answers apart by their ids", func() {
+		w := start(ok)
+		w.runners[0].Next(fleet.Surplus{}, fleet.Twice{})
+		for range 3 {
+			a := w.get("/once/1")
+			a.whole(200)
+			Expect(a.body).To(BeElementOf("right", "the whole answer"))
+		}
+		Expect(w.runners[0].Dialed()).To(Equal(3), "a connection with surplus answers is not used again")
+	})
+
+	It("takes nothing for an answer that is none", func() {
+		w := start(ok)
+		w.runners[0].Next(fleet.Garbage{}, fleet.Unsealed{}, fleet.Cut{})
+		for range 3 {
+			w.get("/once/1").whole(502)
+		}
+	})
+
+	It("passes on an answer without a length, unless its connection is reset", func() {
+		w := start(ok)
+		w.runners[0].Next(fleet.Unframed{Body: "all of it"}, fleet.Unframed{Body: "part of it", Broken: true})
+		a := w.get("/once/1")
+		a.whole(200)
+		Expect(a.body).To(Equal("all of it"))
+		w.get("/once/1").whole(502)
+	})
+
+	It("does not use a connection again whose request was answered early", func() {
+		w := start(ok)
+		w.runners[0].Next(fleet.Early{Status: 400})
+		w.do(w.request(http.MethodPost, "/once/1", strings.Repeat("x", 900<<10))).whole(400)
+		w.get("/once/2").whole(200)
+		for _, run := range w.runners[0].Runs() {
+			Expect(run.Target).To(HavePrefix("/once/"))
+		}
+	})
+
+	It("goes elsewhere when another endpoint has the address", func() {
+		w := start(ok, ok)
+		e := w.runners[0].Entry("ready")
+		w.store.Put("servers/i-ghost", e)
+		Eventually(func() int { return len(w.gateway.Directory().Endpoints().List) }).Should(Equal(3))
+		for range 12 {
+			Expect(w.get("/page/1").status).To(Equal(200))
+		}
+		for _, r := range w.runners {
+			for _, run := range r.Runs() {
+				Expect(run.Header.Get(fleet.TargetField)).To(Equal(r.ID))
+			}
+		}
+	})
+
+	It("tries another endpoint when no connection comes up", func() {
+		w := start(ok, ok)
+		w.runners[0].Close()
+		for range 10 {
+			w.do(w.request(http.MethodPost, "/book/1", "x")).whole(200)
+		}
+	})
+
+	It("ends the endpoint's work when the caller leaves", func() {
+		w := start(fleet.Hang{})
+		q := w.request(http.MethodGet, "/page/1", "")
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan reply, 1)
+		go func() { done <- w.do(q.WithContext(ctx)) }()
+		Eventually(w.runs).Should(Equal(1))
+		cancel()
+		Eventually(w.runners[0].Left()).Should(Receive(Equal(q.Header.Get(fleet.RequestIDField))))
+		Eventually(done).Should(Receive())
+	})
+
+	It("gives the final answer when the route's time is over", func() {
+		w := start(fleet.Hang{})
+		w.get("/short/1").whole(504)
+		Eventually(w.runners[0].Left()).Should(Receive())
+	})
+
+	It("refuses truthfully when no endpoint is known", func() {
+		w := start(ok)
+		w.store.Remove("servers/i-1")
+		Eventually(func() int { return len(w.gateway.Directory().Endpoints().List) }).Should(Equal(0))
+		a := w.get("/page/1")
+		a.whole(503)
+		Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+	})
+
+	It("refuses a body or header beyond the limits", func() {
+		w := start(ok)
+		w.do(w.request(http.MethodPost, "/book/1", strings.Repeat("x", 2<<20))).whole(413)
+		q := w.request(http.MethodGet, "/page/1", "")
+		q.Header.Set("X-Long", strings.Repeat("x", 20000))
+		w.do(q).whole(431)
+		Expect(w.runs()).To(Equal(0))
+	})
+})
--- /dev/null
+++ b/internal/gateway/harness_test.go
@@ -0,0 +1,185 @@
+package gateway_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"foxcross.dev/foxcross/internal/gateway"
+	"foxcross.dev/foxcross/internal/site"
+	"foxcross.dev/foxcross/internal/standin/fleet"
+
+	_ "foxcross.dev/foxcross/platform" // registers its driver
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// Names of the test deployment.
+const (
+	routeHost = "studio.example"
+	teamKey   = "key-of-a-team"
+	service   = "pool"
+)
+
+// world is a store, some runners and one gateway.
+type world struct {
+	store   *fleet.Store
+	runners []*fleet.Runner
+	gateway *gateway.Gateway
+	server  *http.Server
+	client  *http.Client
+	address string
+	source  site.Source
+	version int
+	ids     atomic.Int64
+}
+
+// route is one route of the configuration.
+func route(prefix, kind string, more map[string]any) map[string]any {
+	r := map[string]any{
+		"name": "r-" + strings.Trim(prefix, "/"), "hostname": routeHost, "pathPrefix": prefix,
+		"routeType": kind, "timeoutMs": 20000, "latencyGoalMs": 500, "priority": 1,
+		"backend": service, "maxAttempts": 2, "public": false,
+	}
+	for k, v := range more {
+		r[k] = v
+	}
+	return r
+}
+
+// routes are the routes that most tests use.
+func routes() []map[string]any {
+	return []map[string]any{
+		route("/page/", "idempotent", nil),
+		route("/book/", "non_idempotent", nil),
+		route("/once/", "idempotent", map[string]any{"maxAttempts": 1}),
+		route("/open/", "idempotent", map[string]any{"public": true}),
+		route("/short/", "idempotent", map[string]any{"timeoutMs": 300}),
+		route("/chat/", "streaming", map[string]any{"streamResume": true, "itlTargetMs": 200}),
+		route("/plan/", "streaming", map[string]any{"streamResume": false, "itlTargetMs": 200}),
+	}
+}
+
+// configure writes the next version of the configuration.
+func (w *world) configure(routes []map[string]any, keys ...string) {
+	w.version++
+	w.store.Put("op/config", map[string]any{
+		"version": w.version, "routes": routes,
+		"backends": []map[string]any{{"name": service, "healthPath": "/healthz", "maxConns": 100}},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants":  []map[string]any{{"name": "studio-1", "apiKeys": keys, "priority": 1}},
+	})
+}
+
+// start brings up a world with runners that behave as given.
+func start(rest ...fleet.Act) *world {
+	w := &world{store: fleet.NewStore()}
+	for n, act := range rest {
+		r := fleet.NewRunner(fmt.Sprintf("i-%d", n+1), service, act)
+		w.runners = append(w.runners, r)
+		w.store.Put("servers/"+r.ID, r.Entry("ready"))
+	}
+	w.configure(routes(), teamKey)
+	factory, err := site.Drivers.Get("fleet")
+	Expect(err).NotTo(HaveOccurred())
+	driver := factory()
+	process := site.Process{
+		Name: "entry-1", DataCentre: "zone-1", Source: w.store.Address(),
+		Bounds: site.Bounds{
+			StopGrace: 4 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50,
+			ReuseWithin: 10 * time.Second,
+		},
+	}
+	w.source = driver.Source(process)
+	w.gateway = gateway.New(gateway.Options{Process: process, Driver: driver, Owner: 1, Seed: 1})
+	ctx, cancel := context.WithCancel(context.Background())
+	go w.gateway.Directory().Follow(ctx, w.source)
+	go w.gateway.Run(ctx)
+	Eventually(w.gateway.Ready).Should(BeTrue())
+	w.address = freeAddress()
+	w.server, err = w.gateway.Serve(w.address)
+	Expect(err).NotTo(HaveOccurred())
+	w.client = &http.Client{Transport: &http.Transport{DisableCompression: true}}
+	DeferCleanup(func() {
+		cancel()
+		w.client.CloseIdleConnections()
+		_ = w.server.Close()
+		w.store.Close()
+		for _, r := range w.runners {
+			r.Close()
+		}
+	})
+	return w
+}
+
+func freeAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// request returns a request of a caller with the team's key.
+func (w *world) request(method, target, body string) *http.Request {
+	var reader io.Reader
+	if body != "" {
+		reader = bytes.NewBufferString(body)
+	}
+	q, err := http.NewRequest(method, "http://"+w.address+target, reader)
+	Expect(err).NotTo(HaveOccurred())
+	q.Host = routeHost
+	q.Header.Set(fleet.RequestIDField, fmt.Sprintf("id-%d", w.ids.Add(1)))
+	q.Header.Set(fleet.DeadlineField, "15000")
+	q.Header.Set(fleet.KeyField, teamKey)
+	return q
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	broken error // the answer didn't come whole
+}
+
+func (w *world) do(q *http.Request) reply {
+	a, err := w.client.Do(q)
+	if err != nil {
+		return reply{broken: err}
+	}
+	defer func() { _ = a.Body.Close() }()
+	body, err := io.ReadAll(a.Body)
+	return reply{status: a.StatusCode, header: a.Header, body: string(body), broken: err}
+}
+
+func (w *world) get(target string) reply { return w.do(w.request(http.MethodGet, target, "")) }
+
+// runs counts the runs at all runners.
+func (w *world) runs() int {
+	n := 0
+	for _, r := range w.runners {
+		n += len(r.Runs())
+	}
+	return n
+}
+
+// whole expects an answer with the status that came whole.
+func (r reply) whole(status int) {
+	GinkgoHelper()
+	Expect(r.broken).NotTo(HaveOccurred())
+	Expect(r.status).To(Equal(status), r.body)
+}
+
+// cut expects an answer that broke off visibly.
+func (r reply) cut() {
+	GinkgoHelper()
+	Expect(errors.Is(r.broken, io.ErrUnexpectedEOF) || errors.Is(r.broken, io.EOF)).To(BeTrue(), "%v", r.broken)
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -128,6 +128,7 @@
 // broken handles a stream that broke off after some of it was passed on.
 func (s *stream) broken(ctx context.Context, l *leg, err error) verdict {
 	g := s.gateway
+	_ = http.NewResponseController(s.writer).Flush() // the caller is to get what came
 	switch {
 	case !s.written || errors.Is(ctx.Err(), context.Canceled):
 		g.end(s.call, l, placement.Abandoned, "the caller left")
--- /dev/null
+++ b/internal/gateway/stream_test.go
@@ -0,0 +1,86 @@
+package gateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"foxcross.dev/foxcross/internal/standin/fleet"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// eventIDs returns the ids of the events in order.
+func eventIDs(body string) []string {
+	var ids []string
+	for line := range strings.Lines(body) {
+		if id, found := strings.CutPrefix(line, "id: "); found {
+			ids = append(ids, strings.TrimSpace(id))
+		}
+	}
+	return ids
+}
+
+func numbers(to int) []string {
+	var all []string
+	for n := 1; n <= to; n++ {
+		all = append(all, fmt.Sprint(n))
+	}
+	return all
+}
+
+var _ = Describe("streams", func() {
+	It("pass all events on in order", func() {
+		w := start(fleet.Events{To: 20})
+		a := w.do(w.request(http.MethodPost, "/chat/1", "x"))
+		a.whole(200)
+		Expect(eventIDs(a.body)).To(Equal(numbers(20)))
+		Expect(a.header.Get("Content-Type")).To(Equal("text/event-stream"))
+	})
+
+	It("pass an event on before the next one comes", func() {
+		hold := make(chan struct{})
+		w := start(fleet.Events{To: 2, Hold: hold})
+		a, err := w.client.Do(w.request(http.MethodPost, "/chat/1", "x"))
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = a.Body.Close() }()
+		line, err := bufio.NewReader(a.Body).ReadString('\n')
+		Expect(err).NotTo(HaveOccurred())
+		Expect(line).To(Equal("id: 1\n"))
+		close(hold)
+	})
+
+	It("go on at another endpoint after the last whole event, where that is allowed", func() {
+		w := start(fleet.Events{To: 30}, fleet.Events{To: 30})
+		for _, r := range w.runners {
+			r.Next(fleet.Events{To: 7, Broken: true})
+		}
+		a := w.do(w.request(http.MethodPost, "/chat/1", "x"))
+		// Both break off once; the route allows two endpoints.
+		Expect(eventIDs(a.body)).To(Equal(numbers(len(eventIDs(a.body)))))
+		a = w.do(w.request(http.MethodPost, "/chat/2", "x"))
+		a.whole(200)
+		Expect(eventIDs(a.body)).To(Equal(numbers(30)))
+	})
+
+	It("keep the head of the first endpoint when they go on", func() {
+		w := start(fleet.Events{To: 30}, fleet.Events{To: 30})
+		w.runners[0].Next(fleet.Events{To: 7, Broken: true})
+		w.runners[1].Next(fleet.Events{To: 30})
+		for n := range 2 {
+			a := w.do(w.request(http.MethodPost, fmt.Sprintf("/chat/%d", n), "x"))
+			a.whole(200)
+			Expect(eventIDs(a.body)).To(Equal(numbers(30)))
+		}
+	})
+
+	It("break off visibly where they may not go on", func() {
+		w := start(fleet.Events{To: 7, Broken: true}, fleet.Events{To: 7, Broken: true})
+		a := w.do(w.request(http.MethodPost, "/plan/1", "x"))
+		a.cut()
+		Expect(eventIDs(a.body)).To(Equal(numbers(7)))
+		Expect(w.runs()).To(Equal(1))
+	})
+})
--- /dev/null
+++ b/internal/standin/fleet/runner.go
@@ -0,0 +1,338 @@
+package fleet
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Header fields of the platform.
+const (
+	RequestIDField = "X-Attempt-Id"
+	DeadlineField  = "X-Deadline-Ms"
+	KeyField       = "X-Api-Key"
+	TeamField      = "X-Tenant"
+	TargetField    = "X-Target-Instance"
+	InstanceField  = "X-Instance-Id"
+	NotRunField    = "X-Not-Executed"
+	SealField      = "X-Response-Seal"
+	LastEventField = "Last-Event-Id"
+)
+
+// Run is one request that a runner has begun to work on.
+type Run struct {
+	ID     string
+	Method string
+	Target string // as it stood in the request line
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// Act is what a runner does with a request.
+type Act interface{ act() }
+
+// The acts of a runner.
+type (
+	// Answer is a whole answer with a length.
+	Answer struct {
+		Status int
+		Body   string
+	}
+	// Refuse says that the request is not run.
+	Refuse struct{ Status int }
+	// Fail is a failure without the word that the request has not run.
+	Fail struct{ Status int }
+	// Break runs the request and resets the connection without an answer.
+	Break struct{}
+	// Cut breaks the answer off within its body.
+	Cut struct{}
+	// Unframed gives an answer that ends with its connection, reset if Broken.
+	Unframed struct {
+		Body   string
+		Broken bool
+	}
+	// Surplus sends an answer to another request before the right one.
+	Surplus struct{}
+	// Twice sends the right answer and another one behind it.
+	Twice struct{}
+	// Garbage sends bytes that are no answer.
+	Garbage struct{}
+	// Unsealed answers without the runner's mark.
+	Unsealed struct{}
+	// Hang runs the request and never answers.
+	Hang struct{}
+	// Early answers before it reads the body, and reads on.
+	Early struct{ Status int }
+	// Events is a stream of events with ids from After+1 to To. With Broken it
+	// stops within the event after To.
+	Events struct {
+		To     int
+		Broken bool
+		Hold   chan struct{} // closed to let the events after the first go, nil for at once
+	}
+)
+
+func (Answer) act()   {}
+func (Refuse) act()   {}
+func (Fail) act()     {}
+func (Break) act()    {}
+func (Cut) act()      {}
+func (Unframed) act() {}
+func (Surplus) act()  {}
+func (Twice) act()    {}
+func (Garbage) act()  {}
+func (Unsealed) act() {}
+func (Hang) act()     {}
+func (Early) act()    {}
+func (Events) act()   {}
+
+// Runner is an endpoint. Create it with NewRunner.
+type Runner struct {
+	ID       string
+	Service  string
+	listener net.Listener
+
+	mu     sync.Mutex
+	script []Act // for the next requests, then Default
+	rest   Act
+	runs   []Run
+	conns  map[net.Conn]bool
+	dialed int
+	left   chan string // ids of requests whose caller closed the connection
+}
+
+// NewRunner starts a runner on a free port of the loopback address.
+func NewRunner(id, service string, rest Act) *Runner {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic("fleet: " + err.Error())
+	}
+	r := &Runner{ID: id, Service: service, listener: l, rest: rest, conns: map[net.Conn]bool{}, left: make(chan string, 1024)}
+	go r.accept()
+	return r
+}
+
+// Next sets what becomes of the next requests.
+func (r *Runner) Next(acts ...Act) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.script = append(r.script, acts...)
+}
+
+// Runs returns the requests that were begun.
+func (r *Runner) Runs() []Run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Run(nil), r.runs...)
+}
+
+// Dialed returns how many connections have come.
+func (r *Runner) Dialed() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.dialed
+}
+
+// Left brings the ids of requests whose caller closed the connection.
+func (r *Runner) Left() <-chan string { return r.left }
+
+// Entry is how the runner stands in the store.
+func (r *Runner) Entry(state string) map[string]any {
+	return map[string]any{
+		"backend": r.Service, "address": r.listener.Addr().String(), "zone": "zone-1",
+		"version": "v1", "slots": 8, "state": state, "seq": 1, "warmupLeftMs": 0,
+	}
+}
+
+// Close ends the runner and its connections.
+func (r *Runner) Close() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		_ = c.Close()
+	}
+}
+
+func (r *Runner) accept() {
+	for {
+		c, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		r.conns[c] = true
+		r.dialed++
+		r.mu.Unlock()
+		go r.serve(c)
+	}
+}
+
+func (r *Runner) serve(c net.Conn) {
+	defer func() {
+		_ = c.Close()
+		r.mu.Lock()
+		delete(r.conns, c)
+		r.mu.Unlock()
+	}()
+	reader := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if !r.answer(c, reader, q) {
+			return
+		}
+	}
+}
+
+// take notes a run and returns what becomes of it.
+func (r *Runner) take(q *http.Request, body []byte) Act {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := r.rest
+	if len(r.script) > 0 {
+		a = r.script[0]
+		r.script = r.script[1:]
+	}
+	if _, refused := a.(Refuse); !refused {
+		r.runs = append(r.runs, Run{
+			ID: q.Header.Get(RequestIDField), Method: q.Method, Target: q.RequestURI,
+			Host: q.Host, Header: q.Header, Body: body,
+		})
+	}
+	return a
+}
+
+// peek returns the next act without taking it.
+func (r *Runner) peek() Act {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.script) > 0 {
+		return r.script[0]
+	}
+	return r.rest
+}
+
+// answer returns false when the connection is to be closed.
+func (r *Runner) answer(c net.Conn, reader *bufio.Reader, q *http.Request) bool {
+	id := q.Header.Get(RequestIDField)
+	if target := q.Header.Get(TargetField); target != "" && target != r.ID {
+		_, _ = io.Copy(io.Discard, q.Body)
+		write(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", InstanceField, r.ID)
+		return true
+	}
+	if e, early := r.peek().(Early); early {
+		r.take(q, nil)
+		write(c, "%s", head(e.Status, id, "Content-Length: 0\r\n"))
+		_, _ = io.Copy(io.Discard, q.Body)
+		return true
+	}
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		return false
+	}
+	switch a := r.take(q, body).(type) {
+	case Answer:
+		write(c, "%s%s", head(a.Status, id, length(a.Body)), a.Body)
+		return true
+	case Refuse:
+		write(c, "HTTP/1.1 %d %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", a.Status, http.StatusText(a.Status), NotRunField)
+		return true
+	case Fail:
+		write(c, "%s", head(a.Status, id, "Content-Length: 0\r\n"))
+		return true
+	case Break:
+		return reset(c)
+	case Cut:
+		write(c, "%sbroken", head(http.StatusOK, id, "Content-Length: 100\r\n"))
+		return false
+	case Unframed:
+		write(c, "%s%s", head(http.StatusOK, id, "Connection: close\r\n"), a.Body)
+		if a.Broken {
+			time.Sleep(settle) // the bytes are to arrive before the reset
+			return reset(c)
+		}
+		return false
+	case Surplus:
+		write(c, "%swrong%sright", head(http.StatusOK, "another", length("wrong")), head(http.StatusOK, id, length("right")))
+		return true
+	case Twice:
+		write(c, "%sright%swrong", head(http.StatusOK, id, length("right")), head(http.StatusOK, id, length("wrong")))
+		return true
+	case Garbage:
+		write(c, "these bytes are no answer\r\n\r\n")
+		return false
+	case Unsealed:
+		write(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 2\r\n\r\nok", RequestIDField, id)
+		return true
+	case Hang:
+		r.awaitClose(reader, id)
+		return false
+	case Events:
+		return r.stream(c, reader, q, a)
+	default:
+		return false
+	}
+}
+
+// settle lets bytes arrive before a reset drops them.
+const settle = 50 * time.Millisecond
+
+// awaitClose returns when the caller closes the connection.
+func (r *Runner) awaitClose(reader *bufio.Reader, id string) {
+	if _, err := reader.Peek(1); err != nil {
+		r.left <- id
+	}
+}
+
+// stream sends the events after the one that the caller has seen.
+func (r *Runner) stream(c net.Conn, reader *bufio.Reader, q *http.Request, a Events) bool {
+	id := q.Header.Get(RequestIDField)
+	from := 1
+	if last, err := strconv.Atoi(q.Header.Get(LastEventField)); err == nil {
+		from = last + 1
+	}
+	write(c, "%s", head(http.StatusOK, id, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"))
+	for n := from; n <= a.To; n++ {
+		chunk(c, fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, r.ID, n))
+		if n == from && a.Hold != nil {
+			<-a.Hold
+		}
+	}
+	if a.Broken {
+		chunk(c, fmt.Sprintf("id: %d\nda", a.To+1))
+		time.Sleep(settle)
+		return reset(c)
+	}
+	write(c, "0\r\n\r\n")
+	return true
+}
+
+func head(status int, id, more string) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: seal-%s\r\n%s\r\n",
+		status, http.StatusText(status), RequestIDField, id, SealField, id, more)
+}
+
+func length(body string) string { return fmt.Sprintf("Content-Length: %d\r\n", len(body)) }
+
+func chunk(c net.Conn, data string) { write(c, "%x\r\n%s\r\n", len(data), data) }
+
+func write(c net.Conn, format string, values ...any) {
+	_, _ = fmt.Fprintf(c, format, values...) // the caller may be gone
+}
+
+// reset closes a connection the hard way.
+func reset(c net.Conn) bool {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // the reset is the point
+	}
+	return false
+}
--- /dev/null
+++ b/internal/standin/fleet/store.go
@@ -0,0 +1,239 @@
+// Package fleet stands in for the parts of the users' platform: its store,
+// its endpoints with their faults, and an operator. It speaks the platform's
+// published protocol and exists for tests and local runs.
+package fleet
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Store is the platform's store. Create it with NewStore.
+type Store struct {
+	server *httptest.Server
+
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]Item
+	history  []Item
+	oldest   uint64 // changes up to this revision are forgotten
+	fault    Fault
+	calls    int
+	changed  chan struct{}
+}
+
+// Item is one entry of the store, or the news that it is gone.
+type Item struct {
+	Key      string `json:"privateKey"`
+	Value    []byte `json:"value,omitempty"`
+	Revision uint64 `json:"revision"`
+	Gone     bool   `json:"gone,omitempty"`
+}
+
+// Fault is what a store that is down does with calls.
+type Fault int
+
+// The faults of a store.
+const (
+	Sound  Fault = iota
+	Busy         // answers 503
+	Many         // answers 429
+	Reset        // closes the connection
+	Silent       // says nothing
+)
+
+// NewStore starts a store on a free port of the loopback address.
+func NewStore() *Store {
+	s := &Store{items: map[string]Item{}, changed: make(chan struct{}), revision: 1}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /foxcross/kv-key", s.guard(s.serveKey))
+	mux.HandleFunc("GET /foxcross/kv-range", s.guard(s.serveRange))
+	mux.HandleFunc("GET /foxcross/kv-watch", s.guard(s.serveWatch))
+	s.server = httptest.NewServer(mux)
+	return s
+}
+
+// Address returns the store's address.
+func (s *Store) Address() string { return s.server.Listener.Addr().String() }
+
+// Close ends the store.
+func (s *Store) Close() {
+	s.server.CloseClientConnections()
+	s.server.Close()
+}
+
+// Put writes an entry.
+func (s *Store) Put(key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic("fleet: " + err.Error()) // a mistake in the test
+	}
+	s.change(Item{Key: key, Value: data})
+}
+
+// Remove takes an entry out.
+func (s *Store) Remove(key string) { s.change(Item{Key: key, Gone: true}) }
+
+func (s *Store) change(i Item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	i.Revision = s.revision
+	if i.Gone {
+		delete(s.items, i.Key)
+	} else {
+		s.items[i.Key] = i
+	}
+	s.history = append(s.history, i)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Forget drops the history and cuts the watches.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.oldest = s.revision
+	s.history = nil
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// SetFault makes the store fail, or sound again.
+func (s *Store) SetFault(f Fault) {
+	s.mu.Lock()
+	s.fault = f
+	s.mu.Unlock()
+	if f != Sound {
+		s.server.CloseClientConnections()
+	}
+}
+
+// Calls returns how many calls have come.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// guard lets calls through to a sound store.
+func (s *Store) guard(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.calls++
+		f := s.fault
+		s.mu.Unlock()
+		switch f {
+		case Sound:
+			h(w, r)
+		case Busy:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case Many:
+			w.WriteHeader(http.StatusTooManyRequests)
+		case Reset:
+			abort(w)
+		case Silent:
+			<-r.Context().Done()
+		}
+	}
+}
+
+// abort closes the connection with a reset.
+func abort(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // the reset is the point
+	}
+	_ = c.Close()
+}
+
+func (s *Store) serveKey(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.items[r.FormValue("privateKey")]
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	reply(w, struct {
+		Item
+		At uint64 `json:"at"`
+	}{i, s.revision})
+}
+
+func (s *Store) serveRange(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	items := []Item{}
+	for _, i := range s.items {
+		if strings.HasPrefix(i.Key, r.FormValue("pathPrefix")) {
+			items = append(items, i)
+		}
+	}
+	slices.SortFunc(items, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
+	reply(w, struct {
+		Items []Item `json:"items"`
+		More  bool   `json:"more"`
+		At    uint64 `json:"at"`
+	}{items, false, s.revision})
+}
+
+func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.FormValue("sinceRev"), 10, 64)
+	wait, _ := strconv.Atoi(r.FormValue("waitMs"))
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	over := false
+	for {
+		s.mu.Lock()
+		if after < s.oldest {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		events := s.since(after, r.FormValue("pathPrefix"))
+		changed := s.changed
+		at := s.revision
+		s.mu.Unlock()
+		if len(events) > 0 || over {
+			reply(w, struct {
+				Events []Item `json:"events"`
+				At     uint64 `json:"at"`
+			}{events, at})
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			over = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// since returns the changes after a revision. The store is locked.
+func (s *Store) since(after uint64, prefix string) []Item {
+	events := []Item{}
+	for _, i := range s.history {
+		if i.Revision > after && strings.HasPrefix(i.Key, prefix) {
+			events = append(events, i)
+		}
+	}
+	return events
+}
+
+func reply(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body) // the caller may be gone
+}
