--- a/coord/placement/table.go
+++ b/coord/placement/table.go
@@ -23,11 +23,10 @@
 // service is what the endpoints of one service have in common.
 type service struct {
 	Service
-	members   []*state // in the common order
-	plain     spread   // of the ms between events while no prompt is read
-	stretched spread   // of the ms between events while prompts are read
-	speed     speed
-	demand    demand
+	members []*state // in the common order
+	plain   spread   // of the ms between events while no prompt is read
+	speed   speed
+	demand  demand
 }
 
 // mostShared bounds the remembered shared parts.
@@ -267,3 +266,6 @@
 		}
 	}
 }
+
+// Open returns the number of requests that are placed and have not ended.
+func (t *Table) Open() int { return len(t.where) }
--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,199 @@
+package directory_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"foxcross.dev/coord/placement"
+	"foxcross.dev/coord/settings"
+	"foxcross.dev/foxcross/internal/directory"
+	"foxcross.dev/foxcross/internal/site"
+)
+
+// source is a store whose answers the test sets.
+type source struct {
+	mu       sync.Mutex
+	version  uint64
+	revision uint64
+	list     []placement.Endpoint
+	down     bool
+	gone     bool // the history
+	waits    int
+}
+
+var errDown = errors.New("down")
+
+func (s *source) ReadSettings(context.Context) (site.Settings, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return site.Settings{}, errDown
+	}
+	if s.version == 0 {
+		return site.Settings{}, site.ErrNotFound
+	}
+	return site.Settings{Version: s.version, Revision: s.revision, Tree: tree()}, nil
+}
+
+func (s *source) ReadEndpoints(context.Context) (site.Endpoints, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return site.Endpoints{}, errDown
+	}
+	return site.Endpoints{Revision: s.revision, List: s.list}, nil
+}
+
+func (s *source) Wait(ctx context.Context, after uint64, most time.Duration) (site.Change, error) {
+	s.mu.Lock()
+	s.waits++
+	s.mu.Unlock()
+	end := time.Now().Add(most)
+	for time.Now().Before(end) {
+		s.mu.Lock()
+		down, gone, revision, version, list := s.down, s.gone, s.revision, s.version, s.list
+		s.gone = false
+		s.mu.Unlock()
+		switch {
+		case down:
+			return site.Change{}, errDown
+		case gone:
+			return site.Change{}, site.ErrHistoryGone
+		case revision > after:
+			return site.Change{Revision: revision, Changed: list, Settings: &site.Settings{Version: version, Revision: revision, Tree: tree()}}, nil
+		}
+		select {
+		case <-ctx.Done():
+			return site.Change{}, ctx.Err()
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	return site.Change{Revision: after}, nil
+}
+
+func (s *source) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waits
+}
+
+func (s *source) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+func tree() settings.Tree { return settings.NewTree(map[string]settings.Node{"": {}}) }
+
+func empty() *directory.Directory {
+	return directory.New(func(directory.InForce) {}, func([]placement.Endpoint) {})
+}
+
+// follow runs the test in virtual time with a directory that follows a source.
+func follow(t *testing.T, s *source, test func(d *directory.Directory)) {
+	synctest.Test(t, func(t *testing.T) {
+		d := empty()
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			d.Follow(ctx, s)
+		}()
+		test(d)
+		cancel()
+		<-done
+	})
+}
+
+func expect(t *testing.T, d *directory.Directory, version, revision uint64) {
+	t.Helper()
+	v, r := d.Versions()
+	if v != version || r != revision {
+		t.Errorf("version %d, revision %d; want %d, %d", v, r, version, revision)
+	}
+}
+
+func TestChangesComeAtOnce(t *testing.T) {
+	s := &source{version: 1, revision: 3}
+	follow(t, s, func(d *directory.Directory) {
+		time.Sleep(100 * time.Millisecond)
+		expect(t, d, 1, 3)
+		s.set(func() { s.version, s.revision = 2, 4 })
+		time.Sleep(100 * time.Millisecond)
+		expect(t, d, 2, 4)
+	})
+}
+
+func TestFirstSettingsComeLater(t *testing.T) {
+	s := &source{revision: 3}
+	follow(t, s, func(d *directory.Directory) {
+		time.Sleep(time.Second)
+		if d.Known() {
+			t.Error("settings are known before there are any")
+		}
+		s.set(func() { s.version, s.revision = 1, 4 })
+		time.Sleep(100 * time.Millisecond)
+		expect(t, d, 1, 4)
+	})
+}
+
+func TestOutageAndLostHistory(t *testing.T) {
+	s := &source{version: 1, revision: 3}
+	follow(t, s, func(d *directory.Directory) {
+		time.Sleep(100 * time.Millisecond)
+		s.set(func() { s.down = true })
+		time.Sleep(30 * time.Second)
+		if age := time.Since(d.Confirmed()); age < 20*time.Second {
+			t.Errorf("the settings count as confirmed %v ago in an outage", age)
+		}
+		s.set(func() { s.down, s.gone, s.version, s.revision = false, true, 7, 90 })
+		time.Sleep(2 * time.Second)
+		expect(t, d, 7, 90)
+	})
+}
+
+func TestSentinelAsksOften(t *testing.T) {
+	s := &source{version: 1, revision: 3}
+	follow(t, s, func(d *directory.Directory) {
+		d.SetSentinel(false)
+		time.Sleep(time.Minute)
+		relaxed := s.count()
+		d.SetSentinel(true)
+		time.Sleep(time.Minute)
+		if often := s.count() - relaxed; relaxed > 10 || often < 30 {
+			t.Errorf("%d watches a minute, %d as a sentinel", relaxed, often)
+		}
+		d.SetSentinel(false)
+		time.Sleep(5 * time.Second)
+		d.SetSentinel(true) // ends the long wait
+		waits := s.count()
+		time.Sleep(2 * time.Second)
+		if s.count() == waits {
+			t.Error("a new sentinel kept waiting")
+		}
+	})
+}
+
+func TestNeverBack(t *testing.T) {
+	d := empty()
+	d.TakeSettings(5, tree(), "test")
+	d.TakeSettings(4, tree(), "test")
+	d.TakeEndpoints(site.Endpoints{Revision: 8, List: []placement.Endpoint{{ID: "new"}}}, "test")
+	d.TakeEndpoints(site.Endpoints{Revision: 7, List: []placement.Endpoint{{ID: "old"}}}, "test")
+	d.Apply(site.Change{Revision: 8, Gone: []string{"new"}})
+	expect(t, d, 5, 8)
+	if list := d.Endpoints().List; len(list) != 1 || list[0].ID != "new" {
+		t.Errorf("the list went back to %v", list)
+	}
+}
+
+func TestInvalidSettingsStayOut(t *testing.T) {
+	d := empty()
+	d.TakeSettings(1, tree(), "test")
+	d.TakeSettings(2, settings.NewTree(map[string]settings.Node{"a/b": {}}), "test") // no parent
+	expect(t, d, 1, 0)
+}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -183,3 +184,35 @@
 	GinkgoHelper()
 	Expect(errors.Is(r.broken, io.ErrUnexpectedEOF) || errors.Is(r.broken, io.EOF)).To(BeTrue(), "%v", r.broken)
 }
+
+// gatewayVersion returns the version of the settings in force.
+func (w *world) gatewayVersion() uint64 {
+	version, _ := w.gateway.Directory().Versions()
+	return version
+}
+
+// newGateway returns a gateway that has read nothing.
+func newGateway(w *world) *gateway.Gateway {
+	factory, err := site.Drivers.Get("fleet")
+	Expect(err).NotTo(HaveOccurred())
+	return gateway.New(gateway.Options{
+		Process: site.Process{Name: "entry-1", DataCentre: "zone-1", Source: w.store.Address()},
+		Driver:  factory(), Owner: 1, Seed: 1,
+	})
+}
+
+// bare returns a request as a server reads it.
+func (w *world) bare(target string) *http.Request {
+	q := httptest.NewRequest(http.MethodGet, target, http.NoBody)
+	q.Host = routeHost
+	q.Header.Set(fleet.RequestIDField, fmt.Sprintf("id-%d", w.ids.Add(1)))
+	q.Header.Set(fleet.KeyField, teamKey)
+	return q
+}
+
+// serveOnce hands a request to the gateway without a connection.
+func serveOnce(g *gateway.Gateway, q *http.Request) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	g.ServeHTTP(w, q)
+	return w
+}
--- /dev/null
+++ b/internal/gateway/stop_test.go
@@ -0,0 +1,58 @@
+package gateway_test
+
+import (
+	"net/http"
+	"time"
+
+	"foxcross.dev/foxcross/internal/lifecycle"
+	"foxcross.dev/foxcross/internal/standin/fleet"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("a clean stop", func() {
+	It("is not ready at once, finishes what it has and refuses truthfully at its end", func() {
+		hold := make(chan struct{})
+		w := start(fleet.Events{To: 5, Hold: hold})
+		streamed := make(chan reply, 1)
+		q := w.request(http.MethodPost, "/chat/1", "x")
+		go func() { streamed <- w.do(q) }()
+		Eventually(w.runs).Should(Equal(1))
+		stopped := make(chan error, 1)
+		go func() { stopped <- w.gateway.Stop(w.server, 20*time.Second) }()
+		Eventually(w.gateway.Ready).Should(BeFalse())
+
+		early := make(chan reply, 1)
+		go func() { early <- w.do(w.request(http.MethodPost, "/chat/2", "x")) }()
+		Eventually(w.runs).Should(Equal(2), "the balancer still sends requests for a moment")
+
+		Eventually(func() bool { return w.gateway.Refusing() }).Should(BeTrue())
+		close(hold)
+		var a reply
+		Eventually(streamed).Should(Receive(&a))
+		a.whole(200)
+		Expect(eventIDs(a.body)).To(Equal(numbers(5)))
+		Eventually(early).Should(Receive(&a))
+		a.whole(200)
+		Eventually(stopped).Should(Receive(BeNil()))
+		Expect(w.gateway.State()).To(Equal(lifecycle.Stopped))
+	})
+
+	It("tells callers to close their connections, and runs nothing that it refuses", func() {
+		hold := make(chan struct{})
+		w := start(fleet.Events{To: 5, Hold: hold})
+		q := w.request(http.MethodPost, "/chat/1", "x")
+		streamed := make(chan reply, 1)
+		go func() { streamed <- w.do(q) }()
+		Eventually(w.runs).Should(Equal(1))
+		w.gateway.RefuseNow()
+		a := serveOnce(w.gateway, w.bare("/page/1"))
+		Expect(a.Code).To(Equal(503))
+		Expect(a.Header().Get("Connection")).To(Equal("close"))
+		Expect(a.Header().Get("Retry-After")).NotTo(BeEmpty())
+		Expect(w.runs()).To(Equal(1))
+		close(hold)
+		Eventually(streamed).Should(Receive())
+	})
+})
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -48,7 +48,6 @@
 	peers    map[string]*peer // by address
 	notes    []Note
 	leaving  bool
-	beat     time.Time
 	seeded   time.Time
 	fetching bool
 	kick     chan struct{}
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,146 @@
+package peers_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"foxcross.dev/coord/placement"
+	"foxcross.dev/coord/settings"
+	"foxcross.dev/foxcross/internal/directory"
+	"foxcross.dev/foxcross/internal/peers"
+	"foxcross.dev/foxcross/internal/site"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestPeers(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(20 * time.Second)
+	RunSpecs(t, "peers")
+}
+
+// entry is one entry's end of the group.
+type entry struct {
+	group     *peers.Group
+	directory *directory.Directory
+	end       context.CancelFunc
+
+	mu    sync.Mutex
+	notes []peers.Note
+	lost  []uint64
+}
+
+func (e *entry) Heard(_ uint64, notes []peers.Note) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.notes = append(e.notes, notes...)
+}
+
+func (e *entry) Lost(owner uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lost = append(e.lost, owner)
+}
+
+func (e *entry) heard() []peers.Note {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]peers.Note(nil), e.notes...)
+}
+
+func (e *entry) gone() []uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]uint64(nil), e.lost...)
+}
+
+// join starts an entry; an empty address takes a free port.
+func join(name, address string, owner uint64, seeds ...string) *entry {
+	GinkgoHelper()
+	e := &entry{}
+	e.directory = directory.New(func(directory.InForce) {}, func([]placement.Endpoint) {})
+	if address == "" {
+		address = freeAddress()
+	}
+	listener, err := net.Listen("tcp", address)
+	Expect(err).NotTo(HaveOccurred())
+	server := &http.Server{Handler: peers.StateHandler(e.directory)}
+	go func() { _ = server.Serve(listener) }()
+	e.group, err = peers.New(peers.Options{
+		Name: name, Address: address, Owner: owner, Seeds: seeds, Listener: e, Book: e.directory,
+		Fetch: func(ctx context.Context, from string) { _ = peers.FetchState(ctx, e.directory, from) },
+	})
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		e.group.Run(ctx)
+	}()
+	e.end = func() {
+		cancel()
+		<-stopped
+		_ = server.Close()
+	}
+	DeferCleanup(e.end)
+	return e
+}
+
+// freeAddress returns an address whose port is free for TCP and UDP.
+func freeAddress() string {
+	for {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address := l.Addr().String()
+		p, err := net.ListenPacket("udp", address)
+		_ = l.Close()
+		if err == nil {
+			_ = p.Close()
+			return address
+		}
+	}
+}
+
+var _ = Describe("a group of entries", func() {
+	It("meets over one seed and passes notes on to all", func() {
+		a := join("a", "", 1)
+		b := join("b", "", 2, a.group.Address())
+		c := join("c", "", 3, a.group.Address())
+		for _, e := range []*entry{a, b, c} {
+			Eventually(e.group.Live).Should(Equal(3))
+		}
+		job := &placement.Job{Service: "pool", Prompt: placement.Prompt{Tokens: 9}}
+		b.group.Tell(peers.Note{Kind: peers.Placed, Number: 7, Endpoint: "i-1", Job: job})
+		for _, e := range []*entry{a, c} {
+			Eventually(e.heard).Should(Equal([]peers.Note{{Kind: peers.Placed, Number: 7, Endpoint: "i-1", Job: job}}))
+		}
+		Expect(b.heard()).To(BeEmpty())
+	})
+
+	It("notices that one is gone, and one that started anew", func() {
+		a := join("a", "", 1)
+		b := join("b", "", 2, a.group.Address())
+		address := b.group.Address()
+		Eventually(a.group.Live).Should(Equal(2))
+		b.end()
+		join("b", address, 22, a.group.Address())
+		Eventually(a.gone).Should(ContainElement(uint64(2)))
+		Eventually(a.group.Live).Should(Equal(2))
+	})
+
+	It("hands the newest settings and endpoints to one that can't read them", func() {
+		a := join("a", "", 1)
+		b := join("b", "", 2, a.group.Address())
+		a.directory.TakeSettings(5, settings.NewTree(map[string]settings.Node{"": {}, "routes": {}}), "test")
+		a.directory.TakeEndpoints(site.Endpoints{Revision: 9, List: []placement.Endpoint{{ID: "i-1", Service: "pool"}}}, "test")
+		Eventually(b.directory.Known).Should(BeTrue())
+		version, revision := b.directory.Versions()
+		Expect(version).To(BeEquivalentTo(5))
+		Expect(revision).To(BeEquivalentTo(9))
+	})
+})
