--- a/coord/placement/endpoint.go
+++ b/coord/placement/endpoint.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 )
 
@@ -28,7 +29,8 @@
 	mostBackoff   = 5 * time.Second
 	leastFactor   = 0.5
 	mostFactor    = 20.0
-	factorWeight  = 0.25 // of the newest observation in an endpoint's factor
+	factorWeight  = 0.2  // of the newest observation in an endpoint's factor
+	mostRatio     = 2.0  // of an observation to what was expected that counts
 	tellingMS     = 60.0 // expected time from which an observation counts in full
 	slackMS       = 150  // of a first event before an endpoint is suspected
 	silenceAfter  = 400 * time.Millisecond
@@ -174,14 +176,15 @@
 }
 
 // learn takes in how long a first event took against what was expected. Short
-// times tell less: they are mostly the way to the endpoint and back.
+// times tell less: they are mostly the way to the endpoint and back. A single
+// one moves the factor by little, whatever it was.
 func (s *state) learn(expected, observed float64) {
 	if expected <= 0 {
 		return
 	}
-	seen := s.factor * observed / expected
+	ratio := min(max(observed/expected, 1/mostRatio), mostRatio)
 	weight := factorWeight * min(expected/tellingMS, 1)
-	s.factor += weight * (min(max(seen, leastFactor), mostFactor) - s.factor)
+	s.factor = min(max(s.factor*math.Pow(ratio, weight), leastFactor), mostFactor)
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
