Count no harm where reading can't break a pause

The gap between events while prompts are read is bounded by what one step of an engine reads; it is learned. Pauses over twice that are safe.

--- a/coord/placement/choose.go
+++ b/coord/placement/choose.go
@@ -24,6 +24,7 @@
 	errorCost     = 2.0    // of an endpoint that always fails
 	avoidCost     = 20.0   // of an endpoint that is backed off from
 	suspectWeight = 1.0    // of an endpoint that is late by one aim
+	safeShare     = 0.5    // of the pause allowed below which no reading breaks it
 	pauseShare    = 0.8    // of the pause allowed that may be used up
 	stepMS        = 4.0    // of one token beside no prompt, a prior
 	serviceWeight = 1.0    // of a full plain endpoint
@@ -33,6 +34,7 @@
 type Choice struct {
 	Endpoint Endpoint
 	Cost     float64
+	Terms    Terms
 	WaitMS   float64 // expected until the prompt is read
 	FirstMS  float64 // expected until the first event
 	Uncached int     // prompt tokens to be read
@@ -40,6 +42,22 @@
 	Long     bool    // the prompt breaks the shortest pause allowed
 	Pool     int     // endpoints that long prompts are kept to
 	Full     bool    // the endpoint has as many requests as slots
+	Factor   float64 // slowness of the endpoint, 1 for as expected
+}
+
+// Terms are the parts of a cost.
+type Terms struct {
+	Late     float64 `json:"late"`     // the request's own first event
+	Harm     float64 `json:"harm"`     // pauses of running streams and its own
+	Again    float64 `json:"again"`    // tokens that are read, shared ones above all
+	Crowding float64 `json:"crowding"` // slots and memory
+	Pool     float64 `json:"pool"`     // leaving the pool that it belongs to
+	Trouble  float64 `json:"trouble"`  // failures, silence, backing off
+	Distance float64 `json:"distance"` // another data centre
+}
+
+func (t Terms) sum() float64 {
+	return t.Late + t.Harm + t.Again + t.Crowding + t.Pool + t.Trouble + t.Distance
 }
 
 // Choose returns the endpoint of least cost that is not excluded; false if
@@ -74,32 +92,48 @@
 
 // estimate returns what the request would cost at the endpoint.
 func (t *Table) estimate(now time.Time, service *service, s *state, j Job, pool bool) Choice {
-	c := Choice{Endpoint: s.Endpoint, Full: s.Slots > 0 && len(s.jobs) >= s.Slots}
-	c.Cost = errorCost*s.errors + t.distance(s)
-	if now.Before(s.avoidTo) {
-		c.Cost += avoidCost
+	c := Choice{
+		Endpoint: s.Endpoint,
+		Factor:   s.factor,
+		Full:     s.Slots > 0 && len(s.jobs) >= s.Slots,
+		Terms:    Terms{Distance: t.distance(s), Trouble: s.trouble(now)},
 	}
-	if !s.Engine {
-		c.Cost += plainCost(now, s, j)
-		return c
+	if s.Engine {
+		t.estimateEngine(now, service, s, j, pool, &c)
+	} else {
+		c.Terms.Crowding = plainCost(now, s, j)
+	}
+	c.Cost = c.Terms.sum()
+	return c
+}
+
+// trouble returns the cost of an endpoint's recent failures.
+func (s *state) trouble(now time.Time) float64 {
+	cost := errorCost * s.errors
+	if now.Before(s.avoidTo) {
+		cost += avoidCost
 	}
+	return cost
+}
+
+// estimateEngine fills in what concerns engines only.
+func (t *Table) estimateEngine(now time.Time, service *service, s *state, j Job, pool bool, c *Choice) {
 	base, perToken := service.speed.line()
 	c.Uncached = j.Prompt.Tokens - min(s.cache.reusable(j.Prompt), j.Prompt.Tokens)
+	c.Again = t.rereading(now, s, j)
+	c.Long = t.heavy(service, float64(c.Uncached)*perToken)
 	read := float64(c.Uncached) * perToken * s.factor
-	overdue := s.overdue(now)
 	c.WaitMS = s.wait(now, j.Priority)
 	c.FirstMS = base*s.factor + c.WaitMS + read
-	c.Long = t.heavy(service, float64(c.Uncached)*perToken)
 	aim := max(milliseconds(j.Aim), 1)
-	c.Cost += lateness(c.FirstMS/aim) + suspectWeight*overdue/aim
-	c.Cost += s.harm(now, service, j, read)
-	c.Again = t.rereading(now, s, j)
-	c.Cost += readAgain*float64(c.Again) + readNew*float64(c.Uncached)
-	c.Cost += s.crowding(service, j)
+	c.Terms.Late = lateness(c.FirstMS / aim)
+	c.Terms.Trouble += suspectWeight * s.overdue(now) / aim
+	c.Terms.Harm = s.harm(now, service, j, read)
+	c.Terms.Again = readAgain*float64(c.Again) + readNew*float64(c.Uncached)
+	c.Terms.Crowding = s.crowding(service, j)
 	if pool != c.Long {
-		c.Cost += poolWeight
+		c.Terms.Pool = poolWeight
 	}
-	return c
 }
 
 // lateness returns the cost of a first event at a multiple of the aim.
@@ -137,6 +171,9 @@
 		return 0, false
 	}
 	pause := milliseconds(j.Pause)
+	if high, known := service.stretched.high(); known && high*s.factor < safeShare*pause {
+		return 0, false
+	}
 	event := stepMS * float64(max(service.EventTokens, 1))
 	if mean := service.plain.mean; service.plain.count >= fewValues {
 		event = mean
--- a/coord/placement/table.go
+++ b/coord/placement/table.go
@@ -23,10 +23,11 @@
 // service is what the endpoints of one service have in common.
 type service struct {
 	Service
-	members []*state // in the common order
-	plain   spread   // of the ms between events while no prompt is read
-	speed   speed
-	demand  demand
+	members   []*state // in the common order
+	plain     spread   // of the ms between events while no prompt is read
+	stretched spread   // of the ms between events while prompts are read
+	speed     speed
+	demand    demand
 }
 
 // mostShared bounds the remembered shared parts.
@@ -234,7 +235,10 @@
 	gap := milliseconds(now.Sub(p.event))
 	reading := s.reading(now)
 	service := t.service(s.Service)
-	if p.reading == 0 && reading == 0 && s.arrived.Before(p.event) {
+	switch {
+	case p.reading >= gap:
+		service.stretched.observe(gap / s.factor)
+	case p.reading == 0 && reading == 0 && s.arrived.Before(p.event):
 		service.plain.observe(gap / s.factor)
 	}
 	p.event = now
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"foxcross.dev/coord/placement"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/foxcross/internal/lifecycle"
 	"foxcross.dev/foxcross/internal/logs"
@@ -123,19 +124,32 @@
 	g.options.Metrics.Tagged(map[string]string{"class": c.class.Name, "result": code.Entry().Name}).Counter("requests").Inc(1)
 }
 
-// MarshalJSON returns a send for the log.
+// MarshalJSON returns a send for the log, with the estimates that decided it.
 func (s send) MarshalJSON() ([]byte, error) {
+	c := s.choice
 	return json.Marshal(struct {
-		Endpoint string  `json:"endpoint"`
-		Cost     float64 `json:"cost"`
-		WaitMS   float64 `json:"expected_wait_ms"`
-		FirstMS  float64 `json:"expected_first_ms"`
-		Uncached int     `json:"uncached"`
-		Again    int     `json:"read_again"`
-		Long     bool    `json:"long"`
-		Pool     int     `json:"pool"`
-		Outcome  string  `json:"outcome"`
-	}{s.choice.Endpoint.ID, round(s.choice.Cost), round(s.choice.WaitMS), round(s.choice.FirstMS), s.choice.Uncached, s.choice.Again, s.choice.Long, s.choice.Pool, s.outcome})
+		Endpoint string          `json:"endpoint"`
+		Cost     float64         `json:"cost"`
+		Terms    placement.Terms `json:"terms"`
+		WaitMS   float64         `json:"expected_wait_ms"`
+		FirstMS  float64         `json:"expected_first_ms"`
+		Uncached int             `json:"uncached"`
+		Again    int             `json:"read_again"`
+		Long     bool            `json:"long"`
+		Pool     int             `json:"pool"`
+		Factor   float64         `json:"factor"`
+		Outcome  string          `json:"outcome"`
+	}{
+		c.Endpoint.ID, round(c.Cost), rounded(c.Terms), round(c.WaitMS), round(c.FirstMS),
+		c.Uncached, c.Again, c.Long, c.Pool, round(c.Factor), s.outcome,
+	})
+}
+
+func rounded(t placement.Terms) placement.Terms {
+	return placement.Terms{
+		Late: round(t.Late), Harm: round(t.Harm), Again: round(t.Again), Crowding: round(t.Crowding),
+		Pool: round(t.Pool), Trouble: round(t.Trouble), Distance: round(t.Distance),
+	}
 }
 
 const thousandth = 1000
