--- a/coord/placement/choose.go
+++ b/coord/placement/choose.go
@@ -14,7 +14,7 @@
 	laterWeight   = 0.1    // for each further aim
 	harmWeight    = 1.0    // of a running stream whose pause breaks
 	doomedWeight  = 0.1    // of one whose pause is broken already
-	readAgain     = 2.6e-4 // of a shared token that is read again
+	readAgain     = 4e-4 // of a shared token that is read again
 	readNew       = 1e-5   // of any token that is read
 	poolWeight    = 0.5    // of leaving the pool that a prompt belongs to
 	loadWeight    = 0.1    // of a full engine
