Let callers come back to an entry that is not ready after 3 s

An entry that starts while the store is down refused the same callers twice: they come back once, and half a second is not enough.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -17,7 +17,7 @@
 
 // Times after which a caller may come back.
 const (
-	notReadyRetry   = 500 * time.Millisecond
+	notReadyRetry   = 3 * time.Second
 	noEndpointRetry = 500 * time.Millisecond
 	drainRetry      = 50 * time.Millisecond
 	fullRetry       = 300 * time.Millisecond
