--- a/coord/settings/schema.go
+++ b/coord/settings/schema.go
@@ -5,6 +5,7 @@
 	_ "embed" // the schema
 	"errors"
 	"strings"
+	"sync"
 
 	"foxcross.dev/coord/result"
 
@@ -19,7 +20,7 @@
 const schemaName = "settings.json"
 
 var (
-	schema  = compileSchema()
+	schema  = sync.OnceValue(compileSchema)
 	printer = message.NewPrinter(language.English)
 )
 
@@ -41,7 +42,7 @@
 	if err != nil {
 		return result.Errorf(result.SettingsInvalid, "settings tree is not JSON: %v", err)
 	}
-	err = schema.Validate(parsed)
+	err = schema().Validate(parsed)
 	if err == nil {
 		return nil
 	}
