--- a/coord/placement/choose.go
+++ b/coord/placement/choose.go
@@ -8,26 +8,26 @@
 
 // Weights of the parts of a cost. The unit is the worth of one request in time.
 const (
-	lateFrom      = 0.5    // share of the aim from which lateness counts
-	lateTo        = 1.2    // share of the aim at which it counts in full
-	lateWeight    = 0.8    // of an answer that is late
-	laterWeight   = 0.1    // for each further aim
-	harmWeight    = 1.0    // of a running stream whose pause breaks
-	doomedWeight  = 0.1    // of one whose pause is broken already
+	lateFrom      = 0.5  // share of the aim from which lateness counts
+	lateTo        = 1.2  // share of the aim at which it counts in full
+	lateWeight    = 0.8  // of an answer that is late
+	laterWeight   = 0.1  // for each further aim
+	harmWeight    = 1.0  // of a running stream whose pause breaks
+	doomedWeight  = 0.1  // of one whose pause is broken already
 	readAgain     = 4e-4 // of a shared token that is read again
-	readNew       = 1e-5   // of any token that is read
-	poolWeight    = 0.5    // of leaving the pool that a prompt belongs to
-	loadWeight    = 0.1    // of a full engine
-	overWeight    = 1.5    // of a place beyond the slots
-	memoryWeight  = 1.0    // of memory beyond what there is
-	farWeight     = 0.01   // of another data centre
-	errorCost     = 2.0    // of an endpoint that always fails
-	avoidCost     = 20.0   // of an endpoint that is backed off from
-	suspectWeight = 1.0    // of an endpoint that is late by one aim
-	safeShare     = 0.5    // of the pause allowed below which no reading breaks it
-	pauseShare    = 0.8    // of the pause allowed that may be used up
-	stepMS        = 4.0    // of one token beside no prompt, a prior
-	serviceWeight = 1.0    // of a full plain endpoint
+	readNew       = 1e-5 // of any token that is read
+	poolWeight    = 0.5  // of leaving the pool that a prompt belongs to
+	loadWeight    = 0.1  // of a full engine
+	overWeight    = 1.5  // of a place beyond the slots
+	memoryWeight  = 1.0  // of memory beyond what there is
+	farWeight     = 0.01 // of another data centre
+	errorCost     = 2.0  // of an endpoint that always fails
+	avoidCost     = 20.0 // of an endpoint that is backed off from
+	suspectWeight = 1.0  // of an endpoint that is late by one aim
+	safeShare     = 0.5  // of the pause allowed below which no reading breaks it
+	pauseShare    = 0.8  // of the pause allowed that may be used up
+	stepMS        = 4.0  // of one token beside no prompt, a prior
+	serviceWeight = 1.0  // of a full plain endpoint
 )
 
 // Choice is where a request goes and why.
