Rest between watches after changes

Entries that are no sentinels wait 0.7 s after changes, sentinels 0.1 s, so that more come with one call.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -37,6 +37,7 @@
 	endpoints map[string]placement.Endpoint
 
 	contact    time.Time          // when the last call was made that the source answered
+	following  bool               // the source answered the last call
 	relaxed    bool               // others ask the source often
 	cancelWait context.CancelFunc // of a long wait, else nil
 }
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -14,6 +14,8 @@
 const (
 	shortWait   = 1500 * time.Millisecond // of a sentinel's watch: a lost one is noticed soon after
 	longWait    = 10 * time.Second        // of the others': a sentinel tells them what they miss
+	shortRest   = 100 * time.Millisecond  // of a sentinel after changes, so that more of them come at once
+	longRest    = 700 * time.Millisecond  // of the others
 	firstRetry  = 60 * time.Millisecond
 	longRetry   = 500 * time.Millisecond
 	retryFactor = 1.6
@@ -43,7 +45,6 @@
 	source    site.Source
 	revision  uint64 // to wait from, 0 to read all
 	wait      backoff.ExponentialBackOff
-	failed    bool
 }
 
 func (f *follower) step(ctx context.Context) error {
@@ -102,16 +103,30 @@
 	f.directory.Confirm(version, asked)
 	f.directory.contacted(asked)
 	f.revision = c.Revision
+	if c.Settings != nil || len(c.Changed) > 0 || len(c.Gone) > 0 {
+		sleep(ctx, f.directory.rest())
+	}
 	return nil
 }
 
 // pause waits after a failed call and logs the first of a row.
 func (f *follower) pause(ctx context.Context, err error) {
-	if !f.failed {
-		f.failed = true
+	if f.directory.setFollowing(false) {
 		log.With("reason", err.Error()).Warnf("The source is lost.")
 	}
-	timer := time.NewTimer(f.wait.NextBackOff())
+	sleep(ctx, f.wait.NextBackOff())
+}
+
+func (f *follower) succeeded() {
+	if f.directory.setFollowing(true) {
+		log.Info("The source answers.")
+	}
+	f.wait.Reset()
+}
+
+// sleep waits for the time, or until ctx is done.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -119,12 +134,30 @@
 	}
 }
 
-func (f *follower) succeeded() {
-	if f.failed {
-		log.Info("The source answers again.")
+// setFollowing notes whether the source answers; true if that is news.
+func (d *Directory) setFollowing(following bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	news := d.following != following
+	d.following = following
+	return news
+}
+
+// Following tells whether the source answered the last call.
+func (d *Directory) Following() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.following
+}
+
+// rest returns how long to wait after changes before the next watch.
+func (d *Directory) rest() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.relaxed {
+		return longRest
 	}
-	f.failed = false
-	f.wait.Reset()
+	return shortRest
 }
 
 // waiting returns how long the next watch may take, and a context that ends
--- a/internal/peers/packet.go
+++ b/internal/peers/packet.go
@@ -54,5 +54,6 @@
 	sentinels      = 2
 	contactFor     = 3 * time.Second // a sentinel that the source hasn't answered for so long is replaced
 	fetchTimeout   = time.Second
-	fetchAfter     = 120 * time.Millisecond // a peer is ahead for so long before it is asked
+	fetchSoon      = 120 * time.Millisecond // a peer is ahead for so long before it is asked
+	fetchLate      = 900 * time.Millisecond // the same while the source answers, which then tells it sooner
 )
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -30,6 +30,7 @@
 	Confirmed() time.Time
 	Confirm(version uint64, at time.Time)
 	Contact() time.Time
+	Following() bool
 	SetSentinel(sentinel bool)
 }
 
@@ -420,13 +421,17 @@
 
 // catchUp asks an entry that has been ahead for a while.
 func (g *Group) catchUp(ctx context.Context, now time.Time) {
+	patience := fetchSoon
+	if g.book.Following() {
+		patience = fetchLate
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.fetching {
 		return
 	}
 	for a, p := range g.peers {
-		if p.ahead.IsZero() || now.Sub(p.ahead) < fetchAfter || !p.alive(now) {
+		if p.ahead.IsZero() || now.Sub(p.ahead) < patience || !p.alive(now) {
 			continue
 		}
 		p.ahead = time.Time{}
