--- a/coord/placement/choose.go
+++ b/coord/placement/choose.go
@@ -42,6 +42,7 @@
 	Long     bool    // the prompt breaks the shortest pause allowed
 	Pool     int     // endpoints that long prompts are kept to
 	Full     bool    // the endpoint has as many requests as slots
+	Taken    float64 // share of the service's slots that are taken
 	Factor   float64 // slowness of the endpoint, 1 for as expected
 }
 
@@ -68,12 +69,14 @@
 	found := false
 	pool := service.demand.size(len(service.members))
 	equal := 0
+	taken := service.taken()
 	for n, s := range service.members {
 		if s.Leaving || exclude(s.ID) {
 			continue
 		}
 		c := t.estimate(now, service, s, j, n < pool)
 		c.Pool = pool
+		c.Taken = taken
 		if c.Cost == best.Cost {
 			equal++
 			if random.IntN(equal+1) > 0 {
@@ -90,6 +93,22 @@
 	return best, found
 }
 
+// taken returns the share of the slots that are taken, 0 where none are known.
+func (s *service) taken() float64 {
+	jobs, slots := 0, 0
+	for _, e := range s.members {
+		if e.Leaving {
+			continue
+		}
+		jobs += min(len(e.jobs), e.Slots)
+		slots += e.Slots
+	}
+	if slots == 0 {
+		return 0
+	}
+	return float64(jobs) / float64(slots)
+}
+
 // estimate returns what the request would cost at the endpoint.
 func (t *Table) estimate(now time.Time, service *service, s *state, j Job, pool bool) Choice {
 	c := Choice{
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -30,6 +30,8 @@
 	sends    []send // in order
 	repeated bool   // an earlier send may have run
 	first    time.Time
+	event    time.Time     // of the last event that was passed on
+	pause    time.Duration // the longest between two events
 }
 
 // send is one try at an endpoint, for the log.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -61,6 +61,7 @@
 	now := time.Now()
 	if c.first.IsZero() {
 		c.first = now
+		c.event = now
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -69,8 +70,10 @@
 }
 
 // hear notes a later event of a send.
-func (g *Gateway) hear(l *leg) {
+func (g *Gateway) hear(c *call, l *leg) {
 	now := time.Now()
+	c.pause = max(c.pause, now.Sub(c.event))
+	c.event = now
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.table.Hear(now, l.id)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -117,6 +117,9 @@
 	if !c.first.IsZero() {
 		fields["first_ms"] = c.first.Sub(c.received).Milliseconds()
 	}
+	if c.pause > 0 {
+		fields["pause_ms"] = c.pause.Milliseconds()
+	}
 	if len(c.sends) > 0 {
 		fields["sends"] = c.sends
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -73,7 +73,7 @@
 		}
 		if len(event) > 0 {
 			if l.begun {
-				s.gateway.hear(l)
+				s.gateway.hear(s.call, l)
 			}
 			s.open(l, a)
 			if id, ok := eventID(event); ok {
