--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -1,13 +1,21 @@
 package command
 
-import "foxcross.dev/foxcross/internal/process"
+import (
+	"io"
+	"os"
+
+	"foxcross.dev/coord/result"
+	"foxcross.dev/foxcross/internal/explain"
+	"foxcross.dev/foxcross/internal/process"
+)
 
 // Entry are the subcommands of foxcross-entry.
 type Entry struct {
-	Run   RunEntry `command:"run" description:"run an entry"`
-	Serve Serve    `command:"serve" description:"run an entry on a platform, with the settings that the platform gives"`
-	Tree  Tree     `command:"tree" description:"read and change the settings tree"`
-	Keys  Keys     `command:"keys" description:"make certificates and keys"`
+	Run     RunEntry `command:"run" description:"run an entry"`
+	Serve   Serve    `command:"serve" description:"run an entry on a platform, with the settings that the platform gives"`
+	Explain Explain  `command:"explain" description:"tell from a log what became of a request"`
+	Tree    Tree     `command:"tree" description:"read and change the settings tree"`
+	Keys    Keys     `command:"keys" description:"make certificates and keys"`
 }
 
 // RunEntry runs an entry.
@@ -26,6 +34,32 @@
 // Execute runs the command.
 func (c *Serve) Execute([]string) error { return process.RunGateway(c.Platform) }
 
+// Explain tells what became of a request.
+type Explain struct {
+	Log string `long:"log" short:"l" description:"file with the log of an entry, standard input if none"`
+	Of  struct {
+		Request string `positional-arg-name:"ID" required:"yes" description:"id of the request"`
+	} `positional-args:"yes"`
+}
+
+// Execute runs the command.
+func (c *Explain) Execute([]string) error {
+	log := io.Reader(os.Stdin)
+	if c.Log != "" {
+		f, err := os.Open(c.Log)
+		if err != nil {
+			return result.Errorf(result.FileUnreadable, "%v", err)
+		}
+		defer func() { _ = f.Close() }()
+		log = f
+	}
+	found, err := explain.Story(output, log, c.Of.Request)
+	if err == nil && !found {
+		err = result.Errorf(result.NotFound, "the log doesn't name request %q", c.Of.Request)
+	}
+	return err
+}
+
 // Agent are the subcommands of foxcross-agent.
 type Agent struct {
 	Run RunAgent `command:"run" description:"run an agent"`
--- /dev/null
+++ b/internal/explain/explain.go
@@ -0,0 +1,128 @@
+// Package explain tells from a process's log what became of one request.
+package explain
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"foxcross.dev/coord/placement"
+	"foxcross.dev/coord/result"
+)
+
+// Bounds of what is read and told.
+const (
+	mostLine    = 1 << 20
+	mostContext = 4096 // lines about settings, endpoints and peers that are remembered
+	around      = 5 * time.Second
+)
+
+// line is one line of a log.
+type line struct {
+	Message string    `json:"message"`
+	At      time.Time `json:"timestamp"`
+	Fields  fields    `json:"fields"`
+	raw     string
+}
+
+// fields are the values that explain a request.
+type fields struct {
+	Request  string      `json:"request"`
+	Class    string      `json:"class"`
+	Team     string      `json:"team"`
+	Service  string      `json:"service"`
+	Code     result.Code `json:"code"`
+	Run      string      `json:"run"`
+	Reason   string      `json:"reason"`
+	Priority int         `json:"priority"`
+	TotalMS  int64       `json:"total_ms"`
+	FirstMS  *int64      `json:"first_ms"`
+	PauseMS  int64       `json:"pause_ms"`
+	Sends    []send      `json:"sends"`
+}
+
+// send is one try at an endpoint.
+type send struct {
+	Endpoint string          `json:"endpoint"`
+	Cost     float64         `json:"cost"`
+	Terms    placement.Terms `json:"terms"`
+	WaitMS   float64         `json:"expected_wait_ms"`
+	FirstMS  float64         `json:"expected_first_ms"`
+	Uncached int             `json:"uncached"`
+	Factor   float64         `json:"factor"`
+	Outcome  string          `json:"outcome"`
+}
+
+// Story writes what the log says of the request and of what changed around it.
+// It returns false where the log doesn't name the request.
+func Story(w io.Writer, log io.Reader, request string) (bool, error) {
+	var found []line
+	var context []line
+	scanner := bufio.NewScanner(log)
+	scanner.Buffer(nil, mostLine)
+	for scanner.Scan() {
+		l, ok := parse(scanner.Text())
+		switch {
+		case !ok:
+		case l.Fields.Request == request:
+			found = append(found, l)
+		case l.Fields.Request == "":
+			if len(context) == mostContext {
+				context = context[1:]
+			}
+			context = append(context, l)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return false, fmt.Errorf("explain: %w", err)
+	}
+	for _, l := range found {
+		l.tell(w)
+		for _, c := range context {
+			if off := c.At.Sub(l.At); off >= -around-l.total() && off <= 0 {
+				_, _ = fmt.Fprintf(w, "  %8.3f s  %s\n", off.Seconds(), c.raw)
+			}
+		}
+	}
+	return len(found) > 0, nil
+}
+
+// parse reads a line, also one with something before its JSON.
+func parse(text string) (line, bool) {
+	start := strings.IndexByte(text, '{')
+	if start < 0 {
+		return line{}, false
+	}
+	l := line{raw: text[start:]}
+	err := json.Unmarshal([]byte(l.raw), &l)
+	return l, err == nil
+}
+
+func (l line) total() time.Duration { return time.Duration(l.Fields.TotalMS) * time.Millisecond }
+
+// tell writes the request's own line in words. The writer's errors are its
+// owner's.
+func (l line) tell(w io.Writer) {
+	f := l.Fields
+	e := f.Code.Entry()
+	_, _ = fmt.Fprintf(w, "request %s ended with %s: %s\n", f.Request, f.Code, e.Text)
+	if f.Reason != "" {
+		_, _ = fmt.Fprintf(w, "  reason: %s; run: %s\n", f.Reason, f.Run)
+	}
+	_, _ = fmt.Fprintf(w, "  class %s, team %s, service %s, priority %d, %d ms in all", f.Class, f.Team, f.Service, f.Priority, f.TotalMS)
+	if f.FirstMS != nil {
+		_, _ = fmt.Fprintf(w, ", first event after %d ms, longest pause %d ms", *f.FirstMS, f.PauseMS)
+	}
+	_, _ = fmt.Fprintln(w)
+	for n, s := range f.Sends {
+		_, _ = fmt.Fprintf(w, "  send %d to %s: %s\n", n+1, s.Endpoint, s.Outcome)
+		_, _ = fmt.Fprintf(w, "    expected: %.0f ms of waiting, first event after %.0f ms, %d tokens to read, slowness %.2f\n",
+			s.WaitMS, s.FirstMS, s.Uncached, s.Factor)
+		t := s.Terms
+		_, _ = fmt.Fprintf(w, "    cost %.2f = late %.2f + harm %.2f + again %.2f + crowding %.2f + pool %.2f + trouble %.2f + distance %.2f\n",
+			s.Cost, t.Late, t.Harm, t.Again, t.Crowding, t.Pool, t.Trouble, t.Distance)
+	}
+}
