Let failures and sends be written in one place; bound requests by connections

The platform's interfaces of the product's own way are now internal/environment, so that platform/ is the adapter alone. An endpoint is given no more requests than four fifths of the connections it takes.

--- a/coord/placement/choose.go
+++ b/coord/placement/choose.go
@@ -41,7 +41,6 @@
 	Again    int     // of them shared with prompts that were read elsewhere lately
 	Long     bool    // the prompt breaks the shortest pause allowed
 	Pool     int     // endpoints that long prompts are kept to
-	Full     bool    // the endpoint has as many requests as slots
 	Taken    float64 // share of the service's slots that are taken
 	Factor   float64 // slowness of the endpoint, 1 for as expected
 }
@@ -71,7 +70,7 @@
 	equal := 0
 	taken := service.taken()
 	for n, s := range service.members {
-		if s.Leaving || exclude(s.ID) {
+		if s.Leaving || exclude(s.ID) || service.Most > 0 && len(s.jobs) >= service.Most {
 			continue
 		}
 		c := t.estimate(now, service, s, j, n < pool)
@@ -114,7 +113,6 @@
 	c := Choice{
 		Endpoint: s.Endpoint,
 		Factor:   s.factor,
-		Full:     s.Slots > 0 && len(s.jobs) >= s.Slots,
 		Terms:    Terms{Distance: t.distance(s), Trouble: s.trouble(now)},
 	}
 	if s.Engine {
--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -47,6 +47,7 @@
 type Service struct {
 	Name         string
 	MemoryTokens int           // that one engine keeps, 0 for not known
+	Most         int           // requests that one endpoint is given at once, 0 for no bound
 	EventTokens  int           // that one event of a stream holds
 	Pause        time.Duration // the shortest pause between events that a class of the service allows
 }
--- a/coord/placement/placement_test.go
+++ b/coord/placement/placement_test.go
@@ -174,6 +174,34 @@
 		Expect(slow.FirstMS / fast.FirstMS).To(BeNumerically("~", 3, 0.6))
 	})
 
+	It("gives an endpoint no more requests than it takes connections", func() {
+		t := fleetOf(1)
+		t.SetServices([]placement.Service{{Name: "pool", Most: 3}})
+		for n := range 3 {
+			choose(t, origin, chat(1))
+			t.Place(origin, placement.JobID{Owner: other, Number: uint64(n + 1)}, "e-0", chat(1))
+		}
+		_, ok := t.Choose(origin, chat(1), never, rand.New(rand.NewPCG(1, 2)))
+		Expect(ok).To(BeFalse())
+		t.End(origin, placement.JobID{Owner: other, Number: 1}, placement.Succeeded)
+		choose(t, origin, chat(1))
+	})
+
+	It("refuses long prompts sooner where most slots are taken", func() {
+		t := fleetOf(1)
+		for n := range 30 {
+			id := placement.JobID{Owner: other, Number: uint64(n + 1)}
+			t.Place(origin, id, "e-0", chat(uint64(n+10)))
+			t.Begin(origin, id)
+		}
+		j := plan(1, 2)
+		c := choose(t, origin.Add(time.Second), j)
+		Expect(c.Taken).To(BeNumerically(">", 0.5))
+		retry, ok := c.Admit(j, 15*time.Second)
+		Expect(ok).To(BeFalse())
+		Expect(retry).To(BeNumerically(">", 0))
+	})
+
 	It("spreads requests over plain endpoints", func() {
 		t := &placement.Table{Self: self}
 		t.SetEndpoints([]placement.Endpoint{{ID: "a", Service: "s", Slots: 2}, {ID: "b", Service: "s", Slots: 2}})
--- a/examples/standins/main.go
+++ b/examples/standins/main.go
@@ -9,7 +9,7 @@
 	"os"
 	"time"
 
-	"foxcross.dev/foxcross/internal/platform"
+	"foxcross.dev/foxcross/internal/environment"
 	"foxcross.dev/foxcross/internal/standin"
 
 	"github.com/jessevdk/go-flags"
@@ -40,7 +40,7 @@
 	if err != nil {
 		return err
 	}
-	var members []platform.Member
+	var members []environment.Member
 	if err := json.Unmarshal(data, &members); err != nil {
 		return fmt.Errorf("%s: %w", o.Members, err)
 	}
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -12,6 +12,7 @@
 	"foxcross.dev/coord/message"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/coord/settings"
+	"foxcross.dev/foxcross/internal/failure"
 )
 
 // bytesPerToken is a rough size of a token, for choosing agents only.
@@ -191,7 +192,7 @@
 	}})
 	b.Usage = usageOf(f, c)
 	w.Header().Set("Content-Type", "application/json")
-	setCode(w.Header(), f.Code, f.Run)
+	failure.SetCode(w.Header(), f.Code, f.Run)
 	_ = json.NewEncoder(w).Encode(b) // the caller may be gone
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,10 +16,10 @@
 	"foxcross.dev/coord/message"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/coord/subset"
+	"foxcross.dev/foxcross/internal/environment"
 	"foxcross.dev/foxcross/internal/lifecycle"
 	"foxcross.dev/foxcross/internal/link"
 	"foxcross.dev/foxcross/internal/logs"
-	"foxcross.dev/foxcross/internal/platform"
 	"foxcross.dev/foxcross/internal/versions"
 	"foxcross.dev/foxcross/internal/workers"
 
@@ -40,7 +40,7 @@
 	Name       string
 	DataCentre string
 	Dialer     link.Dialer
-	Members    platform.Members
+	Members    environment.Members
 	Settings   *versions.Holder
 	Metrics    tally.Scope
 	Seed       uint64          // of the choice among equals
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"foxcross.dev/coord/result"
+	"foxcross.dev/foxcross/internal/failure"
 
 	"github.com/tmaxmax/go-sse"
 )
@@ -26,8 +27,8 @@
 	h := s.writer.Header()
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Cache-Control", "no-cache")
-	h.Set("Trailer", codeField)
-	h.Set(runField, result.Ran.String())
+	h.Set("Trailer", failure.CodeField)
+	h.Set(failure.RunField, result.Ran.String())
 	s.writer.WriteHeader(http.StatusOK)
 }
 
@@ -56,15 +57,15 @@
 		writeFailure(s.writer, f)
 		return
 	}
-	s.event(failureOf(f))
-	s.writer.Header().Set(codeField, strconv.Itoa(int(f.Code)))
+	s.event(failure.BodyOf(f))
+	s.writer.Header().Set(failure.CodeField, strconv.Itoa(int(f.Code)))
 	_ = s.flush() // the caller may be gone
 }
 
 // done marks the answer as whole.
 func (s *eventStream) done(f finished) {
 	s.send("[DONE]")
-	s.writer.Header().Set(codeField, strconv.Itoa(int(f.Code)))
+	s.writer.Header().Set(failure.CodeField, strconv.Itoa(int(f.Code)))
 	_ = s.flush() // the caller may be gone
 }
 
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -8,6 +8,7 @@
 	"foxcross.dev/coord/message"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/coord/settings"
+	"foxcross.dev/foxcross/internal/failure"
 
 	"github.com/alexedwards/flow"
 )
@@ -26,8 +27,8 @@
 	"Transfer-Encoding":   true,
 	"Upgrade":             true,
 	classField:            true,
-	codeField:             true,
-	runField:              true,
+	failure.CodeField:     true,
+	failure.RunField:      true,
 }
 
 // serveService passes a call on to a plain service.
@@ -138,6 +139,6 @@
 			h.Add(f.Name, f.Value)
 		}
 	}
-	setCode(h, result.OK, result.Ran)
+	failure.SetCode(h, result.OK, result.Ran)
 	w.WriteHeader(m.Status)
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -9,8 +9,8 @@
 	"strings"
 	"time"
 
-	"foxcross.dev/coord/placement"
 	"foxcross.dev/coord/result"
+	"foxcross.dev/foxcross/internal/record"
 )
 
 // Bounds of what is read and told.
@@ -30,30 +30,18 @@
 
 // fields are the values that explain a request.
 type fields struct {
-	Request  string      `json:"request"`
-	Class    string      `json:"class"`
-	Team     string      `json:"team"`
-	Service  string      `json:"service"`
-	Code     result.Code `json:"code"`
-	Run      string      `json:"run"`
-	Reason   string      `json:"reason"`
-	Priority int         `json:"priority"`
-	TotalMS  int64       `json:"total_ms"`
-	FirstMS  *int64      `json:"first_ms"`
-	PauseMS  int64       `json:"pause_ms"`
-	Sends    []send      `json:"sends"`
-}
-
-// send is one try at an endpoint.
-type send struct {
-	Endpoint string          `json:"endpoint"`
-	Cost     float64         `json:"cost"`
-	Terms    placement.Terms `json:"terms"`
-	WaitMS   float64         `json:"expected_wait_ms"`
-	FirstMS  float64         `json:"expected_first_ms"`
-	Uncached int             `json:"uncached"`
-	Factor   float64         `json:"factor"`
-	Outcome  string          `json:"outcome"`
+	Request  string        `json:"request"`
+	Class    string        `json:"class"`
+	Team     string        `json:"team"`
+	Service  string        `json:"service"`
+	Code     result.Code   `json:"code"`
+	Run      string        `json:"run"`
+	Reason   string        `json:"reason"`
+	Priority int           `json:"priority"`
+	TotalMS  int64         `json:"total_ms"`
+	FirstMS  *int64        `json:"first_ms"`
+	PauseMS  int64         `json:"pause_ms"`
+	Sends    []record.Send `json:"sends"`
 }
 
 // Story writes what the log says of the request and of what changed around it.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -17,9 +17,9 @@
 	"foxcross.dev/foxcross/internal/claims"
 	"foxcross.dev/foxcross/internal/endpoint"
 	"foxcross.dev/foxcross/internal/entry"
+	"foxcross.dev/foxcross/internal/environment"
 	"foxcross.dev/foxcross/internal/keys"
 	"foxcross.dev/foxcross/internal/link"
-	"foxcross.dev/foxcross/internal/platform"
 	"foxcross.dev/foxcross/internal/standin"
 	"foxcross.dev/foxcross/internal/versions"
 )
@@ -39,7 +39,7 @@
 	cancel    context.CancelFunc
 	authority *keys.Authority
 	mu        sync.Mutex
-	members   []platform.Member
+	members   []environment.Member
 	agents    map[string]*Agent
 	entries   map[string]*Entry
 	servers   []*http.Server
@@ -177,7 +177,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.agents[o.Name] = a
-	f.setMember(platform.Member{Name: o.Name, Role: platform.Agent, Address: l.Address(), DataCentre: o.DataCentre})
+	f.setMember(environment.Member{Name: o.Name, Role: environment.Agent, Address: l.Address(), DataCentre: o.DataCentre})
 	return a, nil
 }
 
@@ -208,7 +208,7 @@
 }
 
 // setMember adds or replaces a member. The lock is held.
-func (f *Fleet) setMember(m platform.Member) {
+func (f *Fleet) setMember(m environment.Member) {
 	f.dropMember(m.Name)
 	f.members = append(f.members, m)
 	f.Store.SetMembers(f.members)
@@ -220,7 +220,7 @@
 }
 
 func (f *Fleet) dropMember(name string) {
-	var kept []platform.Member
+	var kept []environment.Member
 	for _, m := range f.members {
 		if m.Name != name {
 			kept = append(kept, m)
@@ -270,7 +270,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.entries[name] = e
-	f.setMember(platform.Member{Name: name, Role: platform.Entry, Address: e.URL, DataCentre: dataCentre})
+	f.setMember(environment.Member{Name: name, Role: environment.Entry, Address: e.URL, DataCentre: dataCentre})
 	return e, nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,10 @@
 
 var log = logs.For("gateway")
 
+// connectionShare of the connections that an endpoint takes may carry requests;
+// the rest is for those that are idle or being closed.
+const connectionShare = 0.8
+
 // Options are what a gateway is made of.
 type Options struct {
 	Process site.Process
@@ -138,6 +142,7 @@
 		all = append(all, placement.Service{
 			Name:         name,
 			MemoryTokens: i.MemoryTokens,
+			Most:         int(connectionShare * float64(i.MostConnections)),
 			EventTokens:  i.EventTokens,
 			Pause:        pause,
 		})
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -2,21 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
 
-	"foxcross.dev/coord/placement"
 	"foxcross.dev/coord/result"
+	"foxcross.dev/foxcross/internal/failure"
 	"foxcross.dev/foxcross/internal/lifecycle"
 	"foxcross.dev/foxcross/internal/logs"
-)
-
-// Header fields of answers that the gateway gives itself.
-const (
-	codeField = "X-Foxcross-Code"
-	runField  = "X-Foxcross-Run"
+	"foxcross.dev/foxcross/internal/record"
 )
 
 // ServeHTTP implements http.Handler.
@@ -26,47 +20,34 @@
 	if g.Draining() {
 		w.Header().Set("Connection", "close")
 	}
-	c, failure := g.accept(w, r)
+	c, failed := g.accept(w, r)
 	begun := false
-	if failure == nil {
+	if failed == nil {
 		ctx, cancel := c.bounded()
 		defer cancel()
 		g.mu.Lock()
 		g.budget(c.service).Request(c.received)
 		g.mu.Unlock()
-		failure, begun = g.forward(ctx, w, c)
+		failed, begun = g.forward(ctx, w, c)
 	}
-	g.report(c, failure)
-	if failure == nil {
+	g.report(c, failed)
+	if failed == nil {
 		return
 	}
-	if begun || failure.Code == result.Cancelled {
+	if begun || failed.Code == result.Cancelled {
 		panic(http.ErrAbortHandler) // the caller must not take the answer for whole
 	}
-	writeFailure(w, failure)
+	writeFailure(w, failed)
 }
 
-// writeFailure answers with a code of the gateway's own.
+// writeFailure answers with a code of the gateway's own. Callers take fractions
+// of seconds.
 func writeFailure(w http.ResponseWriter, f *result.Error) {
-	h := w.Header()
-	e := f.Code.Entry()
-	h.Set("Content-Type", "application/json")
-	h.Set(codeField, strconv.Itoa(int(f.Code)))
-	h.Set(runField, f.Run.String())
+	retry := ""
 	if f.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', -1, 64))
+		retry = strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', -1, 64)
 	}
-	w.WriteHeader(e.Status)
-	_ = json.NewEncoder(w).Encode(failureBody{ // the caller may be gone
-		Code: f.Code, Type: e.Name, Message: e.Text, Run: f.Run.String(),
-	})
-}
-
-type failureBody struct {
-	Code    result.Code `json:"code"`
-	Type    string      `json:"type"`
-	Message string      `json:"message"`
-	Run     string      `json:"run"`
+	failure.Write(w, f, retry)
 }
 
 // count keeps the number of open requests.
@@ -121,40 +102,17 @@
 		fields["pause_ms"] = c.pause.Milliseconds()
 	}
 	if len(c.sends) > 0 {
-		fields["sends"] = c.sends
+		fields["sends"] = c.records()
 	}
 	log.Event("A request ended.", fields)
 	g.options.Metrics.Tagged(map[string]string{"class": c.class.Name, "result": code.Entry().Name}).Counter("requests").Inc(1)
 }
 
-// MarshalJSON returns a send for the log, with the estimates that decided it.
-func (s send) MarshalJSON() ([]byte, error) {
-	c := s.choice
-	return json.Marshal(struct {
-		Endpoint string          `json:"endpoint"`
-		Cost     float64         `json:"cost"`
-		Terms    placement.Terms `json:"terms"`
-		WaitMS   float64         `json:"expected_wait_ms"`
-		FirstMS  float64         `json:"expected_first_ms"`
-		Uncached int             `json:"uncached"`
-		Again    int             `json:"read_again"`
-		Long     bool            `json:"long"`
-		Pool     int             `json:"pool"`
-		Factor   float64         `json:"factor"`
-		Outcome  string          `json:"outcome"`
-	}{
-		c.Endpoint.ID, round(c.Cost), rounded(c.Terms), round(c.WaitMS), round(c.FirstMS),
-		c.Uncached, c.Again, c.Long, c.Pool, round(c.Factor), s.outcome,
-	})
-}
-
-func rounded(t placement.Terms) placement.Terms {
-	return placement.Terms{
-		Late: round(t.Late), Harm: round(t.Harm), Again: round(t.Again), Crowding: round(t.Crowding),
-		Pool: round(t.Pool), Trouble: round(t.Trouble), Distance: round(t.Distance),
+// records returns the sends of a call for the log.
+func (c *call) records() []record.Send {
+	all := make([]record.Send, 0, len(c.sends))
+	for _, s := range c.sends {
+		all = append(all, record.SendOf(s.choice, s.outcome))
 	}
+	return all
 }
-
-const thousandth = 1000
-
-func round(v float64) float64 { return float64(int64(v*thousandth)) / thousandth }
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -12,9 +12,9 @@
 	"foxcross.dev/foxcross/internal/claims"
 	"foxcross.dev/foxcross/internal/config"
 	"foxcross.dev/foxcross/internal/entry"
+	"foxcross.dev/foxcross/internal/environment"
 	"foxcross.dev/foxcross/internal/link"
 	"foxcross.dev/foxcross/internal/metrics"
-	"foxcross.dev/foxcross/internal/platform"
 	"foxcross.dev/foxcross/internal/versions"
 
 	"foxcross.dev/coord/claim"
@@ -44,7 +44,7 @@
 		return err
 	}
 	defer func() { _ = dialer.Close() }()
-	factory, err := platform.Drivers.Get(c.Platform.Driver)
+	factory, err := environment.Drivers.Get(c.Platform.Driver)
 	if err != nil {
 		return err
 	}
@@ -97,7 +97,7 @@
 	return stopEntry(e, callers, c, second)
 }
 
-func claimOptions(c config.Entry, p platform.Platform, entries func() int) claims.Options {
+func claimOptions(c config.Entry, p environment.Platform, entries func() int) claims.Options {
 	o := claims.Options{
 		KeyValue:   p,
 		Owner:      c.Name,
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -40,13 +40,11 @@
 
 // Bounds are the times and shares that the operator holds the system to.
 type Bounds struct {
-	StopGrace    time.Duration // from the signal to stop to the end by force
-	ConfigApply  time.Duration // from a change of the settings to its being in force
-	RetryRatio   float64       // repeats per request of a service, over all entries
-	RetryWindow  time.Duration
-	RetrySlack   int           // repeats beside the ratio in a window
-	ReuseWithin  time.Duration // a shared part is kept warm for so long after its last use
-	EventLatency time.Duration // longest that an event may be held by the system
+	StopGrace   time.Duration // from the signal to stop to the end by force
+	RetryRatio  float64       // repeats per request of a service, over all entries
+	RetryWindow time.Duration
+	RetrySlack  int           // repeats beside the ratio in a window
+	ReuseWithin time.Duration // a shared part is kept warm for so long after its last use
 }
 
 // Settings is one version of the settings tree.
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"foxcross.dev/foxcross/internal/platform"
+	"foxcross.dev/foxcross/internal/environment"
 )
 
 // MostValue is the largest value in bytes that the store takes.
@@ -42,13 +42,13 @@
 	waiters  map[string][]chan struct{}
 	faults   Faults
 	calls    Calls
-	members  []platform.Member
+	members  []environment.Member
 	lists    int // set so far
 	shown    int // number of the list that is visible
 }
 
 type stored struct {
-	platform.Value
+	environment.Value
 	lease uint64
 }
 
@@ -73,7 +73,7 @@
 }
 
 // SetMembers replaces the member list, after its lag.
-func (s *Store) SetMembers(m []platform.Member) {
+func (s *Store) SetMembers(m []environment.Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists++
@@ -87,7 +87,7 @@
 }
 
 // showMembers makes a list visible, unless a later one is.
-func (s *Store) showMembers(number int, m []platform.Member) {
+func (s *Store) showMembers(number int, m []environment.Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if number > s.shown {
@@ -98,13 +98,13 @@
 
 // Members returns the list. It is a service of its own: the store's faults do
 // not touch it.
-func (s *Store) Members(context.Context) ([]platform.Member, error) {
+func (s *Store) Members(context.Context) ([]environment.Member, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls.Lists++
 	switch {
 	case s.faults.ListDown:
-		return nil, platform.ErrUnavailable
+		return nil, environment.ErrUnavailable
 	case s.faults.ListEmpty:
 		return nil, nil
 	default:
@@ -124,11 +124,11 @@
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
-			return platform.ErrUnavailable
+			return environment.ErrUnavailable
 		}
 	}
 	if f.Down {
-		return platform.ErrUnavailable
+		return environment.ErrUnavailable
 	}
 	return nil
 }
@@ -151,15 +151,15 @@
 }
 
 // Get returns a value.
-func (s *Store) Get(ctx context.Context, key string) (platform.Value, error) {
+func (s *Store) Get(ctx context.Context, key string) (environment.Value, error) {
 	if err := s.enter(ctx, func(c *Calls) { c.Gets++ }); err != nil {
-		return platform.Value{}, err
+		return environment.Value{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v, ok := s.look(key)
 	if !ok {
-		return platform.Value{}, platform.ErrNotFound
+		return environment.Value{}, environment.ErrNotFound
 	}
 	return v.Value, nil
 }
@@ -197,16 +197,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if l, ok := s.leases[under]; under != 0 && (!ok || l.until.Before(s.now())) {
-		return 0, platform.ErrNotFound
+		return 0, environment.ErrNotFound
 	}
 	if v, _ := s.look(key); v.Revision != revision {
-		return 0, platform.ErrConflict
+		return 0, environment.ErrConflict
 	}
 	if s.values == nil {
 		s.values = map[string]stored{}
 	}
 	s.revision++
-	s.values[key] = stored{platform.Value{Data: slices.Clone(data), Revision: s.revision}, under}
+	s.values[key] = stored{environment.Value{Data: slices.Clone(data), Revision: s.revision}, under}
 	s.wake(key)
 	if s.faults.LoseSwaps > 0 {
 		s.faults.LoseSwaps--
@@ -216,9 +216,9 @@
 }
 
 // Watch waits for a later revision.
-func (s *Store) Watch(ctx context.Context, key string, after uint64) (platform.Value, error) {
+func (s *Store) Watch(ctx context.Context, key string, after uint64) (environment.Value, error) {
 	if err := s.enter(ctx, func(c *Calls) { c.Watches++ }); err != nil {
-		return platform.Value{}, err
+		return environment.Value{}, err
 	}
 	for {
 		s.mu.Lock()
@@ -231,7 +231,7 @@
 		s.waiters[key] = append(s.waiters[key], woken)
 		s.mu.Unlock()
 		if down {
-			return platform.Value{}, platform.ErrUnavailable
+			return environment.Value{}, environment.ErrUnavailable
 		}
 		if ok && v.Revision > after {
 			return v.Value, nil
@@ -239,7 +239,7 @@
 		select {
 		case <-woken:
 		case <-ctx.Done():
-			return platform.Value{}, ctx.Err()
+			return environment.Value{}, ctx.Err()
 		}
 	}
 }
@@ -281,7 +281,7 @@
 	defer s.mu.Unlock()
 	l, ok := s.leases[id]
 	if !ok || l.until.Before(s.now()) {
-		return platform.ErrNotFound
+		return environment.ErrNotFound
 	}
 	l.until = s.now().Add(l.life)
 	s.leases[id] = l
--- a/internal/standin/storehttp.go
+++ b/internal/standin/storehttp.go
@@ -9,8 +9,8 @@
 	"strings"
 	"time"
 
-	"foxcross.dev/foxcross/internal/platform"
-	"foxcross.dev/foxcross/internal/platform/httpkv"
+	"foxcross.dev/foxcross/internal/environment"
+	"foxcross.dev/foxcross/internal/environment/httpkv"
 
 	"github.com/alexedwards/flow"
 )
@@ -47,7 +47,7 @@
 }
 
 func (s *Store) serveGet(w http.ResponseWriter, r *http.Request) {
-	var v platform.Value
+	var v environment.Value
 	var err error
 	if after := r.URL.Query().Get("after"); after != "" {
 		timer := time.AfterFunc(mostWatch, func() {
@@ -133,9 +133,9 @@
 	switch {
 	case errors.Is(err, errLost):
 		panic(http.ErrAbortHandler)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, environment.ErrNotFound):
 		w.WriteHeader(http.StatusNotFound)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, environment.ErrConflict):
 		w.WriteHeader(http.StatusConflict)
 	default:
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -16,9 +16,9 @@
 	"foxcross.dev/foxcross/internal/claims"
 	"foxcross.dev/foxcross/internal/endpoint"
 	"foxcross.dev/foxcross/internal/entry"
+	"foxcross.dev/foxcross/internal/environment"
 	"foxcross.dev/foxcross/internal/history"
 	"foxcross.dev/foxcross/internal/link"
-	"foxcross.dev/foxcross/internal/platform"
 	"foxcross.dev/foxcross/internal/standin"
 	"foxcross.dev/foxcross/internal/versions"
 
@@ -51,7 +51,7 @@
 	cancel  context.CancelFunc
 	agents  map[string]*Agent
 	entries []*Entry
-	members []platform.Member
+	members []environment.Member
 	changes int
 	starts  int // of agents
 }
@@ -147,7 +147,7 @@
 	t.Recorder.Add(history.Joined{Endpoint: o.Name, At: time.Now()})
 	go func() { _ = a.Serve(ctx, a.listener) }() // ends with the trial
 	t.agents[o.Name] = a
-	t.setMember(platform.Member{Name: o.Name, Role: platform.Agent, Address: o.Name})
+	t.setMember(environment.Member{Name: o.Name, Role: environment.Agent, Address: o.Name})
 	return a
 }
 
@@ -169,7 +169,7 @@
 }
 
 // setMember adds or replaces a member. The lock is held.
-func (t *Trial) setMember(m platform.Member) {
+func (t *Trial) setMember(m environment.Member) {
 	t.dropMember(m.Name)
 	t.members = append(t.members, m)
 	t.Store.SetMembers(t.members)
@@ -177,7 +177,7 @@
 
 // dropMember takes a member off the list. The lock is held.
 func (t *Trial) dropMember(name string) {
-	var kept []platform.Member
+	var kept []environment.Member
 	for _, m := range t.members {
 		if m.Name != name {
 			kept = append(kept, m)
@@ -269,7 +269,7 @@
 	go batcher.Run(ctx)
 	go e.Run(ctx)
 	t.entries = append(t.entries, e)
-	t.setMember(platform.Member{Name: name, Role: platform.Entry, Address: name})
+	t.setMember(environment.Member{Name: name, Role: environment.Entry, Address: name})
 	return e
 }
 
@@ -302,7 +302,7 @@
 	t.Recorder.Add(history.Left{Endpoint: a.Name, At: time.Now()})
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.setMember(platform.Member{Name: a.Name, Role: platform.Agent, Address: a.Name, Leaving: true})
+	t.setMember(environment.Member{Name: a.Name, Role: environment.Agent, Address: a.Name, Leaving: true})
 }
 
 // Mark returns the text by which the executions of a request are known.
