Dump and measure the state of an entry; fuzz what endpoints answer

The dump is at /state of the figures' address and on SIGUSR1: settings, endpoints with what is believed of each, open requests.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -11,6 +11,8 @@
 	"foxcross.dev/foxcross/internal/lifecycle"
 	"foxcross.dev/foxcross/internal/logs"
 	"foxcross.dev/foxcross/internal/record"
+
+	"github.com/uber-go/tally/v4"
 )
 
 // ServeHTTP implements http.Handler.
@@ -105,7 +107,7 @@
 		fields["sends"] = c.records()
 	}
 	log.Event("A request ended.", fields)
-	g.options.Metrics.Tagged(map[string]string{"class": c.class.Name, "result": code.Entry().Name}).Counter("requests").Inc(1)
+	g.measure(c, code)
 }
 
 // records returns the sends of a call for the log.
@@ -116,3 +118,17 @@
 	}
 	return all
 }
+
+// buckets of the times that are measured, in seconds.
+var buckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 12)
+
+// measure counts an ended call.
+func (g *Gateway) measure(c *call, code result.Code) {
+	scope := g.options.Metrics.Tagged(map[string]string{"class": c.class.Name, "result": code.Entry().Name})
+	scope.Counter("requests").Inc(1)
+	scope.Counter("sends").Inc(int64(len(c.sends)))
+	scope.Histogram("total_seconds", buckets).RecordDuration(time.Since(c.received))
+	if !c.first.IsZero() {
+		scope.Histogram("first_seconds", buckets).RecordDuration(c.first.Sub(c.received))
+	}
+}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"encoding/json"
 	"net/http"
 	"os"
 	"os/signal"
@@ -18,6 +19,7 @@
 	crand "crypto/rand"
 
 	"github.com/alexedwards/flow"
+	"github.com/uber-go/tally/v4"
 )
 
 // reloadEvery is how often the settings file is looked at: it may change
@@ -55,6 +57,7 @@
 	go g.Directory().Follow(running, driver.Source(place))
 	go g.Run(running)
 	go reload(running, g, driver)
+	go gauge(running, g, scope)
 	if err := serveChecks(g, driver, place, served); err != nil {
 		return err
 	}
@@ -63,7 +66,8 @@
 		return err
 	}
 	log.With("name", place.Name).With("address", place.Callers).Info("The entry takes requests.")
-	first, _ := stopSignals()
+	first, second := stopSignals()
+	dumpOnSignal(second, func() any { return g.Dump() })
 	<-first.Done()
 	return g.Stop(callers, g.Grace())
 }
@@ -115,6 +119,10 @@
 	}
 	figures := flow.New()
 	figures.Handle("/metrics", served, http.MethodGet)
+	figures.HandleFunc("/state", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(g.Dump()) // the caller may be gone
+	}, http.MethodGet)
 	_, err := listen(place.Metrics, figures)
 	return err
 }
@@ -142,3 +150,28 @@
 		g.SetBounds(place.Bounds)
 	}
 }
+
+// gaugeEvery is how often the state is measured.
+const gaugeEvery = time.Second
+
+// gauge measures the state until ctx is done.
+func gauge(ctx context.Context, g *gateway.Gateway, scope tally.Scope) {
+	ticker := time.NewTicker(gaugeEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		d := g.Dump()
+		scope.Gauge("open_requests").Update(float64(d.Open))
+		scope.Gauge("live_entries").Update(float64(d.Entries))
+		scope.Gauge("settings_version").Update(float64(d.Version))
+		following := 0.0
+		if d.Following {
+			following = 1
+		}
+		scope.Gauge("following_store").Update(following)
+	}
+}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,139 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+var names = Names{RequestID: "X-Id", NotRun: "X-Not-Run"}
+
+// answering serves the bytes on each connection after a request has come.
+func answering(t testing.TB, data []byte) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				if _, err := c.Read(make([]byte, 4096)); err == nil {
+					_, _ = c.Write(data)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func request(address string) *Request {
+	return &Request{Endpoint: "e", Address: address, Method: "GET", Target: "/", Host: "h", ID: "a",
+		Header: http.Header{"X-Id": {"a"}}}
+}
+
+func TestUnreachable(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	var p Pool
+	if _, err := p.Do(context.Background(), names, request(address)); !errors.Is(err, ErrUnreachable) {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	address := answering(t, []byte("HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok"))
+	var p Pool
+	for range 3 {
+		a, err := p.Do(context.Background(), names, request(address))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := io.ReadAll(a.Body); err != nil || string(body) != "ok" {
+			t.Fatalf("read %q: %v", body, err)
+		}
+		a.Finish()
+		c := p.pop("e")
+		for c.quiet() { // the server closes it after its answer
+			time.Sleep(time.Millisecond)
+		}
+		p.put("e", c)
+	}
+}
+
+func TestRest(t *testing.T) {
+	now := time.Now()
+	for field, want := range map[string]time.Duration{
+		"":                     defaultIdle,
+		"timeout=10":           6 * time.Second,
+		"max=5, timeout=5":     3 * time.Second,
+		"timeout=0":            0,
+		"timeout=no, timeout=": defaultIdle,
+	} {
+		c := &conn{}
+		c.rest(now, http.Header{"Keep-Alive": {field}})
+		if got := c.usableTo.Sub(now); got != want {
+			t.Errorf("%q: %v, want %v", field, got, want)
+		}
+	}
+}
+
+func TestSweep(t *testing.T) {
+	var p Pool
+	here, there := net.Pipe()
+	defer func() { _ = there.Close() }()
+	c := newConn(here)
+	c.usableTo = time.Now().Add(time.Second)
+	p.put("e", c)
+	p.sweep(time.Now())
+	if len(p.idle["e"]) != 1 {
+		t.Error("a usable connection was swept")
+	}
+	p.sweep(time.Now().Add(time.Minute))
+	if len(p.idle) != 0 {
+		t.Error("an old connection was kept")
+	}
+}
+
+// FuzzAnswer reads any bytes as an answer: never one of another id, never a
+// whole body that its framing does not tell.
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Id: b\r\nContent-Length: 2\r\n\r\nnoHTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		here, there := net.Pipe()
+		defer func() { _ = here.Close() }()
+		go func() {
+			_, _ = there.Write(data) // the reader may stop early
+			_ = there.Close()
+		}()
+		a, err := newConn(here).receive(names, request(""))
+		if err != nil {
+			return
+		}
+		id := a.Header.Get("X-Id")
+		if id != "a" && a.Header.Get("X-Not-Run") == "" && a.Status != http.StatusMisdirectedRequest {
+			t.Fatalf("took an answer of %q", id)
+		}
+		body, err := io.ReadAll(a.Body)
+		if err == nil && a.Length >= 0 && int64(len(body)) != a.Length {
+			t.Errorf("%d bytes of %d taken for whole", len(body), a.Length)
+		}
+	})
+}
