--- a/coord/placement/placement_test.go
+++ b/coord/placement/placement_test.go
@@ -92,6 +92,15 @@
 		Expect(c.Again).To(BeZero())
 	})
 
+	It("rather lets a prompt wait a little than reads its shared part again", func() {
+		t := fleetOf(2)
+		first := choose(t, origin, plan(100, 1)).Endpoint.ID
+		t.Place(origin, placement.JobID{Owner: other, Number: 1}, first, plan(100, 1))
+		c := choose(t, origin.Add(10*time.Millisecond), plan(100, 3))
+		Expect(c.WaitMS).To(BeNumerically(">", 100))
+		Expect(c.Endpoint.ID).To(Equal(first))
+	})
+
 	It("keeps a long prompt away from running streams whose pauses it would break", func() {
 		t := fleetOf(2)
 		for n := range 4 {
