Keep endpoints whose leases lapsed while the store was away

Cause: (1) leases of endpoints run out in an outage, and at its end the watch brings all of them as gone; the entries dropped them at once and answered "no endpoint" until they were back. (2) One watch may bring "gone" and "put" of the same endpoint; changes were applied before removals, so an endpoint that had come back within the batch was dropped for good. Ruled out: the history (revisions were right), the peers (they had the same list). Of several changes of one key the last one holds.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -36,6 +36,11 @@
 	listed    bool
 	endpoints map[string]placement.Endpoint
 
+	lapsed      map[string]lapse // endpoints that vanished and are still used
+	leaveWithin time.Duration    // an endpoint that has left gets nothing new after so long
+	regained    time.Time        // when the source was last heard again after an outage
+	outage      bool             // the source has been lost since it first answered
+
 	contact    time.Time          // when the last call was made that the source answered
 	following  bool               // the source answered the last call
 	relaxed    bool               // others ask the source often
@@ -117,17 +122,40 @@
 func (d *Directory) TakeEndpoints(list site.Endpoints, source string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.replace(list, source, d.holdFor)
+}
+
+// TakeFromPeer is TakeEndpoints for what another process read, with the
+// endpoints that it still uses though they have vanished.
+func (d *Directory) TakeFromPeer(list site.Endpoints, lapsed map[string]time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.replace(list, "peer", func(_ time.Time, e placement.Endpoint) time.Duration {
+		return min(lapsed[e.ID], lapseEnd)
+	})
+}
+
+// replace takes in a whole list. hold tells how long an endpoint that is not on
+// it stays in use. The directory is locked.
+func (d *Directory) replace(list site.Endpoints, source string, hold func(time.Time, placement.Endpoint) time.Duration) {
 	if d.listed && list.Revision <= d.revision {
 		return
 	}
 	d.revision = list.Revision
 	d.listed = true
-	clear(d.endpoints)
+	listed := make(map[string]bool, len(list.List))
 	for _, e := range list.List {
-		d.endpoints[e.ID] = e
+		listed[e.ID] = true
+		d.set(e)
+	}
+	now := time.Now()
+	for id, e := range d.endpoints {
+		if !listed[id] {
+			d.vanish(e, hold(now, e))
+		}
 	}
 	log.With("revision", d.revision).With("endpoints", len(d.endpoints)).With("from", source).Info("The list of endpoints was read.")
-	d.onEndpoints(d.list())
+	d.onEndpoints(d.usable())
 }
 
 // Apply takes in changes of the list since the revision that was waited from.
@@ -142,14 +170,19 @@
 		return
 	}
 	for _, e := range c.Changed {
-		d.endpoints[e.ID] = e
+		d.set(e)
 		log.With("endpoint", e.ID).With("service", e.Service).With("leaving", e.Leaving).With("revision", c.Revision).Info("An endpoint changed.")
 	}
+	now := time.Now()
 	for _, id := range c.Gone {
-		delete(d.endpoints, id)
+		e, known := d.endpoints[id]
+		if !known {
+			continue
+		}
+		d.vanish(e, d.holdFor(now, e))
 		log.With("endpoint", id).With("revision", c.Revision).Info("An endpoint is gone.")
 	}
-	d.onEndpoints(d.list())
+	d.onEndpoints(d.usable())
 }
 
 // Endpoints returns the list.
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -34,7 +34,7 @@
 			f.pause(ctx, err)
 			continue
 		}
-		f.succeeded()
+		f.wait.Reset()
 	}
 }
 
@@ -61,6 +61,7 @@
 	if err != nil && !errors.Is(err, site.ErrNotFound) {
 		return err
 	}
+	f.directory.answered()
 	none := err != nil
 	if !none {
 		f.directory.TakeSettings(read.Version, read.Tree, "store")
@@ -95,6 +96,7 @@
 	case err != nil:
 		return err
 	}
+	f.directory.answered()
 	if c.Settings != nil {
 		f.directory.TakeSettings(c.Settings.Version, c.Settings.Tree, "watch")
 	}
@@ -111,19 +113,12 @@
 
 // pause waits after a failed call and logs the first of a row.
 func (f *follower) pause(ctx context.Context, err error) {
-	if f.directory.setFollowing(false) {
+	if f.directory.lost() {
 		log.With("reason", err.Error()).Warnf("The source is lost.")
 	}
 	sleep(ctx, f.wait.NextBackOff())
 }
 
-func (f *follower) succeeded() {
-	if f.directory.setFollowing(true) {
-		log.Info("The source answers.")
-	}
-	f.wait.Reset()
-}
-
 // sleep waits for the time, or until ctx is done.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
@@ -134,15 +129,6 @@
 	}
 }
 
-// setFollowing notes whether the source answers; true if that is news.
-func (d *Directory) setFollowing(following bool) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	news := d.following != following
-	d.following = following
-	return news
-}
-
 // Following tells whether the source answered the last call.
 func (d *Directory) Following() bool {
 	d.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,6 +84,7 @@
 		},
 	}
 	g.directory = directory.New(g.takeSettings, g.takeEndpoints)
+	g.directory.SetBounds(g.bounds)
 	return g
 }
 
@@ -99,6 +100,7 @@
 
 // SetBounds takes in changed bounds of the process.
 func (g *Gateway) SetBounds(b site.Bounds) {
+	g.directory.SetBounds(b)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.bounds = b
--- a/internal/peers/state.go
+++ b/internal/peers/state.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"foxcross.dev/coord/settings"
 	"foxcross.dev/foxcross/internal/directory"
@@ -25,13 +26,14 @@
 	Nodes     map[string]settings.Node `cbor:"2,keyasint"`
 	Endpoints site.Endpoints           `cbor:"3,keyasint"`
 	Listed    bool                     `cbor:"4,keyasint"`
+	Lapsed    map[string]time.Duration `cbor:"5,keyasint,omitempty"` // endpoints that vanished and are still used, for how long
 }
 
 // StateHandler serves the directory to other entries.
 func StateHandler(d *directory.Directory) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, _ *http.Request) {
-		s := state{Endpoints: d.Endpoints(), Listed: d.Listed()}
+		s := state{Endpoints: d.Endpoints(), Listed: d.Listed(), Lapsed: d.Lapsed()}
 		if f := d.Settings(); f != nil {
 			s.Version = f.Version
 			s.Nodes = f.Tree.Nodes()
@@ -70,7 +72,7 @@
 		d.TakeSettings(s.Version, settings.NewTree(s.Nodes), "peer")
 	}
 	if s.Listed {
-		d.TakeEndpoints(s.Endpoints, "peer")
+		d.TakeFromPeer(s.Endpoints, s.Lapsed)
 	}
 	return nil
 }
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"foxcross.dev/coord/placement"
@@ -44,6 +45,7 @@
 	RetryRatio  float64       // repeats per request of a service, over all entries
 	RetryWindow time.Duration
 	RetrySlack  int           // repeats beside the ratio in a window
+	LeaveWithin time.Duration // an endpoint that has left the list gets nothing new after so long
 	ReuseWithin time.Duration // a shared part is kept warm for so long after its last use
 }
 
@@ -65,7 +67,25 @@
 	Revision uint64               // to wait from next
 	Settings *Settings            // nil for none
 	Changed  []placement.Endpoint // endpoints as they now are
-	Gone     []string             // ids of endpoints that left the list
+	Gone     []string             // ids of endpoints that left the list; none of those that changed
+}
+
+// Put notes that an endpoint came or changed, after all that was noted before.
+func (c *Change) Put(e placement.Endpoint) {
+	c.forget(e.ID)
+	c.Changed = append(c.Changed, e)
+}
+
+// Remove notes that an endpoint left, after all that was noted before.
+func (c *Change) Remove(id string) {
+	c.forget(id)
+	c.Gone = append(c.Gone, id)
+}
+
+// forget drops what was noted of an endpoint.
+func (c *Change) forget(id string) {
+	c.Changed = slices.DeleteFunc(c.Changed, func(e placement.Endpoint) bool { return e.ID == id })
+	c.Gone = slices.DeleteFunc(c.Gone, func(gone string) bool { return gone == id })
 }
 
 // Source is the platform's store as a process reads it. Each call counts
