Forget other entries' requests whose time is over

Cause: notes between entries are datagrams. A lost "ended" left the request at its endpoint at the other entries until its owner was gone; one that had not begun made the endpoint look ever more overdue. Ruled out: sending notes twice (costs bytes between data centres, is still lost now and then). Change: a placed request carries the time it has left; a second after it other entries forget it. The table is bounded at 65,536 requests, and a full table of shared parts forgets some of them instead of looking through all at each placement. Forgetting many requests of one endpoint corrects its backlog once.

--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -65,6 +65,7 @@
 	Aim      time.Duration `cbor:"3,keyasint,omitempty"` // until the first event or the answer
 	Pause    time.Duration `cbor:"4,keyasint,omitempty"` // between events, 0 for no stream
 	Priority int           `cbor:"5,keyasint,omitempty"` // 0 first
+	Left     time.Duration `cbor:"6,keyasint,omitempty"` // until its time is over, 0 for not known
 }
 
 // Outcome is how a placed request ended.
--- a/coord/placement/placement_test.go
+++ b/coord/placement/placement_test.go
@@ -157,6 +157,37 @@
 		Expect(choose(t, origin, plan(3, 4)).WaitMS).To(BeZero())
 	})
 
+	It("forgets the work of another entry whose end was not heard, when its time is over", func() {
+		t := fleetOf(2)
+		j := plan(1, 2)
+		j.Left = 5 * time.Second
+		t.Place(origin, placement.JobID{Owner: other, Number: 1}, "e-0", j) // never begins, as far as is heard
+		t.Place(origin, placement.JobID{Owner: self, Number: 1}, "e-1", j)
+		t.Expire(origin.Add(5 * time.Second))
+		Expect(t.Open()).To(Equal(2))
+		t.Expire(origin.Add(7 * time.Second))
+		Expect(t.Open()).To(Equal(1), "this entry knows how its own requests end")
+		c, ok := t.Choose(origin.Add(8*time.Second), plan(1, 3), func(id string) bool { return id == "e-1" }, rand.New(rand.NewPCG(1, 2)))
+		Expect(ok).To(BeTrue())
+		Expect(c.WaitMS).To(BeZero())
+		Expect(c.Terms.Trouble).To(BeZero(), "nothing is overdue any more")
+	})
+
+	It("bounds the requests and the shared parts that it remembers", func() {
+		t := fleetOf(1)
+		for n := range 70_000 {
+			t.Place(origin, placement.JobID{Owner: other, Number: uint64(n + 1)}, "e-0", plan(uint64(n+1000), 1))
+		}
+		Expect(t.Open()).To(Equal(1 << 16))
+		t.DropOwner(origin, other)
+		for n := range 70_000 {
+			id := placement.JobID{Owner: self, Number: uint64(n + 1)}
+			t.Place(origin, id, "e-0", plan(uint64(n+100_000), 1))
+			t.End(origin, id, placement.Succeeded)
+		}
+		Expect(t.Shared()).To(Equal(1 << 16))
+	})
+
 	It("learns the speed of a service and the slowness of one endpoint", func() {
 		t := fleetOf(2)
 		now := origin
--- a/coord/placement/table.go
+++ b/coord/placement/table.go
@@ -18,6 +18,7 @@
 	services  map[string]*service
 	where     map[JobID]*state
 	shared    map[uint64]time.Time // when a shared part was last used anywhere
+	swept     time.Time            // when the shared parts were last looked through
 }
 
 // service is what the endpoints of one service have in common.
@@ -30,8 +31,21 @@
 	demand    demand
 }
 
-// mostShared bounds the remembered shared parts.
-const mostShared = 65536
+// Bounds of what is remembered.
+const (
+	mostShared = 65536 // shared parts
+	mostPlaced = 65536 // requests that are placed and have not ended
+)
+
+// sweepRest is the least time between two looks through all shared parts.
+const sweepRest = time.Second
+
+// Times after which a request of another entry is forgotten whose end was not
+// heard, since the note of it may be lost.
+const (
+	overdueSlack = time.Second      // beyond the request's own time
+	unknownLeft  = 60 * time.Second // where its time is not known
+)
 
 // SetServices takes in what the settings say.
 func (t *Table) SetServices(all []Service) {
@@ -119,7 +133,7 @@
 // Place notes that a request was sent to an endpoint, by this entry or another.
 func (t *Table) Place(now time.Time, id JobID, endpoint string, j Job) {
 	s := t.endpoints[endpoint]
-	if s == nil || s.jobs[id] != nil {
+	if s == nil || s.jobs[id] != nil || len(t.where) >= mostPlaced {
 		return
 	}
 	if t.where == nil {
@@ -182,9 +196,20 @@
 	for n := range len(p.Parts) - 1 {
 		t.shared[p.Parts[n].ID] = now
 	}
-	if len(t.shared) <= mostShared {
-		return
+	if len(t.shared) > mostShared && now.Sub(t.swept) >= sweepRest {
+		t.swept = now
+		t.sweepShared(now)
+	}
+	for id := range t.shared { // those that are not kept warm any more were not enough
+		if len(t.shared) <= mostShared {
+			return
+		}
+		delete(t.shared, id)
 	}
+}
+
+// sweepShared forgets the shared parts that nobody keeps warm.
+func (t *Table) sweepShared(now time.Time) {
 	for id, at := range t.shared {
 		if now.Sub(at) > t.ReuseLife {
 			delete(t.shared, id)
@@ -217,8 +242,7 @@
 		s.heard = now
 	}
 	s.learn(p.expected, observed)
-	_, perToken := service.speed.line()
-	s.correctBacklog(now, perToken)
+	t.correct(now, s)
 }
 
 // Hear notes a later event of a local stream.
@@ -247,29 +271,68 @@
 
 // End notes that a request has ended.
 func (t *Table) End(now time.Time, id JobID, o Outcome) {
+	if s := t.remove(now, id, o); s != nil {
+		t.correct(now, s)
+	}
+}
+
+// remove takes an ended request off its endpoint. It returns the endpoint if it
+// is an engine that has not read the request's prompt, else nil.
+func (t *Table) remove(now time.Time, id JobID, o Outcome) *state {
 	s := t.where[id]
 	if s == nil {
-		return
+		return nil
 	}
 	p := s.jobs[id]
 	delete(t.where, id)
 	delete(s.jobs, id)
 	s.tokens -= p.job.Prompt.Tokens + p.job.Prompt.Out()
 	s.note(now, o)
-	if s.Engine && p.waiting() {
-		_, perToken := t.service(s.Service).speed.line()
-		s.correctBacklog(now, perToken)
+	if !s.Engine || !p.waiting() {
+		return nil
 	}
+	return s
+}
+
+// correct bounds the backlog of an engine by the prompts that wait there.
+func (t *Table) correct(now time.Time, s *state) {
+	_, perToken := t.service(s.Service).speed.line()
+	s.correctBacklog(now, perToken)
 }
 
 // DropOwner forgets the requests of an entry that is gone.
 func (t *Table) DropOwner(now time.Time, owner uint64) {
-	for id := range t.where {
-		if id.Owner == owner {
-			t.End(now, id, Abandoned)
+	t.abandon(now, func(id JobID, _ *placed) bool { return id.Owner == owner })
+}
+
+// Expire forgets the requests of other entries whose time is over: the notes of
+// their ends were lost.
+func (t *Table) Expire(now time.Time) {
+	t.abandon(now, func(_ JobID, p *placed) bool {
+		left := p.job.Left
+		if left <= 0 {
+			left = unknownLeft
+		}
+		return !p.local && now.Sub(p.at) > left+overdueSlack
+	})
+}
+
+// abandon forgets the requests that are picked.
+func (t *Table) abandon(now time.Time, picked func(JobID, *placed) bool) {
+	changed := map[*state]bool{}
+	for id, s := range t.where {
+		if picked(id, s.jobs[id]) {
+			changed[t.remove(now, id, Abandoned)] = true
 		}
 	}
+	delete(changed, nil)
+	for s := range changed {
+		t.correct(now, s)
+	}
 }
 
 // Open returns the number of requests that are placed and have not ended.
 func (t *Table) Open() int { return len(t.where) }
+
+// Shared returns the number of shared parts that are remembered.
+func (t *Table) Shared() int { return len(t.shared) }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -36,6 +36,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	c.job.Left = c.left()
 	choice, ok := g.table.Choose(now, c.job, func(id string) bool { return tried[id] }, g.random)
 	if !ok {
 		return nil, c.failure(result.NoEndpoint, "")
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -73,8 +73,31 @@
 	return g.life.State() == lifecycle.Serving
 }
 
-// Run keeps the gateway's connections until ctx is done.
-func (g *Gateway) Run(ctx context.Context) { g.pool.Run(ctx) }
+// expireEvery is how often requests of other entries are looked through for
+// those whose time is over.
+const expireEvery = time.Second
+
+// Run keeps the gateway's connections and its view of other entries' requests
+// until ctx is done.
+func (g *Gateway) Run(ctx context.Context) {
+	go g.expire(ctx)
+	g.pool.Run(ctx)
+}
+
+func (g *Gateway) expire(ctx context.Context) {
+	ticker := time.NewTicker(expireEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			g.mu.Lock()
+			g.table.Expire(now)
+			g.mu.Unlock()
+		}
+	}
+}
 
 // Draining tells whether the process is stopping.
 func (g *Gateway) Draining() bool { return g.life.State() == lifecycle.Draining }
