Give shared parts a home by rank

Change: an engine other than the first by rendezvous rank costs a tenth of reading the shared parts that it is not known to keep.

--- a/coord/placement/cache.go
+++ b/coord/placement/cache.go
@@ -29,6 +29,19 @@
 	return n
 }
 
+// missing returns how many tokens of the prompt's shared parts are not kept.
+func (c *cache) missing(p Prompt) int {
+	n := 0
+	kept := true
+	for _, part := range p.Parts[:max(len(p.Parts)-1, 0)] {
+		kept = kept && c.has(part.ID)
+		if !kept {
+			n += part.Tokens
+		}
+	}
+	return n
+}
+
 // has tells whether a part is kept.
 func (c *cache) has(id uint64) bool {
 	_, ok := c.byID[id]
--- a/coord/placement/choose.go
+++ b/coord/placement/choose.go
@@ -4,6 +4,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"foxcross.dev/coord/rendezvous"
 )
 
 // Weights of the parts of a cost. The unit is the worth of one request in time.
@@ -15,6 +17,7 @@
 	harmWeight    = 1.0  // of a running stream whose pause breaks
 	doomedWeight  = 0.1  // of one whose pause is broken already
 	readAgain     = 4e-4 // of a shared token that is read again
+	homeShare     = 0.1  // of reading again, where a shared part is rather kept elsewhere
 	readNew       = 1e-5 // of any token that is read
 	poolWeight    = 0.5  // of leaving the pool that a prompt belongs to
 	loadWeight    = 0.1  // of a full engine
@@ -69,11 +72,12 @@
 	pool := service.demand.size(len(service.members))
 	equal := 0
 	taken := service.taken()
+	home := t.home(service, j, pool)
 	for n, s := range service.members {
 		if s.Leaving || exclude(s.ID) || service.Most > 0 && len(s.jobs) >= service.Most {
 			continue
 		}
-		c := t.estimate(now, service, s, j, n < pool)
+		c := t.estimate(now, service, s, j, n < pool, home == nil || s == home)
 		c.Pool = pool
 		c.Taken = taken
 		if c.Cost == best.Cost {
@@ -92,6 +96,31 @@
 	return best, found
 }
 
+// home returns the endpoint at which the prompt's shared parts are kept, or
+// will be, as far as all entries can tell without having heard of them: the
+// first by rank among those for prompts of its size. It is nil where nothing is
+// shared.
+func (t *Table) home(service *service, j Job, pool int) *state {
+	shared := len(j.Prompt.Parts) - 1
+	if shared < 1 {
+		return nil
+	}
+	_, perToken := service.speed.line()
+	long := t.heavy(service, float64(j.Prompt.Tokens)*perToken)
+	key := j.Prompt.Parts[shared-1].ID
+	var home *state
+	lowest := uint64(math.MaxUint64)
+	for n, s := range service.members {
+		if s.Leaving || pool > 0 && (n < pool) != long {
+			continue
+		}
+		if rank := rendezvous.Rank(key, s.rank); rank < lowest {
+			home, lowest = s, rank
+		}
+	}
+	return home
+}
+
 // taken returns the share of the slots that are taken, 0 where none are known.
 func (s *service) taken() float64 {
 	jobs, slots := 0, 0
@@ -109,14 +138,14 @@
 }
 
 // estimate returns what the request would cost at the endpoint.
-func (t *Table) estimate(now time.Time, service *service, s *state, j Job, pool bool) Choice {
+func (t *Table) estimate(now time.Time, service *service, s *state, j Job, pool, home bool) Choice {
 	c := Choice{
 		Endpoint: s.Endpoint,
 		Factor:   s.factor,
 		Terms:    Terms{Distance: t.distance(s), Trouble: s.trouble(now)},
 	}
 	if s.Engine {
-		t.estimateEngine(now, service, s, j, pool, &c)
+		t.estimateEngine(now, service, s, j, pool, home, &c)
 	} else {
 		c.Terms.Crowding = plainCost(now, s, j)
 	}
@@ -134,7 +163,7 @@
 }
 
 // estimateEngine fills in what concerns engines only.
-func (t *Table) estimateEngine(now time.Time, service *service, s *state, j Job, pool bool, c *Choice) {
+func (t *Table) estimateEngine(now time.Time, service *service, s *state, j Job, pool, home bool, c *Choice) {
 	base, perToken := service.speed.line()
 	c.Uncached = j.Prompt.Tokens - min(s.cache.reusable(j.Prompt), j.Prompt.Tokens)
 	c.Again = t.rereading(now, s, j)
@@ -147,6 +176,9 @@
 	c.Terms.Trouble += suspectWeight * s.overdue(now) / aim
 	c.Terms.Harm = s.harm(now, service, j, read)
 	c.Terms.Again = readAgain*float64(c.Again) + readNew*float64(c.Uncached)
+	if !home {
+		c.Terms.Again += homeShare * readAgain * float64(s.cache.missing(j.Prompt))
+	}
 	c.Terms.Crowding = s.crowding(service, j)
 	if pool != c.Long {
 		c.Terms.Pool = poolWeight
--- a/coord/placement/placement_test.go
+++ b/coord/placement/placement_test.go
@@ -92,6 +92,17 @@
 		Expect(c.Again).To(BeZero())
 	})
 
+	It("brings a shared part to the same endpoint after all knowledge was lost", func() {
+		homes := map[string]bool{}
+		for subject := uint64(100); subject < 140; subject++ {
+			before := choose(fleetOf(8), origin, plan(subject, 1)).Endpoint.ID
+			after := choose(fleetOf(8), origin, plan(subject, 2)).Endpoint.ID
+			Expect(after).To(Equal(before))
+			homes[before] = true
+		}
+		Expect(len(homes)).To(BeNumerically(">", 4), "subjects are spread")
+	})
+
 	It("rather lets a prompt wait a little than reads its shared part again", func() {
 		t := fleetOf(2)
 		first := choose(t, origin, plan(100, 1)).Endpoint.ID
