Let two entries ask the store and tell the others

Ruled out: longer rests after changes (the watch that is pending wakes anyway). Change: roles by rank: sentinels ask, substitutes take the place of those that fail, the rest is told: a heartbeat goes out at once on news, and the state fetched leaves out settings that the asker has. internal/peers is split by what its parts do. Notes carry their age. The test "a sentinel asks often" is replaced: a relaxed entry used to wait for 10 s, now it makes no call; the new tests hold it to that, to asking at once when its role changes, and to asking from the revision that others told.

--- a/coord/placement/endpoint.go
+++ b/coord/placement/endpoint.go
@@ -87,8 +87,12 @@
 	}
 }
 
-// advance brings the backlog up to the time.
+// advance brings the backlog up to the time. What other entries tell may lie a
+// little in the past, where there is nothing to do.
 func (s *state) advance(now time.Time) {
+	if now.Before(s.pendingAt) {
+		return
+	}
 	s.pending.pass(milliseconds(now.Sub(s.pendingAt)) / s.factor)
 	s.pendingAt = now
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -4,7 +4,6 @@
 package directory
 
 import (
-	"context"
 	"slices"
 	"sync"
 	"time"
@@ -41,10 +40,10 @@
 	regained    time.Time        // when the source was last heard again after an outage
 	outage      bool             // the source has been lost since it first answered
 
-	contact    time.Time          // when the last call was made that the source answered
-	following  bool               // the source answered the last call
-	relaxed    bool               // others ask the source often
-	cancelWait context.CancelFunc // of a long wait, else nil
+	contact     time.Time // when the last call was made that the source answered
+	following   bool      // the source answered the last call
+	role        Role
+	roleChanged chan struct{}
 }
 
 // New returns an empty directory. The functions are called, one at a time and
@@ -54,6 +53,7 @@
 		onSettings:  onSettings,
 		onEndpoints: onEndpoints,
 		endpoints:   map[string]placement.Endpoint{},
+		roleChanged: make(chan struct{}, 1),
 	}
 }
 
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -12,12 +12,11 @@
 
 // Times of following the source.
 const (
-	shortWait   = 1500 * time.Millisecond // of a sentinel's watch: a lost one is noticed soon after
-	longWait    = 10 * time.Second        // of the others': a sentinel tells them what they miss
-	shortRest   = 100 * time.Millisecond  // of a sentinel after changes, so that more of them come at once
-	longRest    = 700 * time.Millisecond  // of the others
+	watchWait   = 700 * time.Millisecond // of a watch: a lost one is noticed soon after
+	watchRest   = 100 * time.Millisecond // after changes, so that more of them come at once
 	firstRetry  = 60 * time.Millisecond
 	longRetry   = 500 * time.Millisecond
+	slowRetry   = 2 * time.Second // of a substitute
 	retryFactor = 1.6
 )
 
@@ -30,6 +29,9 @@
 	f.wait.RandomizationFactor = backoff.DefaultRandomizationFactor
 	f.wait.Reset()
 	for ctx.Err() == nil {
+		if f.directory.rests(ctx) {
+			continue
+		}
 		if err := f.step(ctx); err != nil {
 			f.pause(ctx, err)
 			continue
@@ -82,17 +84,14 @@
 
 // readChanges waits for changes and takes them in.
 func (f *follower) readChanges(ctx context.Context) error {
-	most, waiting, cancel := f.directory.waiting(ctx)
-	defer cancel()
 	asked := time.Now()
-	c, err := f.source.Wait(waiting, f.revision, most)
+	after := f.directory.reached(f.revision)
+	c, err := f.source.Wait(ctx, after, watchWait)
 	switch {
 	case errors.Is(err, site.ErrHistoryGone):
 		log.With("revision", f.revision).Info("The history of the source is gone.")
 		f.revision = 0
 		return nil
-	case err != nil && waiting.Err() != nil && ctx.Err() == nil:
-		return nil // to wait for a shorter time
 	case err != nil:
 		return err
 	}
@@ -106,7 +105,7 @@
 	f.directory.contacted(asked)
 	f.revision = c.Revision
 	if c.Settings != nil || len(c.Changed) > 0 || len(c.Gone) > 0 {
-		sleep(ctx, f.directory.rest())
+		sleep(ctx, watchRest)
 	}
 	return nil
 }
@@ -116,7 +115,14 @@
 	if f.directory.lost() {
 		log.With("reason", err.Error()).Warnf("The source is lost.")
 	}
-	sleep(ctx, f.wait.NextBackOff())
+	f.wait.MaxInterval = f.directory.mostPause()
+	timer := time.NewTimer(f.wait.NextBackOff())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-f.directory.roleChanged:
+	case <-timer.C:
+	}
 }
 
 // sleep waits for the time, or until ctx is done.
@@ -136,41 +142,6 @@
 	return d.following
 }
 
-// rest returns how long to wait after changes before the next watch.
-func (d *Directory) rest() time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.relaxed {
-		return longRest
-	}
-	return shortRest
-}
-
-// waiting returns how long the next watch may take, and a context that ends
-// when this process becomes a sentinel meanwhile.
-func (d *Directory) waiting(ctx context.Context) (time.Duration, context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if !d.relaxed {
-		return shortWait, ctx, cancel
-	}
-	d.cancelWait = cancel
-	return longWait, ctx, cancel
-}
-
-// SetSentinel tells whether this process is one of the few that ask the source
-// often. One that is not still waits for changes, but longer.
-func (d *Directory) SetSentinel(sentinel bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.relaxed = !sentinel
-	if sentinel && d.cancelWait != nil {
-		d.cancelWait()
-		d.cancelWait = nil
-	}
-}
-
 // contacted notes that the source answered a call made at the time.
 func (d *Directory) contacted(at time.Time) {
 	d.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -165,15 +165,16 @@
 	defer g.mu.Unlock()
 	for _, n := range notes {
 		id := placement.JobID{Owner: owner, Number: n.Number}
+		at := now.Add(-time.Duration(n.AgeMS) * time.Millisecond)
 		switch n.Kind {
 		case peers.Placed:
 			if n.Job != nil {
-				g.table.Place(now, id, n.Endpoint, *n.Job)
+				g.table.Place(at, id, n.Endpoint, *n.Job)
 			}
 		case peers.Begun:
-			g.table.Begin(now, id)
+			g.table.Begin(at, id)
 		case peers.Ended:
-			g.table.End(now, id, n.Outcome)
+			g.table.End(at, id, n.Outcome)
 		}
 	}
 }
--- /dev/null
+++ b/internal/peers/members.go
@@ -0,0 +1,123 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"foxcross.dev/coord/rendezvous"
+	"foxcross.dev/foxcross/internal/directory"
+)
+
+// Entries that ask the source.
+const (
+	sentinels  = 2
+	contactFor = 1300 * time.Millisecond // one that the source hasn't answered for so long is replaced
+)
+
+// peer is another entry.
+type peer struct {
+	owner   uint64
+	name    string // empty before its first heartbeat
+	to      *net.UDPAddr
+	heard   time.Time
+	ahead   time.Time // since when it knows something newer, zero for not
+	asking  time.Time // since when it asks the source, zero for not
+	contact time.Time // when it made the last call that the source answered, zero for never
+	lost    bool      // the source did not answer its last call
+	rank    uint64    // among those that may ask the source
+}
+
+func (p *peer) alive(now time.Time) bool { return now.Sub(p.heard) < aliveFor }
+
+// fails tells whether the entry asks the source and is not answered.
+func (p *peer) fails(now time.Time) bool {
+	if p.lost {
+		return true
+	}
+	return !p.asking.IsZero() && now.Sub(p.asking) > contactFor && now.Sub(p.contact) > contactFor
+}
+
+// rankOf orders the entries that may be sentinels, alike at all of them.
+func rankOf(name string) uint64 {
+	return rendezvous.Rank(rendezvous.Hash("sentinel"), rendezvous.Hash(name))
+}
+
+// role tells what this entry is to do. The first live entries by rank ask the
+// source. One after them asks it while too few of those before it are answered
+// or have yet to try.
+func (g *Group) role(now time.Time) directory.Role {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	own := rankOf(g.name)
+	before, failing := 0, 0
+	for _, p := range g.peers {
+		if !p.alive(now) || p.name == "" || p.rank >= own {
+			continue
+		}
+		before++
+		if p.fails(now) {
+			failing++
+		}
+	}
+	switch {
+	case before < sentinels:
+		return directory.Sentinel
+	case before-failing < sentinels:
+		return directory.Substitute
+	default:
+		return directory.Relaxed
+	}
+}
+
+// expire forgets what lost entries had placed, and after long them as well.
+func (g *Group) expire(now time.Time) {
+	var lost []uint64
+	g.mu.Lock()
+	for a, p := range g.peers {
+		if !p.alive(now) && p.owner != 0 {
+			log.With("peer", p.name).Info("Another entry is not heard any more.")
+			lost = append(lost, p.owner)
+			p.owner = 0
+		}
+		if now.Sub(p.heard) > forgetAfter {
+			delete(g.peers, a)
+		}
+	}
+	g.mu.Unlock()
+	for _, owner := range lost {
+		g.listener.Lost(owner)
+	}
+}
+
+// catchUp asks an entry that has been ahead for a while.
+func (g *Group) catchUp(ctx context.Context, now time.Time) {
+	patience := fetchSoon
+	if g.book.Asking() && g.book.Following() {
+		patience = fetchLate
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.fetching {
+		return
+	}
+	for a, p := range g.peers {
+		if p.ahead.IsZero() || now.Sub(p.ahead) < patience || !p.alive(now) {
+			continue
+		}
+		p.ahead = time.Time{}
+		g.fetching = true
+		go g.fetchFrom(ctx, a)
+		return
+	}
+}
+
+// fetchFrom reads the state of a peer.
+func (g *Group) fetchFrom(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	g.fetch(ctx, address)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fetching = false
+}
--- a/internal/peers/state.go
+++ b/internal/peers/state.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
+	"strconv"
 	"time"
 
 	"foxcross.dev/coord/settings"
@@ -29,12 +31,17 @@
 	Lapsed    map[string]time.Duration `cbor:"5,keyasint,omitempty"` // endpoints that vanished and are still used, for how long
 }
 
-// StateHandler serves the directory to other entries.
+// versionField of a query is the version of the settings that the asker has.
+const versionField = "version"
+
+// StateHandler serves the directory to other entries: the endpoints, and the
+// settings where they are newer than those of the asker.
 func StateHandler(d *directory.Directory) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, r *http.Request) {
+		known, _ := strconv.ParseUint(r.URL.Query().Get(versionField), 10, 64) // 0 for none
 		s := state{Endpoints: d.Endpoints(), Listed: d.Listed(), Lapsed: d.Lapsed()}
-		if f := d.Settings(); f != nil {
+		if f := d.Settings(); f != nil && f.Version > known {
 			s.Version = f.Version
 			s.Nodes = f.Tree.Nodes()
 		}
@@ -51,7 +58,10 @@
 // FetchState reads the settings and endpoints of another entry into the
 // directory.
 func FetchState(ctx context.Context, d *directory.Directory, address string) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+statePath, http.NoBody)
+	version, _ := d.Versions()
+	query := url.Values{versionField: {strconv.FormatUint(version, 10)}}
+	from := url.URL{Scheme: "http", Host: address, Path: statePath, RawQuery: query.Encode()}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, from.String(), http.NoBody)
 	if err != nil {
 		return fmt.Errorf("peers: %w", err)
 	}
