Read the list of endpoints before the settings

Change: the list is read first, so the settings held are never older than the revision that is told. Before and after: TestChangeBetweenReads failed with version 1 in force, passes.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -24,6 +24,7 @@
 	gone     bool // the history
 	waits    int
 	asked    uint64 // the revision of the last wait
+	read     func() // called once after the first read
 }
 
 var errDown = errors.New("down")
@@ -31,6 +32,7 @@
 func (s *source) ReadSettings(context.Context) (site.Settings, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.afterRead()
 	if s.down {
 		return site.Settings{}, errDown
 	}
@@ -43,6 +45,7 @@
 func (s *source) ReadEndpoints(context.Context) (site.Endpoints, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.afterRead()
 	if s.down {
 		return site.Endpoints{}, errDown
 	}
@@ -83,6 +86,14 @@
 	return s.waits
 }
 
+// afterRead lets something happen between the reads. The source is locked.
+func (s *source) afterRead() {
+	if s.read != nil {
+		s.read()
+		s.read = nil
+	}
+}
+
 func (s *source) after() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -164,6 +175,15 @@
 	})
 }
 
+func TestChangeBetweenReads(t *testing.T) {
+	s := &source{version: 1, revision: 3}
+	s.read = func() { s.version, s.revision = 2, 4 }
+	follow(t, s, func(d *directory.Directory) {
+		time.Sleep(5 * time.Second)
+		expect(t, d, 2, 4)
+	})
+}
+
 func TestRelaxedDoesNotAsk(t *testing.T) {
 	s := &source{version: 1, revision: 3}
 	follow(t, s, func(d *directory.Directory) {
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -56,29 +56,27 @@
 	return f.readChanges(ctx)
 }
 
-// readAll reads the settings and the list of endpoints.
+// readAll reads the list of endpoints, then the settings: those that are held
+// are never older than the revision of the list, from which changes are asked
+// for and which other processes are told.
 func (f *follower) readAll(ctx context.Context) error {
 	asked := time.Now()
+	list, err := f.source.ReadEndpoints(ctx)
+	if err != nil {
+		return err
+	}
 	read, err := f.source.ReadSettings(ctx)
 	if err != nil && !errors.Is(err, site.ErrNotFound) {
 		return err
 	}
 	f.directory.answered()
-	none := err != nil
-	if !none {
+	if err == nil {
 		f.directory.TakeSettings(read.Version, read.Tree, "store")
 		f.directory.Confirm(read.Version, asked)
 	}
-	list, err := f.source.ReadEndpoints(ctx)
-	if err != nil {
-		return err
-	}
 	f.directory.TakeEndpoints(list, "store")
 	f.directory.contacted(asked)
 	f.revision = list.Revision
-	if !none {
-		f.revision = min(read.Revision, list.Revision)
-	}
 	return nil
 }
 
--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -55,6 +55,8 @@
 	fetch    func(ctx context.Context, address string)
 	socket   *net.UDPConn
 
+	substitute time.Time // when it was last to be a substitute; of Run alone
+
 	mu       sync.Mutex
 	peers    map[string]*peer // by address
 	notes    []Note
@@ -160,5 +162,5 @@
 	g.expire(now)
 	g.sendHeartbeat(now)
 	g.catchUp(ctx, now)
-	g.book.SetRole(g.role(now))
+	g.book.SetRole(g.steady(now, g.role(now)))
 }
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -13,6 +13,8 @@
 const (
 	sentinels  = 2
 	contactFor = 1300 * time.Millisecond // one that the source hasn't answered for so long is replaced
+
+	substituteFor = 3 * time.Second // after it was last needed
 )
 
 // peer is another entry.
@@ -70,6 +72,18 @@
 	}
 }
 
+// steady returns the role to take: a substitute stays one for a while, since
+// those before it may fail by turns.
+func (g *Group) steady(now time.Time, r directory.Role) directory.Role {
+	switch {
+	case r == directory.Substitute:
+		g.substitute = now
+	case r == directory.Relaxed && now.Sub(g.substitute) < substituteFor:
+		return directory.Substitute
+	}
+	return r
+}
+
 // expire forgets what lost entries had placed, and after long them as well.
 func (g *Group) expire(now time.Time) {
 	var lost []uint64
--- a/internal/peers/members_test.go
+++ b/internal/peers/members_test.go
@@ -60,3 +60,13 @@
 	before[1].heard = now.Add(-time.Minute)
 	expectRole(t, "all but one are gone", g.role(later), directory.Sentinel)
 }
+
+func TestSubstituteStaysForAWhile(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	g := &Group{}
+	expectRole(t, "never needed", g.steady(now, directory.Relaxed), directory.Relaxed)
+	expectRole(t, "needed", g.steady(now, directory.Substitute), directory.Substitute)
+	expectRole(t, "just after", g.steady(now.Add(time.Second), directory.Relaxed), directory.Substitute)
+	expectRole(t, "among the first", g.steady(now.Add(time.Second), directory.Sentinel), directory.Sentinel)
+	expectRole(t, "long after", g.steady(now.Add(substituteFor), directory.Relaxed), directory.Relaxed)
+}
