Script both endpoints of a request that goes on elsewhere

Three tests of the gateway met their case only by the fixed seed of the choice among equals. The stand-in's runners can share a script now, so the case comes whichever endpoint is asked first; the tests expect more than before (one order and its reverse, the id that the second endpoint was asked from, whose head the caller got). The test that let both endpoints break off is now two tests. The unused Pool.Drop and Answer.Reused are gone.

--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -90,17 +90,28 @@
 	})
 
 	It("promises nothing after a first send that may have run", func() {
-		w := start(fleet.Break{}, fleet.Break{})
-		w.runners[0].Next(fleet.Break{})
-		w.runners[1].Next(fleet.Refuse{Status: 503})
-		for range 4 {
+		w := start(ok, ok)
+		for _, acts := range [][]fleet.Act{
+			{fleet.Break{}, fleet.Refuse{Status: 503}},
+			{fleet.Refuse{Status: 503}, fleet.Break{}},
+			{fleet.Break{}, fleet.Break{}},
+		} {
+			fleet.InTurn(w.runners, acts...)
 			a := w.get("/page/1")
-			if w.runs() > 0 {
-				Expect(a.status).To(Equal(502))
-			}
+			a.whole(502)
+			Expect(a.header.Get("Retry-After")).To(BeEmpty())
 		}
 	})
 
+	It("promises that a request has not run that all endpoints turned away", func() {
+		w := start(ok, ok)
+		fleet.InTurn(w.runners, fleet.Refuse{Status: 503}, fleet.Refuse{Status: 503})
+		a := w.get("/page/1")
+		a.whole(503)
+		Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(w.runs()).To(BeZero())
+	})
+
 	It("passes an endpoint's own failure on unchanged", func() {
 		w := start(fleet.Answer{Status: 500, Body: "its words"})
 		a := w.do(w.request(http.MethodPost, "/book/1", "x"))
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -172,6 +172,19 @@
 	return n
 }
 
+// inOrder returns the two runners of a request that went on at the second.
+func (w *world) inOrder() (first, second *fleet.Runner) {
+	GinkgoHelper()
+	Expect(w.runners).To(HaveLen(2))
+	first, second = w.runners[0], w.runners[1]
+	Expect(first.Runs()).To(HaveLen(1))
+	Expect(second.Runs()).To(HaveLen(1))
+	if first.Runs()[0].Header.Get(fleet.LastEventField) != "" {
+		first, second = second, first
+	}
+	return first, second
+}
+
 // whole expects an answer with the status that came whole.
 func (r reply) whole(status int) {
 	GinkgoHelper()
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -54,26 +54,31 @@
 
 	It("go on at another endpoint after the last whole event, where that is allowed", func() {
 		w := start(fleet.Events{To: 30}, fleet.Events{To: 30})
-		for _, r := range w.runners {
-			r.Next(fleet.Events{To: 7, Broken: true})
-		}
+		fleet.InTurn(w.runners, fleet.Events{To: 7, Broken: true}, fleet.Events{To: 30})
 		a := w.do(w.request(http.MethodPost, "/chat/1", "x"))
-		// Both break off once; the route allows two endpoints.
-		Expect(eventIDs(a.body)).To(Equal(numbers(len(eventIDs(a.body)))))
-		a = w.do(w.request(http.MethodPost, "/chat/2", "x"))
 		a.whole(200)
 		Expect(eventIDs(a.body)).To(Equal(numbers(30)))
+		first, second := w.inOrder()
+		Expect(first.Runs()[0].Header.Get(fleet.LastEventField)).To(BeEmpty())
+		Expect(second.Runs()[0].Header.Get(fleet.LastEventField)).To(Equal("7"))
+	})
+
+	It("break off where all endpoints that the route allows broke off", func() {
+		w := start(fleet.Events{To: 30}, fleet.Events{To: 30}, fleet.Events{To: 30})
+		fleet.InTurn(w.runners, fleet.Events{To: 7, Broken: true}, fleet.Events{To: 12, Broken: true})
+		a := w.do(w.request(http.MethodPost, "/chat/1", "x"))
+		a.cut()
+		Expect(eventIDs(a.body)).To(Equal(numbers(12)))
+		Expect(w.runs()).To(Equal(2))
 	})
 
 	It("keep the head of the first endpoint when they go on", func() {
 		w := start(fleet.Events{To: 30}, fleet.Events{To: 30})
-		w.runners[0].Next(fleet.Events{To: 7, Broken: true})
-		w.runners[1].Next(fleet.Events{To: 30})
-		for n := range 2 {
-			a := w.do(w.request(http.MethodPost, fmt.Sprintf("/chat/%d", n), "x"))
-			a.whole(200)
-			Expect(eventIDs(a.body)).To(Equal(numbers(30)))
-		}
+		fleet.InTurn(w.runners, fleet.Events{To: 7, Broken: true}, fleet.Events{To: 30})
+		a := w.do(w.request(http.MethodPost, "/chat/1", "x"))
+		a.whole(200)
+		first, _ := w.inOrder()
+		Expect(a.header.Get(fleet.InstanceField)).To(Equal(first.ID))
 	})
 
 	It("break off visibly where they may not go on", func() {
--- a/internal/standin/fleet/runner.go
+++ b/internal/standin/fleet/runner.go
@@ -99,7 +99,8 @@
 	listener net.Listener
 
 	mu     sync.Mutex
-	script []Act // for the next requests, then Default
+	script []Act   // for the next requests, then rest
+	shared *Script // before all others, nil for none
 	rest   Act
 	runs   []Run
 	conns  map[net.Conn]bool
@@ -198,7 +199,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	a := r.rest
-	if len(r.script) > 0 {
+	if shared, ok := r.shared.next(); ok {
+		a = shared
+	} else if len(r.script) > 0 {
 		a = r.script[0]
 		r.script = r.script[1:]
 	}
@@ -300,7 +303,7 @@
 	if last, err := strconv.Atoi(q.Header.Get(LastEventField)); err == nil {
 		from = last + 1
 	}
-	write(c, "%s", head(http.StatusOK, id, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"))
+	write(c, "%s", head(http.StatusOK, id, InstanceField+": "+r.ID+"\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"))
 	for n := from; n <= a.To; n++ {
 		chunk(c, fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, r.ID, n))
 		if n == from && a.Hold != nil {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -17,7 +17,6 @@
 type conn struct {
 	net.Conn
 	reader   *bufio.Reader
-	used     bool
 	surplus  bool // answers of other requests have come over it
 	usableTo time.Time
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -52,7 +52,6 @@
 	Header http.Header
 	Length int64 // of the body, -1 for not known
 	Body   io.Reader
-	Reused bool // the connection had served before
 
 	response *http.Response
 	conn     *conn
@@ -72,8 +71,6 @@
 			return nil, err
 		}
 	}
-	reused := c.used
-	c.used = true
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	w := c.send(r)
 	a, err := c.receive(names, r)
@@ -82,7 +79,6 @@
 		c.close()
 		return nil, err
 	}
-	a.Reused = reused
 	a.pool = p
 	a.stop = stop
 	a.written = w
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -122,13 +122,3 @@
 		}
 	}
 }
-
-// Drop closes the idle connections to an endpoint.
-func (p *Pool) Drop(id string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.idle[id] {
-		c.close()
-	}
-	delete(p.idle, id)
-}
