Bound the open requests and bodies of an entry

Cause: only each body was bounded; any number of requests could be open, each with two descriptors, until the process ran out of them or of memory. Change: an entry holds at most what its descriptors and a quarter of its memory bear; what is beyond is answered "not run" with a time to come back. Before and after: two tests that failed before (internal/gateway room_test.go).

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -25,6 +25,7 @@
 	service  string
 	job      placement.Job
 	body     []byte
+	held     int64 // bytes of room that the body takes
 	request  *http.Request
 
 	sends    []send // in order
@@ -62,11 +63,15 @@
 	if failure := g.classify(c, f.Snapshot); failure != nil {
 		return c, failure
 	}
+	if failure := g.hold(c, min(r.ContentLength, int64(limits.BodyBytes))); failure != nil {
+		return c, failure
+	}
 	body, failure := readBody(w, r, limits.BodyBytes)
 	if failure != nil {
 		return c, failure
 	}
 	c.body = body
+	g.holdRead(c)
 	c.deadline = c.received.Add(c.class.GiveUp)
 	if ms, err := strconv.ParseFloat(r.Header.Get(g.fields.Deadline), 64); err == nil && ms >= 0 {
 		own := c.received.Add(time.Duration(ms * float64(time.Millisecond)))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,7 @@
 	random  *rand.Rand
 	number  uint64
 	open    int
+	room    room
 	onIdle  chan struct{}
 }
 
@@ -77,6 +78,7 @@
 		budgets: map[string]*budget.Budget{},
 		random:  rand.New(rand.NewPCG(o.Seed, o.Owner)),
 		onIdle:  make(chan struct{}, 1),
+		room:    roomOf(o.Process.Limits),
 		table: placement.Table{
 			DataCentre: o.Process.DataCentre,
 			Self:       o.Owner,
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -23,6 +23,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	c, failed := g.accept(w, r)
+	defer g.release(c)
 	begun := false
 	if failed == nil {
 		ctx, cancel := c.bounded()
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -81,7 +81,10 @@
 }
 
 // start brings up a world with runners that behave as given.
-func start(rest ...fleet.Act) *world {
+func start(rest ...fleet.Act) *world { return startWithin(site.Limits{}, rest...) }
+
+// startWithin is start for a process with limits.
+func startWithin(limits site.Limits, rest ...fleet.Act) *world {
 	w := &world{store: fleet.NewStore()}
 	for n, act := range rest {
 		r := fleet.NewRunner(fmt.Sprintf("i-%d", n+1), service, act)
@@ -93,7 +96,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	driver := factory()
 	process := site.Process{
-		Name: "entry-1", DataCentre: "zone-1", Source: w.store.Address(),
+		Name: "entry-1", DataCentre: "zone-1", Source: w.store.Address(), Limits: limits,
 		Bounds: site.Bounds{
 			StopGrace: 4 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50,
 			ReuseWithin: 10 * time.Second,
--- /dev/null
+++ b/internal/gateway/room_test.go
@@ -0,0 +1,41 @@
+package gateway_test
+
+import (
+	"net/http"
+	"strings"
+
+	"foxcross.dev/foxcross/internal/site"
+	"foxcross.dev/foxcross/internal/standin/fleet"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("the room of a process", func() {
+	It("bounds open requests: what is beyond is not run and may come back", func() {
+		hold := make(chan struct{})
+		w := startWithin(site.Limits{Descriptors: 302}, fleet.Events{To: 2, Hold: hold})
+		first := make(chan reply, 1)
+		q := w.request(http.MethodPost, "/chat/1", "x")
+		go func() { first <- w.do(q) }()
+		Eventually(w.runs).Should(Equal(1))
+		a := w.do(w.request(http.MethodPost, "/chat/2", "x"))
+		a.whole(503)
+		Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(w.runs()).To(Equal(1))
+		close(hold)
+		Eventually(first).Should(Receive(&a))
+		a.whole(200)
+		Eventually(func() int { return w.do(w.request(http.MethodPost, "/chat/3", "x")).status }).Should(Equal(200))
+	})
+
+	It("bounds the sum of bodies", func() {
+		w := startWithin(site.Limits{MemoryBytes: 4000}, ok)
+		a := w.do(w.request(http.MethodPost, "/book/1", strings.Repeat("x", 1001)))
+		a.whole(503)
+		Expect(w.runs()).To(BeZero())
+		for range 3 { // what is held is given back
+			w.do(w.request(http.MethodPost, "/book/1", strings.Repeat("x", 900))).whole(200)
+		}
+	})
+})
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -36,9 +36,16 @@
 	Metrics    string   // address of the process's own figures
 	Seeds      []string // addresses at which some other entries may be met
 	Source     string   // address of the platform's store
+	Limits     Limits
 	Bounds     Bounds
 }
 
+// Limits are what the process may use, 0 for not known.
+type Limits struct {
+	Descriptors int
+	MemoryBytes int64
+}
+
 // Bounds are the times and shares that the operator holds the system to.
 type Bounds struct {
 	StopGrace   time.Duration // from the signal to stop to the end by force
