Soak entries under random faults

internal/soak starts real entries as processes against the stand-ins of the platform; signals (kill, stop, freeze, reload, one or all), faults of the store, changes of settings and endpoints, and answers that go wrong come in series and overlap. What callers and endpoints saw is held to eight promises; a test plants one breach of each but the last. examples/soak plays many seeds, a test one.

--- /dev/null
+++ b/examples/soak/main.go
@@ -0,0 +1,115 @@
+// Command soak runs entries as processes of their own under random faults and
+// checks the promises:
+//
+//	go build -o bin/ ./cmd/foxcross-entry
+//	go run ./examples/soak --entry bin/foxcross-entry --seed 1 --seeds 20
+//
+// It ends with status 1 if a promise was broken.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"foxcross.dev/foxcross/internal/soak"
+
+	flags "github.com/jessevdk/go-flags"
+)
+
+type options struct {
+	Entry     string        `long:"entry" required:"true" description:"the program of an entry"`
+	Seed      uint64        `long:"seed" default:"1" description:"first seed"`
+	Seeds     uint64        `long:"seeds" default:"1" description:"runs, each with the next seed"`
+	Duration  time.Duration `long:"duration" default:"10s" description:"how long faults strike in each run"`
+	Entries   int           `long:"entries" default:"3" description:"entries, at most 16"`
+	Endpoints int           `long:"endpoints" default:"4" description:"endpoints"`
+	Callers   int           `long:"callers" default:"8" description:"callers at once"`
+	Folder    string        `long:"folder" description:"where logs are kept (default: a temporary folder)"`
+}
+
+// mostEntries bounds the processes.
+const mostEntries = 16
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var f *flags.Error
+		if errors.As(err, &f) && f.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(2)
+	}
+	broken, err := run(o)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	if broken {
+		os.Exit(1)
+	}
+}
+
+// run plays all seeds and tells whether a promise was broken.
+func run(o options) (broken bool, err error) {
+	if o.Entries < 1 || o.Entries > mostEntries {
+		return false, fmt.Errorf("soak: --entries is from 1 to %d", mostEntries)
+	}
+	program, err := filepath.Abs(o.Entry)
+	if err != nil {
+		return false, fmt.Errorf("soak: %w", err)
+	}
+	folder := o.Folder
+	if folder == "" {
+		if folder, err = os.MkdirTemp("", "soak-"); err != nil {
+			return false, fmt.Errorf("soak: %w", err)
+		}
+	}
+	for n := range o.Seeds {
+		r, err := play(o, program, folder, o.Seed+n)
+		if err != nil {
+			return broken, err
+		}
+		broken = broken || len(r.Breaches) > 0
+	}
+	fmt.Printf("logs of the entries: %s\n", folder)
+	return broken, nil
+}
+
+// play runs one seed and prints what it found.
+func play(o options, program, folder string, seed uint64) (soak.Report, error) {
+	own := filepath.Join(folder, fmt.Sprint("seed-", seed))
+	if err := os.MkdirAll(own, 0o700); err != nil {
+		return soak.Report{}, fmt.Errorf("soak: %w", err)
+	}
+	r, err := soak.Run(context.Background(), soak.Options{
+		Seed: seed, Duration: o.Duration, Entries: o.Entries, Endpoints: o.Endpoints, Callers: o.Callers, Folder: own,
+		Command: func(settings string) *exec.Cmd {
+			c := exec.Command(program, "serve", "--platform", "fleet")
+			c.Env = append(os.Environ(), "FOXCROSS_CONFIG="+settings)
+			return c
+		},
+	})
+	if err != nil {
+		return r, fmt.Errorf("seed %d: %w", seed, err)
+	}
+	faults := 0
+	for _, n := range r.Faults {
+		faults += n
+	}
+	fmt.Printf("seed %d: %d requests, %d faults, %d promises broken;", seed, r.Requests, faults, len(r.Breaches))
+	for _, status := range slices.Sorted(maps.Keys(r.Answers)) {
+		fmt.Printf(" %d: %d", status, r.Answers[status])
+	}
+	fmt.Println()
+	for _, b := range r.Breaches {
+		fmt.Printf("  %s: request %s: %s\n", b.Promise, b.ID, b.Detail)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/soak/entry.go
@@ -0,0 +1,168 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Ports of each entry; it has an address of its own.
+const (
+	callersPort   = 18227
+	readinessPort = 18220
+	peersPort     = 17340
+	metricsPort   = 9464
+	seedPort      = 18229
+)
+
+// stopGrace is the time from SIGTERM to the end by force, in seconds.
+const stopGrace = 3
+
+// entry is one process of the system.
+type entry struct {
+	name     string
+	address  string
+	settings string
+	options  Options
+	log      *os.File
+
+	restarting sync.Mutex // one signal that ends or freezes it at a time
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	life    int // counts the starts
+	ended   chan struct{}
+}
+
+// addressOf returns an own loopback address of the entry of this process.
+func addressOf(n int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 2+pid>>8&127, pid&255, n+2)
+}
+
+func newEntry(o Options, n int, store string) (*entry, error) {
+	e := &entry{name: fmt.Sprint("entry-", n+1), address: addressOf(n), options: o}
+	seeds := []string{}
+	for other := range min(o.Entries, 3) {
+		seeds = append(seeds, fmt.Sprintf("%s:%d", addressOf(other), seedPort))
+	}
+	data, err := json.Marshal(map[string]any{
+		"nodeName": e.name, "zone": fmt.Sprint("zone-", n%2+1), "ip": e.address, "seeds": seeds,
+		"portRange": []int{peersPort, peersPort + 15},
+		"listen": map[string]any{
+			"frontend":  fmt.Sprintf("%s:%d", e.address, callersPort),
+			"readiness": fmt.Sprintf("%s:%d", e.address, readinessPort),
+		},
+		"bounds": map[string]any{
+			"graceS": stopGrace, "drainMs": leaveMS, "retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 50, "retryAfterS": 10,
+		},
+		"platform": map[string]any{"address": store},
+	})
+	if err != nil {
+		return nil, fmt.Errorf("soak: %w", err)
+	}
+	e.settings = filepath.Join(o.Folder, e.name+".json")
+	if err := os.WriteFile(e.settings, data, 0o600); err != nil {
+		return nil, fmt.Errorf("soak: %w", err)
+	}
+	e.log, err = logFile(o.Folder, e.name)
+	return e, err
+}
+
+// start runs the process.
+func (e *entry) start() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c := e.options.Command(e.settings)
+	c.Stdout, c.Stderr = e.log, e.log
+	if err := c.Start(); err != nil {
+		return fmt.Errorf("soak: %s: %w", e.name, err)
+	}
+	e.command = c
+	e.life++
+	ended := make(chan struct{})
+	e.ended = ended
+	go func() {
+		_ = c.Wait() // a killed process ends with an error
+		close(ended)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process, if it runs.
+func (e *entry) signal(s syscall.Signal) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	select {
+	case <-e.ended:
+	default:
+		_ = e.command.Process.Signal(s) // it may just have ended
+	}
+}
+
+// awaitEnd waits for the end of the process and ends it by force after a time.
+func (e *entry) awaitEnd(patience time.Duration) {
+	e.mu.Lock()
+	ended := e.ended
+	e.mu.Unlock()
+	select {
+	case <-ended:
+	case <-time.After(patience):
+		e.signal(syscall.SIGKILL)
+		<-ended
+	}
+}
+
+// end kills the process for good.
+func (e *entry) end() {
+	e.mu.Lock()
+	running := e.command != nil
+	e.mu.Unlock()
+	if running {
+		e.signal(syscall.SIGCONT)
+		e.signal(syscall.SIGKILL)
+		e.awaitEnd(time.Second)
+	}
+	if e.log != nil {
+		_ = e.log.Close()
+	}
+}
+
+// number returns which life of the process it is.
+func (e *entry) number() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.life
+}
+
+// probeTimeout bounds a look at an entry's state.
+const probeTimeout = 500 * time.Millisecond
+
+// settingsVersion returns the version in force by the entry's state.
+func (e *entry) settingsVersion(ctx context.Context) (int, bool) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/state", e.address, metricsPort), http.NoBody)
+	if err != nil {
+		return 0, false
+	}
+	a, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return 0, false
+	}
+	defer func() { _ = a.Body.Close() }()
+	var state struct {
+		Version int `json:"settings_version"`
+	}
+	if err := json.NewDecoder(a.Body).Decode(&state); err != nil {
+		return 0, false
+	}
+	return state.Version, true
+}
--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,190 @@
+package soak
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"foxcross.dev/foxcross/internal/standin/fleet"
+)
+
+// fault is something that goes wrong. It returns when it is over; several may
+// go on at once.
+type fault struct {
+	name  string
+	apply func(d *deployment, amount float64)
+}
+
+// faults are all that may strike. The amount, from 0 to 1, says how badly.
+var faults = []fault{
+	{"kill an entry", func(d *deployment, _ float64) { d.restart(syscall.SIGKILL) }},
+	{"stop an entry", func(d *deployment, _ float64) { d.restart(syscall.SIGTERM) }},
+	{"freeze an entry", freeze},
+	{"reload an entry", func(d *deployment, _ float64) { d.entry().signal(syscall.SIGHUP) }},
+	{"kill all entries", killAll},
+	{"store busy", func(d *deployment, amount float64) { d.breakStore(fleet.Busy, amount) }},
+	{"store turns away", func(d *deployment, amount float64) { d.breakStore(fleet.Many, amount) }},
+	{"store resets", func(d *deployment, amount float64) { d.breakStore(fleet.Reset, amount) }},
+	{"store silent", func(d *deployment, amount float64) { d.breakStore(fleet.Silent, amount) }},
+	{"store forgets", func(d *deployment, _ float64) { d.store.Forget() }},
+	{"settings change", changeSettings},
+	{"settings change often", func(d *deployment, amount float64) {
+		for range 2 + int(8*amount) {
+			changeSettings(d, amount)
+			time.Sleep(30 * time.Millisecond)
+		}
+	}},
+	{"endpoint leaves", leave},
+	{"endpoint crashes", crash},
+	{"endpoint comes", func(d *deployment, _ float64) { d.addEndpoint() }},
+	{"answers go wrong", misbehave},
+}
+
+// strike lets faults come at random until the time is over and waits for their
+// ends.
+func (d *deployment) strike(ctx context.Context) {
+	var open sync.WaitGroup
+	defer open.Wait()
+	end := time.Now().Add(d.options.Duration)
+	for time.Now().Before(end) && ctx.Err() == nil {
+		d.mu.Lock()
+		f := faults[d.random.IntN(len(faults))]
+		amount := d.random.Float64()
+		rest := time.Duration(d.random.IntN(300)) * time.Millisecond
+		d.faults[f.name]++
+		d.mu.Unlock()
+		open.Go(func() { f.apply(d, amount) })
+		time.Sleep(rest)
+	}
+}
+
+// calm ends what no fault ends by itself.
+func (d *deployment) calm() {
+	d.store.SetFault(fleet.Sound)
+	for range d.options.Endpoints {
+		if d.pick(d.options.Endpoints) == nil {
+			d.addEndpoint()
+		}
+	}
+	d.configure()
+}
+
+// entry returns one of the entries.
+func (d *deployment) entry() *entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.entries[d.random.IntN(len(d.entries))]
+}
+
+// restart ends an entry by the signal and starts it again.
+func (d *deployment) restart(s syscall.Signal) { d.entry().restart(s) }
+
+func (e *entry) restart(s syscall.Signal) {
+	e.restarting.Lock()
+	defer e.restarting.Unlock()
+	e.signal(s)
+	e.awaitEnd((stopGrace + 1) * time.Second)
+	time.Sleep(100 * time.Millisecond)
+	_ = e.start() // the run ends with an entry that does not recover
+}
+
+func killAll(d *deployment, _ float64) {
+	var all sync.WaitGroup
+	for _, e := range d.entries {
+		all.Go(func() { e.restart(syscall.SIGKILL) })
+	}
+	all.Wait()
+}
+
+func freeze(d *deployment, amount float64) {
+	e := d.entry()
+	e.restarting.Lock()
+	defer e.restarting.Unlock()
+	e.signal(syscall.SIGSTOP)
+	d.history.disturb(time.Now())
+	time.Sleep(100*time.Millisecond + time.Duration(amount*float64(2*time.Second)))
+	d.history.disturb(time.Now())
+	e.signal(syscall.SIGCONT)
+}
+
+// breakStore lets the store fail for up to three seconds.
+func (d *deployment) breakStore(f fleet.Fault, amount float64) {
+	d.history.disturb(time.Now())
+	d.store.SetFault(f)
+	time.Sleep(100*time.Millisecond + time.Duration(amount*float64(3*time.Second)))
+	d.store.SetFault(fleet.Sound)
+	d.history.disturb(time.Now())
+}
+
+func changeSettings(d *deployment, _ float64) {
+	d.mu.Lock()
+	d.extra = !d.extra
+	d.mu.Unlock()
+	d.configure()
+}
+
+// leave lets an endpoint say that it leaves, and end later.
+func leave(d *deployment, _ float64) {
+	e := d.pick(2)
+	if e == nil {
+		return
+	}
+	d.store.Put("servers/"+e.runner.ID, e.runner.Entry("draining"))
+	d.mu.Lock()
+	e.left = time.Now()
+	d.mu.Unlock()
+	time.Sleep(2 * leaveMS * time.Millisecond)
+	d.mu.Lock()
+	e.gone = true
+	d.mu.Unlock()
+	d.store.Remove("servers/" + e.runner.ID)
+	e.runner.Close()
+	d.addEndpoint()
+}
+
+// crash ends an endpoint; its entry goes later.
+func crash(d *deployment, amount float64) {
+	e := d.pick(2)
+	if e == nil {
+		return
+	}
+	d.mu.Lock()
+	e.gone = true
+	d.mu.Unlock()
+	e.runner.Close()
+	time.Sleep(time.Duration(amount * float64(time.Second)))
+	d.store.Remove("servers/" + e.runner.ID)
+	d.addEndpoint()
+}
+
+// wrongs are what an endpoint may do with a request beside answering it.
+var wrongs = []fleet.Act{
+	fleet.Refuse{Status: http.StatusServiceUnavailable},
+	fleet.Refuse{Status: http.StatusTooManyRequests},
+	fleet.Fail{Status: http.StatusInternalServerError},
+	fleet.Fail{Status: http.StatusServiceUnavailable},
+	fleet.Break{},
+	fleet.Cut{},
+	fleet.Unframed{Body: "cut", Broken: true},
+	fleet.Garbage{},
+	fleet.Unsealed{},
+	fleet.Hang{},
+	fleet.Early{Status: http.StatusInternalServerError},
+	fleet.Events{To: 4, Broken: true},
+}
+
+// misbehave lets the next requests of an endpoint go wrong.
+func misbehave(d *deployment, amount float64) {
+	e := d.pick(1)
+	if e == nil {
+		return
+	}
+	for range 1 + int(6*amount) {
+		d.mu.Lock()
+		a := wrongs[d.random.IntN(len(wrongs))]
+		d.mu.Unlock()
+		e.runner.Next(a)
+	}
+}
--- /dev/null
+++ b/internal/soak/history.go
@@ -0,0 +1,172 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"foxcross.dev/foxcross/internal/standin/fleet"
+)
+
+// Promise is one of the promises that are checked.
+type Promise string
+
+// The promises.
+const (
+	OwnAnswer   Promise = "a caller gets the whole answer to its own request"
+	InOrder     Promise = "the events of a stream come once and in order"
+	AtMostOnce  Promise = "what may not be repeated runs at most once"
+	NotRun      Promise = "what is said not to have run has not run"
+	Untouched   Promise = "endpoints get the caller's request, its team and no key"
+	NothingNew  Promise = "an endpoint that leaves gets nothing new"
+	NeverBack   Promise = "settings never go back"
+	Recovers    Promise = "all works again after the faults"
+	disturbance         = 5 * time.Second // before which a fault no longer matters
+	leaveSlack          = time.Second     // for a request that was on its way
+)
+
+// Breach is a promise that was not kept.
+type Breach struct {
+	Promise Promise
+	ID      string // of the request, empty for none
+	Detail  string
+}
+
+// run is one run of a request at an endpoint.
+type run struct {
+	fleet.Run
+	endpoint string
+	left     time.Time // when the endpoint said that it leaves, zero for not
+}
+
+// history is what was seen. The zero value is empty.
+type history struct {
+	mu        sync.Mutex
+	seen      []seen
+	runs      map[string][]run // by request id
+	disturbed []time.Time      // when faults began or ended that delay what entries learn
+	versions  map[string]int   // in force, by life of an entry
+	breaches  []Breach
+}
+
+func (h *history) add(s seen) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.seen = append(h.seen, s)
+}
+
+func (h *history) disturb(at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.disturbed = append(h.disturbed, at)
+}
+
+func (h *history) breach(p Promise, id, detail string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.breaches = append(h.breaches, Breach{p, id, detail})
+}
+
+// inForce notes a version seen at an entry.
+func (h *history) inForce(name string, life, version int) {
+	key := name + "/" + strconv.Itoa(life)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.versions == nil {
+		h.versions = map[string]int{}
+	}
+	if before := h.versions[key]; version < before {
+		h.breaches = append(h.breaches, Breach{NeverBack, "", fmt.Sprintf("%s had version %d, then %d", key, before, version)})
+	}
+	h.versions[key] = version
+}
+
+// addRuns takes in what ran at an endpoint.
+func (h *history) addRuns(e *endpoint) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.runs == nil {
+		h.runs = map[string][]run{}
+	}
+	for _, r := range e.runner.Runs() {
+		h.runs[r.ID] = append(h.runs[r.ID], run{Run: r, endpoint: e.runner.ID, left: e.left})
+	}
+}
+
+// check holds all that was seen to the promises.
+func (h *history) check() Report {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r := Report{Requests: len(h.seen), Answers: map[int]int{}}
+	for _, s := range h.seen {
+		r.Answers[s.status]++
+		h.checkAnswer(s)
+		h.checkRuns(s, h.runs[s.id])
+	}
+	r.Breaches = h.breaches
+	return r
+}
+
+// found notes a breach. The history is locked.
+func (h *history) found(p Promise, id, format string, values ...any) {
+	h.breaches = append(h.breaches, Breach{p, id, fmt.Sprintf(format, values...)})
+}
+
+// checkAnswer looks at what a caller got.
+func (h *history) checkAnswer(s seen) {
+	if s.status != http.StatusOK {
+		return
+	}
+	if s.seal != "seal-"+s.id {
+		h.found(OwnAnswer, s.id, "the answer carries %q", s.seal)
+	}
+	if !s.kind.stream {
+		if s.whole && s.body != wholeBody {
+			h.found(OwnAnswer, s.id, "the answer is %q", s.body)
+		}
+		return
+	}
+	ids := events(s.body)
+	for n, id := range ids {
+		if id != strconv.Itoa(n+1) {
+			h.found(InOrder, s.id, "event %d has id %s", n+1, id)
+			return
+		}
+	}
+	if s.whole && len(ids) != eventsOf {
+		h.found(OwnAnswer, s.id, "a stream of %d events looks complete", len(ids))
+	}
+}
+
+// checkRuns looks at what became of a request at endpoints.
+func (h *history) checkRuns(s seen, runs []run) {
+	if s.kind.once && len(runs) > 1 {
+		h.found(AtMostOnce, s.id, "%d runs", len(runs))
+	}
+	switch s.status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		if len(runs) > 0 {
+			h.found(NotRun, s.id, "status %d, but it ran at %s", s.status, runs[0].endpoint)
+		}
+	}
+	for _, r := range runs {
+		if r.Target != s.target || r.Method != s.kind.method || r.Header.Get(fleet.TeamField) != "team-1" || r.Header.Get(fleet.KeyField) != "" {
+			h.found(Untouched, s.id, "%s %s ran for team %q", r.Method, r.Target, r.Header.Get(fleet.TeamField))
+		}
+		h.checkLeaving(s, r)
+	}
+}
+
+func (h *history) checkLeaving(s seen, r run) {
+	if r.left.IsZero() || r.At.Sub(r.left) <= leaveMS*time.Millisecond+leaveSlack {
+		return
+	}
+	for _, at := range h.disturbed {
+		if at.After(r.left.Add(-disturbance)) && at.Before(r.At) {
+			return // entries may not have learned of it
+		}
+	}
+	h.found(NothingNew, s.id, "it ran at %s %v after that said that it leaves", r.endpoint, r.At.Sub(r.left))
+}
--- /dev/null
+++ b/internal/soak/platform.go
@@ -0,0 +1,108 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"foxcross.dev/foxcross/internal/standin/fleet"
+)
+
+// Names of the deployment.
+const (
+	service = "pool"
+	host    = "soak.example"
+	teamKey = "key-of-the-team"
+)
+
+// leaveMS is the time after which an endpoint that said that it leaves gets
+// nothing new.
+const leaveMS = 2000
+
+// eventsOf a stream.
+const eventsOf = 12
+
+// kind is a kind of request.
+type kind struct {
+	path   string
+	kind   string // of its route
+	method string
+	resume bool // a stream that may go on at another endpoint
+	stream bool
+	once   bool // it may not run twice
+}
+
+// The kinds of requests.
+var kinds = []kind{
+	{path: "/page/", kind: "idempotent", method: http.MethodGet},
+	{path: "/book/", kind: "non_idempotent", method: http.MethodPost, once: true},
+	{path: "/chat/", kind: "streaming", method: http.MethodPost, stream: true, resume: true},
+	{path: "/plan/", kind: "streaming", method: http.MethodPost, stream: true, once: true},
+}
+
+// configure writes the next version of the configuration.
+func (d *deployment) configure() {
+	d.mu.Lock()
+	d.version++
+	version, extra := d.version, d.extra
+	d.mu.Unlock()
+	routes := []map[string]any{}
+	for _, k := range kinds {
+		routes = append(routes, route(k.path, k.kind, k.resume))
+	}
+	if extra {
+		routes = append(routes, route("/extra/", "idempotent", false))
+	}
+	d.store.Put("op/config", map[string]any{
+		"version": version, "routes": routes,
+		"backends": []map[string]any{{"name": service, "maxConns": 100}},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "idleTimeoutMs": 15000},
+		"tenants":  []map[string]any{{"name": "team-1", "apiKeys": []string{teamKey}, "priority": 1}},
+	})
+}
+
+func route(path, kind string, resume bool) map[string]any {
+	return map[string]any{
+		"name": "r" + path, "hostname": host, "pathPrefix": path, "routeType": kind, "timeoutMs": 6000,
+		"latencyGoalMs": 500, "itlTargetMs": 200, "priority": 1, "backend": service, "maxAttempts": 2, "streamResume": resume,
+	}
+}
+
+// endpoint is one endpoint and when it began to leave.
+type endpoint struct {
+	runner *fleet.Runner
+	left   time.Time // when the sound store took that it leaves, zero for not
+	gone   bool
+}
+
+// addEndpoint starts an endpoint and enters it in the store.
+func (d *deployment) addEndpoint() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := &endpoint{runner: fleet.NewRunner(fmt.Sprint("i-", len(d.endpoints)+1), service, fleet.ByPath{
+		Prefix: []string{"/chat/", "/plan/"},
+		Then:   fleet.Events{To: eventsOf, Pause: 5 * time.Millisecond},
+		Else:   fleet.Answer{Status: http.StatusOK, Body: wholeBody},
+	})}
+	d.endpoints = append(d.endpoints, e)
+	d.store.Put("servers/"+e.runner.ID, e.runner.Entry("ready"))
+}
+
+// wholeBody is the answer to a request that is no stream.
+const wholeBody = "the whole answer"
+
+// pick returns an endpoint that serves; nil where there are too few.
+func (d *deployment) pick(least int) *endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var serving []*endpoint
+	for _, e := range d.endpoints {
+		if !e.gone && e.left.IsZero() {
+			serving = append(serving, e)
+		}
+	}
+	if len(serving) < least {
+		return nil
+	}
+	return serving[d.random.IntN(len(serving))]
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,186 @@
+// Package soak runs real entries as processes of their own against stand-ins of
+// the platform, lets faults strike them at random, and checks from what callers
+// and endpoints saw that the promises were kept.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"sync"
+	"time"
+
+	"foxcross.dev/foxcross/internal/standin/fleet"
+)
+
+// Options say what is run.
+type Options struct {
+	Seed      uint64
+	Duration  time.Duration // in which faults strike
+	Entries   int
+	Endpoints int
+	Callers   int
+	// Command returns a command that runs an entry by the settings file. Its
+	// process is ended by Run.
+	Command func(settings string) *exec.Cmd
+	// Folder is where settings and logs of the entries are written.
+	Folder string
+}
+
+// Report is what a run found.
+type Report struct {
+	Requests int
+	Answers  map[int]int // by status, 0 for none
+	Faults   map[string]int
+	Breaches []Breach
+}
+
+// deployment is the system under test and its surroundings.
+type deployment struct {
+	options Options
+	store   *fleet.Store
+	entries []*entry
+	history history
+
+	mu        sync.Mutex
+	random    *rand.Rand
+	endpoints []*endpoint // that were ever started
+	version   int
+	extra     bool // the route that comes and goes is there
+	faults    map[string]int
+}
+
+// calmFor bounds the time in which everything must work again after the faults.
+const calmFor = 40 * time.Second
+
+// Run starts the deployment, lets faults strike, ends them, and checks what was
+// seen. An error means that the run itself failed.
+func Run(ctx context.Context, o Options) (Report, error) {
+	d := &deployment{
+		options: o,
+		store:   fleet.NewStore(),
+		random:  rand.New(rand.NewPCG(o.Seed, 1)),
+		faults:  map[string]int{},
+	}
+	defer d.close()
+	for range o.Endpoints {
+		d.addEndpoint()
+	}
+	d.configure()
+	if err := d.startEntries(); err != nil {
+		return Report{}, err
+	}
+	if err := d.await(ctx); err != nil {
+		return Report{}, fmt.Errorf("soak: before the faults: %w", err)
+	}
+	calling, stop := context.WithCancel(ctx)
+	var callers sync.WaitGroup
+	for n := range o.Callers {
+		callers.Go(func() { d.call(calling, uint64(n)) })
+	}
+	callers.Go(func() { d.watchVersions(calling) })
+	d.strike(ctx)
+	d.calm()
+	err := d.await(ctx)
+	stop()
+	callers.Wait()
+	if err != nil {
+		d.history.breach(Recovers, "", err.Error())
+	}
+	return d.report(), nil
+}
+
+func (d *deployment) close() {
+	for _, e := range d.entries {
+		e.end()
+	}
+	d.store.Close()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range d.endpoints {
+		e.runner.Close()
+	}
+}
+
+func (d *deployment) startEntries() error {
+	for n := range d.options.Entries {
+		e, err := newEntry(d.options, n, d.store.Address())
+		if err != nil {
+			return err
+		}
+		d.entries = append(d.entries, e)
+	}
+	for _, e := range d.entries {
+		if err := e.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// await waits until each entry answers a request of each kind and has the newest
+// settings.
+func (d *deployment) await(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, calmFor)
+	defer cancel()
+	for _, e := range d.entries {
+		if err := d.awaitEntry(ctx, e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *deployment) awaitEntry(ctx context.Context, e *entry) error {
+	ticker := time.NewTicker(50 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		lacking := d.lacking(ctx, e)
+		if lacking == "" {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("soak: %s: %s", e.name, lacking)
+		case <-ticker.C:
+		}
+	}
+}
+
+// lacking says what does not work yet at an entry, empty for nothing.
+func (d *deployment) lacking(ctx context.Context, e *entry) string {
+	d.mu.Lock()
+	want := d.version
+	d.mu.Unlock()
+	if version, ok := e.settingsVersion(ctx); !ok || version != want {
+		return fmt.Sprintf("settings %d in force, not %d", version, want)
+	}
+	for _, k := range kinds {
+		if s := d.request(ctx, e, k); s.status != 200 {
+			return fmt.Sprintf("a request to %s got status %d", k.path, s.status)
+		}
+	}
+	return ""
+}
+
+func (d *deployment) report() Report {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range d.endpoints {
+		d.history.addRuns(e)
+	}
+	r := d.history.check()
+	r.Faults = d.faults
+	return r
+}
+
+// logFile returns the file that takes an entry's log.
+func logFile(folder, name string) (*os.File, error) {
+	f, err := os.Create(folder + "/" + name + ".log")
+	if err != nil {
+		return nil, fmt.Errorf("soak: %w", err)
+	}
+	return f, nil
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,115 @@
+package soak
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+
+	"foxcross.dev/foxcross/internal/process"
+	"foxcross.dev/foxcross/internal/standin/fleet"
+	_ "foxcross.dev/foxcross/platform" // registers its driver
+)
+
+// entryVariable makes the test's own program an entry.
+const entryVariable = "FOXCROSS_SOAK_ENTRY"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(entryVariable) == "" {
+		os.Exit(m.Run())
+	}
+	if err := process.RunGateway("fleet"); err != nil {
+		os.Stderr.WriteString(err.Error() + "\n")
+		os.Exit(1)
+	}
+}
+
+// TestSoak runs entries as processes of their own under random faults. Only
+// promises are checked, no times but those that the platform bounds.
+func TestSoak(t *testing.T) {
+	for _, seed := range []uint64{1} {
+		r, err := Run(context.Background(), Options{
+			Seed: seed, Duration: 6 * time.Second, Entries: 3, Endpoints: 4, Callers: 6, Folder: t.TempDir(),
+			Command: func(settings string) *exec.Cmd {
+				c := exec.Command(os.Args[0])
+				c.Env = append(os.Environ(), entryVariable+"=1", "FOXCROSS_CONFIG="+settings)
+				return c
+			},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, b := range r.Breaches {
+			t.Errorf("seed %d: %s: request %s: %s", seed, b.Promise, b.ID, b.Detail)
+		}
+		if r.Answers[http.StatusOK] == 0 {
+			t.Errorf("seed %d: no request was answered", seed)
+		}
+	}
+}
+
+// stream returns a body with the events.
+func stream(ids ...string) string {
+	var b strings.Builder
+	for _, id := range ids {
+		b.WriteString("id: " + id + "\ndata: x\n\n")
+	}
+	return b.String()
+}
+
+// TestBreachesAreFound plants one breach of each promise.
+func TestBreachesAreFound(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	page, book, chat := kinds[0], kinds[1], kinds[2]
+	of := func(k kind, s seen) seen {
+		s.id, s.kind, s.target = "a", k, k.path+"a"
+		return s
+	}
+	ran := func(k kind) run {
+		h := http.Header{}
+		h.Set(fleet.TeamField, "team-1")
+		return run{Run: fleet.Run{ID: "a", Method: k.method, Target: k.path + "a", Header: h, At: now}, endpoint: "i-1"}
+	}
+	withKey, late := ran(page), ran(page)
+	withKey.Header = http.Header{}
+	withKey.Header.Set(fleet.TeamField, "team-1")
+	withKey.Header.Set(fleet.KeyField, teamKey)
+	late.left = now.Add(-time.Minute)
+	for name, c := range map[string]struct {
+		want Promise
+		seen seen
+		runs []run
+	}{
+		"another's answer":        {OwnAnswer, of(page, seen{status: 200, seal: "seal-b", body: wholeBody, whole: true}), nil},
+		"half an answer":          {OwnAnswer, of(page, seen{status: 200, seal: "seal-a", body: "the", whole: true}), nil},
+		"a short stream":          {OwnAnswer, of(chat, seen{status: 200, seal: "seal-a", body: stream("1", "2"), whole: true}), nil},
+		"an event twice":          {InOrder, of(chat, seen{status: 200, seal: "seal-a", body: stream("1", "2", "2")}), nil},
+		"an event is missing":     {InOrder, of(chat, seen{status: 200, seal: "seal-a", body: stream("1", "3")}), nil},
+		"a booking runs twice":    {AtMostOnce, of(book, seen{}), []run{ran(book), ran(book)}},
+		"a false promise":         {NotRun, of(book, seen{status: 503}), []run{ran(book)}},
+		"another path":            {Untouched, of(book, seen{}), []run{ran(page)}},
+		"a key is passed on":      {Untouched, of(page, seen{}), []run{withKey}},
+		"after it began to leave": {NothingNew, of(page, seen{}), []run{late}},
+	} {
+		h := history{seen: []seen{c.seen}, runs: map[string][]run{"a": c.runs}}
+		r := h.check()
+		if len(r.Breaches) != 1 || r.Breaches[0].Promise != c.want {
+			t.Errorf("%s: found %v", name, r.Breaches)
+		}
+	}
+	disturbed := history{seen: []seen{of(page, seen{})}, runs: map[string][]run{"a": {late}}}
+	disturbed.disturb(now.Add(-30 * time.Second))
+	if r := disturbed.check(); len(r.Breaches) != 0 {
+		t.Errorf("found %v where entries could not learn", r.Breaches)
+	}
+	var h history
+	h.inForce("entry-1", 1, 5)
+	h.inForce("entry-1", 2, 4)
+	h.inForce("entry-1", 1, 4)
+	if r := h.check(); len(r.Breaches) != 1 || r.Breaches[0].Promise != NeverBack {
+		t.Errorf("found %v", r.Breaches)
+	}
+}
--- a/internal/standin/fleet/runner.go
+++ b/internal/standin/fleet/runner.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -32,6 +33,7 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	At     time.Time // when it began
 }
 
 // Act is what a runner does with a request.
@@ -75,6 +77,13 @@
 		To     int
 		Broken bool
 		Hold   chan struct{} // closed to let the events after the first go, nil for at once
+		Pause  time.Duration // before each event
+	}
+	// ByPath does one thing with requests below a prefix and another with the rest.
+	ByPath struct {
+		Prefix []string
+		Then   Act
+		Else   Act
 	}
 )
 
@@ -91,6 +100,7 @@
 func (Hang) act()     {}
 func (Early) act()    {}
 func (Events) act()   {}
+func (ByPath) act()   {}
 
 // Runner is an endpoint. Create it with NewRunner.
 type Runner struct {
@@ -205,15 +215,28 @@
 		a = r.script[0]
 		r.script = r.script[1:]
 	}
+	if b, ok := a.(ByPath); ok {
+		a = b.choose(q.URL.Path)
+	}
 	if _, refused := a.(Refuse); !refused {
 		r.runs = append(r.runs, Run{
 			ID: q.Header.Get(RequestIDField), Method: q.Method, Target: q.RequestURI,
-			Host: q.Host, Header: q.Header, Body: body,
+			Host: q.Host, Header: q.Header, Body: body, At: time.Now(),
 		})
 	}
 	return a
 }
 
+// choose returns the act for a path.
+func (b ByPath) choose(path string) Act {
+	for _, prefix := range b.Prefix {
+		if strings.HasPrefix(path, prefix) {
+			return b.Then
+		}
+	}
+	return b.Else
+}
+
 // peek returns the next act without taking it.
 func (r *Runner) peek() Act {
 	r.mu.Lock()
@@ -305,6 +328,7 @@
 	}
 	write(c, "%s", head(http.StatusOK, id, InstanceField+": "+r.ID+"\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"))
 	for n := from; n <= a.To; n++ {
+		time.Sleep(a.Pause)
 		chunk(c, fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, r.ID, n))
 		if n == from && a.Hold != nil {
 			<-a.Hold
