Check settings without running, and log what a reload changed

foxcross-entry check reads the settings of a process (the own interface's file, or the one that a platform names) and prints what they come to or the numbered error. A changed settings file is logged field by field, with whether the change is in force; bounds are set only when they differ.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -8,6 +8,7 @@
 
 	"foxcross.dev/foxcross/internal/command"
 	"foxcross.dev/foxcross/internal/keys"
+	_ "foxcross.dev/foxcross/platform" // registers its driver
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -50,6 +51,31 @@
 		Expect(failures).To(ContainSubstring("1701"))
 	})
 
+	It("checks the settings of an entry without running it", func() {
+		code, out, _ := run("check", "--settings", "../../examples/processes/entry-1.json")
+		Expect(code).To(Equal(command.ExitOK))
+		Expect(out).To(ContainSubstring(`"name": "entry-1"`))
+		code, _, failures := run("check", "--settings", "/nowhere.json")
+		Expect(code).To(Equal(command.ExitFailed))
+		Expect(failures).To(ContainSubstring("1701"))
+		code, _, _ = run("check")
+		Expect(code).To(Equal(command.ExitFailed))
+	})
+
+	It("checks the settings that a platform gives", func() {
+		GinkgoT().Setenv("FOXCROSS_CONFIG", "../../platform/testdata/settings.json")
+		code, out, _ := run("check", "--platform", "fleet")
+		Expect(code).To(Equal(command.ExitOK))
+		equalsGolden("check.golden", out)
+		path := filepath.Join(GinkgoT().TempDir(), "settings.json")
+		Expect(os.WriteFile(path, []byte(`{"nodeName":"a"}`), 0o600)).To(Succeed())
+		GinkgoT().Setenv("FOXCROSS_CONFIG", path)
+		code, _, failures := run("check", "--platform", "fleet")
+		Expect(code).To(Equal(command.ExitFailed))
+		Expect(failures).To(ContainSubstring("1703 file_field"))
+		Expect(failures).To(ContainSubstring("zone: is missing"))
+	})
+
 	It("prints the hash of a key", func() {
 		_, out, _ := run("keys", "hash", "gent-key")
 		Expect(out).To(Equal("b470a81b6f65cdf47ac2780ef532389b0ac93a5c38354ee7af3772dd38c537d3\n"))
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -13,6 +13,7 @@
 type Entry struct {
 	Run     RunEntry `command:"run" description:"run an entry"`
 	Serve   Serve    `command:"serve" description:"run an entry on a platform, with the settings that the platform gives"`
+	Check   Check    `command:"check" description:"check the settings of a process without running it"`
 	Explain Explain  `command:"explain" description:"tell from a log what became of a request"`
 	Tree    Tree     `command:"tree" description:"read and change the settings tree"`
 	Keys    Keys     `command:"keys" description:"make certificates and keys"`
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -56,7 +56,7 @@
 	}
 	go g.Directory().Follow(running, driver.Source(place))
 	go g.Run(running)
-	go reload(running, g, driver)
+	go reload(running, g, driver, place)
 	go gauge(running, g, scope)
 	if err := serveChecks(g, driver, place, served); err != nil {
 		return err
@@ -127,8 +127,8 @@
 	return err
 }
 
-// reload takes in changes of the settings file.
-func reload(ctx context.Context, g *gateway.Gateway, driver site.Driver) {
+// reload takes in changes of the settings file that is in force.
+func reload(ctx context.Context, g *gateway.Gateway, driver site.Driver, inForce site.Process) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
 	defer signal.Stop(signals)
@@ -147,7 +147,13 @@
 			log.With("reason", err.Error()).Errorf("The settings file can't be used; the old settings stay.")
 			continue
 		}
-		g.SetBounds(place.Bounds)
+		if changes := inForce.Changes(place); len(changes) > 0 {
+			log.With("changes", changes).Info("The settings file changed.")
+		}
+		if inForce.Bounds != place.Bounds {
+			g.SetBounds(place.Bounds)
+		}
+		inForce = place
 	}
 }
 
--- /dev/null
+++ b/internal/site/changes_test.go
@@ -0,0 +1,26 @@
+package site_test
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"foxcross.dev/foxcross/internal/site"
+)
+
+func TestChanges(t *testing.T) {
+	before := site.Process{Name: "entry-1", Seeds: []string{"a"}, Bounds: site.Bounds{StopGrace: time.Second, RetrySlack: 5}}
+	if got := before.Changes(before); got != nil {
+		t.Errorf("found %v in the same settings", got)
+	}
+	after := before
+	after.Seeds = []string{"a", "b"}
+	after.Bounds.RetrySlack = 7
+	want := []site.Difference{
+		{Field: "RetrySlack", Before: "5", After: "7", InForce: true},
+		{Field: "Seeds", Before: `["a"]`, After: `["a","b"]`},
+	}
+	if got := before.Changes(after); !reflect.DeepEqual(got, want) {
+		t.Errorf("found %v, want %v", got, want)
+	}
+}
