--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -11,6 +11,7 @@
 	"foxcross.dev/foxcross/internal/lifecycle"
 	"foxcross.dev/foxcross/internal/logs"
 	"foxcross.dev/foxcross/internal/record"
+	"foxcross.dev/foxcross/internal/workers"
 
 	"github.com/uber-go/tally/v4"
 )
@@ -81,25 +82,14 @@
 // Run keeps the gateway's connections and its view of other entries' requests
 // until ctx is done.
 func (g *Gateway) Run(ctx context.Context) {
-	go g.expire(ctx)
+	go workers.Every(ctx, expireEvery, func(now time.Time) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.table.Expire(now)
+	})
 	g.pool.Run(ctx)
 }
 
-func (g *Gateway) expire(ctx context.Context) {
-	ticker := time.NewTicker(expireEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			g.mu.Lock()
-			g.table.Expire(now)
-			g.mu.Unlock()
-		}
-	}
-}
-
 // Draining tells whether the process is stopping.
 func (g *Gateway) Draining() bool { return g.life.State() == lifecycle.Draining }
 
--- a/internal/peers/send.go
+++ b/internal/peers/send.go
@@ -56,6 +56,17 @@
 	}
 }
 
+// members returns the addresses of the live entries as text. The group is locked.
+func (g *Group) members(now time.Time) []string {
+	var all []string
+	for a, p := range g.peers {
+		if p.alive(now) {
+			all = append(all, a)
+		}
+	}
+	return all
+}
+
 // targets returns the addresses of the live entries. The group is locked.
 func (g *Group) targets(now time.Time) []*net.UDPAddr {
 	var all []*net.UDPAddr
@@ -100,13 +111,9 @@
 	g.told = told{version: p.Version, revision: p.Revision, lost: lost}
 	h.Leaving = g.leaving
 	to := g.targets(now)
-	for a, other := range g.peers {
-		if other.alive(now) {
-			h.Members = append(h.Members, a)
-		}
-	}
 	if now.Sub(g.seeded) > seedEvery {
 		g.seeded = now
+		h.Members = g.members(now)
 		to = append(to, g.strangers(now)...)
 	}
 	g.mu.Unlock()
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -15,6 +15,7 @@
 	"foxcross.dev/foxcross/internal/metrics"
 	"foxcross.dev/foxcross/internal/peers"
 	"foxcross.dev/foxcross/internal/site"
+	"foxcross.dev/foxcross/internal/workers"
 
 	crand "crypto/rand"
 
@@ -162,22 +163,15 @@
 
 // gauge measures the state until ctx is done.
 func gauge(ctx context.Context, g *gateway.Gateway, scope tally.Scope) {
-	ticker := time.NewTicker(gaugeEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	workers.Every(ctx, gaugeEvery, func(time.Time) {
 		d := g.Dump()
-		scope.Gauge("open_requests").Update(float64(d.Open))
-		scope.Gauge("live_entries").Update(float64(d.Entries))
-		scope.Gauge("settings_version").Update(float64(d.Version))
 		following := 0.0
 		if d.Following {
 			following = 1
 		}
+		scope.Gauge("open_requests").Update(float64(d.Open))
+		scope.Gauge("live_entries").Update(float64(d.Entries))
+		scope.Gauge("settings_version").Update(float64(d.Version))
 		scope.Gauge("following_store").Update(following)
-	}
+	})
 }
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"foxcross.dev/foxcross/internal/standin/fleet"
+	"foxcross.dev/foxcross/internal/workers"
 )
 
 // requestTime is what callers wait at the most.
@@ -93,14 +94,7 @@
 
 // watchVersions notes the settings in force at all entries until ctx is done.
 func (d *deployment) watchVersions(ctx context.Context) {
-	ticker := time.NewTicker(watchEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	workers.Every(ctx, watchEvery, func(time.Time) {
 		for _, e := range d.entries {
 			life := e.number()
 			version, ok := e.settingsVersion(ctx)
@@ -108,5 +102,5 @@
 				d.history.inForce(e.name, life, version)
 			}
 		}
-	}
+	})
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -10,6 +10,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"foxcross.dev/foxcross/internal/workers"
 )
 
 // Defaults and bounds of a pool.
@@ -90,18 +92,7 @@
 }
 
 // Run closes idle connections whose time is over until ctx is done.
-func (p *Pool) Run(ctx context.Context) {
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			p.sweep(time.Now())
-		}
-	}
-}
+func (p *Pool) Run(ctx context.Context) { workers.Every(ctx, sweepEvery, p.sweep) }
 
 func (p *Pool) sweep(now time.Time) {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/workers/every.go
@@ -0,0 +1,20 @@
+package workers
+
+import (
+	"context"
+	"time"
+)
+
+// Every calls do at each interval until ctx is done.
+func Every(ctx context.Context, interval time.Duration, do func(now time.Time)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			do(now)
+		}
+	}
+}
