--- a/examples/load/main.go
+++ b/examples/load/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -12,11 +11,10 @@
 	"time"
 
 	"foxcross.dev/foxcross/internal/caller"
+	"foxcross.dev/foxcross/internal/command"
 	"foxcross.dev/foxcross/internal/standin"
 
 	"foxcross.dev/coord/result"
-
-	"github.com/jessevdk/go-flags"
 )
 
 // options are the flags.
@@ -34,13 +32,7 @@
 
 func main() {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		var f *flags.Error
-		if errors.As(err, &f) && f.Type == flags.ErrHelp {
-			return
-		}
-		os.Exit(2)
-	}
+	command.ParseFlags(&o)
 	if err := run(o); err != nil {
 		fmt.Fprintln(os.Stderr, "load:", err)
 		os.Exit(1)
--- a/examples/local/main.go
+++ b/examples/local/main.go
@@ -4,15 +4,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"os/signal"
 	"time"
 
+	"foxcross.dev/foxcross/internal/command"
 	"foxcross.dev/foxcross/internal/logs"
-
-	"github.com/jessevdk/go-flags"
 )
 
 const setupTime = 20 * time.Second
@@ -27,13 +25,7 @@
 
 func main() {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		var f *flags.Error
-		if errors.As(err, &f) && f.Type == flags.ErrHelp {
-			return
-		}
-		os.Exit(2)
-	}
+	command.ParseFlags(&o)
 	if err := run(o); err != nil {
 		fmt.Fprintln(os.Stderr, "local:", err)
 		os.Exit(1)
--- a/examples/soak/main.go
+++ b/examples/soak/main.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"maps"
 	"os"
@@ -18,9 +17,8 @@
 	"slices"
 	"time"
 
+	"foxcross.dev/foxcross/internal/command"
 	"foxcross.dev/foxcross/internal/soak"
-
-	flags "github.com/jessevdk/go-flags"
 )
 
 type options struct {
@@ -41,13 +39,7 @@
 
 func main() {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		var f *flags.Error
-		if errors.As(err, &f) && f.Type == flags.ErrHelp {
-			return
-		}
-		os.Exit(2)
-	}
+	command.ParseFlags(&o)
 	broken, err := run(o)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/examples/standins/main.go
+++ b/examples/standins/main.go
@@ -9,10 +9,9 @@
 	"os"
 	"time"
 
+	"foxcross.dev/foxcross/internal/command"
 	"foxcross.dev/foxcross/internal/environment"
 	"foxcross.dev/foxcross/internal/standin"
-
-	"github.com/jessevdk/go-flags"
 )
 
 // options are the flags.
@@ -26,9 +25,7 @@
 
 func main() {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		os.Exit(2)
-	}
+	command.ParseFlags(&o)
 	if err := run(o); err != nil {
 		fmt.Fprintln(os.Stderr, "standins:", err)
 		os.Exit(1)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -72,7 +72,7 @@
 // configure writes the next version of the configuration.
 func (w *world) configure(routes []map[string]any, keys ...string) {
 	w.version++
-	w.store.Put("op/config", map[string]any{
+	w.store.Configure(map[string]any{
 		"version": w.version, "routes": routes,
 		"backends": []map[string]any{{"name": service, "healthPath": "/healthz", "maxConns": 100}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
@@ -89,7 +89,7 @@
 	for n, act := range rest {
 		r := fleet.NewRunner(fmt.Sprintf("i-%d", n+1), service, act)
 		w.runners = append(w.runners, r)
-		w.store.Put("servers/"+r.ID, r.Entry("ready"))
+		w.store.Enter(r, "ready")
 	}
 	w.configure(routes(), teamKey)
 	factory, err := site.Drivers.Get("fleet")
--- a/internal/process/gateway_test.go
+++ b/internal/process/gateway_test.go
@@ -76,7 +76,7 @@
 	runner := fleet.NewRunner("i-1", "pool", fleet.Answer{Status: 200, Body: "whole"})
 	defer runner.Close()
 	store.Put("servers/i-1", runner.Entry("ready"))
-	store.Put("op/config", map[string]any{
+	store.Configure(map[string]any{
 		"version":  1,
 		"routes":   []map[string]any{{"name": "r", "hostname": "h.example", "pathPrefix": "/", "routeType": "idempotent", "timeoutMs": 5000, "latencyGoalMs": 500, "backend": "pool", "maxAttempts": 1, "public": true}},
 		"backends": []map[string]any{{"name": "pool", "maxConns": 10}},
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -160,7 +160,7 @@
 	if e == nil {
 		return
 	}
-	d.store.Put("servers/"+e.runner.ID, e.runner.Entry("draining"))
+	d.store.Enter(e.runner, "draining")
 	d.mu.Lock()
 	e.left = time.Now()
 	d.mu.Unlock()
@@ -169,7 +169,7 @@
 	d.mu.Lock()
 	e.gone = true
 	d.mu.Unlock()
-	d.store.Remove("servers/" + e.runner.ID)
+	d.store.Lose(e.runner)
 	e.runner.Close()
 }
 
@@ -184,7 +184,7 @@
 	d.mu.Unlock()
 	e.runner.Close()
 	time.Sleep(time.Duration(amount * float64(time.Second)))
-	d.store.Remove("servers/" + e.runner.ID)
+	d.store.Lose(e.runner)
 	d.addEndpoint()
 }
 
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -53,7 +53,7 @@
 	if extra {
 		routes = append(routes, route("/extra/", "idempotent", false))
 	}
-	d.store.Put("op/config", map[string]any{
+	d.store.Configure(map[string]any{
 		"version": version, "routes": routes,
 		"backends": []map[string]any{{"name": service, "maxConns": 100}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "idleTimeoutMs": 15000},
@@ -85,7 +85,7 @@
 		Else:   fleet.Answer{Status: http.StatusOK, Body: wholeBody},
 	})}
 	d.endpoints = append(d.endpoints, e)
-	d.store.Put("servers/"+e.runner.ID, e.runner.Entry("ready"))
+	d.store.Enter(e.runner, "ready")
 }
 
 // wholeBody is the answer to a request that is no stream.
--- a/internal/standin/fleet/store.go
+++ b/internal/standin/fleet/store.go
@@ -237,3 +237,18 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(body) // the caller may be gone
 }
+
+// Keys of the platform.
+const (
+	configKey    = "op/config"
+	entriesBelow = "servers/"
+)
+
+// Configure writes the operator's configuration, whole.
+func (s *Store) Configure(configuration any) { s.Put(configKey, configuration) }
+
+// Enter lets a runner stand in the store in a state.
+func (s *Store) Enter(r *Runner, state string) { s.Put(entriesBelow+r.ID, r.Entry(state)) }
+
+// Lose takes a runner's entry out of the store.
+func (s *Store) Lose(r *Runner) { s.Remove(entriesBelow + r.ID) }
