End a caller's rest with the first byte of its request

The timer of resting connections went by the server's word of their state, which comes only after a request's head has been read; in between it closed them. Present since connections have a limit of rest. Change: a caller's connection rests until a byte is read from it; when it has rested too long it closes itself and lets nothing more be read, so a request is either taken and answered or not read.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"foxcross.dev/foxcross/internal/lifecycle"
@@ -31,16 +30,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("gateway: listen on %s: %w", address, err)
 	}
-	idle := &idleWatch{limit: g.idleLimit, timers: map[net.Conn]*time.Timer{}}
 	s := &http.Server{
 		Handler:           g,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    mostHeaderBytes,
-		ConnState:         idle.changed,
+		ConnState:         changed,
 	}
 	s.SetKeepAlivesEnabled(true)
 	go func() {
-		if err := s.Serve(l); err != http.ErrServerClosed {
+		if err := s.Serve(idleListener{Listener: l, limit: g.idleLimit}); err != http.ErrServerClosed {
 			log.Errorf("Serving on %s ended: %v.", address, err)
 		}
 	}()
@@ -56,47 +54,6 @@
 	return time.Duration(idleSlack * float64(f.Snapshot.Limits().IdleTimeout))
 }
 
-// idleWatch closes connections that rest longer than the limit in force when
-// their time is over.
-type idleWatch struct {
-	limit func() time.Duration
-
-	mu     sync.Mutex
-	timers map[net.Conn]*time.Timer
-}
-
-func (i *idleWatch) changed(c net.Conn, s http.ConnState) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if t := i.timers[c]; t != nil {
-		t.Stop()
-		delete(i.timers, c)
-	}
-	if s == http.StateIdle {
-		i.watch(c, time.Now())
-	}
-}
-
-// watch sets the timer of a connection that rests since a time. The watch is
-// locked.
-func (i *idleWatch) watch(c net.Conn, since time.Time) {
-	var t *time.Timer
-	t = time.AfterFunc(time.Until(since.Add(i.limit())), func() {
-		i.mu.Lock()
-		defer i.mu.Unlock()
-		if i.timers[c] != t {
-			return
-		}
-		if time.Since(since) < i.limit() {
-			i.watch(c, since) // the limit has been raised
-			return
-		}
-		delete(i.timers, c)
-		_ = c.Close() // it was idle
-	})
-	i.timers[c] = t
-}
-
 // Shares of the grace in a clean stop.
 const (
 	takeShare  = 0.34 // requests are still taken: the balancer needs a moment
