--- a/internal/gateway/idle_test.go
+++ b/internal/gateway/idle_test.go
@@ -5,15 +5,27 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 )
 
+// bound is a limit that may change while timers look at it.
+type bound struct{ ns atomic.Int64 }
+
+func (b *bound) set(d time.Duration) { b.ns.Store(int64(d)) }
+
+func (b *bound) get() time.Duration { return time.Duration(b.ns.Load()) }
+
+// limit of most tests.
+const limit = 10 * time.Second
+
 // resting returns a connection that rests, and the caller's end of it.
-func resting(limit *time.Duration) (*callerConn, net.Conn) {
+func resting(b *bound) (*callerConn, net.Conn) {
 	here, there := net.Pipe()
-	c := &callerConn{Conn: here, limit: func() time.Duration { return *limit }}
+	b.set(limit)
+	c := &callerConn{Conn: here, limit: b.get}
 	changed(c, http.StateIdle)
 	return c, there
 }
@@ -27,13 +39,13 @@
 
 func TestRestingConnectionIsClosed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		limit := 10 * time.Second
-		_, caller := resting(&limit)
+		var b bound
+		_, caller := resting(&b)
 		time.Sleep(9 * time.Second)
 		if !open(caller) {
 			t.Error("closed before its time")
 		}
-		limit = 15 * time.Second
+		b.set(15 * time.Second)
 		time.Sleep(5 * time.Second)
 		if !open(caller) {
 			t.Error("closed although the limit has been raised")
@@ -49,8 +61,7 @@
 // time is over; the server tells of the new state only when it has read more.
 func TestRequestEndsTheRest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		limit := 10 * time.Second
-		c, caller := resting(&limit)
+		c, caller := resting(new(bound))
 		time.Sleep(limit - time.Millisecond)
 		go func() { _, _ = caller.Write([]byte("GET ")) }()
 		if n, err := c.Read(make([]byte, 4)); n != 4 || err != nil {
@@ -72,8 +83,7 @@
 // TestNothingIsReadAfterTheRest expects that what comes too late is not taken.
 func TestNothingIsReadAfterTheRest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		limit := 10 * time.Second
-		c, _ := resting(&limit)
+		c, _ := resting(new(bound))
 		time.Sleep(limit + time.Millisecond)
 		if _, err := c.Read(make([]byte, 4)); !errors.Is(err, net.ErrClosed) {
 			t.Errorf("got %v", err)
