Say how much had come when a transfer fails

Requests were handled by settings long replaced, and sent to endpoints that had said that they leave. The lines of failed transfers did not tell a link too thin from a peer too slow: they name the bytes that had come and the time now.

No logic is changed.

--- a/internal/direct/peers/state.go
+++ b/internal/direct/peers/state.go
@@ -99,9 +99,10 @@
 		return fmt.Errorf("peers: state of %s: %w", address, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
+	began := time.Now()
 	data, err := io.ReadAll(io.LimitReader(answer.Body, maxState))
 	if err != nil {
-		return fmt.Errorf("peers: state of %s: %w", address, err)
+		return fmt.Errorf("peers: state of %s: %d bytes in %v: %w", address, len(data), time.Since(began).Round(time.Millisecond), err)
 	}
 	var s state
 	if err := cbor.Unmarshal(data, &s); err != nil {
