Let a test of lapsed endpoints wait for the latest moment allowed

Cause: the delay between failed calls is drawn between 0.25 and 0.75 s, and an endpoint is kept for 0.4 s after the call that finds it gone, so that up to 1.15 s pass after the store's return; the test looked after 1 s.

--- a/internal/direct/directory/lapse_test.go
+++ b/internal/direct/directory/lapse_test.go
@@ -96,6 +96,9 @@
 	s := &source{version: 1, revision: 3, list: endpointsOf("a")}
 	following(t, s, 500*time.Millisecond, func(u *users) {
 		s.outage(nil)
+		// The return is noticed after a retry delay of up to 0.75 s, and the endpoint kept
+		// for 0.4 s from then on; without the bound it would be for 2.3 s.
+		time.Sleep(200 * time.Millisecond)
 		u.expect(t, "beyond the time that an endpoint may be used after it left")
 	})
 }
