--- a/coord/settings/route.go
+++ b/coord/settings/route.go
@@ -149,9 +149,10 @@
 
 // Limits bound what callers may send on routes.
 type Limits struct {
-	HeaderBytes int
-	BodyBytes   int
-	IdleTimeout time.Duration
+	HeaderBytes   int
+	BodyBytes     int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 }
 
 // Limits returns the bounds for callers.
@@ -159,8 +160,9 @@
 
 func limitsOf(f Fields) Limits {
 	return Limits{
-		HeaderBytes: value(f.MaxHeaderBytes),
-		BodyBytes:   value(f.MaxBodyBytes),
-		IdleTimeout: milliseconds(f.IdleTimeoutMS),
+		HeaderBytes:   value(f.MaxHeaderBytes),
+		BodyBytes:     value(f.MaxBodyBytes),
+		HeaderTimeout: milliseconds(f.HeaderTimeoutMS),
+		IdleTimeout:   milliseconds(f.IdleTimeoutMS),
 	}
 }
--- a/internal/direct/gateway/idle_test.go
+++ b/internal/direct/gateway/idle_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -90,3 +91,50 @@
 		}
 	})
 }
+
+// TestUnreadRequestKeepsTheConnection has a request come over a real connection just
+// before its idle time ends, while the only processor is busy until after that. Callers
+// whose requests came while an entry took in large settings found their connections
+// closed unanswered: the timer ran before the reader did.
+func TestUnreadRequestKeepsTheConnection(t *testing.T) {
+	const idle, busy = 50 * time.Millisecond, 4 * time.Millisecond
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	for range 20 {
+		here, caller := tcpPair(t)
+		c := &callerConn{Conn: here, limit: func() time.Duration { return idle }}
+		failed := make(chan error, 1)
+		due := time.Now().Add(idle)
+		connStateChanged(c, http.StateIdle)
+		go func() {
+			_, err := c.Read(make([]byte, 4))
+			failed <- err
+		}()
+		time.Sleep(time.Until(due.Add(-busy / 2)))
+		_, err := caller.Write([]byte("GET "))
+		inTime := time.Now().Before(due)
+		for time.Now().Before(due.Add(busy / 2)) {
+			// The processor is busy: neither the timer nor the reader runs.
+		}
+		if readErr := <-failed; err == nil && inTime && readErr != nil {
+			t.Errorf("a request that had come was not read: %v", readErr)
+		}
+	}
+}
+
+// tcpPair returns both ends of a real connection.
+func tcpPair(t *testing.T) (here, there net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	if there, err = net.Dial("tcp", listener.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	if here, err = listener.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _, _ = here.Close(), there.Close() })
+	return here, there
+}
--- a/internal/direct/gateway/server.go
+++ b/internal/direct/gateway/server.go
@@ -13,8 +13,9 @@
 	// maxHeaderBytes is a bound for the library; the settings' own is checked in
 	// accept. Chosen, not measured.
 	maxHeaderBytes = 1 << 20
-	// headerTimeout is how long a caller may take to send a header. Chosen, not measured.
-	// The settings' own limit is not applied yet: TestSlowHeaderIsCutOff, KNOWN-RED.txt.
+	// headerTimeout is how long a new connection may take to its first header. Chosen,
+	// not measured. The settings' own limit holds from a header's first byte on: a
+	// connection that has not begun one is at rest.
 	headerTimeout = 30 * time.Second
 	// probeInterval and probeCount are those of TCP keep-alive: a caller that is cut
 	// off is given up after some five seconds. Chosen, not measured.
@@ -52,12 +53,29 @@
 		Handler:           g,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         connStateChanged,
+		ConnState:         g.connStateChanged,
 	}
 	s.SetKeepAlivesEnabled(true)
 	return s
 }
 
+// connStateChanged is told of the state of a caller's connection.
+func (g *Gateway) connStateChanged(c net.Conn, s http.ConnState) {
+	if own, ok := c.(*callerConn); ok && s == http.StateNew {
+		own.becomeNew(g.headerLimit)
+	}
+	connStateChanged(c, s)
+}
+
+// headerLimit returns how long a caller may take to send a header, from its first byte.
+func (g *Gateway) headerLimit() time.Duration {
+	inForce := g.directory.Settings()
+	if inForce == nil {
+		return headerTimeout
+	}
+	return inForce.Snapshot.Limits().HeaderTimeout
+}
+
 // idleLimit returns how long a caller's connection may be idle.
 func (g *Gateway) idleLimit() time.Duration {
 	inForce := g.directory.Settings()
--- a/internal/direct/gateway/server_test.go
+++ b/internal/direct/gateway/server_test.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"bufio"
+	"io"
 	"net"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,7 +59,7 @@
 		if _, err := caller.Write([]byte("GET / HTTP/1.1\r\nHost: a")); err != nil {
 			t.Fatal(err)
 		}
-		time.Sleep(limit - time.Millisecond)
+		time.Sleep(limit - 2*time.Millisecond) // open looks for another one
 		if !open(caller) {
 			t.Error("closed before its time")
 		}
@@ -66,3 +69,48 @@
 		}
 	})
 }
+
+// TestHeaderLimitIsOfHeadersOnly sends a body, and later a second header, each of which
+// takes longer than a header may: only the header ends the connection.
+func TestHeaderLimitIsOfHeadersOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ms := int(limit.Milliseconds())
+		d := directory.New(func(directory.InForce) {}, func([]placement.Endpoint) {})
+		d.TakeSettings(1, settings.NewTree(map[string]settings.Node{"": {Set: settings.Fields{HeaderTimeoutMS: &ms}}}), "store")
+		g := &Gateway{directory: d}
+		here, caller := net.Pipe()
+		s := g.newServer()
+		s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(w, r.Body)
+		})
+		defer func() { _ = s.Close() }()
+		go func() { _ = s.Serve(idleListener{Listener: listenOnce(here), limit: g.idleLimit}) }()
+		write := func(text string) {
+			if _, err := caller.Write([]byte(text)); err != nil {
+				t.Fatalf("%q: %v", text, err)
+			}
+		}
+		time.Sleep(2 * limit) // at rest before its first header
+		write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab")
+		time.Sleep(2 * limit)
+		write("cd")
+		answers := bufio.NewReader(caller)
+		answer, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := io.ReadAll(answer.Body); string(body) != "abcd" || err != nil {
+			t.Fatalf("got %q, %v", body, err)
+		}
+		time.Sleep(2 * limit) // at rest between requests
+		write("GET / HTTP/1.1\r\nHost: a")
+		time.Sleep(limit - 2*time.Millisecond)
+		if !open(caller) {
+			t.Error("closed before its time")
+		}
+		time.Sleep(2 * time.Millisecond)
+		if open(caller) {
+			t.Error("open after its time")
+		}
+	})
+}
