--- a/internal/direct/gateway/dump.go
+++ b/internal/direct/gateway/dump.go
@@ -15,11 +15,20 @@
 	Revision  uint64                    `json:"endpoints_revision"`
 	Following bool                      `json:"following_store"`
 	Confirmed int64                     `json:"confirmed_ms_ago"` // since the settings were known to be the newest
+	Behind    DumpBehind                `json:"settings_behind"`
 	Entries   int                       `json:"live_entries"`
 	Open      int                       `json:"open_requests"`
 	Endpoints []placement.EndpointState `json:"endpoints"`
 }
 
+// DumpBehind is how far the settings are behind those of other entries, zero if none
+// has newer ones.
+type DumpBehind struct {
+	Newest      uint64 `json:"newest_version"` // that some entry has in force
+	ForMS       int64  `json:"for_ms"`         // since a newer one was first told
+	Outstanding int64  `json:"outstanding_bytes"`
+}
+
 // Dump returns the present state.
 func (g *Gateway) Dump() Dump {
 	version, revision := g.directory.Versions()
@@ -31,6 +40,8 @@
 		Following: g.directory.Following(),
 		Confirmed: time.Since(g.directory.Confirmed()).Milliseconds(),
 	}
+	behind := g.directory.Behind()
+	d.Behind = DumpBehind{Newest: behind.Newest, ForMS: behind.For.Milliseconds(), Outstanding: behind.Outstanding}
 	d.Open = g.capacity.openRequests()
 	d.Entries, d.Endpoints = g.attempts.state()
 	return d
--- a/internal/process/gauges.go
+++ b/internal/process/gauges.go
@@ -25,5 +25,7 @@
 		scope.Gauge("live_entries").Update(float64(d.Entries))
 		scope.Gauge("settings_version").Update(float64(d.Version))
 		scope.Gauge("following_store").Update(following)
+		scope.Gauge("settings_behind_seconds").Update(float64(d.Behind.ForMS) / 1000)
+		scope.Gauge("settings_outstanding_bytes").Update(float64(d.Behind.Outstanding))
 	})
 }
