Let the soak vary the size of settings, links and callers' connections

The soak had small settings, links of any rate and a connection for each request, so it could not find what large settings break. A new fault draws the number of routes from 1 to 5,000, every other entry reaches the store over 10 Mbit/s, every other caller keeps its connections until they are closed, and where only planned work strikes no request that ran may lose its answer.

--- a/internal/testing/soak/caller.go
+++ b/internal/testing/soak/caller.go
@@ -27,18 +27,36 @@
 	seal   string
 	body   string
 	whole  bool // the answer ended as its framing says
+	left   bool // the caller gave up, by its time or the end of the run
 }
 
 // ids counts the requests of this process.
 var ids atomic.Uint64
 
-// call sends requests to entries until ctx is done.
+// call sends requests to entries until ctx is done. Every other caller keeps its
+// connections and uses each until it is closed, also while the entry stops.
 func (d *deployment) call(ctx context.Context, number uint64) {
 	random := rand.New(rand.NewPCG(d.options.Seed, number+2))
+	keeps := number%2 == 0
+	kept := map[*entry]*connection{}
+	defer func() {
+		for _, c := range kept {
+			c.close()
+		}
+	}()
 	for ctx.Err() == nil {
 		e := d.entries[random.IntN(len(d.entries))]
 		k := kinds[random.IntN(len(kinds))]
-		d.request(ctx, e, k)
+		c := kept[e]
+		if c == nil {
+			c = &connection{address: e.callers()}
+		}
+		d.requestOver(ctx, c, k)
+		if keeps {
+			kept[e] = c
+		} else {
+			c.close()
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(time.Duration(random.IntN(20)) * time.Millisecond):
@@ -46,8 +64,15 @@
 	}
 }
 
-// request sends one request and notes what the caller saw.
+// request sends one request over a connection of its own.
 func (d *deployment) request(ctx context.Context, e *entry, k kind) seen {
+	c := &connection{address: e.callers()}
+	defer c.close()
+	return d.requestOver(ctx, c, k)
+}
+
+// requestOver sends one request over a connection and notes what the caller saw.
+func (d *deployment) requestOver(ctx context.Context, c *connection, k kind) seen {
 	s := seen{id: fmt.Sprintf("%016x", ids.Add(1)), kind: k}
 	s.target = k.path + s.id
 	ctx, cancel := context.WithTimeout(ctx, requestTime)
@@ -56,24 +81,20 @@
 	if k.method == http.MethodPost {
 		body = bytes.NewBufferString("body of " + s.id)
 	}
-	q, err := http.NewRequestWithContext(ctx, k.method, fmt.Sprintf("http://%s:%d%s", e.address, callersPort, s.target), body)
+	q, err := http.NewRequest(k.method, "http://"+host+s.target, body)
 	if err != nil {
 		return s
 	}
-	q.Host = host
 	q.Header.Set(platformtest.RequestIDField, s.id)
 	q.Header.Set(platformtest.DeadlineField, fmt.Sprint(requestTime.Milliseconds()))
 	q.Header.Set(platformtest.KeyField, teamKey)
-	// A connection of its own, so that the client library repeats nothing.
-	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
-	if a, err := client.Do(q); err == nil {
-		data, err := io.ReadAll(a.Body)
-		_ = a.Body.Close() // it was read or broke off
+	if a, data, err := c.exchange(ctx, q); a != nil {
 		s.status = a.StatusCode
 		s.seal = a.Header.Get(platformtest.SealField)
 		s.body = string(data)
 		s.whole = err == nil
 	}
+	s.left = ctx.Err() != nil
 	d.history.add(s)
 	return s
 }
--- a/internal/testing/soak/entry.go
+++ b/internal/testing/soak/entry.go
@@ -11,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"foxcross.dev/foxcross/internal/testing/thinlink"
 )
 
 // Ports of each entry; it has an address of its own.
@@ -32,6 +34,7 @@
 	settings string
 	options  Options
 	log      *os.File
+	link     *thinlink.Link // to the store, nil for a wide one
 
 	restarting sync.Mutex // one signal that ends or freezes it at a time
 
@@ -42,14 +45,36 @@
 	ended   chan struct{}
 }
 
+// Rates of links to the store, in 10^6 bits a second.
+const (
+	thinMbps    = 10
+	wideMbps    = 1000
+	bitsPerByte = 8
+)
+
+// callers returns the address for callers' requests.
+func (e *entry) callers() string { return fmt.Sprintf("%s:%d", e.address, callersPort) }
+
 // addressOf returns an own loopback address of the entry of this process.
 func addressOf(n int) string {
 	pid := os.Getpid()
 	return fmt.Sprintf("127.%d.%d.%d", 2+pid>>8&127, pid&255, n+2)
 }
 
+// newEntry prepares the entry of a number. Every other one reaches the store over a thin
+// link, and is told so.
 func newEntry(o Options, n int, store string) (*entry, error) {
 	e := &entry{name: fmt.Sprint("entry-", n+1), address: addressOf(n), options: o}
+	linkMbps := wideMbps
+	if n%2 == 1 {
+		linkMbps = thinMbps
+		link, err := thinlink.New(store, thinMbps*1_000_000/bitsPerByte)
+		if err != nil {
+			return nil, err
+		}
+		e.link = link
+		store = link.Address()
+	}
 	seeds := []string{}
 	for other := range min(o.Entries, 3) {
 		seeds = append(seeds, fmt.Sprintf("%s:%d", addressOf(other), seedPort))
@@ -58,12 +83,13 @@
 		"nodeName": e.name, "zone": fmt.Sprint("zone-", n%2+1), "ip": e.address, "seeds": seeds,
 		"portRange": []int{peersPort, peersPort + 15},
 		"listen": map[string]any{
-			"frontend":  fmt.Sprintf("%s:%d", e.address, callersPort),
+			"frontend":  e.callers(),
 			"readiness": fmt.Sprintf("%s:%d", e.address, readinessPort),
 		},
 		"bounds": map[string]any{
 			"graceS": stopGrace, "drainMs": leaveMS, "retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 50, "retryAfterS": 10,
 		},
+		"limits":   map[string]any{"linkMbps": linkMbps, "cpuShare": 1},
 		"platform": map[string]any{"address": store},
 	})
 	if err != nil {
@@ -142,6 +168,9 @@
 		e.signal(syscall.SIGKILL)
 		e.awaitEnd(time.Second)
 	}
+	if e.link != nil {
+		e.link.Close()
+	}
 	if e.log != nil {
 		_ = e.log.Close() // the run is over
 	}
--- a/internal/testing/soak/faults.go
+++ b/internal/testing/soak/faults.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"math"
 	"net/http"
 	"sync"
 	"syscall"
@@ -42,6 +43,7 @@
 	{"endpoint comes", []Promise{OwnAnswer, Untouched}, true,
 		func(d *deployment, _ float64) { d.addEndpoint() }},
 	{"answers go wrong", []Promise{OwnAnswer, InOrder, AtMostOnce, NotRun, Untouched}, false, misbehave},
+	{"settings grow", []Promise{NothingNew, NeverBack, NothingLost, Recovers}, true, growSettings},
 }
 
 // How long faults last and what they do, all chosen, not measured.
@@ -55,6 +57,7 @@
 	fewestChanges   = 2                      // of the settings, one after another
 	moreChanges     = 8                      // beside the fewest
 	moreWrong       = 6                      // requests in a row that go wrong, beside the first
+	mostRoutes      = 5000                   // some 0.9 MB of settings, about the store's largest value
 )
 
 // lasting returns the shortest time of a fault and a part of the longest.
@@ -142,6 +145,14 @@
 	}
 }
 
+// growSettings changes the number of routes, small numbers being as likely as large ones.
+func growSettings(d *deployment, amount float64) {
+	d.mu.Lock()
+	d.routes = int(math.Pow(mostRoutes, amount))
+	d.mu.Unlock()
+	d.configure()
+}
+
 // leave lets an endpoint say that it leaves, and end later.
 func leave(d *deployment, _ float64) {
 	e := d.pick(2)
--- a/internal/testing/soak/history.go
+++ b/internal/testing/soak/history.go
@@ -15,15 +15,16 @@
 
 // The promises.
 const (
-	OwnAnswer  Promise = "a caller gets the whole answer to its own request"
-	InOrder    Promise = "the events of a stream come once and in order"
-	AtMostOnce Promise = "what may not be repeated runs at most once"
-	NotRun     Promise = "what is said not to have run has not run"
-	Untouched  Promise = "endpoints get the caller's request, its team and no key"
-	NothingNew Promise = "an endpoint that leaves gets nothing new"
-	NeverBack  Promise = "settings never go back"
-	Recovers   Promise = "all works again after the faults"
-	leaveSlack         = 1500 * time.Millisecond // for a request that was on its way
+	OwnAnswer   Promise = "a caller gets the whole answer to its own request"
+	InOrder     Promise = "the events of a stream come once and in order"
+	AtMostOnce  Promise = "what may not be repeated runs at most once"
+	NotRun      Promise = "what is said not to have run has not run"
+	Untouched   Promise = "endpoints get the caller's request, its team and no key"
+	NothingNew  Promise = "an endpoint that leaves gets nothing new"
+	NeverBack   Promise = "settings never go back"
+	NothingLost Promise = "planned work cuts off no request"
+	Recovers    Promise = "all works again after the faults"
+	leaveSlack          = 1500 * time.Millisecond // for a request that was on its way
 )
 
 // Breach is a promise that was not kept.
@@ -94,8 +95,9 @@
 	}
 }
 
-// check holds all that was seen to the promises.
-func (h *history) check() Report {
+// check holds all that was seen to the promises. Where only planned work struck, nothing
+// may be lost either.
+func (h *history) check(planned bool) Report {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r := Report{Requests: len(h.seen), Answers: map[int]int{}}
@@ -103,6 +105,9 @@
 		r.Answers[s.status]++
 		h.checkAnswer(s)
 		h.checkRuns(s, h.runs[s.id])
+		if planned {
+			h.checkLost(s, h.runs[s.id])
+		}
 	}
 	r.Breaches = h.breaches
 	return r
@@ -139,6 +144,14 @@
 	}
 }
 
+// checkLost looks for a request that was passed on and whose connection then ended
+// without a whole answer.
+func (h *history) checkLost(s seen, runs []run) {
+	if len(runs) > 0 && !s.whole && !s.left {
+		h.found(NothingLost, s.id, "it ran at %s, and the connection ended with status %d and %d bytes", runs[0].endpoint, s.status, len(s.body))
+	}
+}
+
 // checkRuns looks at what became of a request at endpoints.
 func (h *history) checkRuns(s seen, runs []run) {
 	if s.kind.once && len(runs) > 1 {
--- a/internal/testing/soak/platform.go
+++ b/internal/testing/soak/platform.go
@@ -44,12 +44,15 @@
 func (d *deployment) configure() {
 	d.mu.Lock()
 	d.version++
-	version, extra := d.version, d.extra
+	version, extra, more := d.version, d.extra, d.routes
 	d.mu.Unlock()
 	routes := []map[string]any{}
 	for _, k := range kinds {
 		routes = append(routes, route(k.path, k.kind, k.resume))
 	}
+	for n := range more {
+		routes = append(routes, route(fmt.Sprintf("/more/%d/", n), "idempotent", false))
+	}
 	if extra {
 		routes = append(routes, route("/extra/", "idempotent", false))
 	}
--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -50,6 +50,7 @@
 	endpoints []*endpoint // that were ever started
 	version   int
 	extra     bool // the route that comes and goes is there
+	routes    int  // beside those that callers use
 	faults    map[string]int
 }
 
@@ -175,7 +176,7 @@
 	for _, e := range d.endpoints {
 		d.history.addRuns(e)
 	}
-	r := d.history.check()
+	r := d.history.check(d.options.planned())
 	r.Faults = d.faults
 	return r
 }
--- a/internal/testing/soak/soak_test.go
+++ b/internal/testing/soak/soak_test.go
@@ -48,7 +48,7 @@
 			attacked[p] = true
 		}
 	}
-	for _, p := range []Promise{OwnAnswer, InOrder, AtMostOnce, NotRun, Untouched, NothingNew, NeverBack, Recovers} {
+	for _, p := range []Promise{OwnAnswer, InOrder, AtMostOnce, NotRun, Untouched, NothingNew, NeverBack, NothingLost, Recovers} {
 		if !attacked[p] {
 			t.Errorf("no fault attacks %q", p)
 		}
@@ -105,21 +105,25 @@
 		"after it began to leave": {NothingNew, of(page, seen{}), []run{late}},
 	} {
 		h := history{seen: []seen{c.seen}, runs: map[string][]run{"a": c.runs}}
-		r := h.check()
+		r := h.check(false)
 		if len(r.Breaches) != 1 || r.Breaches[0].Promise != c.want {
 			t.Errorf("%s: found %v", name, r.Breaches)
 		}
 	}
 	disturbed := history{seen: []seen{of(page, seen{})}, runs: map[string][]run{"a": {late}}}
 	disturbed.disturb(now.Add(-time.Second))
-	if r := disturbed.check(); len(r.Breaches) != 0 {
+	if r := disturbed.check(false); len(r.Breaches) != 0 {
 		t.Errorf("found %v where entries could not learn", r.Breaches)
 	}
+	lost := history{seen: []seen{of(page, seen{})}, runs: map[string][]run{"a": {ran(page)}}}
+	if r := lost.check(true); len(r.Breaches) != 1 || r.Breaches[0].Promise != NothingLost {
+		t.Errorf("a lost answer: found %v", r.Breaches)
+	}
 	var h history
 	h.inForce("entry-1", 1, 5)
 	h.inForce("entry-1", 2, 4)
 	h.inForce("entry-1", 1, 4)
-	if r := h.check(); len(r.Breaches) != 1 || r.Breaches[0].Promise != NeverBack {
+	if r := h.check(false); len(r.Breaches) != 1 || r.Breaches[0].Promise != NeverBack {
 		t.Errorf("found %v", r.Breaches)
 	}
 }
--- a/internal/testing/soak/strike.go
+++ b/internal/testing/soak/strike.go
@@ -26,6 +26,11 @@
 	return chosen
 }
 
+// planned tells whether only planned work strikes.
+func (o Options) planned() bool {
+	return !slices.ContainsFunc(o.faults(), func(f fault) bool { return !f.planned })
+}
+
 // strike lets faults come at random until the time is over and waits for their
 // ends.
 func (d *deployment) strike(ctx context.Context) {
