--- a/examples/growth/main.go
+++ b/examples/growth/main.go
@@ -2,7 +2,7 @@
 // size and the entries' links, processors and number, as the table of docs/CAPACITY.md:
 //
 //	go run ./examples/growth
-//	go run ./examples/growth --kind teams --grown 0.1
+//	go run ./examples/growth --teams --grown 0.1
 //
 // Times of a processor are measured on this machine, beside nothing else; links are
 // simulated.
@@ -19,7 +19,7 @@
 )
 
 type options struct {
-	Kind  string  `long:"kind" choice:"routes" choice:"teams" default:"routes" description:"what the settings grow by"`
+	Teams bool    `long:"teams" description:"the settings grow by teams with a key each, in place of routes"`
 	Grown float64 `long:"grown" default:"1" description:"share of them that the version adds; at 1 entries have none before"`
 }
 
@@ -44,11 +44,15 @@
 	if err := logs.Setup(os.Stderr, "text", "error"); err != nil {
 		return err
 	}
-	fmt.Printf("| %s | from the store | between entries | before, plain | read | encode | take | memory |\n", o.Kind)
+	kind := growth.Routes
+	if o.Teams {
+		kind = growth.Teams
+	}
+	fmt.Printf("| %s | from the store | between entries | before, plain | read | encode | take | memory |\n", kind)
 	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- |")
 	costs := map[int]growth.Cost{}
 	for _, size := range sizes {
-		c, err := growth.Measure(growth.Kind(o.Kind), int(float64(size)*(1-o.Grown)), size)
+		c, err := growth.Measure(kind, int(float64(size)*(1-o.Grown)), size)
 		if err != nil {
 			return err
 		}
@@ -57,7 +61,7 @@
 			kilobytes(c.StoreBytes), kilobytes(c.PeerBytes), kilobytes(c.PlainBytes),
 			shown(c.Read), shown(c.Encode), shown(c.Take), kilobytes(c.Heap))
 	}
-	fmt.Printf("\n| %s | link | core | floor |", o.Kind)
+	fmt.Printf("\n| %s | link | core | floor |", kind)
 	for _, n := range entries {
 		fmt.Printf(" %d entries |", n)
 	}
