--- a/internal/direct/peers/fetch.go
+++ b/internal/direct/peers/fetch.go
@@ -22,10 +22,14 @@
 	// plain. Chosen, not measured: the store's largest value, a megabyte, becomes some
 	// 3 MB.
 	maxState = 64 << 20
-	// firstTimeout bounds the time to the first byte of an answer. Chosen, not measured:
-	// encoding 10,000 routes takes 0.4 s on a tenth of a core, and is kept for the next
-	// asker.
-	firstTimeout = time.Second
+	// settingsTimeout bounds the time to the first byte of an answer with settings. Chosen,
+	// not measured: encoding 10,000 routes takes 0.4 s on a tenth of a core, and is kept
+	// for the next asker.
+	settingsTimeout = time.Second
+	// endpointsTimeout is the same for endpoints, which need no such work and have to be
+	// known in 2 s, also if the first entry that is asked has just frozen. Chosen, not
+	// measured.
+	endpointsTimeout = 500 * time.Millisecond
 	// stallTimeout bounds the time without a byte of an answer that has begun. Chosen,
 	// not measured.
 	stallTimeout = time.Second
@@ -51,7 +55,7 @@
 
 // fetch asks for a part from a version and revision on and takes it in.
 func fetch(ctx context.Context, d *directory.Directory, address string, p Part, version, revision uint64) error {
-	f := transfer.Begin(ctx, firstTimeout, stallTimeout)
+	f := transfer.Begin(ctx, p.firstTimeout(), stallTimeout)
 	defer f.End()
 	answer, err := ask(f, address, p, version, revision)
 	if err != nil {
@@ -76,6 +80,14 @@
 	return take(d, s)
 }
 
+// firstTimeout bounds the time to the first byte of an answer.
+func (p Part) firstTimeout() time.Duration {
+	if p == EndpointsPart {
+		return endpointsTimeout
+	}
+	return settingsTimeout
+}
+
 // ask sends the question.
 func ask(f *transfer.Transfer, address string, p Part, version, revision uint64) (*http.Response, error) {
 	query := url.Values{
