--- a/internal/direct/directory/directory_test.go
+++ b/internal/direct/directory/directory_test.go
@@ -131,8 +131,8 @@
 	return directory.New(func(directory.InForce) {}, func([]placement.Endpoint) {})
 }
 
-// follow runs the test in virtual time with a directory that follows a source.
-func follow(t *testing.T, s *source, test func(d *directory.Directory)) {
+// follow runs the test in virtual time with a directory that follows a store.
+func follow(t *testing.T, s driver.Store, test func(d *directory.Directory)) {
 	synctest.Test(t, func(t *testing.T) {
 		d := empty()
 		ctx, cancel := context.WithCancel(context.Background())
--- a/internal/direct/directory/settings_test.go
+++ b/internal/direct/directory/settings_test.go
@@ -102,22 +102,13 @@
 func TestEndpointsDoNotWaitForSettings(t *testing.T) {
 	s := &source{version: 1, revision: 3, list: endpointsOf("a")}
 	slow := &slowSettings{source: s, takes: time.Minute}
-	synctest.Test(t, func(t *testing.T) {
-		d := empty()
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			d.Follow(ctx, slow)
-		}()
+	follow(t, slow, func(d *directory.Directory) {
 		time.Sleep(time.Second)
 		s.set(func() { s.version, s.revision, s.list = 2, 4, endpointsOf("b") })
 		time.Sleep(100 * time.Millisecond)
 		expect(t, d, 1, 4)
 		time.Sleep(2 * time.Minute)
 		expect(t, d, 2, 4)
-		cancel()
-		<-done
 	})
 }
 
@@ -168,43 +159,25 @@
 // TestVersionsInQuickSuccession expects that versions which come faster than they can be
 // read are not all read: only the newest counts.
 func TestVersionsInQuickSuccession(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := &storm{until: 200}
-		d := empty()
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			d.Follow(ctx, s)
-		}()
+	s := &storm{until: 200}
+	follow(t, s, func(d *directory.Directory) {
 		time.Sleep(40 * time.Second)
 		expect(t, d, 200, 0)
 		if s.reads > 25 {
 			t.Errorf("%d reads", s.reads)
 		}
-		cancel()
-		<-done
 	})
 }
 
 // TestUnusableSettingsAreReadOnce has the store hold a version that can't be compiled.
 func TestUnusableSettingsAreReadOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := &unusable{}
-		d := empty()
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			d.Follow(ctx, s)
-		}()
+	s := &unusable{}
+	follow(t, s, func(d *directory.Directory) {
 		time.Sleep(time.Minute)
 		expect(t, d, 0, 0)
 		if s.reads > 2 {
 			t.Errorf("read %d times", s.reads)
 		}
-		cancel()
-		<-done
 	})
 }
 
--- a/internal/direct/gateway/server_test.go
+++ b/internal/direct/gateway/server_test.go
@@ -44,18 +44,29 @@
 // Addr implements net.Listener.
 func (l oneConn) Addr() net.Addr { return &net.TCPAddr{} }
 
+// headerLimited serves one connection by settings that limit the time of a header, by
+// the handler if there is one, and returns the caller's end.
+func headerLimited(t *testing.T, handler http.HandlerFunc) net.Conn {
+	t.Helper()
+	ms := int(limit.Milliseconds())
+	d := directory.New(func(directory.InForce) {}, func([]placement.Endpoint) {})
+	d.TakeSettings(1, settings.NewTree(map[string]settings.Node{"": {Set: settings.Fields{HeaderTimeoutMS: &ms}}}), "store")
+	g := &Gateway{directory: d}
+	here, caller := net.Pipe()
+	s := g.newServer()
+	if handler != nil {
+		s.Handler = handler
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	go func() { _ = s.Serve(idleListener{Listener: listenOnce(here), limit: g.idleLimit}) }()
+	return caller
+}
+
 // TestSlowHeaderIsCutOff sends half a header. The settings' limit for the header is
 // to end the connection, not the longer one of the server.
 func TestSlowHeaderIsCutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ms := int(limit.Milliseconds())
-		d := directory.New(func(directory.InForce) {}, func([]placement.Endpoint) {})
-		d.TakeSettings(1, settings.NewTree(map[string]settings.Node{"": {Set: settings.Fields{HeaderTimeoutMS: &ms}}}), "store")
-		g := &Gateway{directory: d}
-		here, caller := net.Pipe()
-		s := g.newServer()
-		defer func() { _ = s.Close() }()
-		go func() { _ = s.Serve(idleListener{Listener: listenOnce(here), limit: g.idleLimit}) }()
+		caller := headerLimited(t, nil)
 		if _, err := caller.Write([]byte("GET / HTTP/1.1\r\nHost: a")); err != nil {
 			t.Fatal(err)
 		}
@@ -74,17 +85,9 @@
 // takes longer than a header may: only the header ends the connection.
 func TestHeaderLimitIsOfHeadersOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ms := int(limit.Milliseconds())
-		d := directory.New(func(directory.InForce) {}, func([]placement.Endpoint) {})
-		d.TakeSettings(1, settings.NewTree(map[string]settings.Node{"": {Set: settings.Fields{HeaderTimeoutMS: &ms}}}), "store")
-		g := &Gateway{directory: d}
-		here, caller := net.Pipe()
-		s := g.newServer()
-		s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		caller := headerLimited(t, func(w http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(w, r.Body)
 		})
-		defer func() { _ = s.Close() }()
-		go func() { _ = s.Serve(idleListener{Listener: listenOnce(here), limit: g.idleLimit}) }()
 		write := func(text string) {
 			if _, err := caller.Write([]byte(text)); err != nil {
 				t.Fatalf("%q: %v", text, err)
