--- a/internal/direct/directory/follow.go
+++ b/internal/direct/directory/follow.go
@@ -161,7 +161,8 @@
 type settingsFollower struct {
 	directory *Directory
 	store     driver.Store
-	known     bool   // the settings were read, and nothing newer came meanwhile
+	known     bool   // the settings were read, and changes after revision are to be asked for
+	behind    bool   // versions come faster than they are taken in
 	revision  uint64 // of the last answer
 	seen      uint64 // the newest version that came, which may be one that can't be used
 	failing   bool   // the last call failed
@@ -174,9 +175,9 @@
 	return f.read(ctx)
 }
 
-// read reads the settings. While that brings newer ones, more may have come meanwhile,
-// and the next step reads again: a watch would bring all versions in between, each
-// whole, and of those only the last counts.
+// read reads the settings. While versions come faster than they are taken in, it is
+// repeated until it brings nothing newer: a watch would bring all versions in between,
+// each whole, and of those only the last counts.
 func (f *settingsFollower) read(ctx context.Context) (newer bool, err error) {
 	asked := time.Now()
 	s, err := f.store.ReadSettings(ctx)
@@ -184,7 +185,8 @@
 		return false, err
 	}
 	newer = f.take(s, s.Revision, asked, "store")
-	f.known = !newer
+	f.behind = f.behind && newer
+	f.known = !f.behind
 	f.revision = s.Revision
 	return newer, nil
 }
@@ -204,7 +206,8 @@
 		return false, nil
 	}
 	f.take(*c.Settings, c.Revision, asked, "watch")
-	f.known = c.Superseded == 0 // or else they come faster than they are taken in
+	f.behind = c.Superseded > 0
+	f.known = !f.behind
 	return true, nil
 }
 
