--- a/coord/settings/digest.go
+++ b/coord/settings/digest.go
@@ -20,7 +20,8 @@
 // DigestAfter returns the digest of a tree of the digest before, after the
 // differences.
 func DigestAfter(before uint64, all []Difference) uint64 {
-	for _, d := range all {
+	for n, d := range all {
+		yield(n)
 		if d.Before != nil {
 			before -= digestOf(d.Path, *d.Before)
 		}
--- a/coord/settings/snapshot.go
+++ b/coord/settings/snapshot.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"runtime"
 	"slices"
 	"strings"
 	"time"
@@ -192,17 +191,6 @@
 	into     Snapshot
 }
 
-// yieldEvery is how many nodes are compiled at a stretch: some 0.2 ms of processor
-// time, by the 27 ms of 10,000 routes (BenchmarkRecompile). Requests run in between.
-const yieldEvery = 64
-
-// yield lets other goroutines run, now and then.
-func yield(n int) {
-	if n%yieldEvery == 0 {
-		runtime.Gosched()
-	}
-}
-
 func (t Tree) checkParents(paths []string) error {
 	for _, p := range paths {
 		up, ok := parent(p)
--- a/coord/settings/tree.go
+++ b/coord/settings/tree.go
@@ -182,7 +182,10 @@
 // Diff lists the nodes that differ, by path.
 func Diff(before, after Tree) []Difference {
 	var all []Difference
+	looked := 0
 	for p, b := range before.nodes {
+		yield(looked)
+		looked++
 		a, inAfter := after.nodes[p]
 		switch {
 		case !inAfter:
