Name entries of former versions no revision that the settings lack

Those ask the store for changes of settings and endpoints after one revision. Since both are known each by itself now, a list could be newer than the settings beside it, and such an entry would have missed a version. The list is named as of the revision at which the settings were the newest.

--- a/internal/direct/peers/fetch_test.go
+++ b/internal/direct/peers/fetch_test.go
@@ -168,10 +168,12 @@
 }
 
 // TestQuestionOfFormerVersion asks as entries of the former version do: they get both
-// parts in one answer, and uncompressed if they like.
+// parts in one answer, and uncompressed if they like. The list names a revision at which
+// the settings were the newest, since they ask for changes of both from there.
 func TestQuestionOfFormerVersion(t *testing.T) {
 	a := newDirectory()
 	a.TakeSettings(5, manyRoutes(200), "test")
+	a.Settle(5, 7)
 	a.TakeEndpoints(driver.Endpoints{Revision: 9, List: []placement.Endpoint{{ID: "i-1"}}}, "test")
 	address := serving(t, peers.StateHandler(a))
 	for _, client := range []*http.Client{http.DefaultClient, {Transport: &http.Transport{DisableCompression: true}}} {
@@ -184,7 +186,7 @@
 			t.Fatal(err)
 		}
 		_ = answer.Body.Close()
-		if s.Version != 5 || len(s.Nodes) != a.Settings().Tree.Len() || s.Endpoints == nil || len(s.Endpoints.List) != 1 {
+		if s.Version != 5 || len(s.Nodes) != a.Settings().Tree.Len() || s.Endpoints == nil || len(s.Endpoints.List) != 1 || s.Endpoints.Revision != 7 {
 			t.Errorf("version %d, %d nodes, endpoints %+v", s.Version, len(s.Nodes), s.Endpoints)
 		}
 	}
--- a/internal/direct/peers/state.go
+++ b/internal/direct/peers/state.go
@@ -105,10 +105,18 @@
 	body.send(w, r)
 }
 
-// serveAll sends both parts as entries of former versions read them. The list is read
-// before the settings, so that these are never older than it.
+// serveAll sends both parts as entries of former versions read them: they ask the store
+// for changes of both after the revision of the list, so none is named at which the
+// settings may have been older than the newest.
 func (h *stateHandler) serveAll(w http.ResponseWriter, r *http.Request, version, revision uint64) {
 	s := h.endpoints(revision)
+	_, settled := h.directory.Settled()
+	switch {
+	case s.Endpoints != nil:
+		s.Endpoints.Revision = min(s.Endpoints.Revision, settled)
+	case s.Change != nil:
+		s.Change.Revision = min(s.Change.Revision, settled)
+	}
 	if f := h.directory.Settings(); f != nil && f.Version > version {
 		s.Version = f.Version
 		s.Nodes = f.Tree.Nodes()
