--- a/internal/direct/peers/thinlink_test.go
+++ b/internal/direct/peers/thinlink_test.go
@@ -139,4 +139,7 @@
 	if version(behind) == 5 {
 		t.Error("the settings were as fast; the link is too wide for the test")
 	}
+	if behind.Known() {
+		t.Error("an entry that lacks the settings counts as ready")
+	}
 }
