Measure what a request waits while settings are taken in

A version of 10,000 routes that differs in one, one processor: the longest wait of a request was 120, 147 and 222 ms at, when it was compiled under the lock that each request takes; it is 18, 23 and 30 ms now. The aim of 20 ms at the most is not met in two of three runs.

The soak takes up to 200 entries.

--- a/examples/soak/main.go
+++ b/examples/soak/main.go
@@ -26,7 +26,7 @@
 	Seed      uint64        `long:"seed" default:"1" description:"first seed"`
 	Seeds     uint64        `long:"seeds" default:"1" description:"runs, each with the next seed"`
 	Duration  time.Duration `long:"duration" default:"10s" description:"how long faults strike in each run"`
-	Entries   int           `long:"entries" default:"3" description:"entries, at most 16"`
+	Entries   int           `long:"entries" default:"3" description:"entries, at most 200"`
 	Endpoints int           `long:"endpoints" default:"4" description:"endpoints"`
 	Callers   int           `long:"callers" default:"8" description:"callers at once"`
 	Only      []string      `long:"only" description:"name of a fault that may strike, may be given often (default: all)"`
@@ -34,8 +34,8 @@
 	Folder    string        `long:"folder" description:"where logs are kept (default: a temporary folder)"`
 }
 
-// maxEntries bounds the processes.
-const maxEntries = 16
+// maxEntries bounds the processes: some 5 GB at 25 MB each.
+const maxEntries = 200
 
 func main() {
 	var o options
--- a/internal/direct/directory/bench_test.go
+++ b/internal/direct/directory/bench_test.go
@@ -10,8 +10,9 @@
 
 // BenchmarkRequestBesideNewSettings asks for the settings in force, as each request does,
 // on one processor while versions of 10,000 routes are taken in that differ in one. It
-// reports the longest wait, in ms of a whole core: before 71 to 97, when a version was
-// compiled under the lock that requests take; after, see the table of docs/CAPACITY.md.
+// reports the longest wait, in ms of a whole core: 120 to 222 in three runs when a version
+// was compiled under the lock that requests take, 18 to 30 in three runs since. What is
+// left is not traced; the collector of memory is suspected.
 func BenchmarkRequestBesideNewSettings(b *testing.B) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	const count = 10_000
