--- a/internal/testing/growth/spread.go
+++ b/internal/testing/growth/spread.go
@@ -34,7 +34,7 @@
 // in force, if each reader gets it from the store and the others from those that have
 // it, four at once from each. Links are shared evenly by what a source sends at once.
 func Spread(c Cost, f Fleet) time.Duration {
-	readers := max(minReaders, f.Entries/entriesPerReader)
+	readers := f.readers()
 	sources := &queue{}
 	readAt := f.transfer(c.StoreBytes, 1) + f.processor(c.Read)
 	last := readAt
@@ -56,6 +56,9 @@
 	return last
 }
 
+// readers returns how many entries read the store.
+func (f Fleet) readers() int { return max(minReaders, f.Entries/entriesPerReader) }
+
 // Floor is the least time in which the version as it stands in the store can cross one
 // link.
 func (f Fleet) Floor(c Cost) time.Duration { return f.transfer(c.StoreBytes, 1) }
@@ -64,9 +67,9 @@
 const wholeBound = 600 * time.Millisecond
 
 // FormerSpread is Spread for the former rule: a whole state in one answer within 0.6 s,
-// to all that ask at once, each under one lock. ok is false where it never arrives.
+// which a reader sends to all that ask it at once. ok is false where it never arrives.
 func FormerSpread(c Cost, f Fleet) (last time.Duration, ok bool) {
-	readers := max(minReaders, f.Entries/entriesPerReader)
+	readers := f.readers()
 	asking := max(1, (f.Entries-readers)/readers)
 	fetch := f.transfer(c.PlainBytes, asking)
 	if fetch+f.processor(c.Encode) > wholeBound {
