Look at a bounded set of engines, and hand a table's knowledge on

Cause: entries know of each other's attempts some 10 ms late. Where each looks at all 160 engines, all send what comes meanwhile to the same one. An entry that starts knows nothing of attempts and caches. Change: of a service with more than 48 endpoints those are looked at that keep the prompt, its home and 12 at random (candidates.go). Services of up to 48 endpoints choose as before.

--- a/coord/memory/cache.go
+++ b/coord/memory/cache.go
@@ -1,6 +1,9 @@
 package memory
 
-import "container/list"
+import (
+	"container/list"
+	"iter"
+)
 
 const (
 	// defaultMemory bounds a cache, in tokens, if the engine's memory is unknown.
@@ -99,6 +102,23 @@
 	return brought
 }
 
+// Settled returns the parts that are there, the most recently used first.
+func (c *Cache) Settled() iter.Seq[Part] {
+	return func(yield func(Part) bool) {
+		for e := c.order.Front(); e != nil; e = e.Next() {
+			if x := e.Value.(*cached); !x.pending && !yield(x.Part) {
+				return
+			}
+		}
+	}
+}
+
+// Add records that a part is there as the most recently used one, within the memory, in
+// tokens.
+func (c *Cache) Add(p Part, memory int) {
+	c.Settle(c.Use(Prompt{Parts: []Part{p}}, memory))
+}
+
 func (c *Cache) remove(e *list.Element) {
 	part := e.Value.(*cached)
 	c.order.Remove(e)
--- a/coord/memory/trust.go
+++ b/coord/memory/trust.go
@@ -36,3 +36,6 @@
 	t.missing += trustDecay * (newest - t.missing)
 	return missed
 }
+
+// Restore takes over what another table has learned, if it is worse.
+func (t *Trust) Restore(missing float64) { t.missing = max(t.missing, min(missing, 1)) }
--- a/coord/placement/attempts.go
+++ b/coord/placement/attempts.go
@@ -73,7 +73,7 @@
 	e.lastSent = now
 	e.addPrefill(now, prefillMS)
 	a.brought = e.cache.Use(a.request.Prompt, memory.Room(s.MemoryTokens, e.tokens))
-	t.remember(now, a.request.Prompt)
+	t.remember(now, a.request.Prompt, e)
 	s.pool.add(now, prefillMS, s.isLong(prefillMS))
 }
 
@@ -164,6 +164,7 @@
 func (t *Table) remove(now time.Time, id AttemptID, o Outcome) *endpoint {
 	e := t.byAttempt[id]
 	if e == nil {
+		t.noteEnded(id)
 		return nil
 	}
 	a := e.attempts[id]
--- a/coord/placement/choose.go
+++ b/coord/placement/choose.go
@@ -1,7 +1,7 @@
 // Which endpoint takes a request.
 //
-// Rule: of the endpoints of the request's service that may be tried, the one with
-// the lowest cost; among equal costs one at random. An endpoint may not be tried
+// Rule: of the endpoints of the request's service that are looked at (candidates.go) and
+// may be tried, the one with the lowest cost; among equal costs one at random. An endpoint may not be tried
 // while it is leaving, when the caller of Choose excludes it (it was tried before),
 // or when it has as many open requests as the service allows it. An endpoint that
 // is backed off from may be tried: its cost is so high that all others go first.
@@ -42,6 +42,8 @@
 	request  Request
 	now      time.Time
 	poolSize int
+	long     bool            // the whole prompt takes long to prefill
+	keepers  []*endpoint     // of the prompt's last shared part that is kept anywhere
 	home     *endpoint       // nil if the prompt shares nothing
 	sources  []memory.Source // of the prompt's parts
 }
@@ -49,13 +51,17 @@
 func (t *Table) newQuery(now time.Time, r Request) query {
 	service := t.service(r.Service)
 	size := service.pool.resize(len(service.endpoints))
+	_, perTokenMS := service.prefill.line()
+	long := service.isLong(float64(r.Prompt.Tokens) * perTokenMS)
 	q := query{
 		table:    t,
 		service:  service,
 		request:  r,
 		now:      now,
 		poolSize: size,
-		home:     t.home(service, r.Prompt, size),
+		long:     long,
+		keepers:  t.keepersOf(r.Prompt),
+		home:     t.home(service, r.Prompt, long, size),
 	}
 	q.sources = q.findSources()
 	return q
@@ -65,14 +71,25 @@
 // none.
 func (t *Table) Choose(now time.Time, r Request, exclude func(id string) bool, random *rand.Rand) (Choice, bool) {
 	q := t.newQuery(now, r)
+	best, found := q.cheapest(q.candidates(random), exclude, random)
+	if !found || best.Cost >= backoffCost {
+		best, found = q.cheapest(q.all(), exclude, random)
+	}
+	best.PoolSize = q.poolSize
+	best.BusyShare = q.service.busyShare()
+	return best, found
+}
+
+// cheapest returns the candidate of lowest cost that may be tried; false if there is none.
+func (q *query) cheapest(all []candidate, exclude func(id string) bool, random *rand.Rand) (Choice, bool) {
 	best := Choice{Cost: math.Inf(1)}
 	found := false
 	ties := 0
-	for n, e := range q.service.endpoints {
-		if !q.service.mayTry(e) || exclude(e.ID) {
+	for _, e := range all {
+		if !q.service.mayTry(e.endpoint) || exclude(e.ID) {
 			continue
 		}
-		c := q.estimate(e, n < q.poolSize)
+		c := q.estimate(e.endpoint, e.inPool)
 		switch {
 		case c.Cost > best.Cost:
 			continue
@@ -87,8 +104,6 @@
 		best = c
 		found = true
 	}
-	best.PoolSize = q.poolSize
-	best.BusyShare = q.service.busyShare()
 	return best, found
 }
 
--- a/coord/placement/endpoint.go
+++ b/coord/placement/endpoint.go
@@ -19,6 +19,7 @@
 	Endpoint
 	health
 	hash      uint64 // common to all entries, for ranks
+	rank      int    // among the endpoints of its service, from 0
 	attempts  map[AttemptID]*attempt
 	cache     memory.Cache
 	prefills  []prefill // the last ones that were sent here, oldest first
--- a/coord/placement/home.go
+++ b/coord/placement/home.go
@@ -19,13 +19,11 @@
 )
 
 // home returns the home of a prompt's shared parts, nil if it shares nothing.
-func (t *Table) home(s *service, p memory.Prompt, poolSize int) *endpoint {
+func (t *Table) home(s *service, p memory.Prompt, long bool, poolSize int) *endpoint {
 	shared := p.Shared()
 	if len(shared) == 0 {
 		return nil
 	}
-	_, perTokenMS := s.prefill.line()
-	long := s.isLong(float64(p.Tokens) * perTokenMS)
 	prefix := shared[len(shared)-1].ID
 	var home *endpoint
 	lowest := uint64(math.MaxUint64)
--- a/coord/placement/interval.go
+++ b/coord/placement/interval.go
@@ -16,26 +16,27 @@
 // intervals is a decayed mean and variance of the ms between events of streams, at
 // a slowdown of 1. The zero value is empty.
 type intervals struct {
-	count    int
-	mean     float64
-	variance float64
+	_        struct{} `cbor:",toarray"`
+	Count    int
+	Mean     float64
+	Variance float64
 }
 
 func (i *intervals) observe(ms float64) {
-	i.count++
-	weight := max(intervalDecay, 1/float64(i.count))
-	off := ms - i.mean
-	i.mean += weight * off
-	i.variance += weight * (off*off - i.variance)
+	i.Count++
+	weight := max(intervalDecay, 1/float64(i.Count))
+	off := ms - i.Mean
+	i.Mean += weight * off
+	i.Variance += weight * (off*off - i.Variance)
 }
 
 // average returns the mean; false while too few values are known.
-func (i *intervals) average() (float64, bool) { return i.mean, i.count >= minIntervals }
+func (i *intervals) average() (float64, bool) { return i.Mean, i.Count >= minIntervals }
 
 // high returns a value that most stay below; false while too few are known.
 func (i *intervals) high() (float64, bool) {
-	if i.count < minIntervals {
+	if i.Count < minIntervals {
 		return 0, false
 	}
-	return i.mean + highDeviations*math.Sqrt(i.variance), true
+	return i.Mean + highDeviations*math.Sqrt(i.Variance), true
 }
--- a/coord/placement/source.go
+++ b/coord/placement/source.go
@@ -1,7 +1,7 @@
 // Which engines are sources of a prompt's parts.
 //
 // Rule: the maxSources engines of the service that are believed to keep the most of the
-// prompt. One that is leaving, failing, backed off from, overdue or slow is none.
+// prompt, of a large service among those that used its last shared part lately. One that is leaving, failing, backed off from, overdue or slow is none.
 // Inputs: what each engine keeps and its health.
 // Never: an engine of another service, nor one whose service moves no memory.
 
@@ -33,7 +33,11 @@
 		return nil
 	}
 	var found []memory.Source
-	for _, e := range q.service.endpoints {
+	engines := q.service.endpoints
+	if len(engines) > maxScanned {
+		engines = q.keepers
+	}
+	for _, e := range engines {
 		kept := e.cache.Fetchable(prompt)
 		if kept == 0 || !q.maySend(e) {
 			continue
--- a/coord/placement/table.go
+++ b/coord/placement/table.go
@@ -26,18 +26,21 @@
 	DataCentre string        // of this entry
 	Self       uint64        // owner of this entry's attempts
 	ReuseLife  time.Duration // computing a shared part again costs for so long after its last use
+	Restoring  bool          // a snapshot of another table is still to come
 
 	endpoints map[string]*endpoint
 	services  map[string]*service
 	byAttempt map[AttemptID]*endpoint
-	shared    map[uint64]time.Time // when a shared part was last used, at any endpoint
-	swept     time.Time            // when shared was last walked over
+	ended     map[AttemptID]bool // attempts that ended without being known, while Restoring
+	shared    map[uint64]*use    // of shared parts
+	swept     time.Time          // when shared was last walked over
 }
 
 // service is what the endpoints of one service have in common.
 type service struct {
 	Service
 	endpoints     []*endpoint  // in an order that all entries have in common
+	near          []*endpoint  // those of the own data centre, in that order
 	undisturbed   intervals    // between events while no prefill runs
 	besidePrefill intervals    // between events while prefills run
 	prefill       prefillModel // time to the first event
@@ -94,6 +97,7 @@
 func (t *Table) group() {
 	for _, s := range t.services {
 		s.endpoints = s.endpoints[:0]
+		s.near = s.near[:0]
 	}
 	for _, e := range t.endpoints {
 		s := t.service(e.Service)
@@ -104,6 +108,12 @@
 		slices.SortFunc(s.endpoints, func(a, b *endpoint) int {
 			return cmp.Compare(rendezvous.Rank(key, a.hash), rendezvous.Rank(key, b.hash))
 		})
+		for n, e := range s.endpoints {
+			e.rank = n
+			if e.DataCentre == t.DataCentre {
+				s.near = append(s.near, e)
+			}
+		}
 	}
 }
 
@@ -112,17 +122,16 @@
 
 // computedLately tells whether any endpoint has used a shared part within ReuseLife.
 func (t *Table) computedLately(now time.Time, part uint64) bool {
-	at, ok := t.shared[part]
-	return ok && now.Sub(at) < t.ReuseLife
+	u := t.shared[part]
+	return u != nil && now.Sub(u.at) < t.ReuseLife
 }
 
-// remember records the use of a prompt's shared parts.
-func (t *Table) remember(now time.Time, p memory.Prompt) {
-	if t.shared == nil {
-		t.shared = map[uint64]time.Time{}
-	}
+// remember records the use of a prompt's shared parts at an engine.
+func (t *Table) remember(now time.Time, p memory.Prompt, e *endpoint) {
 	for _, part := range p.Shared() {
-		t.shared[part.ID] = now
+		u := t.use(part.ID)
+		u.at = now
+		u.keep(e)
 	}
 	if len(t.shared) <= maxShared {
 		return
@@ -139,10 +148,23 @@
 	}
 }
 
+// use returns what is known of a shared part.
+func (t *Table) use(part uint64) *use {
+	if t.shared == nil {
+		t.shared = map[uint64]*use{}
+	}
+	u := t.shared[part]
+	if u == nil {
+		u = &use{}
+		t.shared[part] = u
+	}
+	return u
+}
+
 // sweepShared forgets the shared parts that were not used within ReuseLife.
 func (t *Table) sweepShared(now time.Time) {
-	for id, at := range t.shared {
-		if now.Sub(at) > t.ReuseLife {
+	for id, u := range t.shared {
+		if now.Sub(u.at) > t.ReuseLife {
 			delete(t.shared, id)
 		}
 	}
