--- a/internal/direct/driver/driver.go
+++ b/internal/direct/driver/driver.go
@@ -31,6 +31,7 @@
 	Peers      string   // address for other entries, TCP and UDP
 	Metrics    string   // address of the process's own figures
 	Seeds      []string // addresses at which some other entries may be met
+	Seed       bool     // others may meet this one so
 	Source     string   // address of the platform's store
 	Limits     Limits
 	Bounds     Bounds
--- a/internal/direct/gateway/attempts.go
+++ b/internal/direct/gateway/attempts.go
@@ -26,6 +26,7 @@
 	choice  placement.Choice
 	begun   bool   // its first event has come
 	outcome string // for the log
+	bytes   int    // of its answer's body that were passed on
 }
 
 // Outcomes of an attempt in the log, beside those of its events.
@@ -61,6 +62,7 @@
 		DataCentre: o.Process.DataCentre,
 		Self:       o.Owner,
 		ReuseLife:  o.Process.Bounds.ReuseWithin,
+		Restoring:  true,
 	}
 }
 
--- a/internal/direct/gateway/report.go
+++ b/internal/direct/gateway/report.go
@@ -65,6 +65,8 @@
 	scope.Counter("requests").Inc(1)
 	scope.Counter("sends").Inc(int64(len(q.attempts)))
 	for _, a := range q.attempts {
+		scope.Counter("reread_tokens").Inc(int64(a.choice.RereadTokens))
+		g.measureBytes(q, a)
 		if a.choice.Fetch.Any() {
 			scope.Counter("fetches").Inc(1)
 			scope.Counter("fetched_tokens").Inc(int64(a.choice.Fetch.Tokens))
@@ -75,3 +77,18 @@
 		scope.Histogram("first_seconds", buckets).RecordDuration(q.first.Sub(q.received))
 	}
 }
+
+// measureBytes counts the bodies that went to an endpoint and came back, without headers,
+// by whether they crossed between data centres.
+func (g *Gateway) measureBytes(q *request, a *attempt) {
+	if a.outcome == outcomeRefused {
+		return // nothing was sent
+	}
+	place := "own"
+	if a.endpoint().DataCentre != g.options.Process.DataCentre {
+		place = "other"
+	}
+	scope := g.options.Metrics.Tagged(map[string]string{"data_centre": place})
+	scope.Counter("request_bytes").Inc(int64(len(q.body)))
+	scope.Counter("answer_bytes").Inc(int64(a.bytes))
+}
--- a/internal/direct/gateway/stream.go
+++ b/internal/direct/gateway/stream.go
@@ -95,6 +95,7 @@
 		s.gateway.attempts.nextEvent(s.request, a)
 	}
 	s.open(a, answer)
+	a.bytes += len(event)
 	if id, ok := eventID(event); ok {
 		s.last = id
 	}
--- a/internal/direct/gateway/whole.go
+++ b/internal/direct/gateway/whole.go
@@ -44,6 +44,7 @@
 	answer.Finish()
 	f.gateway.attempts.end(a, e)
 	writeAnswerHead(f.writer, answer, int64(len(body)))
+	a.bytes = len(body)
 	_, _ = f.writer.Write(body) // the caller may be gone
 	return done{}
 }
@@ -55,7 +56,8 @@
 	f.begun = true
 	writeAnswerHead(f.writer, answer, answer.Length)
 	to := &callerWriter{writer: f.writer}
-	_, err := io.Copy(to, io.MultiReader(bytes.NewReader(beginning), answer.Body))
+	copied, err := io.Copy(to, io.MultiReader(bytes.NewReader(beginning), answer.Body))
+	a.bytes = int(copied)
 	if err == nil {
 		answer.Finish()
 		f.gateway.attempts.end(a, e)
--- a/internal/direct/peers/catchup.go
+++ b/internal/direct/peers/catchup.go
@@ -2,9 +2,10 @@
 //
 // Rule: from a live entry that has been ahead, by version of the settings or revision of
 // the endpoints, for fetchDelay; for fetchDelayReading while this entry reads the store
-// itself and is answered, which then tells it sooner. Of several that are ahead the one
-// that was asked the longest ago. One fetch of each part at a time; neither waits for
-// the other.
+// itself and is answered, which then tells it sooner; at once while it knows nothing. Of
+// several that are ahead the one that was asked the longest ago, where those of other data
+// centres count as asked farDelay later: what all lack crosses between data centres once.
+// One fetch of each part at a time; neither waits for the other.
 // Inputs: the versions that packets name, the time.
 // Never: nothing older than what is known is taken over (package directory); a fetch that
 // makes progress is not given up, since what replaces it is asked for as changes to what
@@ -44,6 +45,10 @@
 	// fetchDelayReading is the same while the store answers this entry. Chosen, not
 	// measured: above the wait of a watch.
 	fetchDelayReading = 900 * time.Millisecond
+	// farDelay is how much longer an entry of another data centre must be ahead, unless
+	// this entry passes on what it learns. Chosen, not measured: the relays of the own data
+	// centre have it by then.
+	farDelay = 200 * time.Millisecond
 )
 
 // lead is since when another entry has been ahead in one part, and when it was last asked
@@ -103,19 +108,40 @@
 
 // source returns the entry to ask for a part, nil for none. The group is locked.
 func (g *Group) source(p Part, delay time.Duration, version, revision uint64, now time.Time) *member {
+	relays := g.currentPlan(now).relays
+	knows := version > 0
+	if p == EndpointsPart {
+		knows = revision > 0
+	}
 	var best *member
 	for _, m := range g.members {
 		l := m.leads[p]
-		if !m.alive(now) || !m.isAhead(p, version, revision) || l.since.IsZero() || now.Sub(l.since) < delay {
+		wait := delay
+		switch {
+		case !knows && l.asked.IsZero():
+			wait = 0
+		case m.far && !relays:
+			wait += farDelay
+		}
+		if !m.alive(now) || !m.isAhead(p, version, revision) || l.since.IsZero() || now.Sub(l.since) < wait {
 			continue
 		}
-		if best == nil || l.asked.Before(best.leads[p].asked) {
+		if best == nil || m.askedFor(p).Before(best.askedFor(p)) {
 			best = m
 		}
 	}
 	return best
 }
 
+// askedFor returns when the entry was last asked for a part, by which sources are ordered.
+func (m *member) askedFor(p Part) time.Time {
+	at := m.leads[p].asked
+	if m.far {
+		at = at.Add(farDelay)
+	}
+	return at
+}
+
 // fetchFrom reads a part of the state of an entry. Others may still be ahead then: it
 // may have failed, or newer versions have come.
 func (g *Group) fetchFrom(ctx context.Context, address string, p Part) {
--- a/internal/direct/peers/events.go
+++ b/internal/direct/peers/events.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// flushDelay is how long events wait for others to share their datagram. 50 ms
-	// saved no bytes: EXPERIMENTS 20.
+	// flushDelay is how long events wait for others to share their datagram, at their
+	// entry and again at each relay. 50 ms saved no bytes: EXPERIMENTS 20.
 	flushDelay = 10 * time.Millisecond
 	// maxWaiting bounds the events that wait. Chosen, not measured.
 	maxWaiting = 4096
@@ -30,21 +30,37 @@
 		log.Limited("events", "Too many events wait to be sent; some are left out.")
 		return
 	}
-	g.events = append(g.events, e)
-	if len(g.events) > 1 {
-		return
+	if len(g.events) == 0 && g.passing.count() == 0 {
+		workers.Signal(g.eventsWaiting)
 	}
-	workers.Signal(g.eventsWaiting)
+	g.events = append(g.events, e)
 }
 
-// flush sends the events that wait.
+// flush sends the events that wait, and passes on those of others.
 func (g *Group) flush(now time.Time) {
 	g.mu.Lock()
 	events := g.events
 	g.events = nil
-	to := g.liveAddresses(now)
+	passed := g.passing
+	g.passing = passing{}
+	plan := g.currentPlan(now)
+	former := g.formerAddresses(now)
 	g.mu.Unlock()
-	if len(to) == 0 {
+	g.sendToFormer(events, former, now)
+	own := g.sectionsOf(events, now)
+	if !plan.relays {
+		g.sendSections(hopUp, own, plan.up, now)
+		own = nil
+	}
+	all := append(own, passed.everywhere...)
+	g.sendSections(hopAcross, all, plan.across, now)
+	g.sendSections(hopLocal, append(all, passed.here...), plan.local, now)
+}
+
+// sendToFormer sends events to entries of former versions, in as many datagrams as it
+// takes.
+func (g *Group) sendToFormer(events []Event, to []*net.UDPAddr, now time.Time) {
+	if len(to) == 0 || len(events) == 0 {
 		return
 	}
 	p := g.newPacket()
@@ -57,7 +73,7 @@
 			continue
 		}
 		if size+len(data) > maxEventBytes && len(p.Events) > 0 {
-			g.send(p, to)
+			g.send(p, to, eventTraffic)
 			p.Events = nil
 			size = 0
 		}
@@ -65,7 +81,7 @@
 		size += len(data)
 	}
 	if len(p.Events) > 0 {
-		g.send(p, to)
+		g.send(p, to, eventTraffic)
 	}
 }
 
@@ -75,7 +91,11 @@
 	return packet{Owner: g.options.Owner, Version: version, Revision: revision}
 }
 
-func (g *Group) send(p packet, to []*net.UDPAddr) {
+// send sends a packet to some addresses, and counts it.
+func (g *Group) send(p packet, to []*net.UDPAddr, kind trafficKind) {
+	if len(to) == 0 {
+		return
+	}
 	data, err := cbor.Marshal(p)
 	if err != nil {
 		log.With("reason", err.Error()).Limited("encode", "A packet can't be encoded and is not sent.")
@@ -84,4 +104,5 @@
 	for _, a := range to {
 		_, _ = g.socket.WriteToUDP(data, a) // datagrams may be lost anyway
 	}
+	g.traffic.sent(kind, len(to), len(data))
 }
--- a/internal/direct/peers/fetch.go
+++ b/internal/direct/peers/fetch.go
@@ -123,6 +123,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("of %d bytes %w", left, err)
 	}
+	return unzip(answer, data)
+}
+
+// unzip returns the plain form of an answer's body.
+func unzip(answer *http.Response, data []byte) ([]byte, error) {
 	if answer.Header.Get("Content-Encoding") != gzipName {
 		return data, nil
 	}
--- a/internal/direct/peers/group.go
+++ b/internal/direct/peers/group.go
@@ -5,10 +5,13 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"foxcross.dev/foxcross/internal/direct/directory"
 	"foxcross.dev/foxcross/internal/logs"
+
+	"github.com/uber-go/tally/v4"
 )
 
 var log = logs.For("peers")
@@ -48,19 +51,27 @@
 	Address   string // for datagrams and for TCP
 	Owner     uint64 // incarnation of this process
 	Seeds     []string
+	Seed      bool // this entry is a seed of the others
 	Listener  Listener
 	Directory Directory
-	// ReadCost orders the entries that may read the store; see ReadCost.
+	// DataCentre is where this entry is; notes go once into each other one.
+	DataCentre string
+	// ReadCost orders the entries that may read the store or pass notes on; see ReadCost.
 	ReadCost int
+	// Metrics counts what is sent to other entries; nil for not.
+	Metrics tally.Scope
 	// Fetch reads a part of the state of the entry at an address.
 	Fetch func(ctx context.Context, address string, p Part)
 }
 
 // Group is this entry's view of the other entries. Create it with New; Run ends it.
 type Group struct {
-	options Options
-	address string // of the socket
-	socket  *net.UDPConn
+	options  Options
+	address  string // of the socket
+	socket   *net.UDPConn
+	began    time.Time
+	restored atomic.Bool // a snapshot of another entry was taken in
+	traffic  *traffic
 
 	standbySince time.Time // when this entry was last needed as a standby; of Run alone
 
@@ -68,7 +79,13 @@
 	seeds     []string
 	members   map[string]*member // by address
 	events    []Event            // to be sent
-	seededAt  time.Time          // when seeds were last tried
+	passing   passing            // what others told and this entry passes on
+	windows   map[uint64]*window // of sections, by owner
+	sections  uint64             // number of the last own one
+	plan      plan
+	replan    bool      // the members have changed since plan was made
+	staleTill time.Time // what is received until then lay in the socket while this process stood still
+	seededAt  time.Time // when seeds were last tried
 	fetching  [parts]bool
 	announced announcement // of the last heartbeat
 
@@ -98,7 +115,10 @@
 		address:       socket.LocalAddr().String(),
 		seeds:         o.Seeds,
 		socket:        socket,
+		began:         time.Now(),
+		traffic:       newTraffic(o.Metrics),
 		members:       map[string]*member{},
+		windows:       map[uint64]*window{},
 		eventsWaiting: make(chan struct{}, 1),
 		memberAhead:   make(chan struct{}, 1),
 	}, nil
@@ -109,15 +129,21 @@
 
 // Run sends and receives until ctx is done.
 func (g *Group) Run(ctx context.Context) {
+	g.options.Directory.SetRole(g.dueRole(time.Now()))
 	go g.receive()
 	defer func() { _ = g.socket.Close() }() // nothing is sent any more
 	heartbeats := time.NewTicker(heartbeatInterval)
 	defer heartbeats.Stop()
 	checks := time.NewTicker(announceInterval)
 	defer checks.Stop()
+	questions := time.NewTicker(askInterval)
+	defer questions.Stop()
+	reports := time.NewTicker(reportInterval)
+	defer reports.Stop()
 	flush := time.NewTimer(flushDelay)
 	defer flush.Stop()
 	g.sendHeartbeat(time.Now())
+	checked := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -125,8 +151,19 @@
 		case <-heartbeats.C:
 			g.beat(ctx, time.Now())
 		case <-checks.C:
-			g.announceChanges(time.Now())
+			now := time.Now()
+			g.noteStandstill(now.Sub(checked), now)
+			checked = now
+			g.announceChanges(now)
+			if now.Sub(g.began) < startWait+heartbeatInterval {
+				g.options.Directory.SetRole(g.dueRole(now))
+			}
+		case <-questions.C:
+			g.askRelays(time.Now())
+		case <-reports.C:
+			g.sendReports(time.Now())
 		case <-g.memberAhead:
+			g.catchUp(ctx, time.Now())
 			time.AfterFunc(fetchDelay, func() { g.catchUp(ctx, time.Now()) })
 		case <-g.eventsWaiting:
 			flush.Reset(flushDelay)
@@ -141,5 +178,5 @@
 	g.expire(now)
 	g.sendHeartbeat(now)
 	g.catchUp(ctx, now)
-	g.options.Directory.SetRole(g.steadyRole(now, g.role(now)))
+	g.options.Directory.SetRole(g.dueRole(now))
 }
--- a/internal/direct/peers/heartbeat.go
+++ b/internal/direct/peers/heartbeat.go
@@ -1,30 +1,76 @@
 package peers
 
-import "time"
+import (
+	"net"
+	"time"
+)
 
-// sendHeartbeat tells all live entries of this one; every seedInterval it names
-// members and goes to seeds and lost entries as well.
+// sendHeartbeat tells of this entry those that hear of it directly: the live entries of
+// its data centre and of former versions, and the relays that pass it on. Every
+// seedInterval it names members and goes to seeds and lost entries as well.
 func (g *Group) sendHeartbeat(now time.Time) {
 	p := g.newPacket()
-	h := &heartbeat{
-		Name:      g.options.Name,
-		ConfirmMS: age(g.options.Directory.Confirmed()),
-		ContactMS: age(g.options.Directory.LastContact()),
-		Reading:   g.options.Directory.ReadsStore(),
-		ReadCost:  g.options.ReadCost,
-	}
-	h.StoreLost = h.Reading && !g.options.Directory.Following()
+	h := g.newHeartbeat()
 	p.Heartbeat = h
 	g.mu.Lock()
 	g.announced = announcement{version: p.Version, revision: p.Revision, storeLost: h.StoreLost}
-	to := g.liveAddresses(now)
-	if now.Sub(g.seededAt) > seedInterval {
+	to := g.heartbeatAddresses(now)
+	var unmet []*net.UDPAddr
+	if now.Sub(g.seededAt) > g.seedInterval(now) {
 		g.seededAt = now
-		h.Members = g.named(now)
-		to = append(to, g.notLive(now)...)
+		h.Members = g.named(now, g.options.DataCentre)
+		unmet = g.notLive(now)
 	}
 	g.mu.Unlock()
-	g.send(p, to)
+	g.send(p, to, heartbeatTraffic)
+	h.Reply = true
+	g.send(p, unmet, heartbeatTraffic)
+}
+
+// newHeartbeat returns what this entry says of itself.
+func (g *Group) newHeartbeat() *heartbeat {
+	d := g.options.Directory
+	h := &heartbeat{
+		Name:       g.options.Name,
+		ConfirmMS:  age(d.Confirmed()),
+		ContactMS:  age(d.LastContact()),
+		Reading:    d.ReadsStore(),
+		ReadCost:   g.options.ReadCost,
+		Relayed:    true,
+		DataCentre: g.options.DataCentre,
+		Informed:   g.restored.Load() || time.Since(g.began) > meetingTime,
+	}
+	h.StoreLost = h.Reading && !d.Following()
+	return h
+}
+
+// seedInterval returns the time between two heartbeats that name members.
+func (g *Group) seedInterval(now time.Time) time.Duration {
+	if now.Sub(g.began) < meetingTime {
+		return heartbeatInterval / 2 // at each one
+	}
+	return seedInterval
+}
+
+// heartbeatAddresses returns the addresses of those that hear of this entry directly. The
+// group is locked.
+func (g *Group) heartbeatAddresses(now time.Time) []*net.UDPAddr {
+	plan := g.currentPlan(now)
+	to := append(g.formerAddresses(now), plan.local...)
+	if plan.relays {
+		to = append(to, plan.across...)
+	}
+	return to
+}
+
+// replyTo answers an entry that wants to be met.
+func (g *Group) replyTo(m *net.UDPAddr, dataCentre string, now time.Time) {
+	p := g.newPacket()
+	p.Heartbeat = g.newHeartbeat()
+	g.mu.Lock()
+	p.Heartbeat.Members = g.named(now, dataCentre)
+	g.mu.Unlock()
+	g.send(p, []*net.UDPAddr{m}, heartbeatTraffic)
 }
 
 // announceChanges sends a heartbeat ahead of its time if what was announced has
@@ -43,7 +89,12 @@
 // takeHeartbeat learns what an entry says of itself. The group is locked.
 func (g *Group) takeHeartbeat(m *member, h *heartbeat, now time.Time) {
 	m.rank = rankOf(h.Name, h.ReadCost)
+	m.far = h.Relayed && h.DataCentre != g.options.DataCentre
+	m.heartbeat = *h
+	m.heartbeat.Members = nil
+	m.heartbeat.Reply = false
 	if m.name != h.Name {
+		g.replan = true
 		m.name = h.Name
 		log.With("peer", h.Name).With("address", m.address.String()).Info("An entry was met.")
 	}
--- a/internal/direct/peers/member.go
+++ b/internal/direct/peers/member.go
@@ -1,6 +1,7 @@
 // Who is a member of the group.
 //
-// Rule: an entry is live while it was heard within aliveFor; one that is not is told
+// Rule: an entry of the own data centre is live while it was heard within aliveFor, one of
+// another while its relays have told of it within reportedFor; one that is not is told
 // to the listener as gone, and forgotten after forgetAfter. An entry that is heard
 // with a new incarnation has ended its earlier one. Entries are met through the seeds
 // of the settings, which are tried every seedInterval, and through the members that
@@ -14,12 +15,17 @@
 	"net"
 	"slices"
 	"time"
+
+	"foxcross.dev/coord/fanout"
 )
 
 const (
 	// aliveFor is how long after its last datagram an entry counts as live: four
 	// heartbeats are lost in a row. Chosen, not measured.
 	aliveFor = 1200 * time.Millisecond
+	// reportedFor is the same for an entry of another data centre, of which two relays tell
+	// in turns. Chosen, not measured: aliveFor and one report that is lost.
+	reportedFor = aliveFor + 2*reportInterval
 	// forgetAfter is how long a lost entry is still tried. Chosen, not measured.
 	forgetAfter = time.Minute
 	// seedInterval is the time between two tries of the seeds and lost entries, and
@@ -28,9 +34,12 @@
 	// maxMembers bounds the entries that are remembered. Chosen, not measured: above
 	// the 620 nodes of docs/CAPACITY.md.
 	maxMembers = 1024
-	// maxNamed is how many live entries one heartbeat names, at random: FINDINGS,
-	// "sweep at 300 machines".
+	// maxNamed is how many live entries one heartbeat names, at random, and how many lost
+	// ones are tried at a time: FINDINGS, "sweep at 300 machines".
 	maxNamed = 16
+	// meetingTime is how long after its start an entry names members in each heartbeat:
+	// entries that start together know only the seeds. Chosen, not measured.
+	meetingTime = 3 * time.Second
 )
 
 // member is another entry.
@@ -38,17 +47,33 @@
 	owner        uint64 // its incarnation, 0 after it was lost
 	name         string // empty before its first heartbeat
 	address      *net.UDPAddr
-	lastHeard    time.Time
-	version      uint64 // of its settings
-	revision     uint64 // of its endpoints
+	far          bool      // in another data centre
+	heartbeat    heartbeat // its last one
+	lastHeard    time.Time // by this entry, or by a relay that told of it
+	version      uint64    // of its settings
+	revision     uint64    // of its endpoints
 	leads        [parts]lead
-	readingSince time.Time // it reads the store, zero for not
-	inContact    bool      // at its last heartbeat the store had answered it lately
-	storeLost    bool      // the store did not answer its last call
-	rank         rank      // among those that may read the store
+	readingSince time.Time   // it reads the store, zero for not
+	inContact    bool        // at its last heartbeat the store had answered it lately
+	storeLost    bool        // the store did not answer its last call
+	rank         fanout.Rank // among those that read the store and pass notes on
+	askedAt      time.Time   // the first time that it was asked and did not answer, zero for none
 }
 
-func (m *member) alive(now time.Time) bool { return now.Sub(m.lastHeard) < aliveFor }
+func (m *member) alive(now time.Time) bool {
+	if m.far {
+		return now.Sub(m.lastHeard) < reportedFor
+	}
+	return now.Sub(m.lastHeard) < aliveFor
+}
+
+// relayed tells whether the entry is told of events by relays.
+func (m *member) relayed() bool { return m.heartbeat.Relayed }
+
+// silent tells whether the entry does not answer.
+func (m *member) silent(now time.Time) bool {
+	return !m.askedAt.IsZero() && now.Sub(m.askedAt) > silentAfter
+}
 
 // Live returns the number of live entries, this one included.
 func (g *Group) Live() int {
@@ -73,7 +98,9 @@
 		if !m.alive(now) && m.owner != 0 {
 			log.With("peer", m.name).Info("An entry is lost: nothing was heard of it.")
 			gone = append(gone, m.owner)
+			delete(g.windows, m.owner)
 			m.owner = 0
+			g.replan = true
 		}
 		if now.Sub(m.lastHeard) > forgetAfter {
 			delete(g.members, address)
@@ -99,7 +126,9 @@
 	}
 	if m.owner != p.Owner {
 		ended = m.owner
+		delete(g.windows, ended)
 		*m = member{address: from, owner: p.Owner}
+		g.replan = true
 	}
 	m.lastHeard = now
 	return m, ended
@@ -116,33 +145,36 @@
 	}
 }
 
-// liveAddresses returns the addresses of the live entries. The group is locked.
-func (g *Group) liveAddresses(now time.Time) []*net.UDPAddr {
+// formerAddresses returns the addresses of the live entries of former versions, which are
+// told by each entry itself. The group is locked.
+func (g *Group) formerAddresses(now time.Time) []*net.UDPAddr {
 	var all []*net.UDPAddr
 	for _, m := range g.members {
-		if m.alive(now) {
+		if m.alive(now) && m.name != "" && !m.relayed() {
 			all = append(all, m.address)
 		}
 	}
 	return all
 }
 
-// named returns the addresses of some live entries as text. Over time all are
-// named, since a map is read in random order. The group is locked.
-func (g *Group) named(now time.Time) []string {
-	var all []string
+// named returns the addresses of some live entries as text, those of a data centre first.
+// Over time all are named, since a map is read in random order. The group is locked.
+func (g *Group) named(now time.Time, dataCentre string) []string {
+	var near, far []string
 	for address, m := range g.members {
-		if len(all) == maxNamed {
-			break
-		}
-		if m.alive(now) {
-			all = append(all, address)
+		switch {
+		case !m.alive(now):
+		case m.heartbeat.DataCentre == dataCentre:
+			near = append(near, address)
+		case len(far) < maxNamed:
+			far = append(far, address)
 		}
 	}
-	return all
+	near = near[:min(len(near), maxNamed*3/4)] // some of other data centres are met as well
+	return append(near, far[:min(len(far), maxNamed-len(near))]...)
 }
 
-// notLive returns the addresses of seeds that never answered and of lost entries.
+// notLive returns the addresses of seeds that never answered and of some lost entries.
 // The group is locked.
 func (g *Group) notLive(now time.Time) []*net.UDPAddr {
 	var all []*net.UDPAddr
@@ -157,8 +189,10 @@
 		}
 		all = append(all, a)
 	}
+	lost := 0
 	for _, m := range g.members {
-		if !m.alive(now) {
+		if !m.alive(now) && lost < maxNamed {
+			lost++
 			all = append(all, m.address)
 		}
 	}
--- a/internal/direct/peers/packet.go
+++ b/internal/direct/peers/packet.go
@@ -3,8 +3,9 @@
 // on request the settings and the list of endpoints, over TCP.
 //
 // What goes over the wire stands in packet.go and state.go; who is a member in
-// member.go; who reads the platform's store in role.go; when an entry fetches what
-// another knows in catchup.go.
+// member.go; who passes notes on in relay.go, and how in bundle.go; what data centres tell
+// each other of their members in report.go; who reads the platform's store in role.go;
+// when an entry fetches what another knows in catchup.go.
 //
 // Group.mu is taken last: a caller may hold locks of its own, and listeners are not
 // called while it is held.
@@ -15,6 +16,8 @@
 
 	"foxcross.dev/coord/memory"
 	"foxcross.dev/coord/placement"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // Kind says what an event is.
@@ -48,13 +51,60 @@
 	return *e.Fetch
 }
 
-// packet is one datagram: a heartbeat, or events.
+// packet is one datagram. Entries of former versions send and read the first five fields
+// only; they are told of events by each entry itself.
 type packet struct {
 	Owner     uint64     `cbor:"1,keyasint"`           // incarnation of the sender
 	Version   uint64     `cbor:"2,keyasint,omitempty"` // of the settings in force
 	Revision  uint64     `cbor:"3,keyasint,omitempty"` // of the list of endpoints
-	Events    []Event    `cbor:"4,keyasint,omitempty"`
+	Events    []Event    `cbor:"4,keyasint,omitempty"` // to and from entries of former versions
 	Heartbeat *heartbeat `cbor:"5,keyasint,omitempty"`
+
+	Hop      hop       `cbor:"6,keyasint,omitempty"` // of Sections and Reports
+	Sections []section `cbor:"7,keyasint,omitempty"`
+	Reports  []report  `cbor:"8,keyasint,omitempty"`
+	Question question  `cbor:"9,keyasint,omitempty"`
+}
+
+// hop is the part of the way that a packet goes; what it carries is passed on over those
+// after it.
+type hop uint8
+
+// The hops. Their numbers are on the wire.
+const (
+	hopUp     hop = iota + 1 // from a member to a relay of its data centre
+	hopAcross                // from a relay to one of another data centre
+	hopLocal                 // from a relay to the members of its data centre
+)
+
+// question is the question whether a relay answers, or the answer.
+type question uint8
+
+// The questions. Their numbers are on the wire.
+const (
+	asked question = iota + 1
+	answered
+)
+
+// section is what one entry told at one time. It is passed on as it came.
+type section struct {
+	_      struct{}          `cbor:",toarray"`
+	Owner  uint64            // incarnation of the entry
+	Number uint64            // of the section, counted by its owner from 1
+	HeldMS int64             // that relays held it
+	Events []cbor.RawMessage // each an Event
+
+	from time.Time // when it came here, at a relay
+}
+
+// report is what a relay says of a member of its data centre.
+type report struct {
+	Address   string    `cbor:"1,keyasint"`
+	Owner     uint64    `cbor:"2,keyasint"`
+	Version   uint64    `cbor:"3,keyasint,omitempty"`
+	Revision  uint64    `cbor:"4,keyasint,omitempty"`
+	AgeMS     int64     `cbor:"5,keyasint,omitempty"` // since it was heard
+	Heartbeat heartbeat `cbor:"6,keyasint"`           // its last one
 }
 
 // heartbeat is what an entry says of itself at intervals.
@@ -67,6 +117,12 @@
 	Reading   bool     `cbor:"6,keyasint,omitempty"` // the sender reads the store
 	StoreLost bool     `cbor:"7,keyasint,omitempty"` // the store did not answer the last call
 	ReadCost  int      `cbor:"8,keyasint,omitempty"` // ms to take in a large version of the settings, 0 for not known
+
+	// Entries of former versions send none of these.
+	Relayed    bool   `cbor:"9,keyasint,omitempty"`  // the sender is told of events by relays
+	DataCentre string `cbor:"10,keyasint,omitempty"` // of the sender
+	Reply      bool   `cbor:"11,keyasint,omitempty"` // the sender wants a heartbeat back
+	Informed   bool   `cbor:"12,keyasint,omitempty"` // the sender has heard of attempts for long, or was handed a snapshot
 }
 
 const (
--- a/internal/direct/peers/receive.go
+++ b/internal/direct/peers/receive.go
@@ -42,18 +42,39 @@
 	if p.Heartbeat != nil {
 		g.takeHeartbeat(m, p.Heartbeat, now)
 	}
+	if p.Question == answered {
+		m.askedAt = time.Time{}
+	}
+	replaced := g.takeReports(p, m, version, revision, now)
+	told := g.takeSections(p, m, now)
 	g.mu.Unlock()
+	if p.Question == asked {
+		g.answerTo(from)
+	}
+	if h := p.Heartbeat; h != nil && h.Reply {
+		g.replyTo(from, h.DataCentre, now)
+	}
 	g.options.Directory.SettingsTold(p.Version)
-	if ended != 0 {
-		g.options.Listener.MemberGone(ended)
+	for _, owner := range append(replaced, ended) {
+		if owner != 0 {
+			g.options.Listener.MemberGone(owner)
+		}
 	}
 	if h := p.Heartbeat; h != nil && h.ConfirmMS >= 0 && p.Version == version {
 		g.options.Directory.Confirm(version, since(now, h.ConfirmMS))
 	}
 	if len(p.Events) > 0 {
-		for n := range p.Events {
-			p.Events[n].AgeMS = min(max(p.Events[n].AgeMS, 0), maxEventAge.Milliseconds())
-		}
-		g.options.Listener.TakeEvents(p.Owner, p.Events)
+		g.tellListener(p.Owner, p.Events, 0)
+	}
+	for _, s := range told {
+		g.tellListener(s.Owner, s.decode(), s.HeldMS)
+	}
+}
+
+// tellListener hands over events of an entry that relays held for a time.
+func (g *Group) tellListener(owner uint64, events []Event, heldMS int64) {
+	for n := range events {
+		events[n].AgeMS = min(max(events[n].AgeMS+heldMS, 0), maxEventAge.Milliseconds())
 	}
+	g.options.Listener.TakeEvents(owner, events)
 }
--- a/internal/direct/peers/role.go
+++ b/internal/direct/peers/role.go
@@ -1,35 +1,38 @@
 // Who reads the platform's store.
 //
-// Rule: the first live entries by rank are readers, at least minReaders and one for
-// each entriesPerReader; the others are told by them. Entries whose link and processor
-// take in large settings the fastest come first, and a hash of the name decides among
-// equals. An entry after them becomes a
+// Rule: the first live entries by rank are readers, however many there are; the others
+// are told by them. Entries whose link and processor take in large settings the fastest
+// come first, and a hash of the name decides among equals. An entry after them becomes a
 // standby and reads too while too few of those before it are answered by the store or
 // have yet to try; it stays one for standbyFor after it was last needed.
+// An entry that starts is told by others: it reads nothing for startWait, unless it is one
+// of the seeds that all others try, and for meetingTime nothing while it hears of another
+// one that reads and is answered. So of entries that start together few read.
 // Inputs: the live members, what reading costs each, whether it reads the store and is
-// answered, the time.
+// answered, the seeds, the time.
 // Units: entries.
 // Never: entries do not agree on it; two views that differ cost some calls, not
 // correctness.
-// Measured: docs/EXPERIMENTS.md 20 (two readers), docs/FINDINGS.md "sweep at 300
-// machines" (one for sixteen).
+// Measured: docs/EXPERIMENTS.md 20 (two readers).
 
 package peers
 
 import (
 	"time"
 
+	"foxcross.dev/coord/fanout"
 	"foxcross.dev/coord/rendezvous"
 	"foxcross.dev/foxcross/internal/direct/directory"
 )
 
 const (
-	// minReaders is how many entries read the store at least: one may fail.
-	// EXPERIMENTS 20.
-	minReaders = 2
-	// entriesPerReader is how many entries one reader tells at the most. FINDINGS,
-	// "sweep at 300 machines".
-	entriesPerReader = 16
+	// readers is how many entries read the store: one may fail. What they read spreads
+	// from entry to entry, so that more of them tell nobody sooner. EXPERIMENTS 20.
+	readers = 2
+	// startWait is how long an entry that starts waits for others to tell it. Chosen, not
+	// measured: a seed that lives answers within some 10 ms, one that starts at the same
+	// time within 300.
+	startWait = 300 * time.Millisecond
 	// contactFor is how long a reader may go without an answer of the store before it
 	// counts as failing. Chosen, not measured: a watch of 0.7 s and its slack.
 	contactFor = 1300 * time.Millisecond
@@ -38,20 +41,10 @@
 	standbyFor = 3 * time.Second
 )
 
-// rank orders the entries that may be readers, alike at all of them.
-type rank struct {
-	cost int    // ms to take in a large version of the settings
-	hash uint64 // of the name
-}
-
-// rankOf returns the rank of an entry. The key's text is part of the protocol: entries
-// of other versions use it too.
-func rankOf(name string, cost int) rank {
-	return rank{cost: cost, hash: rendezvous.Rank(rendezvous.Hash("sentinel"), rendezvous.Hash(name))}
-}
-
-func (r rank) before(other rank) bool {
-	return r.cost < other.cost || r.cost == other.cost && r.hash < other.hash
+// rankOf returns the rank of an entry, alike at all of them. The key's text is part of the
+// protocol: entries of other versions use it too.
+func rankOf(name string, cost int) fanout.Rank {
+	return fanout.Rank{Cost: cost, Hash: rendezvous.Rank(rendezvous.Hash("sentinel"), rendezvous.Hash(name))}
 }
 
 const (
@@ -90,13 +83,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	own := rankOf(g.options.Name, g.options.ReadCost)
-	live, before, failing := 1, 0, 0
+	before, failing := 0, 0
 	for _, m := range g.members {
 		if !m.alive(now) || m.name == "" {
 			continue
 		}
-		live++
-		if !m.rank.before(own) {
+		if !m.rank.Before(own) {
 			continue
 		}
 		before++
@@ -104,7 +96,6 @@
 			failing++
 		}
 	}
-	readers := max(minReaders, live/entriesPerReader)
 	switch {
 	case before < readers:
 		return directory.Reader
@@ -115,6 +106,34 @@
 	}
 }
 
+// dueRole returns the role of this entry now.
+func (g *Group) dueRole(now time.Time) directory.Role {
+	r := g.steadyRole(now, g.role(now))
+	if r != directory.Follower && g.isTold(now) {
+		return directory.Follower
+	}
+	return r
+}
+
+// isTold tells whether this entry has started so lately that it waits for others.
+func (g *Group) isTold(now time.Time) bool {
+	life := now.Sub(g.began)
+	if life < startWait {
+		return !g.options.Seed && len(g.options.Seeds) > 0
+	}
+	if life > meetingTime || g.options.Directory.ReadsStore() {
+		return false // one that reads goes on, or nobody would
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.members {
+		if m.alive(now) && !m.readingSince.IsZero() && m.inContact && !m.fails(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // steadyRole keeps a standby for a while.
 func (g *Group) steadyRole(now time.Time, r directory.Role) directory.Role {
 	switch {
--- /dev/null
+++ b/internal/direct/peers/snapshot.go
@@ -0,0 +1,133 @@
+// How an entry that starts learns what the others have heard of attempts.
+//
+// Rule: once it knows the endpoints it asks an entry that has heard of attempts for long,
+// of its own data centre if there is one, for a snapshot; another one if that fails, until
+// it has lived for meetingTime. What it is told meanwhile goes before the snapshot.
+// Inputs: heartbeats, the time.
+// Never: requests wait for it; an entry that has itself just started is asked.
+
+package peers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"time"
+
+	"foxcross.dev/foxcross/internal/transfer"
+	"foxcross.dev/foxcross/internal/workers"
+)
+
+// SnapshotPath is where an entry serves what it knows of attempts.
+const SnapshotPath = "/attempts"
+
+const (
+	// maxSnapshots is how many snapshots an entry makes and sends at once. Chosen, not
+	// measured: each takes some ms of a core while attempts are locked.
+	maxSnapshots = 1
+	// informInterval is the time between two tries. Chosen, not measured.
+	informInterval = 25 * time.Millisecond
+)
+
+// Listed tells whether the list of endpoints is known.
+type Listed interface{ Listed() bool }
+
+// SnapshotHandler serves snapshots to other entries.
+func SnapshotHandler(snapshot func() ([]byte, error)) http.Handler {
+	making := make(chan struct{}, maxSnapshots)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case making <- struct{}{}:
+			defer func() { <-making }()
+		default:
+			http.Error(w, "another snapshot is being sent", http.StatusServiceUnavailable)
+			return
+		}
+		data, err := snapshot()
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		b, err := bodyOf(data)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		b.send(w, r)
+	})
+}
+
+// Inform hands the snapshot of another entry to restore, if one can be had in time.
+func (g *Group) Inform(ctx context.Context, list Listed, restore func([]byte) error) {
+	ctx, done := context.WithTimeout(ctx, meetingTime)
+	defer done()
+	tried := map[string]bool{}
+	workers.Every(ctx, informInterval, func(now time.Time) {
+		address := g.informed(now, tried)
+		if address == "" || !list.Listed() {
+			return
+		}
+		tried[address] = true
+		data, err := fetchSnapshot(ctx, address)
+		if err == nil {
+			err = restore(data)
+		}
+		if err != nil {
+			log.With("peer", address).With("reason", err.Error()).Limited("snapshot", "What another entry knows can't be read; another one is asked.")
+			return
+		}
+		g.restored.Store(true)
+		done()
+	})
+}
+
+// informed returns an entry to ask that was not tried, empty for none.
+func (g *Group) informed(now time.Time, tried map[string]bool) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var near, far []string
+	for address, m := range g.members {
+		switch {
+		case !m.alive(now) || !m.heartbeat.Informed || tried[address]:
+		case m.far:
+			far = append(far, address)
+		default:
+			near = append(near, address)
+		}
+	}
+	if len(near) == 0 && now.Sub(g.began) > startWait {
+		near = far
+	}
+	if len(near) == 0 {
+		return ""
+	}
+	return near[rand.IntN(len(near))]
+}
+
+// fetchSnapshot reads the snapshot of an entry.
+func fetchSnapshot(ctx context.Context, address string) ([]byte, error) {
+	f := transfer.Begin(ctx, settingsTimeout, stallTimeout)
+	defer f.End()
+	from := url.URL{Scheme: "http", Host: address, Path: SnapshotPath}
+	request, err := http.NewRequestWithContext(f.Context(), http.MethodGet, from.String(), http.NoBody)
+	if err != nil {
+		return nil, fmt.Errorf("peers: snapshot of %s: %w", address, err)
+	}
+	request.Header.Set("Accept-Encoding", gzipName)
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("peers: snapshot of %s: %w", address, f.Cause(err))
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("peers: snapshot of %s: %w", address, errors.Join(errBusy, fmt.Errorf("status %d", answer.StatusCode)))
+	}
+	data, err := f.ReadAll(answer.Body, maxState, nil)
+	if err != nil {
+		return nil, fmt.Errorf("peers: snapshot of %s: %w", address, err)
+	}
+	return unzip(answer, data)
+}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -18,6 +18,7 @@
 	crand "crypto/rand"
 
 	"github.com/alexedwards/flow"
+	"github.com/uber-go/tally/v4"
 )
 
 // Paths of an entry's own figures.
@@ -67,10 +68,11 @@
 	})
 	running, end := context.WithCancel(context.Background())
 	defer end()
-	if err := joinGroup(running, g, settings); err != nil {
+	if err := joinGroup(running, g, settings, scope); err != nil {
 		return err
 	}
-	go g.Directory().Follow(running, platform.Store(settings, g.Directory().StoreProgressed))
+	store := countedStore{store: platform.Store(settings, g.Directory().StoreProgressed), scope: scope}
+	go g.Directory().Follow(running, store)
 	go g.Run(running)
 	go watchSettings(running, hangups, g, platform, settings)
 	go updateGauges(running, g, scope)
@@ -98,16 +100,19 @@
 }
 
 // joinGroup lets the gateway hear of the other entries and they of it.
-func joinGroup(ctx context.Context, g *gateway.Gateway, settings driver.Process) error {
+func joinGroup(ctx context.Context, g *gateway.Gateway, settings driver.Process, scope tally.Scope) error {
 	d := g.Directory()
 	group, err := peers.New(peers.Options{
-		Name:      settings.Name,
-		Address:   settings.Peers,
-		Owner:     g.Owner(),
-		Seeds:     settings.Seeds,
-		Listener:  g.Listener(),
-		Directory: d,
-		ReadCost:  peers.ReadCost(settings.Limits.LinkMbps, settings.Limits.Processor),
+		Name:       settings.Name,
+		Address:    settings.Peers,
+		Owner:      g.Owner(),
+		Seeds:      settings.Seeds,
+		Seed:       settings.Seed,
+		Listener:   g.Listener(),
+		Directory:  d,
+		DataCentre: settings.DataCentre,
+		Metrics:    scope,
+		ReadCost:   peers.ReadCost(settings.Limits.LinkMbps, settings.Limits.Processor),
 		Fetch: func(ctx context.Context, address string, p peers.Part) {
 			if err := peers.FetchState(ctx, d, address, p); err != nil {
 				log.With("peer", address).With("reason", err.Error()).Limited("fetch", "Another entry's state can't be read; one that is ahead is asked again.")
@@ -117,11 +122,18 @@
 	if err != nil {
 		return err
 	}
-	if _, err := listen(settings.Peers, peers.StateHandler(d)); err != nil {
+	mux := http.NewServeMux()
+	mux.Handle("/", peers.StateHandler(d))
+	mux.Handle(peers.SnapshotPath, peers.SnapshotHandler(g.Snapshot))
+	if _, err := listen(settings.Peers, mux); err != nil {
 		return err
 	}
 	g.Join(group)
 	go group.Run(ctx)
+	go func() {
+		group.Inform(ctx, d, g.Restore)
+		g.StopRestoring()
+	}()
 	return nil
 }
 
--- a/internal/testing/growth/spread.go
+++ b/internal/testing/growth/spread.go
@@ -25,16 +25,16 @@
 	fetchDelay = 40 * time.Millisecond
 	// maxTransfers is how many entries one entry sends settings to at once.
 	maxTransfers = 4
-	// entriesPerReader and minReaders are how many entries read the store.
-	entriesPerReader = 16
-	minReaders       = 2
+	// readers is how many entries read the store.
+	readers = 2
+	// entriesPerFormerReader is how many entries one reader told by the former rule.
+	entriesPerFormerReader = 16
 )
 
 // Spread returns the time from a version's acknowledgement until the last entry has it
 // in force, if each reader gets it from the store and the others from those that have
 // it, four at once from each. Links are shared evenly by what a source sends at once.
 func Spread(c Cost, f Fleet) time.Duration {
-	readers := f.readers()
 	sources := &queue{}
 	readAt := f.transfer(c.StoreBytes, 1) + f.processor(c.Read)
 	last := readAt
@@ -56,9 +56,6 @@
 	return last
 }
 
-// readers returns how many entries read the store.
-func (f Fleet) readers() int { return max(minReaders, f.Entries/entriesPerReader) }
-
 // Floor is the least time in which the version as it stands in the store can cross one
 // link.
 func (f Fleet) Floor(c Cost) time.Duration { return f.transfer(c.StoreBytes, 1) }
@@ -69,8 +66,8 @@
 // FormerSpread is Spread for the former rule: a whole state in one answer within 0.6 s,
 // which a reader sends to all that ask it at once. ok is false where it never arrives.
 func FormerSpread(c Cost, f Fleet) (last time.Duration, ok bool) {
-	readers := f.readers()
-	asking := max(1, (f.Entries-readers)/readers)
+	former := max(readers, f.Entries/entriesPerFormerReader)
+	asking := max(1, (f.Entries-former)/former)
 	fetch := f.transfer(c.PlainBytes, asking)
 	if fetch+f.processor(c.Encode) > wholeBound {
 		return 0, false
