--- a/internal/testing/standin/platformtest/prompt.go
+++ b/internal/testing/standin/platformtest/prompt.go
@@ -56,3 +56,13 @@
 		time.Sleep(time.Duration(r.memory.take(h)) * perToken)
 	}
 }
+
+// Keep lets the runner keep a part of prompts.
+func (r *Runner) Keep(id string, tokens int) {
+	r.memory.mu.Lock()
+	defer r.memory.mu.Unlock()
+	if r.memory.kept == nil {
+		r.memory.kept = map[string]int{}
+	}
+	r.memory.kept[id] = tokens
+}
