--- a/internal/direct/peers/relay_test.go
+++ b/internal/direct/peers/relay_test.go
@@ -162,6 +162,27 @@
 		Eventually(left[0].group.Live).Should(Equal(4))
 	})
 
+	It("tell a data centre that appears, and forget one that empties", func() {
+		all := fleet(2, 2)
+		late := joinIn("dc-9", "late", "", 90, all[3].group.Address())
+		for _, e := range append(all, late) {
+			Eventually(e.group.Live).Should(Equal(5))
+		}
+		all[0].group.Broadcast(end(1))
+		Eventually(late.numbers).Should(Equal([]uint64{1}))
+		late.group.Broadcast(end(2))
+		for _, e := range all {
+			Eventually(e.numbers).Should(ContainElement(uint64(2)))
+		}
+		all[2].end()
+		all[3].end()
+		for _, e := range []*entry{all[0], all[1], late} {
+			Eventually(e.group.Live).Should(Equal(3))
+		}
+		all[1].group.Broadcast(end(3))
+		Eventually(late.numbers).Should(ContainElement(uint64(3)))
+	})
+
 	It("notice an entry of another data centre that is gone, and one that started anew", func() {
 		all := fleet(2, 3)
 		address := all[5].group.Address()
--- a/internal/direct/peers/role.go
+++ b/internal/direct/peers/role.go
@@ -134,7 +134,7 @@
 		wait = firstStartWait
 	}
 	version, revision := g.options.Directory.Versions()
-	met, reader := g.readers(now)
+	met, reader := g.metOthers(now)
 	switch {
 	case g.options.Seed || len(g.options.Seeds) == 0:
 		return g.steadyRole(now, g.role(now))
@@ -151,10 +151,10 @@
 	}
 }
 
-// readers tells whether any entry has been met, and whether one reads the store and is
+// metOthers tells whether any entry has been met, and whether one reads the store and is
 // answered that this one leaves it to: any, or only those before it by rank if it reads
 // too.
-func (g *Group) readers(now time.Time) (met, reader bool) {
+func (g *Group) metOthers(now time.Time) (met, reader bool) {
 	own := rankOf(g.options.Name, g.options.ReadCost)
 	reads := g.options.Directory.ReadsStore()
 	g.mu.Lock()
