--- a/internal/direct/peers/group.go
+++ b/internal/direct/peers/group.go
@@ -77,19 +77,20 @@
 
 	standbySince time.Time // when this entry was last needed as a standby; of Run alone
 
-	mu        sync.Mutex
-	seeds     []string
-	members   map[string]*member // by address
-	events    []Event            // to be sent
-	passing   passing            // what others told and this entry passes on
-	windows   map[uint64]*window // of sections, by owner
-	sections  uint64             // number of the last own one
-	plan      plan
-	replan    bool      // the members have changed since plan was made
-	staleTill time.Time // what is received until then lay in the socket while this process stood still
-	seededAt  time.Time // when seeds were last tried
-	fetching  [parts]bool
-	announced announcement // of the last heartbeat
+	mu          sync.Mutex
+	seeds       []string
+	members     map[string]*member // by address
+	events      []Event            // to be sent
+	passing     passing            // what others told and this entry passes on
+	windows     map[uint64]*window // of sections, by owner
+	sections    uint64             // number of the last own one
+	plan        plan
+	replan      bool      // the members have changed since plan was made
+	staleTill   time.Time // what is received until then lay in the socket while this process stood still
+	seededAt    time.Time // when seeds were last tried
+	neededSince time.Time // this entry has been needed as a standby since, zero for not
+	fetching    [parts]bool
+	announced   announcement // of the last heartbeat
 
 	eventsWaiting chan struct{} // events is not empty any more
 	memberAhead   chan struct{} // a member has become ahead
--- a/internal/direct/peers/role.go
+++ b/internal/direct/peers/role.go
@@ -4,7 +4,8 @@
 // are told by them. Entries whose link and processor take in large settings the fastest
 // come first, and a hash of the name decides among equals. An entry after them becomes a
 // standby and reads too while too few of those before it are answered by the store or
-// have yet to try; it stays one for standbyFor after it was last needed.
+// have yet to try, those behind quickStandbys others one after the other; it stays one for
+// standbyFor after it was last needed.
 // An entry that starts is told by others: it reads nothing for startWait, unless it is one
 // of the seeds that all others try; it then reads once if it still knows nothing, and until
 // meetingTime follows the store only if it hears of no other one that does.
@@ -48,6 +49,13 @@
 	// contactFor is how long a reader may go without an answer of the store before it
 	// counts as failing. Chosen, not measured: a watch of 0.7 s and its slack.
 	contactFor = 1300 * time.Millisecond
+	// quickStandbys is how many entries try at once in place of readers that are not answered,
+	// and standbyStep how much later each further one does. Where the store answers nobody all
+	// entries would try, whatever their number: 1,192 calls in a day with an outage of 8 s at
+	// 103 entries. Where it turns away two thirds of the machines, one in 40 outages finds none
+	// among these that is answered, and the next ones within seconds.
+	quickStandbys = 8
+	standbyStep   = 500 * time.Millisecond
 	// standbyFor is how long a standby stays one after it was last needed. Chosen, not
 	// measured: those before it may fail in turns.
 	standbyFor = 3 * time.Second
@@ -111,11 +119,23 @@
 	switch {
 	case before < readers:
 		return directory.Reader
-	case before-failing < readers:
-		return directory.Standby
-	default:
+	case before-failing >= readers:
+		g.neededSince = time.Time{}
 		return directory.Follower
 	}
+	if g.neededSince.IsZero() {
+		g.neededSince = now
+	}
+	if now.Sub(g.neededSince) < standbyDelay(before) {
+		return directory.Follower
+	}
+	return directory.Standby
+}
+
+// standbyDelay returns how long an entry before which so many others fail waits until it
+// tries as well.
+func standbyDelay(before int) time.Duration {
+	return time.Duration(max(before-quickStandbys, 0)) * standbyStep
 }
 
 // dueRole returns the role of this entry now.
--- a/internal/direct/peers/role_test.go
+++ b/internal/direct/peers/role_test.go
@@ -63,6 +63,27 @@
 	expectRole(t, "all but one are gone", g.role(later), directory.Reader)
 }
 
+// Where the store answers nobody, few try at once, and the others one after the other.
+func TestStandbysTryOneAfterTheOther(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for _, before := range []int{readers, quickStandbys, quickStandbys + 1, 100} {
+		g, all := ranked(now, before)
+		for _, m := range all {
+			m.storeLost = true
+		}
+		at := now
+		for g.role(at) != directory.Standby {
+			at = at.Add(heartbeatInterval)
+			for _, m := range all {
+				m.lastHeard = at
+			}
+		}
+		if late, due := at.Sub(now), standbyDelay(before); late < due || late > due+heartbeatInterval {
+			t.Errorf("behind %d others it tries after %v, want %v", before, late, due)
+		}
+	}
+}
+
 // What one entry reads spreads from entry to entry, so that more readers would only cost
 // calls of the store.
 func TestReadersDoNotGrowWithTheEntries(t *testing.T) {
