Revert "Let large data centres have more relays"

So relays are not what makes it busy; by reading, the seeds hand the whole list of 3,002 endpoints to all at the first start. Within noise the smaller code stays.

--- a/coord/fanout/fanout.go
+++ b/coord/fanout/fanout.go
@@ -21,18 +21,9 @@
 	"foxcross.dev/coord/rendezvous"
 )
 
-const (
-	// minRelays is how many members of one data centre pass notes on at least: one that dies
-	// without a word costs half of the notes until it is noticed. Chosen, not measured.
-	minRelays = 2
-	// membersPerRelay is how many members of its data centre a relay passes notes on for, so
-	// that what the busiest sends does not grow with the square of a data centre: with two
-	// relays for 50 members it sent 665 kB a second, for 17 members 137. Chosen, not measured.
-	membersPerRelay = 8
-)
-
-// Relays returns how many of so many members of a data centre pass notes on.
-func Relays(members int) int { return max(minRelays, members/membersPerRelay) }
+// maxRelays is how many members of one data centre pass notes on: one that dies without
+// a word costs half of the notes until it is noticed. Chosen, not measured.
+const maxRelays = 2
 
 // Rank orders the members that may be relays, alike at all members.
 type Rank struct {
@@ -79,7 +70,7 @@
 	relays, skipped := relaysOf(centres[self.DataCentre])
 	if !contains(relays, self) {
 		plan.Up = choose(self, relays).Address
-		plan.Asked = append([]string{plan.Up}, addresses(skipped)...)
+		plan.Asked = append(addresses(relays), addresses(skipped)...)
 		return plan.across(self, centres)
 	}
 	return plan.across(self, centres)
@@ -108,9 +99,8 @@
 // the same.
 func relaysOf(members []Member) (relays, skipped []Member) {
 	slices.SortFunc(members, func(a, b Member) int { return a.Rank.compare(b.Rank) })
-	wanted := Relays(len(members))
 	for _, m := range members {
-		if len(relays) == wanted {
+		if len(relays) == maxRelays {
 			break
 		}
 		if m.Silent {
@@ -120,10 +110,10 @@
 		}
 	}
 	if len(relays) == 0 {
-		relays = members[:min(wanted, len(members))]
+		relays = members[:min(maxRelays, len(members))]
 		skipped = nil
 	}
-	return relays, skipped[:min(len(skipped), wanted)]
+	return relays, skipped[:min(len(skipped), maxRelays)]
 }
 
 // choose spreads the members over the relays of a data centre, which is not empty.
--- a/internal/direct/peers/group.go
+++ b/internal/direct/peers/group.go
@@ -88,7 +88,6 @@
 	replan      bool      // the members have changed since plan was made
 	staleTill   time.Time // what is received until then lay in the socket while this process stood still
 	seededAt    time.Time // when seeds were last tried
-	reportedAt  time.Time // when the members of the own data centre were last reported
 	neededSince time.Time // this entry has been needed as a standby since, zero for not
 	fetching    [parts]bool
 	announced   announcement // of the last heartbeat
--- a/internal/direct/peers/report.go
+++ b/internal/direct/peers/report.go
@@ -1,9 +1,8 @@
 // What data centres tell each other of who lives in them.
 //
-// Rule: the relays of a data centre report its live members to one relay of each other data
-// centre, which passes the report on in its own at once: each every reportInterval where
-// there are two relays, and as much later as there are more. So an entry of another data
-// centre is known without a heartbeat of its own.
+// Rule: the relays of a data centre report its live members, each every reportInterval, to
+// one relay of each other data centre, which passes the report on in its own at once. So
+// an entry of another data centre is known without a heartbeat of its own.
 // Inputs: heartbeats of the own data centre's members, reports of others, the time.
 // Never: what was heard directly is replaced by an older report; a report goes further
 // than one data centre.
@@ -14,8 +13,6 @@
 	"net"
 	"time"
 
-	"foxcross.dev/coord/fanout"
-
 	"github.com/fxamacker/cbor/v2"
 )
 
@@ -31,23 +28,11 @@
 		g.mu.Unlock()
 		return
 	}
-	if now.Sub(g.reportedAt) < reportsEvery(len(plan.local)+1)-announceInterval {
-		g.mu.Unlock()
-		return
-	}
-	g.reportedAt = now
 	reports := g.reports(now)
 	g.mu.Unlock()
 	g.spreadReports(hopAcross, reports, plan.across)
 }
 
-// reportsEvery returns the time between two reports of one relay of a data centre with so
-// many members.
-func reportsEvery(members int) time.Duration {
-	const relays = 2 // for which reportInterval is chosen
-	return reportInterval * time.Duration(fanout.Relays(members)) / relays
-}
-
 // reports returns what is known of the members of the own data centre. The group is
 // locked.
 func (g *Group) reports(now time.Time) []report {
