--- a/internal/direct/gateway/snapshot.go
+++ b/internal/direct/gateway/snapshot.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -58,6 +59,10 @@
 	maxKept = 300
 	// keptPerEvent is how many parts fit into one event, so that it fits into one datagram.
 	keptPerEvent = 60
+	// maxAsked bounds the engines that one entry asks: where entries have not met each other,
+	// each takes more for its own. Chosen: some times the engines an entry of the fleets known
+	// so far.
+	maxAsked = 32
 	// keptTimeout bounds a question to an engine. Chosen, not measured.
 	keptTimeout = 500 * time.Millisecond
 )
@@ -66,10 +71,15 @@
 // tells the other entries. After a loss of power of all entries nobody else knows.
 func (g *Gateway) LearnMemory(ctx context.Context, mine func(endpoint, dataCentre string) bool) {
 	asked := 0
-	for _, e := range g.directory.Endpoints().List {
+	all := g.directory.Endpoints().List
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] }) // entries that take too many take others
+	for _, e := range all {
 		if !e.Engine || e.Leaving || !mine(e.ID, e.DataCentre) {
 			continue
 		}
+		if asked == maxAsked {
+			break
+		}
 		asked++
 		parts, err := g.keptParts(ctx, e.Address)
 		if err != nil {
--- a/internal/direct/peers/snapshot.go
+++ b/internal/direct/peers/snapshot.go
@@ -33,9 +33,11 @@
 	maxSnapshots = 1
 	// informInterval is the time between two tries. Chosen, not measured.
 	informInterval = 25 * time.Millisecond
-	// seekFor is how long an entry that starts looks for one that knows of attempts. Chosen,
-	// not measured: some questions to a seed, and the start of others at the same time.
-	seekFor = 250 * time.Millisecond
+	// seekFor is how long an entry that starts looks for one that knows of attempts. After
+	// 0.25 s, where all have started together, entries had not met each other and each
+	// engine's list was asked for by many: it holds up the engine's work. Chosen: when the
+	// members of a data centre have met, and relays have reported twice.
+	seekFor = time.Second
 )
 
 // Listed tells whether the list of endpoints is known.
