--- a/coord/placement/source.go
+++ b/coord/placement/source.go
@@ -1,7 +1,8 @@
 // Which engines are sources of a prompt's parts.
 //
 // Rule: the maxSources engines of the service that are believed to keep the most of the
-// prompt, of a large service among those that used its last shared part lately. One that is leaving, failing, backed off from, overdue or slow is none.
+// prompt, of a large service among those that used its last shared part lately. One that
+// is leaving, failing, backed off from, overdue or slow is none.
 // Inputs: what each engine keeps and its health.
 // Never: an engine of another service, nor one whose service moves no memory.
 
--- a/internal/direct/peers/bundle.go
+++ b/internal/direct/peers/bundle.go
@@ -153,7 +153,7 @@
 	}
 	fresh := p.Sections[:0]
 	for _, s := range p.Sections {
-		if s.Owner == 0 || s.Owner == g.options.Owner || p.Hop == hopUp && s.Owner != p.Owner || !g.window(s.Owner).first(s.Number) {
+		if !g.isForeign(s.Owner) || p.Hop == hopUp && s.Owner != p.Owner || !g.window(s.Owner).first(s.Number) {
 			continue
 		}
 		s.HeldMS = max(s.HeldMS, 0)
@@ -164,6 +164,9 @@
 	return fresh
 }
 
+// isForeign tells whether an incarnation is that of another entry.
+func (g *Group) isForeign(owner uint64) bool { return owner != 0 && owner != g.options.Owner }
+
 // mayTell tells whether an entry is where a hop may come from.
 func (m *member) mayTell(h hop) bool {
 	switch h {
--- a/internal/direct/peers/golden_test.go
+++ b/internal/direct/peers/golden_test.go
@@ -47,6 +47,12 @@
 		{"heartbeat", packet{Owner: 7, Version: 3, Revision: 9, Heartbeat: &heartbeat{
 			Name: "entry-1", Members: []string{"10.0.0.1:7340"}, Leaving: true, ConfirmMS: 12, ContactMS: -1, Reading: true, StoreLost: true,
 		}}},
+		{"question", packet{Owner: 7, Version: 3, Revision: 9, Question: asked}},
+		{"answer", packet{Owner: 7, Question: answered}},
+		{"passed on", packet{Owner: 7, Hop: hopAcross, Sections: []section{{Owner: 8, Number: 2, HeldMS: 4, Events: []cbor.RawMessage{{0xa0}}}}}},
+		{"kept", packet{Owner: 7, Events: []Event{{Kind: PartsKept, Endpoint: "i-1", Parts: []memory.Part{{ID: 0xab, Tokens: 100}}}}}},
+		{"report", packet{Owner: 7, Hop: hopLocal, Reports: []report{{Address: "10.0.0.1:7340", Owner: 8, Version: 3, Revision: 9, AgeMS: 5,
+			Heartbeat: heartbeat{Name: "entry-2", ConfirmMS: 1, ContactMS: 2, Relayed: true, DataCentre: "z", Reply: true, Informed: true}}}}},
 		{"first heartbeat", packet{Owner: 7, Heartbeat: &heartbeat{Name: "entry-1", ConfirmMS: -1, ContactMS: -1}}},
 	} {
 		data, err := cbor.Marshal(s.packet)
--- a/internal/direct/peers/receive.go
+++ b/internal/direct/peers/receive.go
@@ -20,8 +20,8 @@
 			log.With("address", from.String()).With("reason", err.Error()).Limited("packet", "A datagram can't be read and is left out.")
 			continue
 		}
-		if p.Owner == 0 || p.Owner == g.options.Owner {
-			continue // no entry's, or this entry's own
+		if !g.isForeign(p.Owner) {
+			continue
 		}
 		g.take(p, from)
 	}
--- a/internal/direct/peers/report.go
+++ b/internal/direct/peers/report.go
@@ -93,9 +93,12 @@
 // takeReport takes in what is said of one entry. It returns its earlier incarnation if that
 // has ended, else 0. The group is locked.
 func (g *Group) takeReport(r report, version, revision uint64, now time.Time) (ended uint64) {
+	if r.Owner == 0 || r.Address == g.address || r.Heartbeat.DataCentre == g.options.DataCentre {
+		return 0 // this entry's data centre is known at first hand
+	}
 	heard := now.Add(-time.Duration(max(r.AgeMS, 0)) * time.Millisecond)
 	m := g.members[r.Address]
-	if r.Address == g.address || r.Owner == 0 || r.Heartbeat.DataCentre == g.options.DataCentre || m != nil && heard.Before(m.lastHeard) {
+	if m != nil && heard.Before(m.lastHeard) {
 		return 0
 	}
 	address, err := net.ResolveUDPAddr("udp4", r.Address)
