--- a/coord/fanout/fanout.go
+++ b/coord/fanout/fanout.go
@@ -11,6 +11,10 @@
 // two views that differ cost a second copy and no loss. What came from another data
 // centre never leaves again, so nothing goes round.
 //
+// Measured: docs/EXPERIMENTS.md 30. Among 103 entries in 6 data centres 0.22 GB cross between
+// data centres in a day of 1,000 requests a second, and entries take 290 s of a core; from
+// each to all it is 0.97 GB and 422 s.
+//
 // Nothing here does I/O, starts a goroutine or reads a clock.
 package fanout
 
--- a/coord/placement/candidates.go
+++ b/coord/placement/candidates.go
@@ -26,7 +26,9 @@
 	maxScanned = 48
 	// fittingSample, nearSample and otherSample are how many endpoints are drawn of the
 	// side of the pool that fits, of that side in the own data centre, and of the other
-	// side. Chosen, not measured.
+	// side. Of prompts that 30 entries place at 160 engines 0.043 wait for over 100 ms so, 0.191
+	// where all engines are looked at and 0.024 with 4, 2 and 2, which leave less choice
+	// among caches: EXPERIMENTS 31.
 	fittingSample = 6
 	nearSample    = 3
 	otherSample   = 3
--- a/internal/direct/gateway/snapshot.go
+++ b/internal/direct/gateway/snapshot.go
@@ -68,7 +68,9 @@
 )
 
 // LearnMemory asks the engines that are this entry's to ask what they keep of prompts, and
-// tells the other entries. After a loss of power of all entries nobody else knows.
+// tells the other entries. After a loss of power of all entries nobody else knows: of 160
+// engines 2.9 and 3.1 million tokens were read again in a day without it, 2.2 to 2.4 with it
+// (docs/EXPERIMENTS.md 34).
 func (g *Gateway) LearnMemory(ctx context.Context, mine func(endpoint, dataCentre string) bool) {
 	asked := 0
 	all := g.directory.Endpoints().List
