--- a/internal/direct/peers/bundle.go
+++ b/internal/direct/peers/bundle.go
@@ -80,9 +80,8 @@
 	size := maxEventBytes
 	for _, e := range events {
 		e.AgeMS = now.Sub(e.at).Milliseconds()
-		data, err := cbor.Marshal(e)
-		if err != nil {
-			log.With("reason", err.Error()).Limited("encode", "An event can't be encoded and is left out.")
+		data, ok := e.encode()
+		if !ok {
 			continue
 		}
 		if size+len(data) > maxEventBytes-sectionBytes {
--- a/internal/direct/peers/events.go
+++ b/internal/direct/peers/events.go
@@ -67,9 +67,8 @@
 	size := 0
 	for _, e := range events {
 		e.AgeMS = now.Sub(e.at).Milliseconds()
-		data, err := cbor.Marshal(e)
-		if err != nil {
-			log.With("reason", err.Error()).Limited("encode", "An event can't be encoded and is left out.")
+		data, ok := e.encode()
+		if !ok {
 			continue
 		}
 		if size+len(data) > maxEventBytes && len(p.Events) > 0 {
@@ -85,6 +84,17 @@
 	}
 }
 
+// encode returns the event as it goes over the wire; false, with a line in the log, if it
+// can't be encoded.
+func (e Event) encode() (cbor.RawMessage, bool) {
+	data, err := cbor.Marshal(e)
+	if err != nil {
+		log.With("reason", err.Error()).Limited("encode", "An event can't be encoded and is left out.")
+		return nil, false
+	}
+	return data, true
+}
+
 // newPacket returns a packet that names what this entry knows.
 func (g *Group) newPacket() packet {
 	version, revision := g.options.Directory.Versions()
--- a/internal/direct/peers/snapshot.go
+++ b/internal/direct/peers/snapshot.go
@@ -12,7 +12,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -162,8 +161,12 @@
 		return nil, fmt.Errorf("peers: snapshot of %s: %w", address, f.Cause(err))
 	}
 	defer func() { _ = answer.Body.Close() }()
-	if answer.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("peers: snapshot of %s: %w", address, errors.Join(errBusy, fmt.Errorf("status %d", answer.StatusCode)))
+	switch answer.StatusCode {
+	case http.StatusOK:
+	case http.StatusServiceUnavailable:
+		return nil, fmt.Errorf("peers: snapshot of %s: %w", address, errBusy)
+	default:
+		return nil, fmt.Errorf("peers: snapshot of %s: status %d", address, answer.StatusCode)
 	}
 	data, err := f.ReadAll(answer.Body, maxState, nil)
 	if err != nil {
