Restore two tests of roles that a rewrite of their file had cut off

Change: both are back as they were, but for the renamed constant; they pass on the code as it stands.

--- a/coord/placement/choose.go
+++ b/coord/placement/choose.go
@@ -1,7 +1,8 @@
 // Which endpoint takes a request.
 //
 // Rule: of the endpoints of the request's service that are looked at (candidates.go) and
-// may be tried, the one with the lowest cost; among equal costs one at random. An endpoint may not be tried
+// may be tried, the one with the lowest cost; among equal costs one at random. An endpoint
+// may not be tried
 // while it is leaving, when the caller of Choose excludes it (it was tried before),
 // or when it has as many open requests as the service allows it. An endpoint that
 // is backed off from may be tried: its cost is so high that all others go first.
--- a/internal/direct/peers/role_test.go
+++ b/internal/direct/peers/role_test.go
@@ -141,3 +141,38 @@
 	reader.lastHeard = settled
 	expectRole(t, "it has met all, and is the second", g.dueRole(settled), directory.Reader)
 }
+
+// TestThinEntriesReadLast has entries of thin links before this one by name, but not by
+// what reading costs them.
+func TestThinEntriesReadLast(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	const wideMbps, thinMbps, wideShare, thinShare = 200, 10, 0.8, 0.144
+	g, before := ranked(now, 4)
+	g.options.ReadCost = ReadCost(wideMbps, wideShare)
+	for _, m := range before {
+		m.rank = rankOf(m.name, ReadCost(thinMbps, thinShare))
+	}
+	expectRole(t, "four thin ones", g.role(now), directory.Reader)
+	for _, m := range before[:readers] {
+		m.rank = rankOf(m.name, ReadCost(wideMbps, wideShare))
+	}
+	expectRole(t, "two like it are before it", g.role(now), directory.Follower)
+	g.options.ReadCost = ReadCost(thinMbps, thinShare)
+	for _, m := range before {
+		m.rank = rankOf(m.name, ReadCost(wideMbps, wideShare))
+	}
+	expectRole(t, "thin among wide ones", g.role(now), directory.Follower)
+	if cost := ReadCost(0, thinShare); cost != 0 {
+		t.Errorf("a link that is not known costs %d ms", cost)
+	}
+}
+
+func TestStandbyStaysForAWhile(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	g := &Group{}
+	expectRole(t, "never needed", g.steadyRole(now, directory.Follower), directory.Follower)
+	expectRole(t, "needed", g.steadyRole(now, directory.Standby), directory.Standby)
+	expectRole(t, "just after", g.steadyRole(now.Add(time.Second), directory.Follower), directory.Standby)
+	expectRole(t, "among the first", g.steadyRole(now.Add(time.Second), directory.Reader), directory.Reader)
+	expectRole(t, "long after", g.steadyRole(now.Add(standbyFor), directory.Follower), directory.Follower)
+}
