--- /dev/null
+++ b/coord/clock/clock_test.go
@@ -0,0 +1,95 @@
+package clock_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"foxcross.dev/coord/clock"
+)
+
+func Example() {
+	steady := time.Now()
+	noon := time.Date(2030, 1, 1, 12, 0, 0, 0, time.UTC)
+	var e clock.Estimate
+	e.Observe(steady, 0, noon.Add(5*time.Second)) // the own clock has jumped
+	e.Observe(steady, 1, noon)
+	e.Observe(steady, 2, noon.Add(10*time.Millisecond))
+	now, compared, _ := e.Now(steady.Add(time.Second))
+	fmt.Println(now.UTC().Format(time.TimeOnly), compared)
+	// Output: 12:00:01 3
+}
+
+func TestNothingIsKnownAtFirst(t *testing.T) {
+	var e clock.Estimate
+	if _, _, ok := e.Now(time.Now()); ok {
+		t.Error("a time is known of nothing")
+	}
+}
+
+// TestMinorityMovesNothing lets clocks of a minority jump by seconds while messages are
+// held up, and holds the estimate to the true time.
+func TestMinorityMovesNothing(t *testing.T) {
+	const (
+		clocks   = 9
+		skew     = 20 * time.Millisecond
+		transit  = 3 * time.Millisecond
+		interval = 250 * time.Millisecond
+		period   = 20 // steps; half of it is longer than a wrong clock is remembered
+	)
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		between := func(d time.Duration) time.Duration { return time.Duration(random.Int64N(int64(2*d))) - d }
+		var skews, jumps [clocks]time.Duration
+		for n := range clocks {
+			skews[n] = between(skew)
+		}
+		start := time.Now()
+		truth := time.Date(2030, 5, 5, 5, 5, 5, 0, time.UTC)
+		var e clock.Estimate
+		for step := range 80 {
+			switch step % period {
+			case 0: // clocks jump, of which any four are wrong at a time
+				for _, n := range random.Perm(clocks)[:(clocks-1)/2] {
+					jumps[n] = between(10 * time.Second)
+				}
+			case period / 2: // and back, before others do
+				jumps = [clocks]time.Duration{}
+			}
+			at := time.Duration(step) * interval
+			for n := range clocks {
+				held := time.Duration(random.Int64N(int64(transit)))
+				if n > 0 && random.IntN(5) == 0 {
+					held += time.Duration(random.Int64N(int64(time.Second)))
+				}
+				e.Observe(start.Add(at+held), clock.Source(n), truth.Add(at+skews[n]+jumps[n]))
+			}
+			now, compared, ok := e.Now(start.Add(at + transit))
+			if !ok || compared != clocks {
+				t.Fatalf("seed %d, step %d: %d clocks compared", seed, step, compared)
+			}
+			if step < period/2 {
+				continue // one message of each clock may have been late
+			}
+			if off := now.Sub(truth.Add(at + transit)); off.Abs() > skew+transit {
+				t.Fatalf("seed %d, step %d: off by %v", seed, step, off)
+			}
+		}
+	}
+}
+
+// TestSilentClocksAreLeftOut lets those that lived on be compared alone.
+func TestSilentClocksAreLeftOut(t *testing.T) {
+	start := time.Now()
+	var e clock.Estimate
+	for n := range clock.Source(5) {
+		e.Observe(start, n, start.Add(time.Minute))
+	}
+	later := start.Add(time.Minute)
+	e.Observe(later, 0, later)
+	now, compared, ok := e.Now(later)
+	if !ok || compared != 1 || now.Sub(later).Abs() > time.Millisecond {
+		t.Errorf("%v of %d clocks, want %v", now, compared, later)
+	}
+}
