Report the usage of teams by one entry at a time

Change: entries count requests that begin to run by windows of true time and tell the counts to those that may hold the duties; one entry holds them by a lease in the store whose revision is its fence; a window is closed by a record that is written under a condition, and only what is written is sent. Golden files: two new packets, two new figures, the new calls of the store; none changed.

--- a/examples/soak/main.go
+++ b/examples/soak/main.go
@@ -101,7 +101,7 @@
 	for _, n := range r.Faults {
 		faults += n
 	}
-	fmt.Printf("seed %d: %d requests, %d fetches, %d faults, %d promises broken;", seed, r.Requests, r.Fetches, faults, len(r.Breaches))
+	fmt.Printf("seed %d: %d requests, %d fetches, %d reports of usage, %d faults, %d promises broken;", seed, r.Requests, r.Fetches, r.Reports, faults, len(r.Breaches))
 	for _, status := range slices.Sorted(maps.Keys(r.Answers)) {
 		fmt.Printf(" %d: %d", status, r.Answers[status])
 	}
--- a/internal/direct/driver/driver.go
+++ b/internal/direct/driver/driver.go
@@ -36,6 +36,7 @@
 	Source     string   // address of the platform's store
 	Limits     Limits
 	Bounds     Bounds
+	Duties     Duties
 }
 
 // Limits are what the process may use, 0 for unknown.
@@ -143,6 +144,10 @@
 	KeptParts(ctx context.Context, address string) ([]memory.Part, error)
 	// ReadyPath is the path of the balancer's check.
 	ReadyPath() string
+	// Records returns a client of the part of the store that the system writes to.
+	Records(p Process) Records
+	// Reporter returns a client of the calls that one process makes at a time.
+	Reporter(p Process) Reporter
 }
 
 // Drivers are the registered drivers.
--- a/internal/direct/gateway/accept.go
+++ b/internal/direct/gateway/accept.go
@@ -28,6 +28,7 @@
 	body     []byte
 	heldBody int64 // bytes of the entry's capacity that the body takes
 
+	counted  bool          // as a request that an endpoint began to run
 	attempts []*attempt    // in order
 	first    time.Time     // when the first event was passed on, zero before it
 	last     time.Time     // when the last event was passed on
@@ -48,7 +49,7 @@
 	q := &request{id: r.Header.Get(g.fields.RequestID), received: time.Now(), incoming: r}
 	inForce := g.directory.Settings()
 	if inForce == nil || !g.directory.Known() {
-		return q, notReady("no settings yet", time.Since(g.began))
+		return q, notReady("no settings yet", time.Since(g.startedAt))
 	}
 	if g.refusing.Load() {
 		return q, &result.Error{Code: result.Draining, Run: result.NotRun, RetryAfter: drainingRetryAfter}
--- a/internal/direct/gateway/forward.go
+++ b/internal/direct/gateway/forward.go
@@ -66,6 +66,9 @@
 	} else {
 		f.sent++
 	}
+	if provesRun(e) && !f.isStream(answer) {
+		f.gateway.began(f.request)
+	}
 	o := decide(f.situation(), e)
 	if _, pass := o.(passOn); pass {
 		return f.passOn(a, answer, e)
@@ -101,6 +104,11 @@
 	return eventOfAnswer(f.ctx.Err(), f.gateway.fields, a.Status, a.Header)
 }
 
+// isStream tells whether an answer is a stream of events.
+func (f *forwarding) isStream(a *upstream.Answer) bool {
+	return f.request.class.Route.Streaming && succeeded(a.Status)
+}
+
 // situation returns what is known of the request now.
 func (f *forwarding) situation() situation {
 	class := f.request.class
--- a/internal/direct/gateway/gateway.go
+++ b/internal/direct/gateway/gateway.go
@@ -12,6 +12,7 @@
 //	attempts.go   an endpoint is chosen; other entries are told
 //	header.go     the header that the endpoint gets
 //	event.go      what happened to an attempt, from its answer or error
+//	runs.go       whether an endpoint began to run it, for the usage of teams
 //	outcome.go    what follows from it: retry, pass on, resume, fail
 //	whole.go      an answer is passed on
 //	stream.go     a stream is passed on, and resumed where it broke
@@ -50,13 +51,16 @@
 	Owner   uint64 // incarnation of this process
 	Seed    uint64 // of random choices
 	Metrics tally.Scope
+	// Began is told of each request of a team that an endpoint began to run; nil for not. No
+	// lock is held.
+	Began func(team string)
 }
 
 // Gateway is the forwarding part of an entry. Create it with New. It is safe for
 // concurrent use.
 type Gateway struct {
 	options   Options
-	began     time.Time
+	startedAt time.Time
 	fields    driver.Fields
 	dropped   map[string]bool // header fields of callers that are not passed on
 	answers   upstream.Names
@@ -75,12 +79,12 @@
 	}
 	f := o.Driver.Fields()
 	g := &Gateway{
-		options: o,
-		began:   time.Now(),
-		fields:  f,
-		dropped: droppedFields(f),
-		answers: upstream.Names{RequestID: f.RequestID, NotRun: f.NotRun},
-		life:    lifecycle.New(),
+		options:   o,
+		startedAt: time.Now(),
+		fields:    f,
+		dropped:   droppedFields(f),
+		answers:   upstream.Names{RequestID: f.RequestID, NotRun: f.NotRun},
+		life:      lifecycle.New(),
 	}
 	g.capacity.init(o.Process.Limits)
 	g.attempts.init(o)
--- a/internal/direct/gateway/stream.go
+++ b/internal/direct/gateway/stream.go
@@ -59,6 +59,7 @@
 // the stream is resumed is not passed on.
 func (s *stream) open(a *attempt, answer *upstream.Answer) {
 	s.gateway.attempts.firstEvent(s.request, a)
+	s.gateway.began(s.request)
 	if s.begun {
 		return
 	}
--- a/internal/direct/gateway/whole.go
+++ b/internal/direct/gateway/whole.go
@@ -21,7 +21,7 @@
 	switch {
 	case answer.Status >= http.StatusInternalServerError:
 		return f.copyAnswer(a, answer, nil, e)
-	case f.request.class.Route.Streaming && succeeded(answer.Status):
+	case f.isStream(answer):
 		return f.passStream(a, answer)
 	case answer.Length > maxBuffered:
 		return f.copyAnswer(a, answer, nil, e)
--- a/internal/direct/peers/golden_test.go
+++ b/internal/direct/peers/golden_test.go
@@ -53,6 +53,8 @@
 		{"kept", packet{Owner: 7, Events: []Event{{Kind: PartsKept, Endpoint: "i-1", Parts: []memory.Part{{ID: 0xab, Tokens: 100}}}}}},
 		{"report", packet{Owner: 7, Hop: hopLocal, Reports: []report{{Address: "10.0.0.1:7340", Owner: 8, Version: 3, Revision: 9, AgeMS: 5,
 			Heartbeat: heartbeat{Name: "entry-2", ConfirmMS: 1, ContactMS: 2, Relayed: true, DataCentre: "z", Reply: true, Informed: true}}}}},
+		{"holder", packet{Owner: 7, Heartbeat: &heartbeat{Name: "entry-1", ConfirmMS: -1, ContactMS: -1, ClockMS: 1_700_000_000_000, Fence: 12}}},
+		{"usage", packet{Owner: 7, Usage: &usage{ThroughMS: 1_700_000_000_000, Windows: []usageCount{{Window: 340_000_000, Total: 5, Counts: map[string]int64{"a": 5}}}}}},
 		{"first heartbeat", packet{Owner: 7, Heartbeat: &heartbeat{Name: "entry-1", ConfirmMS: -1, ContactMS: -1}}},
 	} {
 		data, err := cbor.Marshal(s.packet)
--- a/internal/direct/peers/group.go
+++ b/internal/direct/peers/group.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"foxcross.dev/coord/clock"
+	"foxcross.dev/coord/duty"
 	"foxcross.dev/foxcross/internal/direct/directory"
 	"foxcross.dev/foxcross/internal/logs"
 
@@ -62,6 +64,8 @@
 	ReadCost int
 	// Metrics counts what is sent to other entries; nil for not.
 	Metrics tally.Scope
+	// TakeUsage takes in what another entry says of the requests that it counted; nil for not.
+	TakeUsage func(duty.Statement)
 	// Fetch reads a part of the state of the entry at an address.
 	Fetch func(ctx context.Context, address string, p Part)
 }
@@ -91,6 +95,8 @@
 	neededSince time.Time // this entry has been needed as a standby since, zero for not
 	fetching    [parts]bool
 	announced   announcement // of the last heartbeat
+	clock       clock.Estimate
+	fence       uint64 // with which this entry holds the duties, 0 for not
 
 	eventsWaiting chan struct{} // events is not empty any more
 	memberAhead   chan struct{} // a member has become ahead
@@ -101,6 +107,7 @@
 type announcement struct {
 	version, revision uint64
 	storeLost         bool
+	fence             uint64
 }
 
 // New opens the socket.
@@ -146,6 +153,7 @@
 	flush := time.NewTimer(flushDelay)
 	flush.Stop() // until events wait
 	defer flush.Stop()
+	g.observeOwnClock(time.Now())
 	g.sendHeartbeat(time.Now())
 	checked := time.Now()
 	for {
@@ -181,6 +189,7 @@
 // beat does what is due at each heartbeat.
 func (g *Group) beat(ctx context.Context, now time.Time) {
 	g.expire(now)
+	g.observeOwnClock(now)
 	g.sendHeartbeat(now)
 	g.catchUp(ctx, now)
 	g.options.Directory.SetRole(g.dueRole(now))
--- a/internal/direct/peers/heartbeat.go
+++ b/internal/direct/peers/heartbeat.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"time"
+
+	"foxcross.dev/coord/clock"
 )
 
 // sendHeartbeat tells of this entry those that hear of it directly: the live entries of
@@ -13,7 +15,8 @@
 	h := g.newHeartbeat()
 	p.Heartbeat = h
 	g.mu.Lock()
-	g.announced = announcement{version: p.Version, revision: p.Revision, storeLost: h.StoreLost}
+	h.Fence = g.fence
+	g.announced = announcement{version: p.Version, revision: p.Revision, storeLost: h.StoreLost, fence: h.Fence}
 	to := g.heartbeatAddresses(now)
 	var unmet []*net.UDPAddr
 	if now.Sub(g.seededAt) > g.seedInterval(now) {
@@ -58,6 +61,7 @@
 		Relayed:    true,
 		DataCentre: g.options.DataCentre,
 		Informed:   g.restored.Load() || time.Since(g.began) > meetingTime,
+		ClockMS:    time.Now().UnixMilli(),
 	}
 	h.StoreLost = h.Reading && !d.Following()
 	return h
@@ -87,6 +91,7 @@
 	p := g.newPacket()
 	p.Heartbeat = g.newHeartbeat()
 	g.mu.Lock()
+	p.Heartbeat.Fence = g.fence
 	p.Heartbeat.Members = g.named(now, dataCentre)
 	g.mu.Unlock()
 	g.send(p, []*net.UDPAddr{m}, heartbeatTraffic)
@@ -98,7 +103,7 @@
 	version, revision := g.options.Directory.Versions()
 	lost := g.options.Directory.ReadsStore() && !g.options.Directory.Following()
 	g.mu.Lock()
-	changed := g.announced != announcement{version: version, revision: revision, storeLost: lost}
+	changed := g.announced != announcement{version: version, revision: revision, storeLost: lost, fence: g.fence}
 	g.mu.Unlock()
 	if changed {
 		g.sendHeartbeat(now)
@@ -107,6 +112,9 @@
 
 // takeHeartbeat learns what an entry says of itself. The group is locked.
 func (g *Group) takeHeartbeat(m *member, h *heartbeat, now time.Time) {
+	if h.ClockMS > 0 {
+		g.clock.Observe(m.lastHeard, clock.Source(m.owner), time.UnixMilli(h.ClockMS))
+	}
 	m.rank = rankOf(h.Name, h.ReadCost)
 	m.far = h.Relayed && h.DataCentre != g.options.DataCentre
 	m.heartbeat = *h
--- a/internal/direct/peers/packet.go
+++ b/internal/direct/peers/packet.go
@@ -66,6 +66,7 @@
 	Sections []section `cbor:"7,keyasint,omitempty"`
 	Reports  []report  `cbor:"8,keyasint,omitempty"`
 	Question question  `cbor:"9,keyasint,omitempty"`
+	Usage    *usage    `cbor:"10,keyasint,omitempty"` // of the sender, to those that may hold the duties
 }
 
 // hop is the part of the way that a packet goes; what it carries is passed on over those
@@ -125,6 +126,8 @@
 	DataCentre string `cbor:"10,keyasint,omitempty"` // of the sender
 	Reply      bool   `cbor:"11,keyasint,omitempty"` // the sender wants a heartbeat back
 	Informed   bool   `cbor:"12,keyasint,omitempty"` // the sender has heard of attempts for long, or was handed a snapshot
+	ClockMS    int64  `cbor:"13,keyasint,omitempty"` // the sender's time of day, since the start of 1970
+	Fence      uint64 `cbor:"14,keyasint,omitempty"` // with which the sender holds the duties, 0 for not
 }
 
 const (
--- a/internal/direct/peers/receive.go
+++ b/internal/direct/peers/receive.go
@@ -63,6 +63,9 @@
 	if h := p.Heartbeat; h != nil && h.ConfirmMS >= 0 && p.Version == version {
 		g.options.Directory.Confirm(version, since(now, h.ConfirmMS))
 	}
+	if p.Usage != nil && g.options.TakeUsage != nil {
+		g.options.TakeUsage(p.Usage.statement(p.Owner))
+	}
 	if len(p.Events) > 0 {
 		g.tellListener(p.Owner, p.Events, 0)
 	}
--- a/internal/direct/peers/traffic.go
+++ b/internal/direct/peers/traffic.go
@@ -12,10 +12,11 @@
 	eventTraffic                        // to a relay or an entry of a former version
 	localTraffic                        // events, passed on within the data centre
 	acrossTraffic                       // events, to another data centre
+	usageTraffic                        // requests counted, to those that may hold the duties
 	trafficKinds
 )
 
-var trafficNames = [trafficKinds]string{"heartbeat", "question", "event", "event_local", "event_across"}
+var trafficNames = [trafficKinds]string{"heartbeat", "question", "event", "event_local", "event_across", "usage"}
 
 // trafficOf returns the kind of events on a hop.
 func trafficOf(h hop) trafficKind {
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -34,9 +34,10 @@
 //  2. the platform's driver, which reads the process's settings file;
 //  3. the gateway, which owns requests and their attempts;
 //  4. the group of entries, which may hand it settings and endpoints at once;
-//  5. the follower of the platform's store, the gateway's upkeep, the watch of the
+//  5. the duties that one entry performs at a time, where the platform asks for some;
+//  6. the follower of the platform's store, the gateway's upkeep, the watch of the
 //     settings file, the gauges;
-//  6. the balancer's check and the figures, then callers' requests.
+//  7. the balancer's check and the figures, then callers' requests.
 //
 // At the first signal to stop the gateway stops cleanly within the grace; all else
 // ends with the process.
@@ -59,18 +60,22 @@
 	}
 	scope, figures, closer := metrics.New("entry")
 	defer func() { _ = closer.Close() }() // the process ends
+	running, end := context.WithCancel(context.Background())
+	defer end()
+	usage := &usageDuty{}
 	g := gateway.New(gateway.Options{
 		Process: settings,
 		Driver:  platform,
 		Owner:   randomID(),
 		Seed:    randomID(),
 		Metrics: scope,
+		Began:   usage.count,
 	})
-	running, end := context.WithCancel(context.Background())
-	defer end()
-	if err := joinGroup(running, g, settings, scope); err != nil {
+	group, err := joinGroup(running, g, settings, scope, usage)
+	if err != nil {
 		return err
 	}
+	usage.start(running, platform, settings, g, group, scope)
 	store := countedStore{store: platform.Store(settings, g.Directory().StoreProgressed), scope: scope}
 	go g.Directory().Follow(running, store)
 	go g.Run(running)
@@ -89,6 +94,8 @@
 	log.With("name", settings.Name).With("address", settings.Callers).Info("The entry takes requests.")
 	dumpOnSignal(second, func() any { return g.Dump() })
 	<-first.Done()
+	usage.resign()
+	defer usage.tellLast()
 	return g.Stop(callers, g.Grace())
 }
 
@@ -100,7 +107,7 @@
 }
 
 // joinGroup lets the gateway hear of the other entries and they of it.
-func joinGroup(ctx context.Context, g *gateway.Gateway, settings driver.Process, scope tally.Scope) error {
+func joinGroup(ctx context.Context, g *gateway.Gateway, settings driver.Process, scope tally.Scope, usage *usageDuty) (*peers.Group, error) {
 	d := g.Directory()
 	group, err := peers.New(peers.Options{
 		Name:       settings.Name,
@@ -113,6 +120,7 @@
 		Directory:  d,
 		DataCentre: settings.DataCentre,
 		Metrics:    scope,
+		TakeUsage:  usage.take,
 		ReadCost:   peers.ReadCost(settings.Limits.LinkMbps, settings.Limits.Processor),
 		Fetch: func(ctx context.Context, address string, p peers.Part) {
 			if err := peers.FetchState(ctx, d, address, p); err != nil {
@@ -121,13 +129,13 @@
 		},
 	})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/", peers.StateHandler(d))
 	mux.Handle(peers.SnapshotPath, peers.SnapshotHandler(g.Snapshot))
 	if _, err := listen(settings.Peers, mux); err != nil {
-		return err
+		return nil, err
 	}
 	g.Join(group)
 	go group.Run(ctx)
@@ -138,7 +146,7 @@
 			g.LearnMemory(ctx, group.First)
 		}
 	}()
-	return nil
+	return group, nil
 }
 
 // serveChecks serves the balancer's readiness check.
--- a/internal/process/storecalls.go
+++ b/internal/process/storecalls.go
@@ -43,3 +43,49 @@
 	s.count("wait_endpoints")
 	return s.store.WaitEndpoints(ctx, after, maxWait)
 }
+
+// countedRecords counts the calls for the system's own records.
+type countedRecords struct {
+	records driver.Records
+	scope   tally.Scope
+}
+
+func (r countedRecords) count(call string) {
+	r.scope.Tagged(map[string]string{"call": call}).Counter("store_calls").Inc(1)
+}
+
+// Read implements driver.Records.
+func (r countedRecords) Read(ctx context.Context, key string) (driver.Record, error) {
+	r.count("read_record")
+	return r.records.Read(ctx, key)
+}
+
+// List implements driver.Records.
+func (r countedRecords) List(ctx context.Context, prefix string) ([]driver.Record, error) {
+	r.count("list_records")
+	return r.records.List(ctx, prefix)
+}
+
+// Update implements driver.Records.
+func (r countedRecords) Update(ctx context.Context, u driver.Update) (uint64, error) {
+	r.count("update_records")
+	return r.records.Update(ctx, u)
+}
+
+// Grant implements driver.Records.
+func (r countedRecords) Grant(ctx context.Context, ttl time.Duration) (string, error) {
+	r.count("grant_lease")
+	return r.records.Grant(ctx, ttl)
+}
+
+// Renew implements driver.Records.
+func (r countedRecords) Renew(ctx context.Context, lease string) error {
+	r.count("renew_lease")
+	return r.records.Renew(ctx, lease)
+}
+
+// End implements driver.Records.
+func (r countedRecords) End(ctx context.Context, lease string) error {
+	r.count("end_lease")
+	return r.records.End(ctx, lease)
+}
--- a/internal/testing/soak/entry.go
+++ b/internal/testing/soak/entry.go
@@ -63,7 +63,7 @@
 
 // newEntry prepares the entry of a number. Every other one reaches the store over a thin
 // link, and is told so.
-func newEntry(o Options, n int, store string) (*entry, error) {
+func newEntry(o Options, n int, store, reports string) (*entry, error) {
 	e := &entry{name: fmt.Sprint("entry-", n+1), address: addressOf(n), options: o}
 	linkMbps := wideMbps
 	if n%2 == 1 {
@@ -88,9 +88,11 @@
 		},
 		"bounds": map[string]any{
 			"graceS": stopGrace, "drainMs": leaveMS, "retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 50, "retryAfterS": 10,
+			"reportWindowS": usageWindowS, "leaseMs": alternateMS, "thawMs": thawMS,
 		},
 		"limits":   map[string]any{"linkMbps": linkMbps, "cpuShare": 1},
-		"platform": map[string]any{"address": store},
+		"platform": map[string]any{"address": store, "ttl_min_ms": minLeaseMS},
+		"cloud":    map[string]any{"address": reports, "duties": []string{"usage_report"}},
 	})
 	if err != nil {
 		return nil, fmt.Errorf("soak: %w", err)
--- a/internal/testing/soak/faults.go
+++ b/internal/testing/soak/faults.go
@@ -23,7 +23,7 @@
 // faults are all that may strike, with the promises that each of them attacks.
 // A seed draws them by their places in the list: a new fault goes to its end.
 var faults = []fault{
-	{"kill an entry", []Promise{OwnAnswer, AtMostOnce, NeverBack, Recovers}, false,
+	{"kill an entry", []Promise{OwnAnswer, AtMostOnce, NeverBack, OneReport, Recovers}, false,
 		func(d *deployment, _ float64) { d.restart(syscall.SIGKILL) }},
 	{"stop an entry", []Promise{OwnAnswer, NotRun, Recovers}, true,
 		func(d *deployment, _ float64) { d.restart(syscall.SIGTERM) }},
@@ -44,6 +44,7 @@
 		func(d *deployment, _ float64) { d.addEndpoint() }},
 	{"answers go wrong", []Promise{OwnAnswer, InOrder, AtMostOnce, NotRun, Untouched}, false, misbehave},
 	{"settings grow", []Promise{NothingNew, NeverBack, NothingLost, Recovers}, true, growSettings},
+	{"reports fail", []Promise{OneReport, Recovers}, false, reportsFail},
 }
 
 // How long faults last and what they do, all chosen, not measured.
--- a/internal/testing/soak/history.go
+++ b/internal/testing/soak/history.go
@@ -25,6 +25,7 @@
 	NeverBack   Promise = "settings never go back"
 	NothingLost Promise = "planned work cuts off no request"
 	Recovers    Promise = "all works again after the faults"
+	OneReport   Promise = "usage is reported once for a window, by one holder, and no more than ran"
 	leaveSlack          = 1500 * time.Millisecond // for a request that was on its way
 )
 
@@ -104,7 +105,7 @@
 
 // check holds all that was seen to the promises. Where only planned work struck, nothing
 // may be lost either.
-func (h *history) check(planned bool) Report {
+func (h *history) check(planned bool, reports []platformtest.Report) Report {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r := Report{Requests: len(h.seen), Answers: map[int]int{}}
@@ -116,7 +117,9 @@
 			h.checkLost(s, h.runs[s.id])
 		}
 	}
+	h.checkUsage(reports)
 	r.Breaches = h.breaches
+	r.Reports = len(reports)
 	r.Fetches = h.fetches
 	return r
 }
--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -36,6 +36,7 @@
 	Answers  map[int]int // by status, 0 for none
 	Faults   map[string]int
 	Fetches  int // runs whose endpoint was told to fetch memory
+	Reports  int // of usage
 	Breaches []Breach
 }
 
@@ -43,6 +44,7 @@
 type deployment struct {
 	options Options
 	store   *platformtest.Store
+	reports *platformtest.Reports
 	entries []*entry
 	history history
 
@@ -67,6 +69,7 @@
 	d := &deployment{
 		options: o,
 		store:   platformtest.NewStore(),
+		reports: platformtest.NewReports(o.Seed%2 == 0),
 		random:  rand.New(rand.NewPCG(o.Seed, 1)),
 		faults:  map[string]int{},
 	}
@@ -90,6 +93,9 @@
 	d.strike(ctx)
 	d.calm()
 	err := d.await(ctx)
+	if err == nil {
+		err = d.awaitReport(ctx)
+	}
 	stop()
 	callers.Wait()
 	if err != nil {
@@ -103,6 +109,7 @@
 		e.end()
 	}
 	d.store.Close()
+	d.reports.Close()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, e := range d.endpoints {
@@ -112,7 +119,7 @@
 
 func (d *deployment) startEntries() error {
 	for n := range d.options.Entries {
-		e, err := newEntry(d.options, n, d.store.Address())
+		e, err := newEntry(d.options, n, d.store.Address(), d.reports.Address())
 		if err != nil {
 			return err
 		}
@@ -177,7 +184,7 @@
 	for _, e := range d.endpoints {
 		d.history.addRuns(e)
 	}
-	r := d.history.check(d.options.planned())
+	r := d.history.check(d.options.planned(), d.reports.Taken())
 	r.Faults = d.faults
 	return r
 }
--- a/internal/testing/soak/soak_test.go
+++ b/internal/testing/soak/soak_test.go
@@ -48,7 +48,7 @@
 			attacked[p] = true
 		}
 	}
-	for _, p := range []Promise{OwnAnswer, InOrder, AtMostOnce, NotRun, Untouched, NothingNew, GoodSource, NeverBack, NothingLost, Recovers} {
+	for _, p := range []Promise{OwnAnswer, InOrder, AtMostOnce, NotRun, Untouched, NothingNew, GoodSource, NeverBack, NothingLost, Recovers, OneReport} {
 		if !attacked[p] {
 			t.Errorf("no fault attacks %q", p)
 		}
@@ -121,29 +121,55 @@
 		"a fetch from one gone":   {GoodSource, of(page, seen{}), []run{fetching("left")}},
 	} {
 		h := history{seen: []seen{c.seen}, runs: map[string][]run{"a": c.runs}, addresses: addresses}
-		r := h.check(false)
+		r := h.check(false, nil)
 		if len(r.Breaches) != 1 || r.Breaches[0].Promise != c.want {
 			t.Errorf("%s: found %v", name, r.Breaches)
 		}
 	}
 	sound := history{seen: []seen{of(page, seen{})}, runs: map[string][]run{"a": {fetching("serving")}}, addresses: addresses}
-	if r := sound.check(false); len(r.Breaches) != 0 || r.Fetches != 1 {
+	if r := sound.check(false, nil); len(r.Breaches) != 0 || r.Fetches != 1 {
 		t.Errorf("a sound fetch: found %v, counted %d", r.Breaches, r.Fetches)
 	}
 	disturbed := history{seen: []seen{of(page, seen{})}, runs: map[string][]run{"a": {late}}}
 	disturbed.disturb(now.Add(-time.Second))
-	if r := disturbed.check(false); len(r.Breaches) != 0 {
+	if r := disturbed.check(false, nil); len(r.Breaches) != 0 {
 		t.Errorf("found %v where entries could not learn", r.Breaches)
 	}
 	lost := history{seen: []seen{of(page, seen{})}, runs: map[string][]run{"a": {ran(page)}}}
-	if r := lost.check(true); len(r.Breaches) != 1 || r.Breaches[0].Promise != NothingLost {
+	if r := lost.check(true, nil); len(r.Breaches) != 1 || r.Breaches[0].Promise != NothingLost {
 		t.Errorf("a lost answer: found %v", r.Breaches)
 	}
 	var h history
 	h.inForce("entry-1", 1, 5)
 	h.inForce("entry-1", 2, 4)
 	h.inForce("entry-1", 1, 4)
-	if r := h.check(false); len(r.Breaches) != 1 || r.Breaches[0].Promise != NeverBack {
+	if r := h.check(false, nil); len(r.Breaches) != 1 || r.Breaches[0].Promise != NeverBack {
 		t.Errorf("found %v", r.Breaches)
 	}
 }
+
+// TestFalseReportsAreFound plants one breach of each thing that is checked of usage.
+func TestFalseReportsAreFound(t *testing.T) {
+	now := time.Now()
+	report := func(holder string, fence uint64, window, requests int64) platformtest.Report {
+		return platformtest.Report{Holder: holder, Fence: fence, Window: window, Counts: map[string]int64{"team-1": requests}, At: now}
+	}
+	refused := report("entry-1", 1, 7, 9)
+	refused.Refused = true
+	for name, c := range map[string]struct {
+		reports []platformtest.Report
+		found   int
+	}{
+		"sound":              {[]platformtest.Report{report("entry-1", 1, 7, 1), report("entry-1", 1, 7, 1), report("entry-2", 2, 8, 1)}, 0},
+		"refused":            {[]platformtest.Report{report("entry-2", 2, 7, 1), refused}, 0},
+		"two counts":         {[]platformtest.Report{report("entry-1", 1, 7, 1), report("entry-1", 1, 7, 2)}, 1},
+		"a fence of two":     {[]platformtest.Report{report("entry-1", 1, 7, 1), report("entry-2", 1, 8, 1)}, 1},
+		"a fence that falls": {[]platformtest.Report{report("entry-2", 2, 7, 1), report("entry-1", 1, 8, 1)}, 1},
+		"more than ran":      {[]platformtest.Report{report("entry-1", 1, 7, 3)}, 1},
+	} {
+		h := history{runs: map[string][]run{"a": nil, "b": nil}}
+		if r := h.check(false, c.reports); len(r.Breaches) != c.found {
+			t.Errorf("%s: found %v", name, r.Breaches)
+		}
+	}
+}
--- a/internal/testing/standin/platformtest/store.go
+++ b/internal/testing/standin/platformtest/store.go
@@ -26,6 +26,9 @@
 	oldest   uint64 // changes up to this revision are forgotten
 	fault    Fault
 	changed  chan struct{}
+	leases   map[int]*time.Timer // by name; each ends its lease
+	ttls     map[int]time.Duration
+	last     int // name of the last lease
 }
 
 // Item is one entry of the store, or the news that it is gone.
@@ -34,6 +37,7 @@
 	Value    []byte `json:"value,omitempty"`
 	Revision uint64 `json:"revision"`
 	Gone     bool   `json:"gone,omitempty"`
+	Lease    int    `json:"lease,omitempty"` // with which it goes
 }
 
 // Fault is what a store that is down does with calls.
@@ -50,11 +54,18 @@
 
 // NewStore starts a store on a free port of the loopback address.
 func NewStore() *Store {
-	s := &Store{items: map[string]Item{}, changed: make(chan struct{}), revision: 1}
+	s := &Store{
+		items: map[string]Item{}, changed: make(chan struct{}), revision: 1,
+		leases: map[int]*time.Timer{}, ttls: map[int]time.Duration{},
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /foxcross/kv-key", s.guard(s.serveKey))
 	mux.HandleFunc("GET /foxcross/kv-range", s.guard(s.serveRange))
 	mux.HandleFunc("GET /foxcross/kv-watch", s.guard(s.serveWatch))
+	mux.HandleFunc("POST /foxcross/kv-txn", s.guard(s.serveTxn))
+	mux.HandleFunc("POST /foxcross/kv-lease", s.guard(s.serveLease))
+	mux.HandleFunc("POST /foxcross/kv-keep/{lease}", s.guard(s.serveRenewal))
+	mux.HandleFunc("DELETE /foxcross/kv-lease-end/{lease}", s.guard(s.serveLeaseEnd))
 	s.server = httptest.NewServer(mux)
 	return s
 }
@@ -84,7 +95,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	i.Revision = s.revision
+	s.changeAt(s.revision, i)
+}
+
+// changeAt makes a change at a revision. The store is locked.
+func (s *Store) changeAt(revision uint64, i Item) {
+	i.Revision = revision
 	if i.Gone {
 		delete(s.items, i.Key)
 	} else {
--- /dev/null
+++ b/internal/testing/standin/platformtest/txn.go
@@ -0,0 +1,117 @@
+package platformtest
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// txn is a writing call.
+type txn struct {
+	Conditions []Item   `json:"expectedRev"`
+	Put        []Item   `json:"put"`
+	Remove     []string `json:"remove"`
+}
+
+// maxTxn is how many entries a writing call may have.
+const maxTxn = 32
+
+func (s *Store) serveTxn(w http.ResponseWriter, r *http.Request) {
+	var t txn
+	if err := json.NewDecoder(r.Body).Decode(&t); err != nil || len(t.Conditions)+len(t.Put)+len(t.Remove) > maxTxn {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if status := s.refuse(t); status != 0 {
+		w.WriteHeader(status)
+		return
+	}
+	s.revision++
+	for _, i := range t.Put {
+		s.changeAt(s.revision, i)
+	}
+	for _, key := range t.Remove {
+		s.changeAt(s.revision, Item{Key: key, Gone: true})
+	}
+	reply(w, struct {
+		Revision uint64 `json:"revision"`
+	}{s.revision})
+}
+
+// refuse returns the status of a call that is not carried out, else 0. The store is locked.
+func (s *Store) refuse(t txn) int {
+	for _, c := range t.Conditions {
+		if s.items[c.Key].Revision != c.Revision {
+			return http.StatusPreconditionFailed
+		}
+	}
+	for _, i := range t.Put {
+		if strings.HasPrefix(i.Key, entriesBelow) || strings.HasPrefix(i.Key, "op/") {
+			return http.StatusForbidden
+		}
+		if i.Lease != 0 && s.leases[i.Lease] == nil {
+			return http.StatusNotFound
+		}
+	}
+	return 0
+}
+
+func (s *Store) serveLease(w http.ResponseWriter, r *http.Request) {
+	var ask struct {
+		MS int64 `json:"ttl_ms"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&ask); err != nil || ask.MS <= 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last++
+	name := s.last
+	s.ttls[name] = time.Duration(ask.MS) * time.Millisecond
+	s.leases[name] = time.AfterFunc(s.ttls[name], func() { s.endLease(name) })
+	reply(w, struct {
+		Lease int   `json:"lease"`
+		MS    int64 `json:"ttl_ms"`
+	}{name, ask.MS})
+}
+
+func (s *Store) serveRenewal(w http.ResponseWriter, r *http.Request) {
+	name, _ := strconv.Atoi(r.PathValue("lease")) // 0 is no lease
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	timer := s.leases[name]
+	if timer == nil || !timer.Stop() {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	timer.Reset(s.ttls[name])
+	reply(w, struct{}{})
+}
+
+func (s *Store) serveLeaseEnd(w http.ResponseWriter, r *http.Request) {
+	name, _ := strconv.Atoi(r.PathValue("lease")) // 0 is no lease
+	s.endLease(name)
+	reply(w, struct{}{})
+}
+
+// endLease ends a lease and takes out what goes with it.
+func (s *Store) endLease(name int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leases[name] == nil || name == 0 {
+		return
+	}
+	s.leases[name].Stop()
+	delete(s.leases, name)
+	for key, i := range s.items {
+		if i.Lease == name {
+			s.revision++
+			s.changeAt(s.revision, Item{Key: key, Gone: true})
+		}
+	}
+}
