--- a/coord/placement/candidates.go
+++ b/coord/placement/candidates.go
@@ -131,7 +131,7 @@
 		}
 		var found []*endpoint
 		for _, e := range u.keepers {
-			if e != nil && t.endpoints[e.ID] == e && e.cache.Has(shared[n].ID) {
+			if e != nil && t.endpoints[e.Incarnation()] == e && e.cache.Has(shared[n].ID) {
 				found = append(found, e)
 			}
 		}
--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -21,6 +21,7 @@
 package placement
 
 import (
+	"strconv"
 	"time"
 
 	"foxcross.dev/coord/memory"
@@ -28,13 +29,24 @@
 
 // Endpoint is an endpoint as the list of endpoints describes it.
 type Endpoint struct {
-	ID         string `cbor:"1,keyasint"` // changes with each start of the endpoint
+	ID         string `cbor:"1,keyasint"` // names it; it may start again under it
 	Service    string `cbor:"2,keyasint"`
 	Address    string `cbor:"3,keyasint"`
 	DataCentre string `cbor:"4,keyasint,omitempty"`
 	Slots      int    `cbor:"5,keyasint,omitempty"` // requests that run at once, 0 for unknown
 	Leaving    bool   `cbor:"6,keyasint,omitempty"` // takes no new requests
 	Engine     bool   `cbor:"7,keyasint,omitempty"` // runs a language model
+	Born       int64  `cbor:"8,keyasint,omitempty"` // when it started, ms since 1970, 0 for not known
+}
+
+// Incarnation returns the name of this start of the endpoint. One that starts again keeps
+// and knows nothing of before, so that tables, events and snapshots go by this name: what was believed of the
+// former start goes with it, and what is told of it late concerns nobody.
+func (e Endpoint) Incarnation() string {
+	if e.Born == 0 {
+		return e.ID
+	}
+	return e.ID + "@" + strconv.FormatInt(e.Born, 10)
 }
 
 // Service is what the settings say of the endpoints of a service.
--- a/coord/placement/source.go
+++ b/coord/placement/source.go
@@ -44,7 +44,7 @@
 			continue
 		}
 		found = append(found, memory.Source{
-			ID: e.ID, Address: e.Address, DataCentre: e.DataCentre, Kept: kept, Link: &e.link, Trust: &e.trust,
+			ID: e.Incarnation(), Address: e.Address, DataCentre: e.DataCentre, Kept: kept, Link: &e.link, Trust: &e.trust,
 		})
 	}
 	slices.SortStableFunc(found, func(a, b memory.Source) int { return cmp.Compare(b.Kept, a.Kept) })
@@ -62,6 +62,6 @@
 	if len(q.sources) == 0 || !e.Engine {
 		return memory.Fetch{}
 	}
-	to := memory.Target{ID: e.ID, DataCentre: e.DataCentre, Kept: kept, Link: &e.link, ComputeMS: perTokenMS * e.slowdown}
+	to := memory.Target{ID: e.Incarnation(), DataCentre: e.DataCentre, Kept: kept, Link: &e.link, ComputeMS: perTokenMS * e.slowdown}
 	return memory.Best(q.now, q.service.MoveRate, q.sources, to)
 }
--- a/coord/placement/table.go
+++ b/coord/placement/table.go
@@ -71,12 +71,12 @@
 func (t *Table) SetEndpoints(list []Endpoint) {
 	next := make(map[string]*endpoint, len(list))
 	for _, listed := range list {
-		e := t.endpoints[listed.ID]
+		e := t.endpoints[listed.Incarnation()]
 		if e == nil {
 			e = &endpoint{slowdown: 1, attempts: map[AttemptID]*attempt{}, hash: rendezvous.Hash(listed.ID)}
 		}
 		e.Endpoint = listed
-		next[listed.ID] = e
+		next[listed.Incarnation()] = e
 	}
 	for id, e := range t.endpoints {
 		if next[id] == nil {
--- a/internal/direct/gateway/attempts.go
+++ b/internal/direct/gateway/attempts.go
@@ -160,8 +160,8 @@
 		choice:  choice,
 		outcome: outcomeOpen,
 	}
-	a.table.Place(now, x.id, choice.Endpoint.ID, q.spec, choice.Fetch)
-	sent := peers.Event{Kind: peers.AttemptSent, Number: x.id.Number, Endpoint: choice.Endpoint.ID, Request: &q.spec}
+	a.table.Place(now, x.id, choice.Endpoint.Incarnation(), q.spec, choice.Fetch)
+	sent := peers.Event{Kind: peers.AttemptSent, Number: x.id.Number, Endpoint: choice.Endpoint.Incarnation(), Request: &q.spec}
 	if choice.Fetch.Any() {
 		sent.Fetch = &choice.Fetch
 	}
--- a/internal/direct/gateway/forward.go
+++ b/internal/direct/gateway/forward.go
@@ -84,7 +84,7 @@
 	q := f.request
 	r := q.incoming
 	return f.gateway.pool.Do(f.ctx, f.gateway.answers, &upstream.Request{
-		Endpoint: a.endpoint().ID,
+		Endpoint: a.endpoint().Incarnation(),
 		Address:  a.endpoint().Address,
 		Method:   r.Method,
 		Target:   r.URL.RequestURI(),
--- a/internal/direct/gateway/snapshot.go
+++ b/internal/direct/gateway/snapshot.go
@@ -88,7 +88,7 @@
 			log.With("endpoint", e.ID).With("reason", err.Error()).Limited("kept", "An engine does not say what it keeps.")
 			continue
 		}
-		g.attempts.learnKept(e.ID, parts)
+		g.attempts.learnKept(e.Incarnation(), parts)
 	}
 	log.With("engines", asked).Info("Engines were asked what they keep.")
 }
--- a/internal/testing/standin/platformtest/reports.go
+++ b/internal/testing/standin/platformtest/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -70,7 +71,8 @@
 		Counts map[string]int64 `json:"counts"`
 	}
 	fence, err := strconv.ParseUint(r.Header.Get("X-Fencing-Token"), 10, 64)
-	if err != nil || json.NewDecoder(r.Body).Decode(&body) != nil {
+	data, unread := io.ReadAll(r.Body) // whole: only then is it noticed that a caller has left
+	if err != nil || unread != nil || json.Unmarshal(data, &body) != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
