--- a/internal/direct/peers/bundle.go
+++ b/internal/direct/peers/bundle.go
@@ -121,23 +121,20 @@
 
 // sendSections sends sections over a hop, in as many datagrams as it takes.
 func (g *Group) sendSections(h hop, sections []section, to []*net.UDPAddr, now time.Time) {
-	if len(sections) == 0 || len(to) == 0 {
+	if len(to) == 0 {
 		return
 	}
-	p := g.newPacket()
-	p.Hop = h
-	size := 0
+	var all []sized[section]
 	for _, s := range sections {
-		if size+s.size() > maxEventBytes && len(p.Sections) > 0 {
-			g.send(p, to, trafficOf(h))
-			p.Sections = nil
-			size = 0
-		}
 		s.HeldMS += now.Sub(s.from).Milliseconds()
-		p.Sections = append(p.Sections, s)
-		size += s.size()
+		all = append(all, sized[section]{s, s.size()})
+	}
+	p := g.newPacket()
+	p.Hop = h
+	for _, part := range inDatagrams(all) {
+		p.Sections = part
+		g.send(p, to, trafficOf(h))
 	}
-	g.send(p, to, trafficOf(h))
 }
 
 // takeSections takes in the sections of a packet and keeps those that are to be passed
--- a/internal/direct/peers/events.go
+++ b/internal/direct/peers/events.go
@@ -63,23 +63,16 @@
 	if len(to) == 0 || len(events) == 0 {
 		return
 	}
-	p := g.newPacket()
-	size := 0
+	var all []sized[Event]
 	for _, e := range events {
 		e.AgeMS = now.Sub(e.at).Milliseconds()
-		data, ok := e.encode()
-		if !ok {
-			continue
-		}
-		if size+len(data) > maxEventBytes && len(p.Events) > 0 {
-			g.send(p, to, eventTraffic)
-			p.Events = nil
-			size = 0
+		if data, ok := e.encode(); ok {
+			all = append(all, sized[Event]{e, len(data)})
 		}
-		p.Events = append(p.Events, e)
-		size += len(data)
 	}
-	if len(p.Events) > 0 {
+	p := g.newPacket()
+	for _, part := range inDatagrams(all) {
+		p.Events = part
 		g.send(p, to, eventTraffic)
 	}
 }
--- a/internal/direct/peers/packet.go
+++ b/internal/direct/peers/packet.go
@@ -155,3 +155,25 @@
 	}
 	return now.Add(-time.Duration(ms) * time.Millisecond)
 }
+
+// sized is something to be sent and about how many bytes it takes in a datagram.
+type sized[T any] struct {
+	item T
+	size int
+}
+
+// inDatagrams cuts what is to be sent into parts of about maxEventBytes.
+func inDatagrams[T any](all []sized[T]) [][]T {
+	var parts [][]T
+	room := 0
+	for _, x := range all {
+		if len(parts) == 0 || x.size > room {
+			parts = append(parts, nil)
+			room = maxEventBytes
+		}
+		last := len(parts) - 1
+		parts[last] = append(parts[last], x.item)
+		room -= x.size
+	}
+	return parts
+}
--- a/internal/direct/peers/report.go
+++ b/internal/direct/peers/report.go
@@ -51,24 +51,19 @@
 
 // spreadReports sends reports over a hop, in as many datagrams as it takes.
 func (g *Group) spreadReports(h hop, reports []report, to []*net.UDPAddr) {
-	p := g.newPacket()
-	p.Hop = h
-	size := 0
+	var all []sized[report]
 	for _, r := range reports {
 		data, err := cbor.Marshal(r)
 		if err != nil {
 			log.With("reason", err.Error()).Limited("encode", "A report can't be encoded and is left out.")
 			continue
 		}
-		if size+len(data) > maxEventBytes && len(p.Reports) > 0 {
-			g.send(p, to, heartbeatTraffic)
-			p.Reports = nil
-			size = 0
-		}
-		p.Reports = append(p.Reports, r)
-		size += len(data)
+		all = append(all, sized[report]{r, len(data)})
 	}
-	if len(p.Reports) > 0 {
+	p := g.newPacket()
+	p.Hop = h
+	for _, part := range inDatagrams(all) {
+		p.Reports = part
 		g.send(p, to, heartbeatTraffic)
 	}
 }
--- a/internal/direct/peers/usage.go
+++ b/internal/direct/peers/usage.go
@@ -48,28 +48,46 @@
 	return s
 }
 
-// usageParts cuts a statement into parts, each of which fits into a datagram.
+// teamCount is one team's count in a window.
+type teamCount struct {
+	window   duty.WindowCounts
+	team     string
+	requests int64
+}
+
+// usageParts cuts a statement into parts, each of which fits into a datagram. There is one
+// also where nothing was counted.
 func usageParts(s duty.Statement) []usage {
-	through := s.Through.UnixMilli()
-	parts := []usage{{ThroughMS: through}}
-	size := 0
+	var all []sized[teamCount]
 	for _, w := range s.Windows {
-		part := &parts[len(parts)-1]
-		part.Windows = append(part.Windows, usageCount{Window: int64(w.Window), Total: w.Total, Counts: map[string]int64{}})
 		for team, n := range w.Counts {
-			if size += len(team) + countBytes; size > maxEventBytes {
-				parts = append(parts, usage{ThroughMS: through, Windows: []usageCount{
-					{Window: int64(w.Window), Total: w.Total, Counts: map[string]int64{}},
-				}})
-				part = &parts[len(parts)-1]
-				size = len(team) + countBytes
-			}
-			part.Windows[len(part.Windows)-1].Counts[team] = n
+			all = append(all, sized[teamCount]{teamCount{w, team, n}, len(team) + countBytes})
 		}
 	}
+	through := s.Through.UnixMilli()
+	var parts []usage
+	for _, part := range inDatagrams(all) {
+		parts = append(parts, usage{ThroughMS: through, Windows: windowsOf(part)})
+	}
+	if len(parts) == 0 {
+		return []usage{{ThroughMS: through}}
+	}
 	return parts
 }
 
+// windowsOf puts counts together by window. Those of a window come one after the other.
+func windowsOf(counts []teamCount) []usageCount {
+	var all []usageCount
+	for _, c := range counts {
+		window := int64(c.window.Window)
+		if len(all) == 0 || all[len(all)-1].Window != window {
+			all = append(all, usageCount{Window: window, Total: c.window.Total, Counts: map[string]int64{}})
+		}
+		all[len(all)-1].Counts[c.team] = c.requests
+	}
+	return all
+}
+
 // TellUsage tells those that may hold the duties what this entry counted.
 func (g *Group) TellUsage(s duty.Statement) {
 	to := g.usageAddresses(time.Now())
