Test what counts as run, and name the proofs of the duties

A request counts once: answered, a stream, resumed, broken off, failed by its endpoint, repeated, refused by one endpoint; not at all where all refuse it, nothing answers, or there is no route or team.

--- a/internal/direct/gateway/harness_test.go
+++ b/internal/direct/gateway/harness_test.go
@@ -42,6 +42,7 @@
 	version int
 	engine  map[string]any // what the configuration says of the service's engines, nil for a plain service
 	ids     atomic.Int64
+	began   atomic.Int64 // requests of the team that count as run
 }
 
 // route is one route of the configuration.
@@ -124,7 +125,14 @@
 		},
 	}
 	w.source = platform.Store(process, func() {})
-	w.gateway = gateway.New(gateway.Options{Process: process, Driver: platform, Owner: 1, Seed: 1})
+	w.gateway = gateway.New(gateway.Options{
+		Process: process, Driver: platform, Owner: 1, Seed: 1,
+		Began: func(team string) {
+			if team == "studio-1" {
+				w.began.Add(1)
+			}
+		},
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	go w.gateway.Directory().Follow(ctx, w.source)
 	go w.gateway.Run(ctx)
--- /dev/null
+++ b/internal/direct/gateway/runs_test.go
@@ -0,0 +1,40 @@
+package gateway_test
+
+import (
+	"net/http"
+
+	"foxcross.dev/foxcross/internal/testing/standin/platformtest"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("the usage of teams", func() {
+	DescribeTable("counts a request once, if an endpoint began to run it", func(method, target string, count int, acts ...platformtest.Act) {
+		w := start(platformtest.Answer{Status: 200, Body: "whole"}, platformtest.Answer{Status: 200, Body: "whole"})
+		platformtest.InTurn(w.runners, acts...)
+		w.do(w.request(method, target, "x"))
+		Expect(w.began.Load()).To(BeEquivalentTo(count))
+	},
+		Entry("an answer", http.MethodPost, "/page/1", 1, platformtest.Answer{Status: 200, Body: "whole"}),
+		Entry("a stream", http.MethodPost, "/chat/1", 1, platformtest.Events{To: 20}),
+		Entry("a stream that goes on at another endpoint", http.MethodPost, "/chat/1", 1,
+			platformtest.Events{To: 7, Broken: true}, platformtest.Events{To: 30}),
+		Entry("a stream that breaks off", http.MethodPost, "/plan/1", 1, platformtest.Events{To: 7, Broken: true}),
+		Entry("a failure of the endpoint's own, and a second run", http.MethodPost, "/page/1", 1,
+			platformtest.Fail{Status: 500}, platformtest.Answer{Status: 200, Body: "whole"}),
+		Entry("a failure of the endpoint's own", http.MethodPost, "/once/1", 1, platformtest.Fail{Status: 500}),
+		Entry("refused by one endpoint and run by another", http.MethodPost, "/page/1", 1,
+			platformtest.Refuse{Status: 503}, platformtest.Answer{Status: 200, Body: "whole"}),
+		Entry("refused by all", http.MethodPost, "/page/1", 0, platformtest.Refuse{Status: 503}, platformtest.Refuse{Status: 503}),
+		Entry("an answer that is cut", http.MethodPost, "/book/1", 1, platformtest.Cut{}),
+		Entry("no answer: it may have run, nobody knows", http.MethodPost, "/book/1", 0, platformtest.Break{}),
+		Entry("no route", http.MethodPost, "/nowhere/1", 0),
+	)
+
+	It("counts nothing for a request without a team", func() {
+		w := start(platformtest.Answer{Status: 200, Body: "whole"})
+		w.get("/open/1").whole(200)
+		Expect(w.began.Load()).To(BeZero())
+	})
+})
