--- a/coord/placement/admit.go
+++ b/coord/placement/admit.go
@@ -2,16 +2,18 @@
 //
 // Rule: only long prompts are refused. One is admitted wherever it would start at once,
 // whatever its length; else only if its first event is expected within maxFirstTargets, or,
-// where streams miss their targets beside prefill, maxHarmfulFirstTargets, and, once half of the service's slots are busy, if it harms no more than one
-// request. What is expected is multiplied by how much longer such prompts took lately.
-// Prompts that wait at engines don't let these do more: under overload as many are served
-// with short queues as with long ones, sooner, and streams beside them miss fewer of their
-// targets.
+// where streams miss their targets beside prefill, maxHarmfulFirstTargets, and, once half of
+// the service's slots are busy, if it harms no more than one request. What is expected is
+// multiplied by how much longer such prompts took lately.
+// With short queues nearly as many long prompts are served under overload, more of them in
+// time, and streams beside them miss fewer of their targets, where engines lose time to memory
+// that runs out and to what is computed again. Engines that lose none serve fewer with them
+// (EXPERIMENTS 42).
 // Inputs: the estimates of a Choice, the request's target, the time to its deadline.
 // Unit: times in first-event targets; harm in requests.
 // Never: a short prompt or a call of a plain service is not refused here; nothing
-// is refused because of its class or team, or while nothing waits.
-// Measured: docs/EXPERIMENTS.md 12, 16, 39 to 41.
+// is refused because of its class or team.
+// Measured: docs/EXPERIMENTS.md 12, 16, 39 to 42.
 
 package placement
 
@@ -24,13 +26,12 @@
 	maxStartTargets = 0.15
 	// maxFirstTargets is until when, in first-event targets, a prompt that waits has to have
 	// its first event: what comes later earns little and delays everything behind it. Where 65
-	// of 160 engines crash under a burst, 0.6 and less refuse prompts that would come in time.
+	// of 160 engines crash under a burst, 0.7 and less refuse prompts that would come in time.
 	maxFirstTargets = 1.0
 	// maxHarmfulFirstTargets is the same where streams miss their targets beside prefill. On
-	// three days of bursts of long prompts at 52 engines 1.0 earns 0.741, 0.712 and 0.880 of
-	// what is owed and 0.35 0.783, 0.718 and 0.903, with 0.02 above 0.841, 0.775 and 0.902; of
-	// the streams with the strictest target 0.25, 0.29 and 0.09 come late at 1.0, 0.09, 0.21
-	// and 0.04 at 0.35 with 0.02 above.
+	// three days of bursts of long prompts at 52 engines 0.741, 0.712 and 0.880 of what is owed
+	// is earned at 1.0, and 0.783, 0.718 and 0.903 at 0.35; of the streams with the strictest
+	// target 0.25, 0.29 and 0.09 come late, and 0.19, 0.30 and 0.05.
 	maxHarmfulFirstTargets = 0.35
 	// crowdedShare is the share of busy slots from which the service counts as
 	// crowded. 0.35 is within noise: EXPERIMENTS 16.
