Ask for leases of a second at least, and keep half of them

Cause: a platform that asks for duties and names no bound of a lease would get one of no time, and a long thaw would leave nothing of it. Change: a least time, and a margin of half of the lease at the most.

--- a/coord/duty/duty_test.go
+++ b/coord/duty/duty_test.go
@@ -26,9 +26,12 @@
 	if got != want {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
-	if least := duty.TermsFor(time.Second, 0, time.Second).TTL; least != time.Second {
+	if least := duty.TermsFor(time.Second, 0, 2*time.Second).TTL; least != 2*time.Second {
 		t.Errorf("a lease of %v is asked for, less than the store grants", least)
 	}
+	if unknown := duty.TermsFor(0, time.Minute, 0); unknown.TTL != time.Second || unknown.Margin != 500*time.Millisecond {
+		t.Errorf("without bounds the terms are %+v", unknown)
+	}
 }
 
 // TestLeaseIsOverForItsHolderFirst counts from before the call and stops by the margin.
--- a/coord/duty/lease.go
+++ b/coord/duty/lease.go
@@ -29,11 +29,16 @@
 // usage is late.
 const leaseShare = 2
 
+// leastTTL is the shortest time of a lease that is asked for, where neither bound says more.
+// Chosen, not measured: some renewals over a slow store.
+const leastTTL = time.Second
+
 // TermsFor returns the terms where two holders must not act in turns within alternate, a
 // process that has stood still may act by mistake for thaw, and the store grants leases of
-// at least minTTL.
+// at least minTTL; any may be 0 for not known. The margin is half of the lease at the most.
 func TermsFor(alternate, thaw, minTTL time.Duration) Terms {
-	return Terms{TTL: max(alternate/leaseShare, minTTL), Margin: thaw, Handover: alternate}
+	ttl := max(alternate/leaseShare, minTTL, leastTTL)
+	return Terms{TTL: ttl, Margin: min(thaw, ttl/2), Handover: alternate}
 }
 
 // Lease is what a process believes of its lease. The zero value is held by nobody.
