Say which content a request had and whether its endpoint ended

Cause: the log could not tell endpoints that end under the same content again and again from bystanders, nor an endpoint that ended from a connection that broke. Change: where a connection breaks under a request, one new connection is tried, shared by all that broke there; refused means that the endpoint has ended. The log line of a request that was under way there names its content, a hash of caller, method, target and body. What follows an attempt is decided as before.

--- a/internal/direct/gateway/accept.go
+++ b/internal/direct/gateway/accept.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"foxcross.dev/coord/placement"
+	"foxcross.dev/coord/quarantine"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/coord/settings"
 )
@@ -28,6 +29,8 @@
 	body     []byte
 	heldBody int64 // bytes of the entry's capacity that the body takes
 
+	brokeAtEnd bool // an endpoint has ended with an attempt under way
+
 	counted  bool          // as a request that an endpoint began to run
 	attempts []*attempt    // in order
 	first    time.Time     // when the first event was passed on, zero before it
@@ -35,6 +38,11 @@
 	pause    time.Duration // longest between two events
 }
 
+// content returns the name of what is asked, by whom.
+func (q *request) content() quarantine.Key {
+	return quarantine.KeyOf(q.team, q.incoming.Method, q.incoming.Host+q.incoming.URL.RequestURI(), q.body)
+}
+
 // timeLeft returns the time until the deadline.
 func (q *request) timeLeft() time.Duration { return time.Until(q.deadline) }
 
--- a/internal/direct/gateway/event.go
+++ b/internal/direct/gateway/event.go
@@ -26,6 +26,9 @@
 	// noAnswer: the connection broke, or brought no valid answer. The endpoint may
 	// have run the request.
 	noAnswer struct{ err error }
+	// endpointEnded: the connection broke since the endpoint has ended, with the request
+	// under way there.
+	endpointEnded struct{ err error }
 	// notRun: the endpoint says that it did not run the request.
 	notRun struct{ status int }
 	// endpointError: the endpoint answered with a failure of its own, and without its
@@ -41,6 +44,7 @@
 
 func (unreachable) placementOutcome() placement.Outcome    { return placement.Unreachable }
 func (noAnswer) placementOutcome() placement.Outcome       { return placement.Broken }
+func (endpointEnded) placementOutcome() placement.Outcome  { return placement.Broken }
 func (notRun) placementOutcome() placement.Outcome         { return placement.Rejected }
 func (endpointError) placementOutcome() placement.Outcome  { return placement.Errored }
 func (answered) placementOutcome() placement.Outcome       { return placement.Succeeded }
@@ -49,6 +53,7 @@
 
 func (e unreachable) text() string   { return e.err.Error() }
 func (e noAnswer) text() string      { return e.err.Error() }
+func (e endpointEnded) text() string { return "the endpoint ended: " + e.err.Error() }
 func (e notRun) text() string        { return "not run, " + http.StatusText(e.status) }
 func (e endpointError) text() string { return "status " + strconv.Itoa(e.status) }
 func (e answered) text() string      { return "status " + strconv.Itoa(e.status) }
--- a/internal/direct/gateway/forward.go
+++ b/internal/direct/gateway/forward.go
@@ -60,7 +60,7 @@
 func (f *forwarding) try(a *attempt) outcome {
 	f.tried[a.endpoint().ID] = true
 	answer, err := f.send(a, "")
-	e := f.eventOf(answer, err)
+	e := f.examine(a, f.eventOf(answer, err))
 	if _, failed := e.(unreachable); failed {
 		f.dials++
 	} else {
@@ -123,11 +123,22 @@
 // fail records that an attempt failed before any of its answer was passed on, and
 // returns what follows.
 func (f *forwarding) fail(a *attempt, err error) outcome {
-	e := eventOfError(f.ctx.Err(), err)
+	e := f.examine(a, eventOfError(f.ctx.Err(), err))
 	f.gateway.attempts.end(a, e)
 	return decide(f.situation(), e)
 }
 
+// examine tells a broken connection from an endpoint that has ended.
+func (f *forwarding) examine(a *attempt, e event) event {
+	broken, ok := e.(noAnswer)
+	if !ok || !f.gateway.pool.Ended(a.endpoint().Incarnation(), a.endpoint().Address) {
+		return e
+	}
+	f.request.brokeAtEnd = true
+	f.gateway.options.Metrics.Counter("attempts_ended_with_endpoint").Inc(1)
+	return endpointEnded{broken.err}
+}
+
 // discard gives up an answer that is not passed on. The connection of a valid one
 // can be used again.
 func discard(a *upstream.Answer, e event) {
--- a/internal/direct/gateway/report.go
+++ b/internal/direct/gateway/report.go
@@ -43,6 +43,9 @@
 	if len(q.attempts) > 0 {
 		fields["sends"] = q.records()
 	}
+	if q.brokeAtEnd {
+		fields["content"] = q.content().String()
+	}
 	log.Event("A request ended.", fields)
 	g.measure(q, code)
 }
--- a/internal/direct/gateway/whole.go
+++ b/internal/direct/gateway/whole.go
@@ -64,15 +64,17 @@
 		return done{}
 	}
 	answer.Close()
-	broken := eventOfError(f.ctx.Err(), err)
+	broken := f.examine(a, eventOfError(f.ctx.Err(), err))
 	if to.failed {
 		broken = callerLeft{}
 	}
 	f.gateway.attempts.end(a, broken)
-	if _, endpoints := broken.(noAnswer); endpoints {
+	switch broken.(type) {
+	case noAnswer, endpointEnded:
 		return fail{&result.Error{Code: result.EndpointFailed, Run: result.Ran, Reason: err.Error()}}
+	default:
+		return decideBroken(situation{}, broken)
 	}
-	return decideBroken(situation{}, broken)
 }
 
 // callerWriter tells a caller that takes no more from an endpoint that sends no more.
--- /dev/null
+++ b/internal/direct/upstream/ended_test.go
@@ -0,0 +1,58 @@
+package upstream_test
+
+import (
+	"net"
+	"sync"
+	"testing"
+
+	"foxcross.dev/foxcross/internal/direct/upstream"
+)
+
+func TestEndpointThatRefusesHasEnded(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	var p upstream.Pool
+	if !p.Ended("i-1", address) {
+		t.Error("an endpoint whose port is closed counts as living")
+	}
+}
+
+// TestRequestsThatBreakTogetherShareOneTry holds that an endpoint at which many requests
+// break is tried once, and that its new connection is kept.
+func TestRequestsThatBreakTogetherShareOneTry(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }() // the test is over
+	accepted := make(chan net.Conn, 64)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+		}
+	}()
+	var p upstream.Pool
+	var all sync.WaitGroup
+	for range 32 {
+		all.Go(func() {
+			if p.Ended("i-1", l.Addr().String()) {
+				t.Error("an endpoint that takes connections counts as ended")
+			}
+		})
+	}
+	all.Wait()
+	<-accepted
+	if len(accepted) != 0 {
+		t.Errorf("%d connections more than one", len(accepted))
+	}
+}
--- a/internal/direct/upstream/pool.go
+++ b/internal/direct/upstream/pool.go
@@ -40,8 +40,9 @@
 // Pool keeps idle connections by endpoint. The zero value is ready; Run closes what
 // is idle for too long. It is safe for concurrent use.
 type Pool struct {
-	mu   sync.Mutex
-	idle map[string][]*conn // by endpoint id, the one used last at the end
+	mu           sync.Mutex
+	idle         map[string][]*conn      // by endpoint id, the one used last at the end
+	examinations map[string]*examination // by endpoint id
 }
 
 // takeIdle returns an idle connection that is still open, or nil.
@@ -102,6 +103,7 @@
 func (p *Pool) sweep(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.forgetExaminations(now)
 	for id, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
