--- a/internal/testing/standin/platformtest/runner.go
+++ b/internal/testing/standin/platformtest/runner.go
@@ -58,6 +58,8 @@
 	Fail struct{ Status int }
 	// Break runs the request and resets the connection without an answer.
 	Break struct{}
+	// Crash runs the request and ends the runner with all its connections.
+	Crash struct{}
 	// Cut breaks the answer off within its body.
 	Cut struct{}
 	// Unframed gives an answer that ends with its connection, reset if Broken.
@@ -98,6 +100,7 @@
 func (Refuse) act()   {}
 func (Fail) act()     {}
 func (Break) act()    {}
+func (Crash) act()    {}
 func (Cut) act()      {}
 func (Unframed) act() {}
 func (Surplus) act()  {}
@@ -125,6 +128,8 @@
 	memory memory
 	dialed int
 	left   chan string // ids of requests whose caller closed the connection
+	ended  sync.Once
+	end    chan struct{} // closed when the runner has ended
 }
 
 // NewRunner starts a runner on a free port of the loopback address.
@@ -133,7 +138,7 @@
 	if err != nil {
 		panic("platformtest: " + err.Error())
 	}
-	r := &Runner{ID: id, Service: service, listener: l, rest: rest, conns: map[net.Conn]bool{}, left: make(chan string, 1024)}
+	r := &Runner{ID: id, Service: service, listener: l, rest: rest, conns: map[net.Conn]bool{}, left: make(chan string, 1024), end: make(chan struct{})}
 	go r.accept()
 	return r
 }
@@ -177,8 +182,12 @@
 // Address returns where the runner listens.
 func (r *Runner) Address() string { return r.listener.Addr().String() }
 
+// Ended is closed when the runner has ended.
+func (r *Runner) Ended() <-chan struct{} { return r.end }
+
 // Close ends the runner and its connections.
 func (r *Runner) Close() {
+	defer r.ended.Do(func() { close(r.end) })
 	_ = r.listener.Close() // the stand-in is over
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -245,12 +254,17 @@
 
 // choose returns the act for a path.
 func (b ByPath) choose(path string) Act {
+	chosen := b.Else
 	for _, prefix := range b.Prefix {
 		if strings.HasPrefix(path, prefix) {
-			return b.Then
+			chosen = b.Then
+			break
 		}
 	}
-	return b.Else
+	if further, ok := chosen.(ByPath); ok {
+		return further.choose(path)
+	}
+	return chosen
 }
 
 // peek returns the next act without taking it.
@@ -298,6 +312,9 @@
 		return true
 	case Break:
 		return reset(c)
+	case Crash:
+		r.Close()
+		return false
 	case Cut:
 		write(c, "%sbroken", head(http.StatusOK, id, "Content-Length: 100\r\n"))
 		return false
