Tell other entries of an attempt with a copy of its request

Cause: the event of an attempt held a pointer to the request, which the next attempt changes while the event is encoded: a race, found by the test of ending endpoints under the race detector. Others could be told the time left at another attempt. Change: the event holds a copy.

--- a/internal/direct/gateway/attempts.go
+++ b/internal/direct/gateway/attempts.go
@@ -160,8 +160,9 @@
 		choice:  choice,
 		outcome: outcomeOpen,
 	}
-	a.table.Place(now, x.id, choice.Endpoint.Incarnation(), q.spec, choice.Fetch)
-	sent := peers.Event{Kind: peers.AttemptSent, Number: x.id.Number, Endpoint: choice.Endpoint.Incarnation(), Request: &q.spec}
+	spec := q.spec // the event is encoded later, when the request may be on its next attempt
+	a.table.Place(now, x.id, choice.Endpoint.Incarnation(), spec, choice.Fetch)
+	sent := peers.Event{Kind: peers.AttemptSent, Number: x.id.Number, Endpoint: choice.Endpoint.Incarnation(), Request: &spec}
 	if choice.Fetch.Any() {
 		sent.Fetch = &choice.Fetch
 	}
--- a/internal/testing/crashing/fleet_test.go
+++ b/internal/testing/crashing/fleet_test.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -52,6 +54,9 @@
 	ids     atomic.Int64
 	ends    atomic.Int64 // of endpoints
 	over    chan struct{}
+
+	mu      sync.Mutex
+	serving []*platformtest.Runner
 }
 
 // entry is one gateway of the fleet.
@@ -116,6 +121,9 @@
 			Else:   platformtest.Answer{Status: http.StatusOK, Body: "the whole answer"},
 		},
 	})
+	f.mu.Lock()
+	f.serving = append(f.serving, r)
+	f.mu.Unlock()
 	f.store.Enter(r, "ready")
 	go func() {
 		select {
@@ -123,12 +131,22 @@
 			r.Close()
 		case <-r.Ended():
 			f.ends.Add(1)
+			f.mu.Lock()
+			f.serving = slices.DeleteFunc(f.serving, func(x *platformtest.Runner) bool { return x == r })
+			f.mu.Unlock()
 			f.store.Lose(r)
 			f.addEndpoint()
 		}
 	}()
 }
 
+// endpoints returns the endpoints that have not ended.
+func (f *fleet) endpoints() []*platformtest.Runner {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.serving)
+}
+
 // addEntry starts an entry, with others to hear of or alone.
 func (f *fleet) addEntry(hears bool) *entry {
 	f.t.Helper()
