--- a/internal/direct/directory/behind.go
+++ b/internal/direct/directory/behind.go
@@ -1,6 +1,10 @@
 package directory
 
-import "time"
+import (
+	"time"
+
+	"foxcross.dev/foxcross/internal/steady"
+)
 
 // behind is what other entries have told of newer settings. Directory.mu guards it.
 type behind struct {
@@ -25,7 +29,7 @@
 		return
 	}
 	if d.behind.newest <= own {
-		d.behind.since = time.Now()
+		d.behind.since = steady.Now()
 	}
 	d.behind.newest = max(d.behind.newest, version)
 }
@@ -45,5 +49,5 @@
 	if d.behind.newest <= d.version() {
 		return Behind{}
 	}
-	return Behind{Newest: d.behind.newest, For: time.Since(d.behind.since), Outstanding: d.behind.outstanding}
+	return Behind{Newest: d.behind.newest, For: steady.Since(d.behind.since), Outstanding: d.behind.outstanding}
 }
--- a/internal/direct/directory/contact.go
+++ b/internal/direct/directory/contact.go
@@ -1,6 +1,10 @@
 package directory
 
-import "time"
+import (
+	"time"
+
+	"foxcross.dev/foxcross/internal/steady"
+)
 
 // contact is what is known of the store's answers. Directory.mu guards it.
 type contact struct {
@@ -21,7 +25,7 @@
 	d.contact.following = true
 	close(d.contact.answers)
 	if d.contact.outage {
-		d.contact.regained = time.Now()
+		d.contact.regained = steady.Now()
 	}
 	log.Info("The store answers.")
 }
@@ -65,7 +69,7 @@
 // StoreProgressed records that a part of an answer of the store has come. An entry whose
 // answers take long over a thin link is in contact: standbys would only burden the
 // store with the same.
-func (d *Directory) StoreProgressed() { d.setLastContact(time.Now()) }
+func (d *Directory) StoreProgressed() { d.setLastContact(steady.Now()) }
 
 // LastContact returns when the last call was made that the store answered, or when part
 // of an answer last came.
--- a/internal/direct/directory/directory.go
+++ b/internal/direct/directory/directory.go
@@ -19,6 +19,7 @@
 	"foxcross.dev/coord/placement"
 	"foxcross.dev/foxcross/internal/direct/driver"
 	"foxcross.dev/foxcross/internal/logs"
+	"foxcross.dev/foxcross/internal/steady"
 )
 
 var log = logs.For("directory")
@@ -89,7 +90,7 @@
 		listed[e.ID] = true
 		d.set(e)
 	}
-	now := time.Now()
+	now := steady.Now()
 	for id, e := range d.endpoints {
 		if !listed[id] {
 			d.vanish(e, keep(now, e))
@@ -129,7 +130,7 @@
 		d.set(e)
 		log.With("endpoint", e.ID).With("service", e.Service).With("leaving", e.Leaving).With("revision", c.Revision).Info("An endpoint changed or came.")
 	}
-	now := time.Now()
+	now := steady.Now()
 	for _, id := range c.Gone {
 		e, known := d.endpoints[id]
 		if !known {
--- a/internal/direct/directory/follow.go
+++ b/internal/direct/directory/follow.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"foxcross.dev/foxcross/internal/direct/driver"
+	"foxcross.dev/foxcross/internal/steady"
 
 	"github.com/cenkalti/backoff/v5"
 )
@@ -119,7 +120,7 @@
 }
 
 func (f *endpointsFollower) readAll(ctx context.Context) error {
-	asked := time.Now()
+	asked := steady.Now()
 	list, err := f.store.ReadEndpoints(ctx)
 	if err != nil {
 		return err
@@ -134,7 +135,7 @@
 }
 
 func (f *endpointsFollower) readChanges(ctx context.Context) (changed bool, err error) {
-	asked := time.Now()
+	asked := steady.Now()
 	d := f.directory
 	_, known := d.Versions()
 	c, err := f.store.WaitEndpoints(ctx, max(f.revision, known), endpointsWait)
@@ -183,7 +184,7 @@
 // repeated until it brings nothing newer: a watch would bring all versions in between,
 // each whole, and of those only the last counts.
 func (f *settingsFollower) read(ctx context.Context) (newer bool, err error) {
-	asked := time.Now()
+	asked := steady.Now()
 	s, err := f.store.ReadSettings(ctx)
 	if err != nil {
 		return false, err
@@ -196,7 +197,7 @@
 }
 
 func (f *settingsFollower) readChanges(ctx context.Context) (changed bool, err error) {
-	asked := time.Now()
+	asked := steady.Now()
 	_, settled := f.directory.Settled()
 	c, err := f.store.WaitSettings(ctx, max(f.revision, settled), settingsWait)
 	if err != nil {
--- a/internal/direct/directory/lapse.go
+++ b/internal/direct/directory/lapse.go
@@ -16,6 +16,7 @@
 
 	"foxcross.dev/coord/placement"
 	"foxcross.dev/foxcross/internal/direct/driver"
+	"foxcross.dev/foxcross/internal/steady"
 )
 
 const (
@@ -64,15 +65,15 @@
 	if d.lapsed == nil {
 		d.lapsed = map[string]lapse{}
 	}
-	d.lapsed[e.ID] = lapse{endpoint: e, until: time.Now().Add(keep)}
-	time.AfterFunc(keep, d.dropLapsed)
+	d.lapsed[e.ID] = lapse{endpoint: e, until: steady.Now().Add(keep)}
+	steady.AfterFunc(keep, d.dropLapsed)
 }
 
 // dropLapsed drops the endpoints that have not come back in time.
 func (d *Directory) dropLapsed() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := time.Now()
+	now := steady.Now()
 	dropped := false
 	for id, l := range d.lapsed {
 		if now.Before(l.until) {
@@ -118,7 +119,7 @@
 func (d *Directory) Lapsed() map[string]time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := time.Now()
+	now := steady.Now()
 	left := make(map[string]time.Duration, len(d.lapsed))
 	for id, l := range d.lapsed {
 		left[id] = l.until.Sub(now)
--- a/internal/direct/directory/settings.go
+++ b/internal/direct/directory/settings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"foxcross.dev/coord/settings"
+	"foxcross.dev/foxcross/internal/steady"
 )
 
 // Errors of settings that are handed over as changes.
@@ -139,7 +140,7 @@
 // putInForce compiles a version and puts it in force; requests go on by the former one
 // meanwhile. The directory is locked for taking.
 func (d *Directory) putInForce(before InForce, version uint64, changes []settings.Difference, digest uint64, source string) error {
-	began := time.Now()
+	began := steady.Now()
 	tree := before.Tree.Apply(changes)
 	snapshot, err := before.Snapshot.Recompile(tree)
 	if err != nil {
@@ -152,7 +153,7 @@
 	d.settings.Store(&now)
 	d.mu.Unlock()
 	log.With("version", version).With("before", before.Version).With("from", source).
-		With("changed", len(changes)).With("nodes", tree.Len()).With("ms", time.Since(began).Milliseconds()).
+		With("changed", len(changes)).With("nodes", tree.Len()).With("ms", steady.Since(began).Milliseconds()).
 		Info("Settings are in force.")
 	return nil
 }
--- a/internal/direct/duties/campaign.go
+++ b/internal/direct/duties/campaign.go
@@ -7,6 +7,7 @@
 
 	"foxcross.dev/coord/duty"
 	"foxcross.dev/foxcross/internal/direct/driver"
+	"foxcross.dev/foxcross/internal/steady"
 	"foxcross.dev/foxcross/internal/storeerr"
 
 	"github.com/fxamacker/cbor/v2"
@@ -28,7 +29,7 @@
 	s := duty.Situation{Eligible: store.ReadsStore() && store.Following(), Heard: other}
 	d.mu.Lock()
 	s.Eligible = s.Eligible && !d.leaving
-	move := d.election.Due(time.Now(), s)
+	move := d.election.Due(steady.Now(), s)
 	lease := d.election.Lease
 	d.mu.Unlock()
 	switch move {
@@ -44,7 +45,7 @@
 func (d *Duties) announce() {
 	d.mu.Lock()
 	fence := uint64(0)
-	if d.election.Lease.Held(time.Now()) {
+	if d.election.Lease.Held(steady.Now()) {
 		fence = d.election.Lease.Fence
 	}
 	changed := fence != d.announced
@@ -75,7 +76,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.election.Tried(time.Now())
+	d.election.Tried(steady.Now())
 }
 
 // isOwn tells whether a holder's record was written by this incarnation.
@@ -90,7 +91,7 @@
 
 // adopt holds the duties by an own record that was written though the answer was lost.
 func (d *Duties) adopt(ctx context.Context, r driver.Record) {
-	asked := time.Now()
+	asked := steady.Now()
 	if err := d.options.Records.Renew(ctx, r.Lease); err != nil {
 		d.tried(err)
 		return
@@ -106,7 +107,7 @@
 		return
 	}
 	records := d.options.Records
-	asked := time.Now()
+	asked := steady.Now()
 	lease, err := records.Grant(ctx, d.election.Terms.TTL)
 	if err != nil {
 		d.tried(err)
@@ -127,7 +128,7 @@
 func (d *Duties) won(lease string, fence uint64, asked time.Time) {
 	d.mu.Lock()
 	terms := d.election.Terms
-	l := duty.Lease{}.WithGrant(lease, fence, asked, time.Now(), terms)
+	l := duty.Lease{}.WithGrant(lease, fence, asked, steady.Now(), terms)
 	d.election.Won(l, asked)
 	d.mu.Unlock()
 	d.metrics.Counter("duties_won").Inc(1)
@@ -137,7 +138,7 @@
 
 // renew renews the lease.
 func (d *Duties) renew(ctx context.Context, l duty.Lease) {
-	asked := time.Now()
+	asked := steady.Now()
 	err := d.options.Records.Renew(ctx, l.ID)
 	if errors.Is(err, storeerr.ErrNotFound) {
 		d.lose(l.Fence, "the store says that the lease is over")
@@ -148,7 +149,7 @@
 	switch {
 	case d.election.Lease.Fence != l.Fence: // lost meanwhile
 	case err != nil:
-		d.election.RenewalFailed(time.Now())
+		d.election.RenewalFailed(steady.Now())
 		log.With("reason", err.Error()).Limited("renew", "The lease of the duties can't be renewed; it is tried again.")
 	default:
 		d.election.Renewed(asked)
--- a/internal/direct/duties/counting.go
+++ b/internal/direct/duties/counting.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"foxcross.dev/coord/duty"
+	"foxcross.dev/foxcross/internal/steady"
 )
 
 // tellAllFor is how long all that is kept is told to a new holder. Chosen, not measured: some
@@ -23,11 +24,10 @@
 
 // trueTime returns the true time; the own time of day while no other is known.
 func (d *Duties) trueTime() time.Time {
-	now := time.Now()
-	if t, ok := d.options.Group.TrueTime(now); ok {
+	if t, ok := d.options.Group.TrueTime(steady.Now()); ok {
 		return t
 	}
-	return now
+	return steady.Wall()
 }
 
 // TakeStatement takes in what another entry counted.
@@ -41,13 +41,13 @@
 func (d *Duties) tell() {
 	now := d.trueTime()
 	fence, _ := d.options.Group.Holder()
-	steady := time.Now()
+	reading := steady.Now()
 	d.mu.Lock()
 	if fence != d.told {
 		d.told = fence
-		d.tellAll = steady.Add(tellAllFor)
+		d.tellAll = reading.Add(tellAllFor)
 	}
-	s := d.tally.State(now, steady.Before(d.tellAll))
+	s := d.tally.State(now, reading.Before(d.tellAll))
 	d.ledger.Take(s)
 	if d.election.Lease.Fence == 0 {
 		d.ledger.Expire(now)
--- a/internal/direct/duties/duties.go
+++ b/internal/direct/duties/duties.go
@@ -17,6 +17,7 @@
 	"foxcross.dev/coord/duty"
 	"foxcross.dev/foxcross/internal/direct/driver"
 	"foxcross.dev/foxcross/internal/logs"
+	"foxcross.dev/foxcross/internal/steady"
 	"foxcross.dev/foxcross/internal/workers"
 
 	"github.com/uber-go/tally/v4"
@@ -132,7 +133,7 @@
 	d.mu.Lock()
 	held := d.election.Lease.Fence == fence
 	if held {
-		d.election.Lost(time.Now())
+		d.election.Lost(steady.Now())
 	}
 	d.mu.Unlock()
 	if held {
--- a/internal/direct/duties/keeping.go
+++ b/internal/direct/duties/keeping.go
@@ -7,6 +7,7 @@
 
 	"foxcross.dev/coord/duty"
 	"foxcross.dev/foxcross/internal/direct/driver"
+	"foxcross.dev/foxcross/internal/steady"
 	"foxcross.dev/foxcross/internal/storeerr"
 )
 
@@ -37,7 +38,7 @@
 
 // keep writes what is due.
 func (k *keeper) keep(ctx context.Context) {
-	now := time.Now()
+	now := steady.Now()
 	lease, leaving := k.lease()
 	if !lease.Held(now) {
 		k.fence = 0
@@ -48,7 +49,7 @@
 	}
 	if err := k.step(ctx, lease, leaving, now); err != nil {
 		k.fence = 0 // what is written may have changed: it is read anew
-		k.retryAt = time.Now().Add(keepRetry)
+		k.retryAt = steady.Now().Add(keepRetry)
 		log.With("reason", err.Error()).Limited("keep", "Records of usage can't be read or written; it is tried again.")
 		if errors.Is(err, driver.ErrConflict) {
 			k.checkHolder(ctx, lease)
@@ -131,7 +132,7 @@
 	for _, w := range finished {
 		u.Remove = append(u.Remove, usageKey(w))
 	}
-	began := time.Now()
+	began := steady.Now()
 	revision, err := k.options.Records.Update(ctx, u)
 	if err != nil {
 		return err
--- a/internal/direct/duties/reporting.go
+++ b/internal/direct/duties/reporting.go
@@ -7,6 +7,7 @@
 
 	"foxcross.dev/coord/duty"
 	"foxcross.dev/foxcross/internal/direct/driver"
+	"foxcross.dev/foxcross/internal/steady"
 )
 
 // reportRetry is the time until a report that failed is made again. Chosen, not measured.
@@ -20,12 +21,12 @@
 
 // report sends the reports that are due, oldest first, until one fails.
 func (r *reporting) report(ctx context.Context) {
-	if time.Now().Before(r.retryAt) {
+	if steady.Now().Before(r.retryAt) {
 		return
 	}
 	for _, w := range r.unreported() {
 		if err := r.send(ctx, w); err != nil {
-			r.retryAt = time.Now().Add(reportRetry)
+			r.retryAt = steady.Now().Add(reportRetry)
 			return
 		}
 	}
@@ -35,7 +36,7 @@
 func (r *reporting) unreported() []duty.Window {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.election.Lease.MayAct(time.Now()) {
+	if !r.election.Lease.MayAct(steady.Now()) {
 		return nil
 	}
 	return r.ledger.Unreported()
@@ -50,7 +51,7 @@
 	lease := r.election.Lease
 	counts := r.ledger.Account(w).Closed
 	r.mu.Unlock()
-	if !lease.MayAct(time.Now()) {
+	if !lease.MayAct(steady.Now()) {
 		return errNotHeld
 	}
 	r.metrics.Counter("usage_reports_sent").Inc(1)
--- /dev/null
+++ b/internal/direct/duties/suspension_test.go
@@ -0,0 +1,61 @@
+package duties
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"foxcross.dev/foxcross/internal/steady"
+)
+
+// asleep is for how long the machine of these tests was suspended, in ns.
+var asleep atomic.Int64
+
+func init() { steady.Suspended = func() time.Duration { return time.Duration(asleep.Load()) } }
+
+// suspend lets the machine have been suspended, until the test ends.
+func suspend(t *testing.T, d time.Duration) {
+	asleep.Add(int64(d))
+	t.Cleanup(func() { asleep.Add(-int64(d)) })
+}
+
+// TestSuspendedHolderSendsNothing suspends the machine of the holder for far longer than its
+// lease. Go's steady clock does not count that time, so that the lease seemed to be held on
+// waking, and the holder sent with a fence that another entry may have replaced long ago.
+func TestSuspendedHolderSendsNothing(t *testing.T) {
+	const down, suspended, looked = 180, 200, 220 // steps of 50 ms; a lease lasts 1.5 s
+	var woke time.Time
+	script := func(r *run, step int) {
+		m := r.machines[0]
+		switch step {
+		case down: // reports that are written and not sent wait
+			r.platform.mu.Lock()
+			r.platform.down = true
+			r.platform.mu.Unlock()
+		case suspended:
+			if l, _ := m.member.duties.lease(); !l.MayAct(steady.Now()) {
+				t.Error("there is no holder to suspend")
+			}
+			r.store.mu.Lock()
+			m.cut = true // it can't look at its lease, which was over for long
+			r.store.mu.Unlock()
+			r.platform.mu.Lock()
+			r.platform.down = false
+			r.platform.mu.Unlock()
+			suspend(t, 10*time.Second)
+			woke = time.Now()
+		case looked:
+			r.platform.mu.Lock()
+			for _, x := range r.platform.reports {
+				if x.sentAt.After(woke) {
+					t.Errorf("%s sent with fence %d, %v after it woke", x.machine, x.fence, x.sentAt.Sub(woke))
+				}
+			}
+			r.platform.mu.Unlock()
+			r.store.mu.Lock()
+			m.cut = false
+			r.store.mu.Unlock()
+		}
+	}
+	simulate(t, 1, plan{machines: 1, window: shortWindow, script: script})
+}
--- a/internal/direct/gateway/accept.go
+++ b/internal/direct/gateway/accept.go
@@ -15,6 +15,7 @@
 	"foxcross.dev/coord/quarantine"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/coord/settings"
+	"foxcross.dev/foxcross/internal/steady"
 )
 
 // request is one request of a caller.
@@ -48,20 +49,20 @@
 }
 
 // timeLeft returns the time until the deadline.
-func (q *request) timeLeft() time.Duration { return time.Until(q.deadline) }
+func (q *request) timeLeft() time.Duration { return steady.Until(q.deadline) }
 
 // bounded returns a context that ends at the deadline or when the caller leaves.
 func (q *request) bounded() (context.Context, context.CancelFunc) {
-	return context.WithDeadline(q.incoming.Context(), q.deadline)
+	return steady.WithDeadline(q.incoming.Context(), q.deadline)
 }
 
 // accept reads a request and finds its class and team. The request is returned
 // also where it fails, as far as it was read.
 func (g *Gateway) accept(w http.ResponseWriter, r *http.Request) (*request, *result.Error) {
-	q := &request{id: r.Header.Get(g.fields.RequestID), received: time.Now(), incoming: r}
+	q := &request{id: r.Header.Get(g.fields.RequestID), received: steady.Now(), incoming: r}
 	inForce := g.directory.Settings()
 	if inForce == nil || !g.directory.Known() {
-		return q, notReady("no settings yet", time.Since(g.startedAt))
+		return q, notReady("no settings yet", steady.Since(g.startedAt))
 	}
 	if g.refusing.Load() {
 		return q, &result.Error{Code: result.Draining, Run: result.NotRun, RetryAfter: drainingRetryAfter}
--- a/internal/direct/gateway/attempts.go
+++ b/internal/direct/gateway/attempts.go
@@ -13,6 +13,7 @@
 	"foxcross.dev/foxcross/internal/direct/directory"
 	"foxcross.dev/foxcross/internal/direct/driver"
 	"foxcross.dev/foxcross/internal/direct/peers"
+	"foxcross.dev/foxcross/internal/steady"
 )
 
 // requestShare is the share of the connections that an endpoint takes which may
@@ -143,7 +144,7 @@
 // returns neither an attempt nor a refusal if there is no endpoint to try. A request
 // that was sent before is not refused any more.
 func (a *attempts) place(q *request, excluded map[string]bool) (*attempt, *result.Error) {
-	now := time.Now()
+	now := steady.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	q.spec.TimeLeft = q.timeLeft()
@@ -179,7 +180,7 @@
 		return
 	}
 	x.begun = true
-	now := time.Now()
+	now := steady.Now()
 	if q.first.IsZero() {
 		q.first = now
 		q.last = now
@@ -192,7 +193,7 @@
 
 // nextEvent records a later event of a stream.
 func (a *attempts) nextEvent(q *request, x *attempt) {
-	now := time.Now()
+	now := steady.Now()
 	q.pause = max(q.pause, now.Sub(q.last))
 	q.last = now
 	a.mu.Lock()
@@ -206,7 +207,7 @@
 	o := e.placementOutcome()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.table.End(time.Now(), x.id, o)
+	a.table.End(steady.Now(), x.id, o)
 	a.broadcast(peers.Event{Kind: peers.AttemptEnded, Number: x.id.Number, Outcome: o})
 }
 
@@ -221,7 +222,7 @@
 func (a *attempts) allowRetry(service string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.budget(service).Retry(time.Now(), a.entries())
+	return a.budget(service).Retry(steady.Now(), a.entries())
 }
 
 // budget returns the budget of a service. attempts.mu is held.
@@ -261,12 +262,12 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.group == nil {
-		return now
+		return steady.Wall()
 	}
 	if t, ok := a.group.TrueTime(now); ok {
 		return t
 	}
-	return now
+	return steady.Wall()
 }
 
 // broadcast passes an event on to the other entries. attempts.mu is held.
@@ -285,7 +286,7 @@
 
 // takeEvents takes in events of another entry's attempts.
 func (a *attempts) takeEvents(owner uint64, events []peers.Event) {
-	now := time.Now()
+	now := steady.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, e := range events {
@@ -310,12 +311,12 @@
 func (a *attempts) memberGone(owner uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.table.DropOwner(time.Now(), owner)
+	a.table.DropOwner(steady.Now(), owner)
 }
 
 // state returns the number of live entries and what is known of the endpoints.
 func (a *attempts) state() (entries int, endpoints []placement.EndpointState) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.entries(), a.table.States(time.Now())
+	return a.entries(), a.table.States(steady.Now())
 }
--- a/internal/direct/gateway/capacity.go
+++ b/internal/direct/gateway/capacity.go
@@ -10,11 +10,13 @@
 package gateway
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	"foxcross.dev/coord/result"
 	"foxcross.dev/foxcross/internal/direct/driver"
+	"foxcross.dev/foxcross/internal/steady"
 	"foxcross.dev/foxcross/internal/workers"
 )
 
@@ -113,16 +115,18 @@
 	q.heldBody = 0
 }
 
-// waitIdle waits at least the first time, and up to the second one while requests
-// are open.
-func (c *capacity) waitIdle(minWait, maxWait time.Duration) {
-	time.Sleep(minWait)
-	end := time.NewTimer(maxWait - minWait)
-	defer end.Stop()
+// waitIdle waits at least until the first time, and until the second one while requests are
+// open.
+func (c *capacity) waitIdle(first, last time.Time) {
+	quiet, cancelQuiet := steady.WithDeadline(context.Background(), first)
+	defer cancelQuiet()
+	<-quiet.Done()
+	end, cancelEnd := steady.WithDeadline(context.Background(), last)
+	defer cancelEnd()
 	for c.openRequests() > 0 {
 		select {
 		case <-c.idle:
-		case <-end.C:
+		case <-end.Done():
 			return
 		}
 	}
--- a/internal/direct/gateway/content.go
+++ b/internal/direct/gateway/content.go
@@ -27,6 +27,7 @@
 	"foxcross.dev/coord/quarantine"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/foxcross/internal/direct/peers"
+	"foxcross.dev/foxcross/internal/steady"
 )
 
 // retellAfter is when what was told of a content is told again: datagrams may be lost.
@@ -103,7 +104,7 @@
 	if !g.suspects.any.Load() {
 		return nil
 	}
-	now := time.Now()
+	now := steady.Now()
 	k := f.request.content()
 	v := g.suspects.verdict(now, k)
 	if !v.Held {
@@ -131,11 +132,11 @@
 		g.contentEndedWell(q)
 	case unreachable:
 		if errors.Is(e.err, syscall.ECONNREFUSED) {
-			g.endpointEnded(a.endpoint(), time.Now())
+			g.endpointEnded(a.endpoint(), steady.Now())
 		}
 	case noAnswer, deadlinePassed, callerLeft:
 		run := quarantine.Run{Content: q.content(), Began: a.sentAt}
-		g.suspects.update(func(t *quarantine.Table) { t.Unanswered(time.Now(), a.endpoint().Incarnation(), run) })
+		g.suspects.update(func(t *quarantine.Table) { t.Unanswered(steady.Now(), a.endpoint().Incarnation(), run) })
 	}
 }
 
@@ -178,7 +179,7 @@
 // trialFailed takes in that an endpoint ended at a trial: that is one end more than were known
 // when it began, also where only their number was told.
 func (g *Gateway) trialFailed(k quarantine.Key, known int) {
-	now := time.Now()
+	now := steady.Now()
 	var h quarantine.HoldReport
 	g.suspects.update(func(t *quarantine.Table) {
 		t.Hold(k, known+1, t.Trials(k), now)
@@ -200,7 +201,7 @@
 // takeRestarts takes in that endpoints are listed with a later start than they had when
 // runs at them brought no answer.
 func (g *Gateway) takeRestarts(list []placement.Endpoint) {
-	now := time.Now()
+	now := steady.Now()
 	var waiting []string
 	g.suspects.update(func(t *quarantine.Table) { waiting = t.UnansweredAt(now) })
 	for _, endpoint := range waiting {
@@ -223,7 +224,7 @@
 // clear drops what is held against a content, here and at the other entries. It returns
 // whether anything was.
 func (g *Gateway) clear(k quarantine.Key) bool {
-	now := time.Now()
+	now := steady.Now()
 	var known, held bool
 	g.suspects.update(func(t *quarantine.Table) {
 		held = t.Verdict(now, k).Held
@@ -242,7 +243,7 @@
 
 // takeContentEvents takes in what other entries tell of contents.
 func (g *Gateway) takeContentEvents(owner uint64, events []peers.Event) {
-	now := time.Now()
+	now := steady.Now()
 	for _, e := range events {
 		switch e.Kind {
 		case peers.EndpointEnded:
--- a/internal/direct/gateway/deny.go
+++ b/internal/direct/gateway/deny.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"foxcross.dev/coord/result"
+	"foxcross.dev/foxcross/internal/steady"
 )
 
 // currentFor is how long after their last confirmation settings are taken for the
@@ -21,10 +22,10 @@
 
 // deny returns the denial, or "not ready" if the settings may be out of date.
 func (g *Gateway) deny(denial *result.Error) *result.Error {
-	if mayDeny(time.Since(g.directory.Confirmed())) {
+	if mayDeny(steady.Since(g.directory.Confirmed())) {
 		return denial
 	}
-	return notReady("the settings may be out of date", time.Since(g.directory.Confirmed()))
+	return notReady("the settings may be out of date", steady.Since(g.directory.Confirmed()))
 }
 
 // mayDeny tells whether settings of that age since their confirmation may be
--- a/internal/direct/gateway/dump.go
+++ b/internal/direct/gateway/dump.go
@@ -1,11 +1,10 @@
 package gateway
 
 import (
-	"time"
-
 	"foxcross.dev/coord/placement"
 	"foxcross.dev/coord/quarantine"
 	"foxcross.dev/foxcross/internal/lifecycle"
+	"foxcross.dev/foxcross/internal/steady"
 )
 
 // Dump is the state of a gateway, for operators.
@@ -42,13 +41,13 @@
 		Version:   version,
 		Revision:  revision,
 		Following: g.directory.Following(),
-		Confirmed: time.Since(g.directory.Confirmed()).Milliseconds(),
+		Confirmed: steady.Since(g.directory.Confirmed()).Milliseconds(),
 	}
 	behind := g.directory.Behind()
 	d.Behind = DumpBehind{Newest: behind.Newest, ForMS: behind.For.Milliseconds(), Outstanding: behind.Outstanding}
 	d.Open = g.capacity.openRequests()
 	d.Entries, d.Endpoints = g.attempts.state()
-	d.Suspect, d.Held = g.suspects.counts(time.Now())
-	d.Contents = g.suspects.states(time.Now())
+	d.Suspect, d.Held = g.suspects.counts(steady.Now())
+	d.Contents = g.suspects.states(steady.Now())
 	return d
 }
--- a/internal/direct/gateway/event.go
+++ b/internal/direct/gateway/event.go
@@ -64,14 +64,14 @@
 func (deadlinePassed) text() string  { return "out of time" }
 func (callerLeft) text() string      { return "the caller left" }
 
-// eventOfError returns what an error of an attempt stands for. ctxErr is the error
-// of the request's context.
-func eventOfError(ctxErr, err error) event {
+// eventOfError returns what an error of an attempt stands for. ended is why the request's
+// context is done, nil if it is not.
+func eventOfError(ended, err error) event {
 	sent := !errors.Is(err, upstream.ErrUnreachable)
 	switch {
-	case errors.Is(ctxErr, context.Canceled):
+	case errors.Is(ended, context.Canceled):
 		return callerLeft{}
-	case ctxErr != nil:
+	case ended != nil:
 		return deadlinePassed{sent: sent}
 	case !sent:
 		return unreachable{err}
@@ -81,14 +81,14 @@
 }
 
 // eventOfAnswer returns what the head of an answer stands for.
-func eventOfAnswer(ctxErr error, f driver.Fields, status int, h http.Header) event {
+func eventOfAnswer(ended error, f driver.Fields, status int, h http.Header) event {
 	switch {
 	case h.Get(f.NotRun) != "" || status == http.StatusMisdirectedRequest:
 		return notRun{status}
 	case status >= http.StatusInternalServerError || promisesNotRun(status):
 		return endpointError{status}
 	case succeeded(status) && h.Get(f.Seal) == "":
-		return eventOfError(ctxErr, upstream.ErrNoAnswer)
+		return eventOfError(ended, upstream.ErrNoAnswer)
 	default:
 		return answered{status}
 	}
--- a/internal/direct/gateway/forward.go
+++ b/internal/direct/gateway/forward.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"foxcross.dev/coord/result"
 	"foxcross.dev/foxcross/internal/direct/upstream"
+	"foxcross.dev/foxcross/internal/steady"
 )
 
 // forwarding is the work on one request that was accepted. It belongs to one
@@ -108,9 +108,9 @@
 // eventOf returns what a send brought.
 func (f *forwarding) eventOf(a *upstream.Answer, err error) event {
 	if err != nil {
-		return eventOfError(f.ctx.Err(), err)
+		return eventOfError(context.Cause(f.ctx), err)
 	}
-	return eventOfAnswer(f.ctx.Err(), f.gateway.fields, a.Status, a.Header)
+	return eventOfAnswer(context.Cause(f.ctx), f.gateway.fields, a.Status, a.Header)
 }
 
 // isStream tells whether an answer is a stream of events.
@@ -132,7 +132,7 @@
 // fail records that an attempt failed before any of its answer was passed on, and
 // returns what follows.
 func (f *forwarding) fail(a *attempt, err error) outcome {
-	e := f.examine(a, eventOfError(f.ctx.Err(), err))
+	e := f.examine(a, eventOfError(context.Cause(f.ctx), err))
 	f.end(a, e)
 	return decide(f.situation(), e)
 }
@@ -140,7 +140,7 @@
 // examine tells a broken connection from an endpoint that has ended.
 func (f *forwarding) examine(a *attempt, e event) event {
 	broken, ok := e.(noAnswer)
-	at := time.Now()
+	at := steady.Now()
 	if !ok || !f.gateway.pool.Ended(a.endpoint().Incarnation(), a.endpoint().Address) {
 		return e
 	}
--- a/internal/direct/gateway/gateway.go
+++ b/internal/direct/gateway/gateway.go
@@ -40,6 +40,7 @@
 	"foxcross.dev/foxcross/internal/direct/upstream"
 	"foxcross.dev/foxcross/internal/lifecycle"
 	"foxcross.dev/foxcross/internal/logs"
+	"foxcross.dev/foxcross/internal/steady"
 	"foxcross.dev/foxcross/internal/workers"
 
 	"github.com/uber-go/tally/v4"
@@ -87,7 +88,7 @@
 	f := o.Driver.Fields()
 	g := &Gateway{
 		options:   o,
-		startedAt: time.Now(),
+		startedAt: steady.Now(),
 		fields:    f,
 		dropped:   droppedFields(f),
 		answers:   upstream.Names{RequestID: f.RequestID, NotRun: f.NotRun},
--- a/internal/direct/gateway/held.go
+++ b/internal/direct/gateway/held.go
@@ -23,6 +23,7 @@
 	"foxcross.dev/coord/quarantine"
 	"foxcross.dev/foxcross/internal/direct/driver"
 	"foxcross.dev/foxcross/internal/direct/peers"
+	"foxcross.dev/foxcross/internal/steady"
 	"foxcross.dev/foxcross/internal/storeerr"
 
 	"github.com/fxamacker/cbor/v2"
@@ -74,7 +75,7 @@
 // recordHeld writes down that a content is held.
 func (g *Gateway) recordHeld(k quarantine.Key) {
 	g.tryRecords("write", func(ctx context.Context) error {
-		now := time.Now()
+		now := steady.Now()
 		v := g.suspects.verdict(now, k)
 		if !v.Held {
 			return nil // cleared meanwhile
@@ -113,7 +114,7 @@
 
 // beginTrial tells whether this request may try a content whose hold is over.
 func (g *Gateway) beginTrial(ctx context.Context, k quarantine.Key) bool {
-	now := time.Now()
+	now := steady.Now()
 	s := &g.suspects
 	ends, trials, due := s.askForTrial(now, k)
 	if !due {
@@ -158,7 +159,7 @@
 // returnTrial lets another request try a content soon, since the one that was to reached no
 // endpoint: it would be held for the time of a trial that showed nothing.
 func (g *Gateway) returnTrial(k quarantine.Key) {
-	now := time.Now()
+	now := steady.Now()
 	var r heldRecord
 	g.suspects.update(func(t *quarantine.Table) {
 		r.Ends, r.Trials = t.Verdict(now, k).Ends, max(t.Trials(k)-1, 0)
@@ -179,7 +180,7 @@
 // claimTrial writes down that a content is being tried, if nobody has since its hold was over.
 // next is changed to what is written down then. It returns for how long the content is held.
 func (g *Gateway) claimTrial(ctx context.Context, k quarantine.Key, next *heldRecord) (time.Duration, bool, error) {
-	trueNow := g.attempts.trueTime(time.Now())
+	trueNow := g.attempts.trueTime(steady.Now())
 	found, err := g.options.Records.Read(ctx, heldPrefix+k.String())
 	if err != nil && !errors.Is(err, storeerr.ErrNotFound) {
 		return 0, false, err
@@ -254,7 +255,7 @@
 	if err != nil {
 		return nil, err
 	}
-	now := time.Now()
+	now := steady.Now()
 	trueNow := g.attempts.trueTime(now)
 	var holds []quarantine.HoldReport
 	for _, x := range all {
--- a/internal/direct/gateway/report.go
+++ b/internal/direct/gateway/report.go
@@ -6,6 +6,7 @@
 	"foxcross.dev/coord/result"
 	"foxcross.dev/foxcross/internal/direct/record"
 	"foxcross.dev/foxcross/internal/logs"
+	"foxcross.dev/foxcross/internal/steady"
 
 	"github.com/uber-go/tally/v4"
 )
@@ -19,7 +20,7 @@
 		"team":     q.team,
 		"service":  q.spec.Service,
 		"priority": q.spec.Priority,
-		"total_ms": time.Since(q.received).Milliseconds(),
+		"total_ms": steady.Since(q.received).Milliseconds(),
 	}
 	if f != nil {
 		code = f.Code
@@ -75,7 +76,7 @@
 			scope.Counter("fetched_tokens").Inc(int64(a.choice.Fetch.Tokens))
 		}
 	}
-	scope.Histogram("total_seconds", buckets).RecordDuration(time.Since(q.received))
+	scope.Histogram("total_seconds", buckets).RecordDuration(steady.Since(q.received))
 	if !q.first.IsZero() {
 		scope.Histogram("first_seconds", buckets).RecordDuration(q.first.Sub(q.received))
 	}
--- a/internal/direct/gateway/snapshot.go
+++ b/internal/direct/gateway/snapshot.go
@@ -12,6 +12,7 @@
 	"foxcross.dev/coord/placement"
 	"foxcross.dev/coord/quarantine"
 	"foxcross.dev/foxcross/internal/direct/peers"
+	"foxcross.dev/foxcross/internal/steady"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -26,7 +27,7 @@
 // Snapshot returns what this entry knows of the attempts of all entries, of what engines
 // keep and of suspect contents, for one that has just started.
 func (g *Gateway) Snapshot() ([]byte, error) {
-	now := time.Now()
+	now := steady.Now()
 	a := &g.attempts
 	s := snapshot{Contents: g.suspects.snapshot(now, a.owner)}
 	a.mu.Lock()
@@ -45,11 +46,11 @@
 	if err := cbor.Unmarshal(data, &s); err != nil {
 		return fmt.Errorf("gateway: decode a snapshot: %w", err)
 	}
-	g.suspects.restore(time.Now(), s.Contents)
+	g.suspects.restore(steady.Now(), s.Contents)
 	a := &g.attempts
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.table.Restore(time.Now(), s.Snapshot)
+	a.table.Restore(steady.Now(), s.Snapshot)
 	open := a.table.Open()
 	log.With("endpoints", len(s.Endpoints)).With("parts", len(s.Parts)).With("attempts", open).With("bytes", len(data)).
 		Info("What another entry knows was taken in.")
@@ -120,7 +121,7 @@
 func (a *attempts) learnKept(endpoint string, parts []memory.Part) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.table.TakeKept(time.Now(), endpoint, parts)
+	a.table.TakeKept(steady.Now(), endpoint, parts)
 	for some := range slices.Chunk(parts, keptPerEvent) {
 		a.broadcast(peers.Event{Kind: peers.PartsKept, Endpoint: endpoint, Parts: some})
 	}
--- a/internal/direct/gateway/stop.go
+++ b/internal/direct/gateway/stop.go
@@ -15,6 +15,8 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"foxcross.dev/foxcross/internal/steady"
 )
 
 const (
@@ -32,14 +34,12 @@
 // Stop ends the gateway cleanly within the grace. It returns an error if requests
 // were open at the end.
 func (g *Gateway) Stop(s *http.Server, grace time.Duration) error {
-	began := time.Now()
+	began := steady.Now()
 	g.life.Stop()
-	until := func(share float64) time.Duration {
-		return time.Until(began.Add(time.Duration(share * float64(grace))))
-	}
-	g.capacity.waitIdle(until(quietShare), until(takeShare))
+	at := func(share float64) time.Time { return began.Add(time.Duration(share * float64(grace))) }
+	g.capacity.waitIdle(at(quietShare), at(takeShare))
 	g.refusing.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), until(endShare))
+	ctx, cancel := steady.WithDeadline(context.Background(), at(endShare))
 	defer cancel()
 	defer g.life.Done()
 	if err := s.Shutdown(ctx); err != nil {
--- a/internal/direct/gateway/stream.go
+++ b/internal/direct/gateway/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -142,7 +143,7 @@
 // broken records that the stream of an attempt broke after some of it was passed on.
 func (s *stream) broken(a *attempt, err error) event {
 	_ = http.NewResponseController(s.writer).Flush() // the caller is to get what came
-	e := s.examine(a, eventOfError(s.ctx.Err(), err))
+	e := s.examine(a, eventOfError(context.Cause(s.ctx), err))
 	if s.callerGone {
 		e = callerLeft{}
 	}
@@ -172,7 +173,7 @@
 		tried[a.endpoint().ID] = true
 		answer, err := s.send(a, s.last)
 		if err != nil {
-			s.end(a, s.examine(a, eventOfError(s.ctx.Err(), err)))
+			s.end(a, s.examine(a, eventOfError(context.Cause(s.ctx), err)))
 			continue
 		}
 		if !succeeded(answer.Status) || answer.Header.Get(s.gateway.fields.Seal) == "" {
--- a/internal/direct/gateway/whole.go
+++ b/internal/direct/gateway/whole.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -64,7 +65,7 @@
 		return done{}
 	}
 	answer.Close()
-	broken := f.examine(a, eventOfError(f.ctx.Err(), err))
+	broken := f.examine(a, eventOfError(context.Cause(f.ctx), err))
 	if to.failed {
 		broken = callerLeft{}
 	}
--- a/internal/direct/peers/events.go
+++ b/internal/direct/peers/events.go
@@ -4,6 +4,7 @@
 	"net"
 	"time"
 
+	"foxcross.dev/foxcross/internal/steady"
 	"foxcross.dev/foxcross/internal/workers"
 
 	"github.com/fxamacker/cbor/v2"
@@ -23,7 +24,7 @@
 // others. Beyond its bound it drops the event: the others then know less of this
 // entry's attempts.
 func (g *Group) Broadcast(e Event) {
-	e.at = time.Now()
+	e.at = steady.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if len(g.events) >= maxWaiting {
--- a/internal/direct/peers/group.go
+++ b/internal/direct/peers/group.go
@@ -12,6 +12,7 @@
 	"foxcross.dev/coord/duty"
 	"foxcross.dev/foxcross/internal/direct/directory"
 	"foxcross.dev/foxcross/internal/logs"
+	"foxcross.dev/foxcross/internal/steady"
 
 	"github.com/uber-go/tally/v4"
 )
@@ -125,7 +126,7 @@
 		address:       socket.LocalAddr().String(),
 		seeds:         o.Seeds,
 		socket:        socket,
-		began:         time.Now(),
+		began:         steady.Now(),
 		traffic:       newTraffic(o.Metrics),
 		members:       map[string]*member{},
 		windows:       map[uint64]*window{},
@@ -139,7 +140,7 @@
 
 // Run sends and receives until ctx is done.
 func (g *Group) Run(ctx context.Context) {
-	g.options.Directory.SetRole(g.dueRole(time.Now()))
+	g.options.Directory.SetRole(g.dueRole(steady.Now()))
 	go g.receive()
 	defer func() { _ = g.socket.Close() }() // nothing is sent any more
 	heartbeats := time.NewTicker(heartbeatInterval)
@@ -153,17 +154,17 @@
 	flush := time.NewTimer(flushDelay)
 	flush.Stop() // until events wait
 	defer flush.Stop()
-	g.observeOwnClock(time.Now())
-	g.sendHeartbeat(time.Now())
-	checked := time.Now()
+	g.observeOwnClock(steady.Now())
+	g.sendHeartbeat(steady.Now())
+	checked := steady.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-heartbeats.C:
-			g.beat(ctx, time.Now())
+			g.beat(ctx, steady.Now())
 		case <-checks.C:
-			now := time.Now()
+			now := steady.Now()
 			g.noteStandstill(now.Sub(checked), now)
 			checked = now
 			g.announceChanges(now)
@@ -172,16 +173,16 @@
 				g.options.Directory.SetRole(g.dueRole(now))
 			}
 		case <-questions.C:
-			g.askRelays(time.Now())
+			g.askRelays(steady.Now())
 		case <-reports.C:
-			g.sendReports(time.Now())
+			g.sendReports(steady.Now())
 		case <-g.memberAhead:
-			g.catchUp(ctx, time.Now())
-			time.AfterFunc(fetchDelay, func() { g.catchUp(ctx, time.Now()) })
+			g.catchUp(ctx, steady.Now())
+			time.AfterFunc(fetchDelay, func() { g.catchUp(ctx, steady.Now()) })
 		case <-g.eventsWaiting:
 			flush.Reset(flushDelay)
 		case <-flush.C:
-			g.flush(time.Now())
+			g.flush(steady.Now())
 		}
 	}
 }
--- a/internal/direct/peers/heartbeat.go
+++ b/internal/direct/peers/heartbeat.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"foxcross.dev/coord/clock"
+	"foxcross.dev/foxcross/internal/steady"
 )
 
 // sendHeartbeat tells of this entry those that hear of it directly: the live entries of
@@ -60,8 +61,8 @@
 		ReadCost:   g.options.ReadCost,
 		Relayed:    true,
 		DataCentre: g.options.DataCentre,
-		Informed:   g.restored.Load() || time.Since(g.began) > meetingTime,
-		ClockMS:    time.Now().UnixMilli(),
+		Informed:   g.restored.Load() || steady.Since(g.began) > meetingTime,
+		ClockMS:    steady.Wall().UnixMilli(),
 	}
 	h.StoreLost = h.Reading && !d.Following()
 	return h
--- a/internal/direct/peers/member.go
+++ b/internal/direct/peers/member.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"foxcross.dev/coord/fanout"
+	"foxcross.dev/foxcross/internal/steady"
 )
 
 const (
@@ -80,7 +81,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	n := 1
-	now := time.Now()
+	now := steady.Now()
 	for _, m := range g.members {
 		if m.alive(now) {
 			n++
--- a/internal/direct/peers/packet.go
+++ b/internal/direct/peers/packet.go
@@ -17,6 +17,7 @@
 	"foxcross.dev/coord/memory"
 	"foxcross.dev/coord/placement"
 	"foxcross.dev/coord/quarantine"
+	"foxcross.dev/foxcross/internal/steady"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -152,7 +153,7 @@
 	if at.IsZero() {
 		return never
 	}
-	return time.Since(at).Milliseconds()
+	return steady.Since(at).Milliseconds()
 }
 
 // since returns the time that an age stands for.
--- a/internal/direct/peers/receive.go
+++ b/internal/direct/peers/receive.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"foxcross.dev/foxcross/internal/steady"
 )
 
 // receive takes in datagrams until the socket is closed.
@@ -29,7 +31,7 @@
 
 // take learns from a packet.
 func (g *Group) take(p packet, from *net.UDPAddr) {
-	now := time.Now()
+	now := steady.Now()
 	version, revision := g.options.Directory.Versions()
 	g.mu.Lock()
 	m, ended := g.meet(p, from, now)
--- a/internal/direct/peers/snapshot.go
+++ b/internal/direct/peers/snapshot.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"foxcross.dev/coord/rendezvous"
+	"foxcross.dev/foxcross/internal/steady"
 	"foxcross.dev/foxcross/internal/transfer"
 	"foxcross.dev/foxcross/internal/workers"
 )
@@ -106,7 +107,7 @@
 	key := rendezvous.Hash(name)
 	own := rendezvous.Rank(key, rendezvous.Hash(g.options.Name))
 	here := g.options.DataCentre == dataCentre
-	now := time.Now()
+	now := steady.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	before, inhabited := false, here
--- a/internal/direct/peers/usage.go
+++ b/internal/direct/peers/usage.go
@@ -16,6 +16,7 @@
 
 	"foxcross.dev/coord/clock"
 	"foxcross.dev/coord/duty"
+	"foxcross.dev/foxcross/internal/steady"
 )
 
 const (
@@ -90,7 +91,7 @@
 
 // TellUsage tells those that may hold the duties what this entry counted.
 func (g *Group) TellUsage(s duty.Statement) {
-	to := g.usageAddresses(time.Now())
+	to := g.usageAddresses(steady.Now())
 	if len(to) == 0 {
 		return
 	}
@@ -136,7 +137,7 @@
 func (g *Group) Holder() (fence uint64, other bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m, fence := g.holder(time.Now())
+	m, fence := g.holder(steady.Now())
 	return fence, m != nil
 }
 
@@ -152,7 +153,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	all := []uint64{g.options.Owner}
-	now := time.Now()
+	now := steady.Now()
 	for _, m := range g.members {
 		if m.alive(now) && m.owner != 0 {
 			all = append(all, m.owner)
@@ -174,5 +175,5 @@
 func (g *Group) observeOwnClock(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.clock.Observe(now, clock.Source(0), now)
+	g.clock.Observe(now, clock.Source(0), steady.Wall())
 }
--- a/internal/direct/upstream/ended.go
+++ b/internal/direct/upstream/ended.go
@@ -17,6 +17,8 @@
 	"net/http"
 	"syscall"
 	"time"
+
+	"foxcross.dev/foxcross/internal/steady"
 )
 
 const (
@@ -37,7 +39,7 @@
 
 // Ended tells whether the endpoint has ended, right after a connection to it broke.
 func (p *Pool) Ended(endpoint, address string) bool {
-	now := time.Now()
+	now := steady.Now()
 	p.mu.Lock()
 	x := p.examinations[endpoint]
 	if x != nil && now.Sub(x.begun) < examinedFor {
@@ -64,7 +66,7 @@
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
-	c.startIdle(time.Now(), http.Header{})
+	c.startIdle(steady.Now(), http.Header{})
 	p.putIdle(endpoint, c)
 	return false
 }
--- a/internal/direct/upstream/exchange.go
+++ b/internal/direct/upstream/exchange.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"foxcross.dev/foxcross/internal/steady"
 )
 
 const (
@@ -224,7 +226,7 @@
 		a.conn.close()
 		return
 	}
-	a.conn.startIdle(time.Now(), a.Header)
+	a.conn.startIdle(steady.Now(), a.Header)
 	a.pool.putIdle(a.request.Endpoint, a.conn)
 }
 
--- a/internal/direct/upstream/pool.go
+++ b/internal/direct/upstream/pool.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"foxcross.dev/foxcross/internal/steady"
 	"foxcross.dev/foxcross/internal/workers"
 )
 
@@ -52,7 +53,7 @@
 		if c == nil {
 			return nil
 		}
-		if time.Now().Before(c.usableUntil) && c.openAndSilent() {
+		if steady.Now().Before(c.usableUntil) && c.openAndSilent() {
 			return c
 		}
 		c.close()
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -15,6 +15,7 @@
 	"foxcross.dev/foxcross/internal/direct/peers"
 	"foxcross.dev/foxcross/internal/logs"
 	"foxcross.dev/foxcross/internal/metrics"
+	"foxcross.dev/foxcross/internal/steady"
 
 	crand "crypto/rand"
 
@@ -68,6 +69,7 @@
 	defer func() { _ = closer.Close() }() // the process ends
 	running, end := context.WithCancel(context.Background())
 	defer end()
+	go steady.Watch(running)
 	usage := &usageDuty{}
 	records := countedRecords{records: platform.Records(settings), scope: scope}
 	g := gateway.New(gateway.Options{
--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -18,6 +18,7 @@
 	"foxcross.dev/foxcross/internal/relay/endpoint"
 	"foxcross.dev/foxcross/internal/relay/link"
 	"foxcross.dev/foxcross/internal/relay/recent"
+	"foxcross.dev/foxcross/internal/steady"
 	"foxcross.dev/foxcross/internal/workers"
 
 	"github.com/uber-go/tally/v4"
@@ -148,7 +149,7 @@
 		case <-a.kick:
 		}
 		a.mu.Lock()
-		now := time.Now()
+		now := steady.Now()
 		a.perform(a.core.Tick(now))
 		timer.Reset(max(time.Millisecond, a.core.Next(now).Sub(now)))
 		a.mu.Unlock()
@@ -173,7 +174,7 @@
 func (a *Agent) report() message.Heartbeat {
 	return message.Heartbeat{
 		Settings: a.version(),
-		Loads:    a.core.Loads(time.Now()),
+		Loads:    a.core.Loads(steady.Now()),
 		Leaving:  a.core.Leaving(),
 	}
 }
@@ -193,7 +194,7 @@
 func (a *Agent) Stop(ctx context.Context) error {
 	a.mu.Lock()
 	a.life.Stop()
-	actions := a.core.Leave(time.Now())
+	actions := a.core.Leave(steady.Now())
 	for _, o := range a.owners {
 		o.send(message.Leaving{})
 	}
--- a/internal/relay/agent/owner.go
+++ b/internal/relay/agent/owner.go
@@ -10,6 +10,7 @@
 	"foxcross.dev/coord/queue"
 	"foxcross.dev/foxcross/internal/relay/link"
 
+	"foxcross.dev/foxcross/internal/steady"
 	"foxcross.dev/foxcross/internal/workers"
 )
 
@@ -85,7 +86,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.owners, o.id)
-	a.perform(a.core.OwnerLost(time.Now(), o.id))
+	a.perform(a.core.OwnerLost(steady.Now(), o.id))
 	log.Infof("Entry %s is gone.", o.name)
 }
 
@@ -106,7 +107,7 @@
 
 // control handles one control message.
 func (a *Agent) control(o *owner, m message.Message) {
-	now := time.Now()
+	now := steady.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch m := m.(type) {
@@ -174,7 +175,7 @@
 		_, cancelled := n.(message.Cancel)
 		if err != nil || cancelled {
 			a.mu.Lock()
-			a.perform(a.core.Cancel(time.Now(), o.id, message.Cancel{Request: m.Request, Attempt: m.Attempt}))
+			a.perform(a.core.Cancel(steady.Now(), o.id, message.Cancel{Request: m.Request, Attempt: m.Attempt}))
 			a.mu.Unlock()
 		}
 		if err != nil {
--- a/internal/relay/agent/run.go
+++ b/internal/relay/agent/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"sync"
-	"time"
 
 	"foxcross.dev/coord/dispatch"
 	"foxcross.dev/coord/message"
@@ -13,6 +12,7 @@
 	"foxcross.dev/foxcross/internal/relay/endpoint"
 	"foxcross.dev/foxcross/internal/relay/link"
 
+	"foxcross.dev/foxcross/internal/steady"
 	"foxcross.dev/foxcross/internal/workers"
 )
 
@@ -42,7 +42,7 @@
 	r := &run{agent: a, key: k, attempt: m.Attempt, stream: st}
 	previous := a.runs[k]
 	a.runs[k] = r
-	a.perform(a.core.Start(time.Now(), o.id, m))
+	a.perform(a.core.Start(steady.Now(), o.id, m))
 	if previous != nil && previous.cancel != nil {
 		previous.cancel()
 	}
@@ -94,7 +94,7 @@
 func (a *Agent) ended(k queue.Key, end message.End) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.perform(a.core.Ended(time.Now(), k, end))
+	a.perform(a.core.Ended(steady.Now(), k, end))
 	a.wake()
 	workers.Signal(a.onIdle)
 }
@@ -142,7 +142,7 @@
 func (r *run) send(m message.Message, tokens int) error {
 	a := r.agent
 	a.mu.Lock()
-	a.core.Progress(time.Now(), r.key, tokens)
+	a.core.Progress(steady.Now(), r.key, tokens)
 	a.mu.Unlock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/relay/entry/agents.go
+++ b/internal/relay/entry/agents.go
@@ -7,6 +7,7 @@
 	"foxcross.dev/coord/message"
 	"foxcross.dev/foxcross/internal/relay/kv"
 	"foxcross.dev/foxcross/internal/relay/link"
+	"foxcross.dev/foxcross/internal/steady"
 	"foxcross.dev/foxcross/internal/workers"
 
 	"github.com/cenkalti/backoff/v5"
@@ -87,7 +88,7 @@
 	if p.session != nil {
 		p.session.Close()
 		p.session = nil
-		e.perform(e.core.AgentDown(time.Now(), p.name))
+		e.perform(e.core.AgentDown(steady.Now(), p.name))
 	}
 }
 
@@ -173,7 +174,7 @@
 	}
 	p.session = s
 	p.outbox = make(chan message.Message, outboxSize)
-	e.perform(e.core.AgentUp(time.Now(), p.name, s.Trip()))
+	e.perform(e.core.AgentUp(steady.Now(), p.name, s.Trip()))
 	log.Infof("Agent %s connected.", p.name)
 	return true
 }
@@ -186,7 +187,7 @@
 		return
 	}
 	p.session = nil
-	e.perform(e.core.AgentDown(time.Now(), p.name))
+	e.perform(e.core.AgentDown(steady.Now(), p.name))
 	e.wake()
 	log.Infof("Agent %s is gone.", p.name)
 }
@@ -208,7 +209,7 @@
 
 // control handles one control message.
 func (e *Entry) control(p *agent, s link.Session, m message.Message) {
-	now := time.Now()
+	now := steady.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if p.session != s {
--- a/internal/relay/entry/attempt.go
+++ b/internal/relay/entry/attempt.go
@@ -8,6 +8,7 @@
 	"foxcross.dev/coord/message"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/foxcross/internal/relay/link"
+	"foxcross.dev/foxcross/internal/steady"
 )
 
 // openTimeout bounds the opening of an attempt's stream. Chosen, not measured: an agent
@@ -66,7 +67,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.attempts, attemptKey{m.Request, m.Attempt})
-	e.perform(e.core.End(time.Now(), agent, m))
+	e.perform(e.core.End(steady.Now(), agent, m))
 	e.wake()
 }
 
@@ -144,7 +145,7 @@
 	e := a.entry
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.core.Progress(time.Now(), id, n, stuck) {
+	if e.core.Progress(steady.Now(), id, n, stuck) {
 		put()
 	}
 }
--- a/internal/relay/entry/entry.go
+++ b/internal/relay/entry/entry.go
@@ -22,6 +22,7 @@
 	"foxcross.dev/foxcross/internal/relay/link"
 	"foxcross.dev/foxcross/internal/relay/recent"
 	"foxcross.dev/foxcross/internal/relay/versions"
+	"foxcross.dev/foxcross/internal/steady"
 	"foxcross.dev/foxcross/internal/workers"
 
 	"github.com/uber-go/tally/v4"
@@ -143,9 +144,9 @@
 		case <-e.kick:
 		}
 		e.mu.Lock()
-		e.perform(e.core.Tick(time.Now()))
+		e.perform(e.core.Tick(steady.Now()))
 		if at, ok := e.core.Next(); ok {
-			timer.Reset(max(time.Millisecond, time.Until(at)))
+			timer.Reset(max(time.Millisecond, steady.Until(at)))
 		}
 		e.mu.Unlock()
 	}
@@ -210,7 +211,7 @@
 
 // accept gives a request to the core.
 func (e *Entry) accept(q binding.Request, s message.Start, a limit.Allowance) (*call, *result.Error) {
-	now := time.Now()
+	now := steady.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	team := q.Terms.Team
--- a/internal/relay/entry/members.go
+++ b/internal/relay/entry/members.go
@@ -7,6 +7,7 @@
 	"foxcross.dev/coord/rendezvous"
 	"foxcross.dev/coord/subset"
 	"foxcross.dev/foxcross/internal/relay/kv"
+	"foxcross.dev/foxcross/internal/steady"
 )
 
 const (
@@ -37,7 +38,7 @@
 		log.Debugf("The member list can't be read, keeping the old one: %v.", err)
 		return
 	}
-	e.apply(ctx, time.Now(), members)
+	e.apply(ctx, steady.Now(), members)
 }
 
 // apply takes a list. It may lag or be empty by mistake: an agent that is not
--- a/internal/workers/every.go
+++ b/internal/workers/every.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"foxcross.dev/foxcross/internal/steady"
 )
 
 // Every calls do at each interval until ctx is done.
@@ -13,8 +15,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			do(now)
+		case <-ticker.C:
+			do(steady.Now())
 		}
 	}
 }
