Let the soak come back with a request that ends what runs it

Cause: no soak had a request that brings endpoints down, so that none could show that it wanders through the fleet.

--- a/internal/testing/soak/platform.go
+++ b/internal/testing/soak/platform.go
@@ -85,13 +85,18 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	e := &endpoint{runner: platformtest.NewRunner(fmt.Sprint("i-", len(d.endpoints)+1), service, platformtest.ByPath{
-		Prefix: []string{"/chat/", "/plan/"},
-		Then:   platformtest.Events{To: eventsOf, Pause: 5 * time.Millisecond, Token: 20 * time.Microsecond},
-		Else:   platformtest.Answer{Status: http.StatusOK, Body: wholeBody},
+		Prefix: []string{crashingPath},
+		Then:   platformtest.Crash{},
+		Else: platformtest.ByPath{
+			Prefix: []string{"/chat/", "/plan/"},
+			Then:   platformtest.Events{To: eventsOf, Pause: 5 * time.Millisecond, Token: 20 * time.Microsecond},
+			Else:   platformtest.Answer{Status: http.StatusOK, Body: wholeBody},
+		},
 	})}
 	e.runner.Engine = true
 	d.endpoints = append(d.endpoints, e)
 	d.store.Enter(e.runner, "ready")
+	go d.awaitCrash(e)
 }
 
 // wholeBody is the answer to a request that is no stream.
--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -23,6 +23,7 @@
 	Endpoints int
 	Callers   int
 	Only      []string // names of the faults that may strike, empty for all
+	Crashing  bool     // a caller comes back with a request that ends each endpoint that runs it
 	// Command returns a command that runs an entry by the settings file. Its
 	// process is ended by Run.
 	Command func(settings string) *exec.Cmd
@@ -37,6 +38,7 @@
 	Faults   map[string]int
 	Fetches  int // runs whose endpoint was told to fetch memory
 	Reports  int // of usage
+	Crashed  int // endpoints that ended under a request
 	Breaches []Breach
 }
 
@@ -55,6 +57,8 @@
 	extra     bool // the route that comes and goes is there
 	routes    int  // beside those that callers use
 	faults    map[string]int
+	crashed   int  // endpoints that ended under a request
+	closed    bool // the run is over
 }
 
 // calmFor bounds the time in which everything must work again after the faults.
@@ -90,6 +94,9 @@
 		callers.Go(func() { d.call(calling, uint64(n)) })
 	}
 	callers.Go(func() { d.watchVersions(calling) })
+	if o.Crashing {
+		callers.Go(func() { d.callCrashing(calling) })
+	}
 	d.strike(ctx)
 	d.calm()
 	err := d.await(ctx)
@@ -101,6 +108,7 @@
 	if err != nil {
 		d.history.breach(Recovers, "", err.Error())
 	}
+	d.checkCrashing()
 	return d.report(), nil
 }
 
@@ -112,6 +120,7 @@
 	d.reports.Close()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.closed = true
 	for _, e := range d.endpoints {
 		e.runner.Close()
 	}
@@ -186,6 +195,7 @@
 	}
 	r := d.history.check(d.options.planned(), d.reports.Taken())
 	r.Faults = d.faults
+	r.Crashed = d.crashed
 	return r
 }
 
--- a/internal/testing/soak/soak_test.go
+++ b/internal/testing/soak/soak_test.go
@@ -39,6 +39,24 @@
 
 func TestAllFaults(t *testing.T) { play(t, 1, nil) }
 
+// TestCrashingRequest lets a caller come back with a request that ends each endpoint that runs
+// it, while all faults strike.
+func TestCrashingRequest(t *testing.T) {
+	r, err := Run(context.Background(), Options{
+		Seed: 3, Duration: 6 * time.Second, Entries: 3, Endpoints: 4, Callers: 6, Folder: t.TempDir(), Crashing: true,
+		Command: entryprogram.Command,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range r.Breaches {
+		t.Errorf("%s: request %s: %s", b.Promise, b.ID, b.Detail)
+	}
+	if r.Crashed == 0 {
+		t.Error("no endpoint has ended")
+	}
+}
+
 func TestPlannedWork(t *testing.T) { play(t, 2, Planned()) }
 
 func TestEachPromiseIsAttacked(t *testing.T) {
