Split what an entry tells others from attempts, and suspects from the rule

The tests of a suspended machine share one stand-in of the clock. The new events are recorded on the wire.

--- a/internal/direct/directory/suspension_test.go
+++ b/internal/direct/directory/suspension_test.go
@@ -2,33 +2,22 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"foxcross.dev/foxcross/internal/direct/directory"
 	"foxcross.dev/foxcross/internal/steady"
+	"foxcross.dev/foxcross/internal/testing/suspension"
 )
 
-// asleep is for how long the machine of these tests was suspended, in ns.
-var asleep atomic.Int64
-
-func init() { steady.Suspended = func() time.Duration { return time.Duration(asleep.Load()) } }
-
-// suspend lets the machine have been suspended, until the test ends.
-func suspend(t *testing.T, d time.Duration) {
-	asleep.Add(int64(d))
-	t.Cleanup(func() { asleep.Add(-int64(d)) })
-}
-
 // TestSettingsAgeWhileSuspended holds that settings which were the newest when the machine was
 // suspended are not taken for confirmed when it wakes.
 func TestSettingsAgeWhileSuspended(t *testing.T) {
 	d := directory.New(func(directory.InForce) {}, (&users{}).take)
 	d.TakeSettings(1, tree(), "test")
 	d.Confirm(1, steady.Now())
-	suspend(t, time.Minute)
+	t.Cleanup(suspension.Suspend(time.Minute))
 	if age := steady.Since(d.Confirmed()); age < time.Minute {
 		t.Errorf("confirmed %v ago", age)
 	}
@@ -44,7 +33,7 @@
 		go steady.Watch(watching)
 		s.outage(nil)
 		u.expect(t, "just after the outage", "a")
-		suspend(t, time.Minute)
+		t.Cleanup(suspension.Suspend(time.Minute))
 		time.Sleep(100 * time.Millisecond)
 		synctest.Wait()
 		u.expect(t, "after a minute")
--- a/internal/direct/duties/suspension_test.go
+++ b/internal/direct/duties/suspension_test.go
@@ -1,24 +1,13 @@
 package duties
 
 import (
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"foxcross.dev/foxcross/internal/steady"
+	"foxcross.dev/foxcross/internal/testing/suspension"
 )
 
-// asleep is for how long the machine of these tests was suspended, in ns.
-var asleep atomic.Int64
-
-func init() { steady.Suspended = func() time.Duration { return time.Duration(asleep.Load()) } }
-
-// suspend lets the machine have been suspended, until the test ends.
-func suspend(t *testing.T, d time.Duration) {
-	asleep.Add(int64(d))
-	t.Cleanup(func() { asleep.Add(-int64(d)) })
-}
-
 // TestSuspendedHolderSendsNothing suspends the machine of the holder for far longer than its
 // lease. Go's steady clock does not count that time, so that the lease seemed to be held on
 // waking, and the holder sent with a fence that another entry may have replaced long ago.
@@ -42,7 +31,7 @@
 			r.platform.mu.Lock()
 			r.platform.down = false
 			r.platform.mu.Unlock()
-			suspend(t, 10*time.Second)
+			t.Cleanup(suspension.Suspend(10 * time.Second))
 			woke = time.Now()
 		case looked:
 			r.platform.mu.Lock()
--- a/internal/direct/gateway/gateway.go
+++ b/internal/direct/gateway/gateway.go
@@ -9,12 +9,14 @@
 //	deny.go       what the settings lack is denied, or not yet
 //	capacity.go   this entry has room for it, or not
 //	forward.go    attempt after attempt, until there is an answer
-//	attempts.go   an endpoint is chosen; other entries are told
+//	attempts.go   an endpoint is chosen
+//	sharing.go    other entries are told, and tell
 //	header.go     the header that the endpoint gets
 //	event.go      what happened to an attempt, from its answer or error
 //	runs.go       whether an endpoint began to run it, for the usage of teams
 //	outcome.go    what follows from it: retry, pass on, resume, fail
 //	content.go    what is asked may have to be kept from endpoints
+//	suspects.go   what is known of such contents
 //	held.go       which contents are, in the store's records
 //	whole.go      an answer is passed on
 //	stream.go     a stream is passed on, and resumed where it broke
--- /dev/null
+++ b/internal/direct/gateway/suspects.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"foxcross.dev/coord/quarantine"
+)
+
+// suspects is what an entry knows of contents under which endpoints have ended. The zero
+// value knows nothing. It is safe for concurrent use.
+type suspects struct {
+	any atomic.Bool // something is held against some content
+
+	mu       sync.Mutex
+	table    quarantine.Table
+	trials   map[quarantine.Key]time.Time // asked for in the store, since when
+	loadedAt time.Time                    // when the store's records were last read
+}
+
+// update changes the table.
+func (s *suspects) update(change func(t *quarantine.Table)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.table)
+	s.any.Store(!s.table.Empty())
+}
+
+// verdict decides of a content.
+func (s *suspects) verdict(now time.Time, k quarantine.Key) quarantine.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Verdict(now, k)
+}
+
+func (s *suspects) expire(now time.Time) {
+	s.update(func(t *quarantine.Table) { t.Expire(now) })
+}
+
+func (s *suspects) states(now time.Time) []quarantine.State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.States(now)
+}
+
+func (s *suspects) state(now time.Time, k quarantine.Key) quarantine.State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.State(now, k)
+}
+
+func (s *suspects) trialsOf(k quarantine.Key) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Trials(k)
+}
+
+func (s *suspects) counts(now time.Time) (known, held int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Counts(now)
+}
+
+func (s *suspects) snapshot(now time.Time, self uint64) quarantine.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Snapshot(now, self)
+}
+
+func (s *suspects) restore(now time.Time, x quarantine.Snapshot) {
+	s.update(func(t *quarantine.Table) { t.Restore(now, x) })
+}
--- a/internal/direct/gateway/suspension_test.go
+++ b/internal/direct/gateway/suspension_test.go
@@ -3,21 +3,16 @@
 import (
 	"context"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"foxcross.dev/foxcross/internal/steady"
 	"foxcross.dev/foxcross/internal/testing/standin/platformtest"
+	"foxcross.dev/foxcross/internal/testing/suspension"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
-// asleep is for how long the machine of these tests was suspended, in ns.
-var asleep atomic.Int64
-
-func init() { steady.Suspended = func() time.Duration { return time.Duration(asleep.Load()) } }
-
 var _ = Describe("a machine that was suspended", func() {
 	BeforeEach(func() {
 		watching, end := context.WithCancel(context.Background())
@@ -31,8 +26,7 @@
 		q := w.request(http.MethodGet, "/page/1", "")
 		go func() { answered <- w.do(q) }()
 		Eventually(w.runs).Should(Equal(1))
-		asleep.Add(int64(time.Minute))
-		DeferCleanup(func() { asleep.Add(-int64(time.Minute)) })
+		DeferCleanup(suspension.Suspend(time.Minute))
 		var a reply
 		Eventually(answered, "5s").Should(Receive(&a))
 		a.whole(http.StatusGatewayTimeout)
@@ -43,8 +37,7 @@
 		w := start(ok)
 		w.get("/nothing").whole(http.StatusNotFound)
 		w.store.SetFault(platformtest.Busy)
-		asleep.Add(int64(time.Minute))
-		DeferCleanup(func() { asleep.Add(-int64(time.Minute)) })
+		DeferCleanup(suspension.Suspend(time.Minute))
 		w.get("/nothing").whole(http.StatusServiceUnavailable)
 	})
 })
--- a/internal/direct/peers/golden_test.go
+++ b/internal/direct/peers/golden_test.go
@@ -12,6 +12,7 @@
 
 	"foxcross.dev/coord/memory"
 	"foxcross.dev/coord/placement"
+	"foxcross.dev/coord/quarantine"
 	"foxcross.dev/coord/settings"
 	"foxcross.dev/foxcross/internal/direct/directory"
 	"foxcross.dev/foxcross/internal/direct/driver"
@@ -51,6 +52,9 @@
 		{"answer", packet{Owner: 7, Question: answered}},
 		{"passed on", packet{Owner: 7, Hop: hopAcross, Sections: []section{{Owner: 8, Number: 2, HeldMS: 4, Events: []cbor.RawMessage{{0xa0}}}}}},
 		{"kept", packet{Owner: 7, Events: []Event{{Kind: PartsKept, Endpoint: "i-1", Parts: []memory.Part{{ID: 0xab, Tokens: 100}}}}}},
+		{"endpoint ended", packet{Owner: 7, Events: []Event{{Kind: EndpointEnded, Endpoint: "i-1@5", AgeMS: 2, Runs: []quarantine.RunReport{{Content: []byte{0xab, 0xcd}, RanMS: 90}}}}}},
+		{"content ended well", packet{Owner: 7, Events: []Event{{Kind: ContentCleared, Runs: []quarantine.RunReport{{Content: []byte{0xab, 0xcd}}}}}}},
+		{"content held", packet{Owner: 7, Events: []Event{{Kind: ContentHeld, Holds: []quarantine.HoldReport{{Content: []byte{0xab, 0xcd}, Ends: 3, Trials: 1, ForMS: 60_000}}}}}},
 		{"report", packet{Owner: 7, Hop: hopLocal, Reports: []report{{Address: "10.0.0.1:7340", Owner: 8, Version: 3, Revision: 9, AgeMS: 5,
 			Heartbeat: heartbeat{Name: "entry-2", ConfirmMS: 1, ContactMS: 2, Relayed: true, DataCentre: "z", Reply: true, Informed: true}}}}},
 		{"holder", packet{Owner: 7, Heartbeat: &heartbeat{Name: "entry-1", ConfirmMS: -1, ContactMS: -1, ClockMS: 1_700_000_000_000, Fence: 12}}},
--- a/internal/direct/peers/suspension_test.go
+++ b/internal/direct/peers/suspension_test.go
@@ -1,24 +1,13 @@
 package peers
 
 import (
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"foxcross.dev/foxcross/internal/steady"
+	"foxcross.dev/foxcross/internal/testing/suspension"
 )
 
-// asleep is for how long the machine of these tests was suspended, in ns.
-var asleep atomic.Int64
-
-func init() { steady.Suspended = func() time.Duration { return time.Duration(asleep.Load()) } }
-
-// suspend lets the machine have been suspended, until the test ends.
-func suspend(t *testing.T, d time.Duration) {
-	asleep.Add(int64(d))
-	t.Cleanup(func() { asleep.Add(-int64(d)) })
-}
-
 // TestEntriesAreSilentAfterASuspension holds that an entry which wakes does not go by what it
 // heard of others before: none of them counts as live until it is heard again.
 func TestEntriesAreSilentAfterASuspension(t *testing.T) {
@@ -26,7 +15,7 @@
 	if n := len(g.Owners()); n != 4 {
 		t.Fatalf("%d entries live", n)
 	}
-	suspend(t, 10*time.Second)
+	t.Cleanup(suspension.Suspend(10 * time.Second))
 	if n := len(g.Owners()); n != 1 {
 		t.Errorf("%d entries count as live after a suspension", n)
 	}
@@ -39,7 +28,7 @@
 	g, _ := ranked(steady.Now(), 0)
 	g.observeOwnClock(steady.Now())
 	before, ok := g.TrueTime(steady.Now())
-	suspend(t, suspended)
+	t.Cleanup(suspension.Suspend(suspended))
 	after, stillOK := g.TrueTime(steady.Now())
 	// What was heard before counts for 2 s only: the own clock is read anew.
 	if !stillOK {
--- a/internal/direct/upstream/suspension_test.go
+++ b/internal/direct/upstream/suspension_test.go
@@ -3,24 +3,13 @@
 import (
 	"net"
 	"net/http"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"foxcross.dev/foxcross/internal/steady"
+	"foxcross.dev/foxcross/internal/testing/suspension"
 )
 
-// asleep is for how long the machine of these tests was suspended, in ns.
-var asleep atomic.Int64
-
-func init() { steady.Suspended = func() time.Duration { return time.Duration(asleep.Load()) } }
-
-// suspend lets the machine have been suspended, until the test ends.
-func suspend(t *testing.T, d time.Duration) {
-	asleep.Add(int64(d))
-	t.Cleanup(func() { asleep.Add(-int64(d)) })
-}
-
 // TestIdleConnectionAgesWhileSuspended holds that a connection which its endpoint has long
 // given up is not used for the first request after the machine has woken.
 func TestIdleConnectionAgesWhileSuspended(t *testing.T) {
@@ -41,7 +30,7 @@
 		t.Fatal("the connection is not used at once")
 	}
 	p.putIdle("e", c)
-	suspend(t, time.Minute)
+	t.Cleanup(suspension.Suspend(time.Minute))
 	if p.takeIdle("e") != nil {
 		t.Error("a connection that was idle for a minute is used")
 	}
