Fuzz what entries tell each other

Cause: an event or datagram that stops who takes it in would go from entry to entry, as a request that ends what runs it does; only what the store holds was fuzzed.

--- /dev/null
+++ b/internal/direct/gateway/fuzz_test.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"foxcross.dev/coord/memory"
+	"foxcross.dev/coord/placement"
+	"foxcross.dev/coord/quarantine"
+	"foxcross.dev/foxcross/internal/direct/driver"
+	"foxcross.dev/foxcross/internal/direct/peers"
+	"foxcross.dev/foxcross/internal/logs"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// namesOnly is a platform that is not there.
+type namesOnly struct{ driver.Driver }
+
+func (namesOnly) Fields() driver.Fields { return driver.Fields{} }
+
+// FuzzEvents takes in any events of another entry, then chooses, dumps and hands on: an event
+// that stopped who takes it in would stop all entries, which are told of it alike.
+func FuzzEvents(f *testing.F) {
+	prompt := memory.Prompt{Tokens: 100, Parts: []memory.Part{{ID: 1, Tokens: 60}, {ID: 2, Tokens: 40}}}
+	request := placement.Request{Service: "pool", Prompt: prompt, TimeLeft: time.Second}
+	for _, events := range [][]peers.Event{
+		{{Kind: peers.AttemptSent, Number: 5, Endpoint: "i-1", Request: &request, Fetch: &memory.Fetch{Source: "i-2", Tokens: 60}}},
+		{{Kind: peers.FirstEvent, Number: 5}, {Kind: peers.AttemptEnded, Number: 5, Outcome: placement.Unreachable}},
+		{{Kind: peers.PartsKept, Endpoint: "i-1", Parts: []memory.Part{{ID: 1, Tokens: 100}}}},
+		{{Kind: peers.EndpointEnded, Endpoint: "i-1", Runs: []quarantine.RunReport{{Content: make([]byte, 16), RanMS: 90}}}},
+		{{Kind: peers.ContentCleared, Runs: []quarantine.RunReport{{Content: make([]byte, 16)}}}},
+		{{Kind: peers.ContentHeld, Holds: []quarantine.HoldReport{{Content: make([]byte, 16), Ends: 3, Trials: 1 << 40, ForMS: -1 << 60}}}},
+	} {
+		data, err := cbor.Marshal(events)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	if err := logs.Setup(&bytes.Buffer{}, "json", "error"); err != nil {
+		f.Fatal(err)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var events []peers.Event
+		if cbor.Unmarshal(data, &events) != nil {
+			return
+		}
+		g := New(Options{Driver: namesOnly{}, Owner: 1})
+		g.attempts.table.SetServices([]placement.Service{{Name: "pool", MemoryTokens: 1000, MaxRequests: 10, EventTokens: 4, BetweenTokens: time.Second}})
+		g.attempts.takeEndpoints([]placement.Endpoint{
+			{ID: "i-1", Service: "pool", Slots: 4, Engine: true}, {ID: "i-2", Service: "pool", Slots: 4, Engine: true},
+		})
+		for range 2 { // some may be told again
+			g.Listener().TakeEvents(2, events)
+		}
+		g.attempts.table.Choose(time.Now(), request, func(string) bool { return false }, g.attempts.random)
+		g.Dump()
+		if _, err := g.Snapshot(); err != nil {
+			t.Error(err)
+		}
+		g.attempts.expire(time.Now().Add(time.Hour))
+		g.suspects.expire(time.Now().Add(time.Hour))
+		g.Listener().MemberGone(2)
+	})
+}
