Tell placement of an end before the endpoint is examined

Cause: an attempt's end was recorded after one new connection to its endpoint was tried; to an endpoint that is silent that takes 0.1 s, in which others are sent there. Change: recorded first.

--- a/internal/direct/gateway/forward.go
+++ b/internal/direct/gateway/forward.go
@@ -69,7 +69,7 @@
 func (f *forwarding) try(a *attempt) outcome {
 	f.tried[a.endpoint().ID] = true
 	answer, err := f.send(a, "")
-	e := f.examine(a, f.eventOf(answer, err))
+	e := f.eventOf(answer, err)
 	if _, failed := e.(unreachable); failed {
 		f.dials++
 	} else {
@@ -78,13 +78,12 @@
 	if provesRun(e) && !f.isStream(answer) {
 		f.gateway.began(f.request)
 	}
-	o := decide(f.situation(), e)
-	if _, pass := o.(passOn); pass {
+	if _, pass := decide(f.situation(), e).(passOn); pass {
 		return f.passOn(a, answer, e)
 	}
-	f.end(a, e)
+	e = f.end(a, e)
 	discard(answer, e)
-	return o
+	return decide(f.situation(), e)
 }
 
 // send sends the request to the attempt's endpoint and returns the head of its
@@ -132,8 +131,7 @@
 // fail records that an attempt failed before any of its answer was passed on, and
 // returns what follows.
 func (f *forwarding) fail(a *attempt, err error) outcome {
-	e := f.examine(a, eventOfError(context.Cause(f.ctx), err))
-	f.end(a, e)
+	e := f.end(a, eventOfError(context.Cause(f.ctx), err))
 	return decide(f.situation(), e)
 }
 
@@ -148,13 +146,18 @@
 	return endpointEnded{err: broken.err, at: at}
 }
 
-// end records how an attempt ended, for placement and for the quarantine of contents.
-func (f *forwarding) end(a *attempt, e event) {
+// end records how an attempt ended, for placement and for the quarantine of contents. It
+// returns what the event turned out to be. Placement knows before the endpoint is examined:
+// of one that is silent nothing comes for 0.1 s.
+func (f *forwarding) end(a *attempt, e event) event {
 	f.gateway.attempts.end(a, e)
+	e = f.examine(a, e)
+	a.outcome = e.text()
 	f.gateway.judgeContent(f.request, a, e)
 	if _, ended := e.(endpointEnded); ended && f.trial {
 		f.gateway.trialFailed(f.request.content(), f.knownEnds)
 	}
+	return e
 }
 
 // discard gives up an answer that is not passed on. The connection of a valid one
--- a/internal/direct/gateway/stream.go
+++ b/internal/direct/gateway/stream.go
@@ -143,12 +143,11 @@
 // broken records that the stream of an attempt broke after some of it was passed on.
 func (s *stream) broken(a *attempt, err error) event {
 	_ = http.NewResponseController(s.writer).Flush() // the caller is to get what came
-	e := s.examine(a, eventOfError(context.Cause(s.ctx), err))
+	e := eventOfError(context.Cause(s.ctx), err)
 	if s.callerGone {
 		e = callerLeft{}
 	}
-	s.end(a, e)
-	return e
+	return s.end(a, e)
 }
 
 // situation adds to that of the request whether the stream can be resumed.
@@ -173,7 +172,7 @@
 		tried[a.endpoint().ID] = true
 		answer, err := s.send(a, s.last)
 		if err != nil {
-			s.end(a, s.examine(a, eventOfError(context.Cause(s.ctx), err)))
+			s.end(a, eventOfError(context.Cause(s.ctx), err))
 			continue
 		}
 		if !succeeded(answer.Status) || answer.Header.Get(s.gateway.fields.Seal) == "" {
--- a/internal/direct/gateway/whole.go
+++ b/internal/direct/gateway/whole.go
@@ -65,11 +65,11 @@
 		return done{}
 	}
 	answer.Close()
-	broken := f.examine(a, eventOfError(context.Cause(f.ctx), err))
+	broken := eventOfError(context.Cause(f.ctx), err)
 	if to.failed {
 		broken = callerLeft{}
 	}
-	f.end(a, broken)
+	broken = f.end(a, broken)
 	switch broken.(type) {
 	case noAnswer, endpointEnded:
 		return fail{&result.Error{Code: result.EndpointFailed, Run: result.Ran, Reason: err.Error()}}
