--- a/coord/quarantine/bench_test.go
+++ b/coord/quarantine/bench_test.go
@@ -9,7 +9,7 @@
 	"foxcross.dev/coord/quarantine"
 )
 
-// BenchmarkFullTable measures the memory and the decisions of a table that is full: 256 ends
+// BenchmarkFullTable measures the memory and the decisions of a table that is full: 256 crashes
 // under 128 contents each. Before, nothing was remembered.
 func BenchmarkFullTable(b *testing.B) {
 	var before, after runtime.MemStats
@@ -24,7 +24,7 @@
 			keys = append(keys, k)
 			runs = append(runs, quarantine.Run{Content: k, Began: at(float64(n))})
 		}
-		x.End(fmt.Sprint("i-", n), at(float64(n)+0.1), 0, runs...)
+		x.Crashed(fmt.Sprint("i-", n), at(float64(n)+0.1), 0, runs...)
 	}
 	runtime.GC()
 	runtime.ReadMemStats(&after)
@@ -32,7 +32,7 @@
 	for b.Loop() {
 		n++
 		if x.Verdict(at(300).Add(time.Duration(n)), keys[n%len(keys)]).Held {
-			b.Fatal("held after one end")
+			b.Fatal("held after one crash")
 		}
 	}
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MB")
--- a/coord/quarantine/key.go
+++ b/coord/quarantine/key.go
@@ -35,6 +35,9 @@
 // String returns the key as logs and operators name it.
 func (k Key) String() string { return hex.EncodeToString(k[:]) }
 
+// MarshalText implements encoding.TextMarshaler.
+func (k Key) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
+
 // ParseKey returns the key that String wrote; false if the text is none.
 func ParseKey(text string) (Key, bool) {
 	data, err := hex.DecodeString(text)
--- a/coord/quarantine/model_test.go
+++ b/coord/quarantine/model_test.go
@@ -12,7 +12,7 @@
 	"foxcross.dev/coord/quarantine"
 )
 
-// model is a fleet in virtual time: entries with a table each, endpoints that end under some
+// model is a fleet in virtual time: entries with a table each, endpoints that crash under some
 // contents or for no reason, callers that come back, and reports that take time and may be
 // lost.
 type model struct {
@@ -25,7 +25,7 @@
 	loss      float64       // of a report
 	endpoints []*modelEndpoint
 	sent      map[string][]time.Duration // sends that reached an endpoint, by content
-	ended     map[string][]time.Duration // ends under a content that brings endpoints down
+	crashed   map[string][]time.Duration // crashes under a content that brings endpoints down
 	refused   map[string]int
 	asked     map[string]int
 	heldTill  map[string]time.Duration // by content, since its last trial
@@ -75,16 +75,16 @@
 }
 
 const (
-	modelBackAfter = 4 * time.Second        // an endpoint that ended is back
-	modelEndAfter  = 90 * time.Millisecond  // a content brings its endpoint down
-	modelRunFor    = 900 * time.Millisecond // of others, on average
-	modelContact   = 3 * time.Second        // within which all entries in touch are to know
+	modelBackAfter  = 4 * time.Second        // an endpoint that crashed is back
+	modelCrashAfter = 90 * time.Millisecond  // a content brings its endpoint down
+	modelRunFor     = 900 * time.Millisecond // of others, on average
+	modelContact    = 3 * time.Second        // within which all entries in touch are to know
 )
 
 func newModel(seed uint64, entries, endpoints int, delay time.Duration, loss float64) *model {
 	m := &model{
 		random: rand.New(rand.NewPCG(seed, 1)), tables: make([]quarantine.Table, entries), delay: delay, loss: loss,
-		sent: map[string][]time.Duration{}, ended: map[string][]time.Duration{}, refused: map[string]int{}, asked: map[string]int{},
+		sent: map[string][]time.Duration{}, crashed: map[string][]time.Duration{}, refused: map[string]int{}, asked: map[string]int{},
 		heldTill: map[string]time.Duration{},
 	}
 	for n := range endpoints {
@@ -132,10 +132,10 @@
 	m.sent[content] = append(m.sent[content], m.now)
 	starts := e.starts
 	if isBad(content) {
-		m.after(modelEndAfter, func() {
+		m.after(modelCrashAfter, func() {
 			if e.starts == starts && e.running[r] {
-				m.ended[content] = append(m.ended[content], m.now)
-				m.end(e)
+				m.crashed[content] = append(m.crashed[content], m.now)
+				m.crash(e)
 			}
 		})
 		return
@@ -143,7 +143,7 @@
 	m.after(time.Duration(m.random.ExpFloat64()*float64(modelRunFor)), func() {
 		if e.running[r] {
 			delete(e.running, r)
-			m.tell(entry, func(t *quarantine.Table) { t.EndedWell(key(content)) })
+			m.tell(entry, func(t *quarantine.Table) { t.Succeeded(key(content)) })
 		}
 	})
 }
@@ -154,7 +154,7 @@
 	if m.heldTill[content] > m.now {
 		return false
 	}
-	trials := m.tables[entry].Trials(key(content)) + 1
+	trials := m.tables[entry].Verdict(m.clock(), key(content)).Trials + 1
 	until := m.now + quarantine.TrialTime
 	m.heldTill[content] = until
 	for n := range m.tables {
@@ -165,9 +165,9 @@
 
 func isBad(content string) bool { return content[:3] == "bad" }
 
-// end brings an endpoint down. All entries with a run there see it, tell the others, and
+// crash brings an endpoint down. All entries with a run there see it, tell the others, and
 // send what may be repeated again.
-func (m *model) end(e *modelEndpoint) {
+func (m *model) crash(e *modelEndpoint) {
 	name := fmt.Sprint(e.number, "@", e.starts)
 	at := m.clock()
 	e.starts++
@@ -183,7 +183,7 @@
 	})
 	for _, r := range all {
 		run := quarantine.Run{Content: key(r.content), Began: start.Add(r.began)}
-		m.tell(r.entry, func(t *quarantine.Table) { t.End(name, at, uint64(r.entry), run) })
+		m.tell(r.entry, func(t *quarantine.Table) { t.Crashed(name, at, uint64(r.entry), run) })
 		if r.retries > 0 {
 			m.after(2*time.Millisecond, func() { m.ask(r.entry, r.content, r.retries-1) })
 		}
@@ -221,16 +221,16 @@
 	m.after(0, next)
 }
 
-// sentLate counts the sends of a content later than modelContact after the third end under
-// it.
+// sentLate counts the sends of a content later than modelContact after the third crash
+// under it.
 func (m *model) sentLate(content string) int {
-	ends := m.ended[content]
-	if len(ends) < 3 {
+	crashes := m.crashed[content]
+	if len(crashes) < 3 {
 		return 0
 	}
 	n := 0
 	for _, at := range m.sent[content] {
-		if at > ends[2]+modelContact {
+		if at > crashes[2]+modelContact {
 			n++
 		}
 	}
@@ -257,8 +257,8 @@
 // TestModelBoundsSends holds that of a content which brings down what runs it at most three
 // sends follow once entries in touch are to know it, in each of 10 runs of a minute; before
 // the quarantine there were 4 to 28 where it is asked for seldom, 63 to 424 else, and up to 109
-// ends. Two popular contents are asked for beside it, at
-// endpoints that also end for no reason, and one content after the other that is asked for
+// crashes. Two popular contents are asked for beside it, at
+// endpoints that also crash for no reason, and one content after the other that is asked for
 // once: of these at most 2 in 1,000 are refused in any run. Where 60 requests a second bring
 // all endpoints down within 0.2 s at most 3 in 100 are: what is popular was under way at most
 // of them, and is tried when the first ones are back.
@@ -271,7 +271,7 @@
 	)
 	for _, c := range modelCases {
 		t.Run(c.name, func(t *testing.T) {
-			worstEnds, worstShare := 0, 0.0
+			mostCrashes, worstShare := 0, 0.0
 			for seed := range uint64(seeds) {
 				m := newModel(seed, c.entries, endpoints, c.delay, c.loss)
 				for _, bad := range []string{"bad-1", "bad-2", "bad-3"} {
@@ -289,7 +289,7 @@
 						if late := m.sentLate(content); late > maxLate {
 							t.Errorf("seed %d: %s was sent %d times after it had to be known", seed, content, late)
 						}
-						worstEnds = max(worstEnds, len(m.ended[content]))
+						mostCrashes = max(mostCrashes, len(m.crashed[content]))
 						continue
 					}
 					asked += n
@@ -297,7 +297,7 @@
 				}
 				worstShare = max(worstShare, float64(refused)/float64(asked))
 			}
-			t.Logf("ends under one content: at most %d; others refused: at most %.4f", worstEnds, worstShare)
+			t.Logf("crashes under one content: at most %d; others refused: at most %.4f", mostCrashes, worstShare)
 			if worstShare > c.refused {
 				t.Errorf("%.4f of the other requests are refused", worstShare)
 			}
@@ -305,7 +305,7 @@
 	}
 }
 
-// flap lets endpoints end for no reason, and now and then a third of them at once.
+// flap lets endpoints crash for no reason, and now and then a third of them at once.
 func (m *model) flap(interval, until time.Duration) {
 	var next func()
 	next = func() {
@@ -318,7 +318,7 @@
 		}
 		for _, n := range m.random.Perm(len(m.endpoints))[:some] {
 			if e := m.endpoints[n]; e.backAt <= m.now {
-				m.end(e)
+				m.crash(e)
 			}
 		}
 		m.after(interval, next)
--- a/coord/quarantine/quarantine_test.go
+++ b/coord/quarantine/quarantine_test.go
@@ -16,14 +16,14 @@
 // key returns the key of a content by its name.
 func key(name string) quarantine.Key { return quarantine.KeyOf("studio-1", "POST", name, nil) }
 
-// end takes in that an endpoint ended at a time, under contents that had begun a tenth of a
+// crash takes in that an endpoint crashed at a time, under contents that had begun a tenth of a
 // second before.
-func end(t *quarantine.Table, endpoint string, seconds float64, contents ...string) []quarantine.Key {
+func crash(t *quarantine.Table, endpoint string, seconds float64, contents ...string) []quarantine.Key {
 	var runs []quarantine.Run
 	for _, c := range contents {
 		runs = append(runs, quarantine.Run{Content: key(c), Began: at(seconds - 0.1)})
 	}
-	return t.End(endpoint, at(seconds), 0, runs...)
+	return t.Crashed(endpoint, at(seconds), 0, runs...)
 }
 
 func held(t *quarantine.Table, seconds float64, content string) bool {
@@ -33,31 +33,31 @@
 func ExampleTable() {
 	var t quarantine.Table
 	for n, endpoint := range []string{"i-1", "i-2", "i-3"} {
-		ended := start.Add(time.Duration(n) * time.Second)
-		t.End(endpoint, ended, 0, quarantine.Run{Content: key("/plan/7"), Began: ended.Add(-100 * time.Millisecond)})
+		crashed := start.Add(time.Duration(n) * time.Second)
+		t.Crashed(endpoint, crashed, 0, quarantine.Run{Content: key("/plan/7"), Began: crashed.Add(-100 * time.Millisecond)})
 	}
 	now := start.Add(2 * time.Second)
 	v := t.Verdict(now, key("/plan/7"))
-	fmt.Println(v.Ends, v.Held, v.For)
-	t.EndedWell(key("/plan/7"))
+	fmt.Println(v.Crashes, v.Held, v.For)
+	t.Succeeded(key("/plan/7"))
 	fmt.Println(t.Verdict(now, key("/plan/7")).Held)
 	// Output:
 	// 3 true 1m0s
 	// false
 }
 
-func TestHeldFromTheThirdEndOn(t *testing.T) {
+func TestHeldFromTheThirdCrashOn(t *testing.T) {
 	var x quarantine.Table
-	end(&x, "i-1", 0, "bad")
-	end(&x, "i-2", 0.2, "bad")
+	crash(&x, "i-1", 0, "bad")
+	crash(&x, "i-2", 0.2, "bad")
 	if held(&x, 0.2, "bad") {
-		t.Error("held after two ends")
+		t.Error("held after two crashes")
 	}
-	if now := end(&x, "i-3", 0.4, "bad"); len(now) != 1 || now[0] != key("bad") {
-		t.Errorf("the third end tells %v as held", now)
+	if now := crash(&x, "i-3", 0.4, "bad"); len(now) != 1 || now[0] != key("bad") {
+		t.Errorf("the third crash tells %v as held", now)
 	}
-	if again := end(&x, "i-4", 0.6, "bad"); len(again) != 0 {
-		t.Errorf("the fourth end tells %v as held anew", again)
+	if again := crash(&x, "i-4", 0.6, "bad"); len(again) != 0 {
+		t.Errorf("the fourth crash tells %v as held anew", again)
 	}
 	if held(&x, 0.6, "good") {
 		t.Error("another content is held")
@@ -65,56 +65,56 @@
 }
 
 // TestHoldsGrow holds how long a content is kept from endpoints: a minute, then four times
-// as long after each trial at which an endpoint ended, an hour at the most.
+// as long after each trial at which an endpoint crashed, an hour at the most.
 func TestHoldsGrow(t *testing.T) {
 	var x quarantine.Table
 	for n := range 2 {
-		end(&x, fmt.Sprint("i-", n), float64(n), "bad")
+		crash(&x, fmt.Sprint("i-", n), float64(n), "bad")
 	}
 	seconds := 2.0
 	for trials, want := range []time.Duration{time.Minute, 4 * time.Minute, 16 * time.Minute, time.Hour, time.Hour} {
-		end(&x, fmt.Sprint("trial-", trials), seconds, "bad")
+		crash(&x, fmt.Sprint("trial-", trials), seconds, "bad")
 		v := x.Verdict(at(seconds), key("bad"))
 		if v.For != want {
 			t.Errorf("after %d trials: held for %v, not %v", trials, v.For, want)
 		}
 		seconds += v.For.Seconds()
-		x.Hold(key("bad"), v.Ends, trials+1, at(seconds).Add(quarantine.TrialTime))
+		x.Hold(key("bad"), v.Crashes, trials+1, at(seconds).Add(quarantine.TrialTime))
 	}
 }
 
-// TestUnclearHold holds that a content which was beside another one at each of its ends is
-// tried soon, once, and that one with three ends of its own is not.
+// TestUnclearHold holds that a content which was beside another one at each of its crashes
+// is tried soon, once, and that one with three of its own is not.
 func TestUnclearHold(t *testing.T) {
 	var x quarantine.Table
 	for n := range 3 {
-		end(&x, fmt.Sprint("i-", n), 2*float64(n), "one", "other")
+		crash(&x, fmt.Sprint("i-", n), 2*float64(n), "one", "other")
 	}
 	for _, content := range []string{"one", "other"} {
 		if v := x.Verdict(at(4), key(content)); !v.Held || v.For != 2*time.Second {
 			t.Errorf("%s: %+v", content, v)
 		}
 	}
-	x.EndedWell(key("one"))
+	x.Succeeded(key("one"))
 	if v := x.Verdict(at(4), key("other")); !v.Held || v.For != time.Minute {
 		t.Errorf("the one that is left: %+v", v)
 	}
 	for n, beside := range []string{"one", "one", "one", "one"} {
-		end(&x, fmt.Sprint("j-", n), 10+2*float64(n), beside)
+		crash(&x, fmt.Sprint("j-", n), 10+2*float64(n), beside)
 	}
-	end(&x, "trial", 20, "one", "other")
+	crash(&x, "trial", 20, "one", "other")
 	x.Hold(key("other"), 4, 1, at(20))
 	if v := x.Verdict(at(20), key("other")); v.For != 4*time.Minute {
 		t.Errorf("after a trial beside another one: %+v", v)
 	}
 }
 
-// TestHoldOutlastsTheFirstEnd holds that what others told is not lost when the first end is
+// TestHoldOutlastsTheFirstCrash holds that what others told is not lost when the first crash is
 // seen.
-func TestHoldOutlastsTheFirstEnd(t *testing.T) {
+func TestHoldOutlastsTheFirstCrash(t *testing.T) {
 	var x quarantine.Table
 	x.Hold(key("told"), 3, 0, at(60))
-	end(&x, "i-1", 1, "another")
+	crash(&x, "i-1", 1, "another")
 	if !held(&x, 2, "told") {
 		t.Error("what others held is forgotten")
 	}
@@ -123,7 +123,7 @@
 func TestTrialIsDueWhenTheHoldIsOver(t *testing.T) {
 	var x quarantine.Table
 	for n := range 3 {
-		end(&x, fmt.Sprint("i-", n), float64(n), "bad")
+		crash(&x, fmt.Sprint("i-", n), float64(n), "bad")
 	}
 	if v := x.Verdict(at(62), key("bad")); !v.Held || v.For != 0 {
 		t.Errorf("after a minute: %+v", v)
@@ -134,27 +134,27 @@
 	}
 }
 
-// TestEndsTogetherAreOne holds that a content which many ask for is not held since a rack
+// TestCrashesTogetherAreOne holds that a content which many ask for is not held since a rack
 // went down with all endpoints that ran it.
-func TestEndsTogetherAreOne(t *testing.T) {
+func TestCrashesTogetherAreOne(t *testing.T) {
 	var x quarantine.Table
 	for n := range 20 {
-		x.End(fmt.Sprint("i-", n), at(10+float64(n)*0.04), 0, quarantine.Run{Content: key("popular"), Began: at(9)})
+		x.Crashed(fmt.Sprint("i-", n), at(10+float64(n)*0.04), 0, quarantine.Run{Content: key("popular"), Began: at(9)})
 	}
-	if v := x.Verdict(at(11), key("popular")); v.Held || v.Ends != 1 {
-		t.Errorf("20 endpoints that end within 0.8 s: %+v", v)
+	if v := x.Verdict(at(11), key("popular")); v.Held || v.Crashes != 1 {
+		t.Errorf("20 endpoints that crash within 0.8 s: %+v", v)
 	}
 }
 
-// TestLongRunsCountOneByOne holds that a content which ends its endpoints after seconds is
-// known by its third end, though its runs began before the first.
+// TestLongRunsCountOneByOne holds that a content which crashes its endpoints after seconds
+// is known by its third crash, though its runs began before the first.
 func TestLongRunsCountOneByOne(t *testing.T) {
 	var x quarantine.Table
 	for n := range 3 {
-		x.End(fmt.Sprint("i-", n), at(5+1.2*float64(n)), 0, quarantine.Run{Content: key("slow"), Began: at(float64(n) * 0.1)})
+		x.Crashed(fmt.Sprint("i-", n), at(5+1.2*float64(n)), 0, quarantine.Run{Content: key("slow"), Began: at(float64(n) * 0.1)})
 	}
 	if !held(&x, 8, "slow") {
-		t.Error("not held after three ends, 1.2 s apart")
+		t.Error("not held after three crashes, 1.2 s apart")
 	}
 }
 
@@ -162,23 +162,23 @@
 func TestBystanders(t *testing.T) {
 	const unclear, clear = 2 * time.Second, time.Minute
 	for _, c := range []struct {
-		name string
-		ends [][]string               // contents under way at one end after the other
-		held map[string]time.Duration // by content, since the last end
+		name    string
+		crashes [][]string               // contents under way at one crash after the other
+		held    map[string]time.Duration // by content, since the last crash
 	}{
 		{"beside it twice", [][]string{{"bad", "a"}, {"bad", "a"}, {"bad"}}, map[string]time.Duration{"bad": clear, "a": 0}},
 		{"beside it each time", [][]string{{"bad", "a"}, {"bad", "a"}, {"bad", "a"}}, map[string]time.Duration{"bad": unclear, "a": unclear}},
 		{"beside it each time, until it has three without", [][]string{{"bad", "a"}, {"bad", "a"}, {"bad", "a"}, {"bad"}, {"bad"}, {"bad"}}, map[string]time.Duration{"bad": clear, "a": 0}},
 		{"beside two of them", [][]string{{"bad", "a"}, {"worse", "a"}, {"bad"}, {"worse"}, {"bad"}, {"worse"}}, map[string]time.Duration{"a": 0, "worse": clear}},
-		{"many at each of three ends", [][]string{{"a", "b", "c", "bad"}, {"d", "e", "f", "bad"}, {"g", "h", "i", "bad"}}, map[string]time.Duration{"bad": clear, "a": 0, "e": 0, "i": 0}},
+		{"many at each of three crashes", [][]string{{"a", "b", "c", "bad"}, {"d", "e", "f", "bad"}, {"g", "h", "i", "bad"}}, map[string]time.Duration{"bad": clear, "a": 0, "e": 0, "i": 0}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var x quarantine.Table
-			for n, contents := range c.ends {
-				end(&x, fmt.Sprint("i-", n), float64(n), contents...)
+			for n, contents := range c.crashes {
+				crash(&x, fmt.Sprint("i-", n), float64(n), contents...)
 			}
 			for content, want := range c.held {
-				if got := x.Verdict(at(float64(len(c.ends)-1)), key(content)).For; got != want {
+				if got := x.Verdict(at(float64(len(c.crashes)-1)), key(content)).For; got != want {
 					t.Errorf("%s: held for %v, not %v", content, got, want)
 				}
 			}
@@ -186,42 +186,42 @@
 	}
 }
 
-// TestEndedWellClears holds that what ended well is innocent of the ends before, also where
+// TestSuccessClears holds that what succeeded is innocent of the crashes before, also where
 // these are told again or late.
-func TestEndedWellClears(t *testing.T) {
+func TestSuccessClears(t *testing.T) {
 	var x quarantine.Table
 	tell := func() {
 		for n := range 3 {
-			end(&x, fmt.Sprint("i-", n), float64(n), "popular")
+			crash(&x, fmt.Sprint("i-", n), float64(n), "popular")
 		}
 	}
 	tell()
-	if !x.EndedWell(key("popular")) || held(&x, 3, "popular") || !x.Empty() {
+	if !x.Succeeded(key("popular")) || held(&x, 3, "popular") || !x.Empty() {
 		t.Error("not cleared")
 	}
 	tell()
 	if held(&x, 3, "popular") || !x.Empty() {
-		t.Error("held by ends that were told again")
+		t.Error("held by crashes that were told again")
 	}
-	if x.EndedWell(key("popular")) {
+	if x.Succeeded(key("popular")) {
 		t.Error("something was held against it")
 	}
 	for n := range 3 {
-		end(&x, fmt.Sprint("j-", n), 4+float64(n), "popular")
+		crash(&x, fmt.Sprint("j-", n), 4+float64(n), "popular")
 	}
 	if !held(&x, 7, "popular") {
-		t.Error("not held by three ends since")
+		t.Error("not held by three crashes since")
 	}
 }
 
-// TestSameEndFromManyEntries holds that an endpoint ends once, whoever tells of it.
-func TestSameEndFromManyEntries(t *testing.T) {
+// TestSameCrashFromManyEntries holds that an endpoint crashes once, whoever tells of it.
+func TestSameCrashFromManyEntries(t *testing.T) {
 	var x quarantine.Table
 	for n := range 10 {
-		x.End("i-1", at(1+float64(n)*0.01), uint64(n), quarantine.Run{Content: key("bad"), Began: at(0.9)})
+		x.Crashed("i-1", at(1+float64(n)*0.01), uint64(n), quarantine.Run{Content: key("bad"), Began: at(0.9)})
 	}
-	if v := x.Verdict(at(2), key("bad")); v.Ends != 1 {
-		t.Errorf("one endpoint ended %d times", v.Ends)
+	if v := x.Verdict(at(2), key("bad")); v.Crashes != 1 {
+		t.Errorf("one endpoint crashed %d times", v.Crashes)
 	}
 }
 
@@ -236,16 +236,16 @@
 	}
 	got := x.TakeUnanswered(at(10), "i-1")
 	if len(got) != 1 || got[0].Content != key("left") {
-		t.Errorf("under way at the end: %v", got)
+		t.Errorf("under way at the crash: %v", got)
 	}
 	if again := x.TakeUnanswered(at(10), "i-1"); len(again) != 0 {
-		t.Errorf("under way at a second end: %v", again)
+		t.Errorf("under way at a second crash: %v", again)
 	}
 }
 
 func TestWhatIsOldIsForgotten(t *testing.T) {
 	var x quarantine.Table
-	end(&x, "i-1", 0, "bad")
+	crash(&x, "i-1", 0, "bad")
 	x.Hold(key("told"), 3, 0, at(60))
 	x.Expire(at(7000))
 	if x.Empty() {
@@ -257,23 +257,23 @@
 	}
 }
 
-// TestMemoryIsBounded lets far more endpoints end, under far more contents, than are
+// TestMemoryIsBounded lets far more endpoints crash, under far more contents, than are
 // remembered.
 func TestMemoryIsBounded(t *testing.T) {
-	const ends, contents, maxEnds, maxRuns = 300, 150, 256, 128
+	const crashes, contents, maxCrashes, maxRuns = 300, 150, 256, 128
 	var x quarantine.Table
-	for n := range ends {
+	for n := range crashes {
 		var names []string
 		for c := range contents {
 			names = append(names, fmt.Sprint(n, "/", c))
 		}
-		end(&x, fmt.Sprint("i-", n), float64(n), names...)
+		crash(&x, fmt.Sprint("i-", n), float64(n), names...)
 	}
-	s := x.Snapshot(at(ends), 1)
-	if len(s.Ends) != maxEnds || len(s.Ends[0].Runs) != maxRuns {
-		t.Errorf("%d ends of %d contents are remembered", len(s.Ends), len(s.Ends[0].Runs))
+	s := x.Snapshot(at(crashes), 1)
+	if len(s.Crashes) != maxCrashes || len(s.Crashes[0].Runs) != maxRuns {
+		t.Errorf("%d crashes of %d contents are remembered", len(s.Crashes), len(s.Crashes[0].Runs))
 	}
-	if known, held := x.Counts(at(ends)); known != maxEnds*maxRuns || held != 0 {
+	if known, held := x.Counts(at(crashes)); known != maxCrashes*maxRuns || held != 0 {
 		t.Errorf("%d contents are remembered, %d held", known, held)
 	}
 }
--- a/coord/quarantine/report.go
+++ b/coord/quarantine/report.go
@@ -7,46 +7,48 @@
 	"time"
 )
 
-// State is what is held against one content, for operators.
+// State is what is counted against one content, for operators.
 type State struct {
 	Content   Key      `json:"content"`
-	Ends      int      `json:"ends"`            // that count against it
-	LastMS    int64    `json:"last_ms_ago"`     // since the last of these
-	Held      bool     `json:"held"`            // it is sent to no endpoint
-	ForMS     int64    `json:"held_for_ms"`     // until the next trial
-	Endpoints []string `json:"ended_endpoints"` // at which it was under way
-	ToldBy    []uint64 `json:"told_by"`         // incarnations of the entries that saw these ends, 0 for this one
+	Crashes   int      `json:"crashes"`           // that count against it
+	LastMS    int64    `json:"last_ms_ago"`       // since the last of these
+	Held      bool     `json:"held"`              // it is sent to no endpoint
+	ForMS     int64    `json:"held_for_ms"`       // until the next trial
+	Endpoints []string `json:"crashed_endpoints"` // at which it was under way
+	ToldBy    []uint64 `json:"told_by"`           // incarnations of the entries that saw these crashes, 0 for this one
 }
 
-// MarshalText implements encoding.TextMarshaler.
-func (k Key) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
-
 // maxStates bounds the contents that operators are shown. Chosen, not measured.
 const maxStates = 100
 
 // Counts returns how many contents have something against them, and how many are held.
 func (t *Table) Counts(now time.Time) (known, held int) {
 	for k, c := range t.contents {
-		if (len(c.ends) >= maxEnds || c.toldEnds > 0) && t.Verdict(now, k).Held {
+		if (len(c.crashes) >= maxCrashes || c.toldCrashes > 0) && t.Verdict(now, k).Held {
 			held++
 		}
 	}
 	return len(t.contents), held
 }
 
-// States returns what is held against contents, those with the most ends first.
+// States returns what is counted against contents, those with the most crashes first. Where
+// there are many, those that were under way at one crash only are left out: after a large
+// failure they are all that ran beside it.
 func (t *Table) States(now time.Time) []State {
-	all := make([]State, 0, len(t.contents))
+	all := []State{}
 	for k, c := range t.contents {
+		if len(t.contents) > maxStates && c.rounds <= 1 && c.toldCrashes == 0 {
+			continue
+		}
 		all = append(all, t.state(now, k, c))
 	}
 	slices.SortFunc(all, func(a, b State) int {
-		return cmp.Or(-cmp.Compare(a.Ends, b.Ends), cmp.Compare(a.LastMS, b.LastMS), bytes.Compare(a.Content[:], b.Content[:]))
+		return cmp.Or(-cmp.Compare(a.Crashes, b.Crashes), cmp.Compare(a.LastMS, b.LastMS), bytes.Compare(a.Content[:], b.Content[:]))
 	})
 	return all[:min(len(all), maxStates)]
 }
 
-// State returns what is held against one content.
+// State returns what is counted against one content.
 func (t *Table) State(now time.Time, k Key) State {
 	c := t.contents[k]
 	if c == nil {
@@ -57,13 +59,13 @@
 
 func (t *Table) state(now time.Time, k Key, c *content) State {
 	v := t.Verdict(now, k)
-	s := State{Content: k, Ends: v.Ends, Held: v.Held, ForMS: v.For.Milliseconds()}
+	s := State{Content: k, Crashes: v.Crashes, Held: v.Held, ForMS: v.For.Milliseconds()}
 	if !v.Last.IsZero() {
 		s.LastMS = now.Sub(v.Last).Milliseconds()
 	}
-	for _, e := range c.ends {
-		s.Endpoints = append(s.Endpoints, e.endpoint)
-		s.ToldBy = append(s.ToldBy, e.from)
+	for _, x := range c.crashes {
+		s.Endpoints = append(s.Endpoints, x.endpoint)
+		s.ToldBy = append(s.ToldBy, x.from)
 	}
 	return s
 }
@@ -71,12 +73,12 @@
 // Snapshot is what a table hands to that of a process which has just started. The forms of
 // it and of its parts are on the wire.
 type Snapshot struct {
-	Ends  []EndReport  `cbor:"1,keyasint,omitempty"`
-	Holds []HoldReport `cbor:"2,keyasint,omitempty"`
+	Crashes []CrashReport `cbor:"1,keyasint,omitempty"`
+	Holds   []HoldReport  `cbor:"2,keyasint,omitempty"`
 }
 
-// EndReport tells of an end of an endpoint.
-type EndReport struct {
+// CrashReport tells of a crash of an endpoint.
+type CrashReport struct {
 	_        struct{} `cbor:",toarray"`
 	Endpoint string
 	AgeMS    int64
@@ -84,23 +86,23 @@
 	Runs     []RunReport
 }
 
-// RunReport tells of a run that was under way when its endpoint ended.
+// RunReport tells of a run that was under way when its endpoint crashed.
 type RunReport struct {
 	_       struct{} `cbor:",toarray"`
 	Content []byte   // a key
-	RanMS   int64    // until the end
+	RanMS   int64    // until the crash
 }
 
 // HoldReport tells of a content that is held.
 type HoldReport struct {
 	_       struct{} `cbor:",toarray"`
 	Content []byte   // a key
-	Ends    int
+	Crashes int
 	Trials  int
 	ForMS   int64 // until the next trial
 }
 
-// ReportOf returns what is told of a run at an endpoint that ended at a time.
+// ReportOf returns what is told of a run at an endpoint that crashed at a time.
 func ReportOf(r Run, at time.Time) RunReport {
 	return RunReport{Content: r.Content[:], RanMS: at.Sub(r.Began).Milliseconds()}
 }
@@ -113,8 +115,8 @@
 	return Key(told), true
 }
 
-// TakeEnd is End for what another process told. What can't be right is left out.
-func (t *Table) TakeEnd(now time.Time, r EndReport) []Key {
+// TakeCrash is Crashed for what another process told. What can't be right is left out.
+func (t *Table) TakeCrash(now time.Time, r CrashReport) []Key {
 	at := ago(now, r.AgeMS)
 	if r.AgeMS < 0 || now.Sub(at) >= keepFor {
 		return nil
@@ -128,35 +130,35 @@
 	if len(runs) == 0 {
 		return nil
 	}
-	return t.End(r.Endpoint, at, r.From, runs...)
+	return t.Crashed(r.Endpoint, at, r.From, runs...)
 }
 
 // TakeHold is Hold for what another process told. What can't be right is left out.
 func (t *Table) TakeHold(now time.Time, r HoldReport) {
 	k, ok := KeyFrom(r.Content)
-	if ok && r.Ends >= maxEnds && r.ForMS <= maxHold.Milliseconds() {
-		t.Hold(k, r.Ends, max(r.Trials, 0), ago(now, -r.ForMS))
+	if ok && r.Crashes >= maxCrashes && r.ForMS <= maxHold.Milliseconds() {
+		t.Hold(k, r.Crashes, max(r.Trials, 0), ago(now, -r.ForMS))
 	}
 }
 
-// Snapshot returns what is held against contents. self is the incarnation of this process.
+// Snapshot returns what is counted against contents. self is the incarnation of this process.
 func (t *Table) Snapshot(now time.Time, self uint64) Snapshot {
 	var s Snapshot
 	for _, name := range t.order {
-		e := t.ends[name]
-		x := EndReport{Endpoint: name, AgeMS: now.Sub(e.at).Milliseconds(), From: cmp.Or(e.from, self)}
-		for k, r := range e.runs {
+		known := t.crashes[name]
+		x := CrashReport{Endpoint: name, AgeMS: now.Sub(known.at).Milliseconds(), From: cmp.Or(known.from, self)}
+		for k, r := range known.runs {
 			if !r.cleared {
-				x.Runs = append(x.Runs, ReportOf(Run{k, r.began}, e.at))
+				x.Runs = append(x.Runs, ReportOf(Run{k, r.began}, known.at))
 			}
 		}
 		if len(x.Runs) > 0 {
-			s.Ends = append(s.Ends, x)
+			s.Crashes = append(s.Crashes, x)
 		}
 	}
 	for k, c := range t.contents {
-		if c.toldEnds > 0 {
-			s.Holds = append(s.Holds, HoldReport{Content: k[:], Ends: c.toldEnds, Trials: c.trials, ForMS: c.until.Sub(now).Milliseconds()})
+		if c.toldCrashes > 0 {
+			s.Holds = append(s.Holds, HoldReport{Content: k[:], Crashes: c.toldCrashes, Trials: c.trials, ForMS: c.until.Sub(now).Milliseconds()})
 		}
 	}
 	return s
@@ -164,10 +166,10 @@
 
 // Restore takes in the snapshot of another table.
 func (t *Table) Restore(now time.Time, s Snapshot) {
-	for _, e := range s.Ends[:min(len(s.Ends), maxKnownEnds)] {
-		t.TakeEnd(now, e)
+	for _, e := range s.Crashes[:min(len(s.Crashes), maxKnownCrashes)] {
+		t.TakeCrash(now, e)
 	}
-	for _, h := range s.Holds[:min(len(s.Holds), maxKnownEnds)] {
+	for _, h := range s.Holds[:min(len(s.Holds), maxKnownCrashes)] {
 		t.TakeHold(now, h)
 	}
 }
--- a/coord/quarantine/report_test.go
+++ b/coord/quarantine/report_test.go
@@ -14,9 +14,9 @@
 func TestSnapshot(t *testing.T) {
 	var from, to quarantine.Table
 	for n := range 3 {
-		end(&from, fmt.Sprint("i-", n), float64(n), "bad", fmt.Sprint("beside-", n))
+		crash(&from, fmt.Sprint("i-", n), float64(n), "bad", fmt.Sprint("beside-", n))
 	}
-	from.EndedWell(key("beside-1"))
+	from.Succeeded(key("beside-1"))
 	from.Hold(key("told"), 4, 1, at(100))
 	to.Restore(at(10), from.Snapshot(at(10), 7))
 	for _, content := range []string{"bad", "beside-0", "beside-1", "told"} {
@@ -27,12 +27,12 @@
 	}
 	for _, s := range to.States(at(10)) {
 		if s.Content == key("bad") && !slices.Equal(s.ToldBy, []uint64{7, 7, 7}) {
-			t.Errorf("the ends were seen by %v", s.ToldBy)
+			t.Errorf("the crashes were seen by %v", s.ToldBy)
 		}
 	}
 }
 
-// TestOrderOfReportsDoesNotMatter tells ends in any order, and some again: all tables come
+// TestOrderOfReportsDoesNotMatter tells crashes in any order, and some again: all tables come
 // to the same verdicts, as entries do that hear of them over different ways.
 func TestOrderOfReportsDoesNotMatter(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -45,21 +45,21 @@
 			return told{rapid.IntRange(0, endpoints-1).Draw(t, "endpoint"), rapid.IntRange(0, 4).Draw(t, "content")}
 		}), 1, 40).Draw(t, "reports")
 		gaps := rapid.SliceOfN(rapid.IntRange(1, 3000), endpoints, endpoints).Draw(t, "gaps")
-		ended := make([]float64, endpoints)
+		crashed := make([]float64, endpoints)
 		for n := 1; n < endpoints; n++ {
-			ended[n] = ended[n-1] + float64(gaps[n])/1000
+			crashed[n] = crashed[n-1] + float64(gaps[n])/1000
 		}
 		tell := func(all []told) *quarantine.Table {
 			var x quarantine.Table
 			for _, r := range all {
-				end(&x, fmt.Sprint("i-", r.endpoint), ended[r.endpoint], fmt.Sprint(r.content))
+				crash(&x, fmt.Sprint("i-", r.endpoint), crashed[r.endpoint], fmt.Sprint(r.content))
 			}
 			return &x
 		}
 		first := tell(reports)
 		again := append(rapid.Permutation(reports).Draw(t, "order"), reports[:len(reports)/2]...)
 		second := tell(again)
-		now := ended[endpoints-1]
+		now := crashed[endpoints-1]
 		for c := range 5 {
 			if a, b := first.Verdict(at(now), key(fmt.Sprint(c))), second.Verdict(at(now), key(fmt.Sprint(c))); a != b {
 				t.Fatalf("content %d: %+v, and in another order %+v", c, a, b)
@@ -73,11 +73,11 @@
 	f.Add([]byte("0123456789abcdef"), int64(5), int64(-5), 3)
 	f.Add([]byte("short"), int64(1<<62), int64(1<<62), -1)
 	f.Add([]byte(nil), int64(-1<<63), int64(-1<<63), 1<<30)
-	f.Fuzz(func(t *testing.T, content []byte, age, ran int64, ends int) {
+	f.Fuzz(func(t *testing.T, content []byte, age, ran int64, crashes int) {
 		var x quarantine.Table
 		x.Restore(at(0), quarantine.Snapshot{
-			Ends:  []quarantine.EndReport{{Endpoint: "i-1", AgeMS: age, Runs: []quarantine.RunReport{{Content: content, RanMS: ran}}}},
-			Holds: []quarantine.HoldReport{{Content: content, Ends: ends, ForMS: age}},
+			Crashes: []quarantine.CrashReport{{Endpoint: "i-1", AgeMS: age, Runs: []quarantine.RunReport{{Content: content, RanMS: ran}}}},
+			Holds:   []quarantine.HoldReport{{Content: content, Crashes: crashes, ForMS: age}},
 		})
 		for _, s := range x.States(at(0)) {
 			if s.ForMS > time.Hour.Milliseconds() || s.ForMS < 0 {
--- a/coord/quarantine/table.go
+++ b/coord/quarantine/table.go
@@ -6,56 +6,56 @@
 )
 
 const (
-	// maxKnownEnds bounds the ends that are remembered, the oldest go first. Chosen, not
+	// maxKnownCrashes bounds the crashes that are remembered, the oldest go first. Chosen, not
 	// measured: of a fleet that loses 17 endpoints a day, two weeks'.
-	maxKnownEnds = 256
-	// maxRuns bounds the runs that are remembered of one end. Chosen: above the 48 to 64
+	maxKnownCrashes = 256
+	// maxRuns bounds the runs that are remembered of one crash. Chosen: above the 48 to 64
 	// requests that an engine runs at once and those that it lets wait. TestMemoryIsBounded
 	// holds both: 32,768 contents, 8.9 MB (BenchmarkFullTable).
 	maxRuns = 128
-	// keepFor is how long an end counts. Chosen, not measured: beyond maxHold, so that what
-	// ends an endpoint at each trial is not forgotten between two of them.
+	// keepFor is how long a crash counts. Chosen, not measured: beyond maxHold, so that what
+	// crashes an endpoint at each trial is not forgotten between two of them.
 	keepFor = 2 * maxHold
 	// maxUnanswered bounds the runs without an answer that are remembered. Chosen, not
 	// measured.
 	maxUnanswered = 1024
 	// unansweredFor is how long a run that brought no answer, or whose caller left, may
-	// still turn out to have been under way when its endpoint ended. Chosen, not measured:
+	// still turn out to have been under way when its endpoint crashed. Chosen, not measured:
 	// until an endpoint that starts again has told of it.
 	unansweredFor = 8 * time.Second
 )
 
-// Table is what one process knows of contents and ends. The zero value knows nothing. It
+// Table is what one process knows of contents and crashes. The zero value knows nothing. It
 // is not safe for concurrent use.
 type Table struct {
-	ends       map[string]*end // by endpoint
-	order      []string        // of ends, as they were told
+	crashes    map[string]*crash // by endpoint
+	order      []string          // of crashes, as they were told
 	contents   map[Key]*content
 	unanswered []unanswered // the oldest first
 }
 
-// end is one end of an endpoint.
-type end struct {
+// crash is one crash of an endpoint.
+type crash struct {
 	endpoint string
 	at       time.Time
 	from     uint64 // incarnation of the process that told of it first, 0 for this one
 	runs     map[Key]run
 }
 
-// run is what is known of a content at an end.
+// run is what is known of a content at a crash.
 type run struct {
 	began   time.Time // of the last one, if the content was under way several times
-	cleared bool      // the content ended well since
+	cleared bool      // the content has succeeded since
 }
 
-// content is a content against which something is held.
+// content is a content against which something is counted.
 type content struct {
-	key      Key
-	ends     []*end    // by time, cleared ones left out
-	rounds   int       // how many of them count, those that came together once
-	toldEnds int       // that others counted, and wrote down or told
-	trials   int       // of it since it is held
-	until    time.Time // held until then, by others' word or since a trial is under way
+	key         Key
+	crashes     []*crash  // by time, cleared ones left out
+	rounds      int       // how many of them count, those that came together once
+	toldCrashes int       // that others counted, and wrote down or told
+	trials      int       // of it since it is held
+	until       time.Time // held until then, by others' word or since a trial is under way
 }
 
 // unanswered is a run that brought no answer.
@@ -65,20 +65,20 @@
 	left     time.Time
 }
 
-// Empty tells whether nothing is held against any content.
+// Empty tells whether nothing is counted against any content.
 func (t *Table) Empty() bool { return len(t.contents) == 0 }
 
-// End takes in that an endpoint ended at a time with runs under way, as this process saw
+// Crashed takes in that an endpoint crashed at a time with runs under way, as this process saw
 // (from 0) or another one told. It returns the contents that are held since.
-func (t *Table) End(endpoint string, at time.Time, from uint64, runs ...Run) []Key {
-	e := t.ends[endpoint]
-	if e == nil {
-		e = t.addEnd(endpoint, at, from)
+func (t *Table) Crashed(endpoint string, at time.Time, from uint64, runs ...Run) []Key {
+	x := t.crashes[endpoint]
+	if x == nil {
+		x = t.addCrash(endpoint, at, from)
 	}
 	var held []Key
 	for _, r := range runs {
 		before := t.Verdict(at, r.Content).Held
-		t.blame(e, r)
+		t.blame(x, r)
 		if !before && t.Verdict(at, r.Content).Held {
 			held = append(held, r.Content)
 		}
@@ -86,35 +86,35 @@
 	return held
 }
 
-// addEnd remembers an end.
-func (t *Table) addEnd(endpoint string, at time.Time, from uint64) *end {
-	if t.ends == nil {
-		t.ends = map[string]*end{}
+// addCrash remembers a crash.
+func (t *Table) addCrash(endpoint string, at time.Time, from uint64) *crash {
+	if t.crashes == nil {
+		t.crashes = map[string]*crash{}
 	}
-	if len(t.order) >= maxKnownEnds {
-		t.forgetEnd(t.order[0])
+	if len(t.order) >= maxKnownCrashes {
+		t.forgetCrash(t.order[0])
 	}
-	e := &end{endpoint: endpoint, at: at, from: from, runs: map[Key]run{}}
-	t.ends[endpoint] = e
+	x := &crash{endpoint: endpoint, at: at, from: from, runs: map[Key]run{}}
+	t.crashes[endpoint] = x
 	t.order = append(t.order, endpoint)
-	return e
+	return x
 }
 
-// blame holds an end against a content, unless it does already or the content ended well
+// blame counts a crash against a content, unless it does already or the content has succeeded
 // since.
-func (t *Table) blame(e *end, r Run) {
-	known, ok := e.runs[r.Content]
+func (t *Table) blame(x *crash, r Run) {
+	known, ok := x.runs[r.Content]
 	switch {
-	case !ok && len(e.runs) >= maxRuns:
+	case !ok && len(x.runs) >= maxRuns:
 		return
 	case ok && (known.cleared || !r.Began.After(known.began)):
 		return
 	}
-	e.runs[r.Content] = run{began: r.Began}
+	x.runs[r.Content] = run{began: r.Began}
 	c := t.content(r.Content)
 	if !ok {
-		at, _ := slices.BinarySearchFunc(c.ends, e.at, func(e *end, t time.Time) int { return e.at.Compare(t) })
-		c.ends = slices.Insert(c.ends, at, e)
+		at, _ := slices.BinarySearchFunc(c.crashes, x.at, func(x *crash, t time.Time) int { return x.at.Compare(t) })
+		c.crashes = slices.Insert(c.crashes, at, x)
 	}
 	c.count()
 }
@@ -132,39 +132,31 @@
 	return c
 }
 
-// EndedWell takes in that a run of a content ended well, and clears it. It returns whether
+// Succeeded takes in that a run of a content succeeded, and clears it. It returns whether
 // anything was held against it.
-func (t *Table) EndedWell(k Key) bool {
+func (t *Table) Succeeded(k Key) bool {
 	c := t.contents[k]
 	if c == nil {
 		return false
 	}
-	for _, e := range c.ends {
-		e.runs[k] = run{began: e.runs[k].began, cleared: true}
+	for _, x := range c.crashes {
+		x.runs[k] = run{began: x.runs[k].began, cleared: true}
 	}
 	delete(t.contents, k)
 	return true
 }
 
-// Hold takes in that a content is held, after so many ends and trials, until a time: the last
+// Hold takes in that a content is held, after so many crashes and trials, until a time: the last
 // word counts.
-func (t *Table) Hold(k Key, ends, trials int, until time.Time) {
+func (t *Table) Hold(k Key, crashes, trials int, until time.Time) {
 	c := t.content(k)
-	c.toldEnds = max(c.toldEnds, ends)
+	c.toldCrashes = max(c.toldCrashes, crashes)
 	c.trials = trials
 	c.until = until
 }
 
-// Trials returns how often a content was tried since it is held.
-func (t *Table) Trials(k Key) int {
-	if c := t.contents[k]; c != nil {
-		return c.trials
-	}
-	return 0
-}
-
 // Unanswered takes in that a run brought no answer, or that its caller left: should the
-// endpoint turn out to have ended, the run was under way there.
+// endpoint turn out to have crashed, the run was under way there.
 func (t *Table) Unanswered(now time.Time, endpoint string, r Run) {
 	t.unanswered = t.unanswered[t.lapsed(now):]
 	if len(t.unanswered) >= maxUnanswered {
@@ -209,29 +201,29 @@
 
 // Expire forgets what is too old to count.
 func (t *Table) Expire(now time.Time) {
-	for len(t.order) > 0 && now.Sub(t.ends[t.order[0]].at) >= keepFor {
-		t.forgetEnd(t.order[0])
+	for len(t.order) > 0 && now.Sub(t.crashes[t.order[0]].at) >= keepFor {
+		t.forgetCrash(t.order[0])
 	}
 	for k, c := range t.contents {
-		if len(c.ends) == 0 && now.Sub(c.until) >= keepFor {
+		if len(c.crashes) == 0 && now.Sub(c.until) >= keepFor {
 			delete(t.contents, k)
 		}
 	}
 }
 
-// forgetEnd forgets the end that was told first.
-func (t *Table) forgetEnd(endpoint string) {
-	gone := t.ends[endpoint]
-	delete(t.ends, endpoint)
+// forgetCrash forgets the crash that was told first.
+func (t *Table) forgetCrash(endpoint string) {
+	gone := t.crashes[endpoint]
+	delete(t.crashes, endpoint)
 	t.order = t.order[1:]
 	for k := range gone.runs {
 		c := t.contents[k]
 		if c == nil {
 			continue
 		}
-		c.ends = slices.DeleteFunc(c.ends, func(e *end) bool { return e == gone })
+		c.crashes = slices.DeleteFunc(c.crashes, func(x *crash) bool { return x == gone })
 		c.count()
-		if len(c.ends) == 0 && c.toldEnds == 0 {
+		if len(c.crashes) == 0 && c.toldCrashes == 0 {
 			delete(t.contents, k)
 		}
 	}
--- a/coord/result/table.go
+++ b/coord/result/table.go
@@ -27,7 +27,7 @@
 	{Cancelled, "cancelled", 499, "the caller hung up"},
 	{Preempted, "preempted", 503, "a higher tier took the slot"},
 	{Unresumable, "unresumable", 502, "the attempt broke off and the answer so far cannot be continued"},
-	{Quarantined, "quarantined", 503, "endpoints that ran this very request have ended; it is kept from them for a while"},
+	{Quarantined, "quarantined", 503, "endpoints that ran this very request have crashed; it is held for a while"},
 	{AgentLeaving, "agent_leaving", 503, "the agent takes no new work"},
 	{AgentFull, "agent_full", 503, "the agent's queue holds only work of this tier or above"},
 	{Evicted, "evicted", 503, "a higher tier took the place in the agent's queue"},
--- a/examples/soak/main.go
+++ b/examples/soak/main.go
@@ -31,7 +31,7 @@
 	Callers   int           `long:"callers" default:"8" description:"callers at once"`
 	Only      []string      `long:"only" description:"name of a fault that may strike, may be given often (default: all)"`
 	Planned   bool          `long:"planned" description:"only planned work strikes"`
-	Crashing  bool          `long:"crashing" description:"a caller comes back with a request that ends each endpoint that runs it"`
+	Crashing  bool          `long:"crashing" description:"a caller comes back with a request that crashes each endpoint that runs it"`
 	Folder    string        `long:"folder" description:"where logs are kept (default: a temporary folder)"`
 }
 
@@ -102,7 +102,7 @@
 	for _, n := range r.Faults {
 		faults += n
 	}
-	fmt.Printf("seed %d: %d requests, %d fetches, %d reports of usage, %d faults, %d ends under a request, %d promises broken;", seed, r.Requests, r.Fetches, r.Reports, faults, r.Crashed, len(r.Breaches))
+	fmt.Printf("seed %d: %d requests, %d fetches, %d reports of usage, %d faults, %d crashes under a request, %d promises broken;", seed, r.Requests, r.Fetches, r.Reports, faults, r.Crashed, len(r.Breaches))
 	for _, status := range slices.Sorted(maps.Keys(r.Answers)) {
 		fmt.Printf(" %d: %d", status, r.Answers[status])
 	}
--- a/internal/decisions_test.go
+++ b/internal/decisions_test.go
@@ -55,7 +55,7 @@
 	"coord/quarantine/table.go",
 	"internal/direct/gateway/content.go",
 	"internal/direct/gateway/held.go",
-	"internal/direct/upstream/ended.go",
+	"internal/direct/upstream/crashed.go",
 	"coord/budget/budget.go",
 	"internal/direct/gateway/whole.go",
 	"internal/direct/gateway/stream.go",
--- a/internal/direct/gateway/content.go
+++ b/internal/direct/gateway/content.go
@@ -1,17 +1,17 @@
 // Which requests are kept from endpoints, because endpoints that ran the same content have
-// ended.
+// crashed.
 //
 // Rule: coord/quarantine decides, from what this entry has seen and others have told. An
-// attempt whose connection broke counts if its endpoint has ended, was listed and had not
+// attempt whose connection broke counts if its endpoint has crashed, was listed and had not
 // said that it leaves. One that brought no answer, or whose caller left, counts if its
-// endpoint turns out to have ended: it refuses connections, another attempt saw it end, or
+// endpoint turns out to have crashed: it refuses connections, another attempt saw it crash, or
 // it is listed again with a later start. A content that is held is refused at once, its
 // retries and resumptions as well.
 // Inputs: events of attempts, events of other entries, the list of endpoints, the store's
 // records (held.go).
 // Never: "not run" is said of a request of which an attempt may have run. A request waits
-// for what others know, except of an entry that hears of no other one and has just seen an
-// end, and at a trial (held.go).
+// for what others know, except of an entry that hears of no other one and has just seen a
+// crash, and at a trial (held.go).
 
 package gateway
 
@@ -46,27 +46,27 @@
 	}
 	if v.For == 0 && f.sent == 0 && g.beginTrial(f.ctx, k) {
 		f.trial = true
-		f.knownEnds = v.Ends
+		f.knownCrashes = v.Crashes
 		return nil
 	}
 	g.options.Metrics.Counter("quarantine_refused").Inc(1)
-	refusal := ownFailure(result.Quarantined, fmt.Sprintf("%d endpoints have ended under content %s", v.Ends, k), f.mayHaveRun)
+	refusal := ownFailure(result.Quarantined, fmt.Sprintf("%d endpoints have crashed under content %s", v.Crashes, k), f.mayHaveRun)
 	if refusal.Run == result.NotRun {
 		refusal.RetryAfter = max(v.For, trialInterval)
 	}
 	return refusal
 }
 
-// judgeContent takes in what an attempt's end says of the content of its request.
+// judgeContent takes in what the end of an attempt says of the content of its request.
 func (g *Gateway) judgeContent(q *request, a *attempt, e event) {
 	switch e := e.(type) {
-	case endpointEnded:
-		g.endpointEnded(a.endpoint(), e.at, quarantine.Run{Content: q.content(), Began: a.sentAt})
+	case endpointCrashed:
+		g.endpointCrashed(a.endpoint(), e.at, quarantine.Run{Content: q.content(), Began: a.sentAt})
 	case answered:
-		g.contentEndedWell(q)
+		g.contentSucceeded(q)
 	case unreachable:
 		if errors.Is(e.err, syscall.ECONNREFUSED) {
-			g.endpointEnded(a.endpoint(), steady.Now())
+			g.endpointCrashed(a.endpoint(), steady.Now())
 		}
 	case noAnswer, deadlinePassed, callerLeft:
 		run := quarantine.Run{Content: q.content(), Began: a.sentAt}
@@ -74,29 +74,29 @@
 	}
 }
 
-// endpointEnded takes in that an endpoint has ended, as this entry saw, with runs under
+// endpointCrashed takes in that an endpoint has crashed, as this entry saw, with runs under
 // way.
-func (g *Gateway) endpointEnded(e placement.Endpoint, at time.Time, runs ...quarantine.Run) {
+func (g *Gateway) endpointCrashed(e placement.Endpoint, at time.Time, runs ...quarantine.Run) {
 	if !g.directory.Serving(e.ID) {
 		return // its end was announced
 	}
-	g.takeEnd(e.Incarnation(), at, runs)
+	g.takeCrash(e.Incarnation(), at, runs)
 }
 
-// takeEnd holds an end against contents and tells the others. Runs at the endpoint that
+// takeCrash counts a crash against contents and tells the others. Runs at the endpoint that
 // brought no answer lately were under way as well.
-func (g *Gateway) takeEnd(endpoint string, at time.Time, runs []quarantine.Run) {
+func (g *Gateway) takeCrash(endpoint string, at time.Time, runs []quarantine.Run) {
 	var held []quarantine.Key
 	g.suspects.update(func(t *quarantine.Table) {
 		runs = append(runs, t.TakeUnanswered(at, endpoint)...)
 		if len(runs) > 0 {
-			held = t.End(endpoint, at, 0, runs...)
+			held = t.Crashed(endpoint, at, 0, runs...)
 		}
 	})
 	if len(runs) == 0 {
 		return
 	}
-	told := peers.Event{Kind: peers.EndpointEnded, Endpoint: endpoint}
+	told := peers.Event{Kind: peers.EndpointCrashed, Endpoint: endpoint}
 	for _, r := range runs {
 		told.Runs = append(told.Runs, quarantine.ReportOf(r, at))
 	}
@@ -110,19 +110,6 @@
 	}
 }
 
-// trialFailed takes in that an endpoint ended at a trial: that is one end more than were known
-// when it began, also where only their number was told.
-func (g *Gateway) trialFailed(k quarantine.Key, known int) {
-	now := steady.Now()
-	var h quarantine.HoldReport
-	g.suspects.update(func(t *quarantine.Table) {
-		t.Hold(k, known+1, t.Trials(k), now)
-		h = quarantine.HoldReport{Content: k[:], Ends: known + 1, Trials: t.Trials(k), ForMS: t.Verdict(now, k).For.Milliseconds()}
-	})
-	g.tellHolds([]quarantine.HoldReport{h})
-	go g.recordHeld(k)
-}
-
 // tellRepeatedly tells the other entries of a content, and again in case they were not
 // reached.
 func (g *Gateway) tellRepeatedly(e peers.Event) {
@@ -141,35 +128,35 @@
 	for _, endpoint := range waiting {
 		for _, e := range list {
 			if e.Replaces(endpoint) {
-				g.takeEnd(endpoint, now, nil)
+				g.takeCrash(endpoint, now, nil)
 			}
 		}
 	}
 }
 
-// contentEndedWell clears the content of a request that ended well.
-func (g *Gateway) contentEndedWell(q *request) {
+// contentSucceeded clears the content of a request that succeeded.
+func (g *Gateway) contentSucceeded(q *request) {
 	if !g.suspects.any.Load() {
 		return
 	}
 	g.clear(q.content())
 }
 
-// clear drops what is held against a content, here and at the other entries. It returns
+// clear drops what is counted against a content, here and at the other entries. It returns
 // whether anything was.
 func (g *Gateway) clear(k quarantine.Key) bool {
 	now := steady.Now()
 	var known, held bool
 	g.suspects.update(func(t *quarantine.Table) {
 		held = t.Verdict(now, k).Held
-		known = t.EndedWell(k)
+		known = t.Succeeded(k)
 	})
 	if !known {
 		return false
 	}
 	g.tellRepeatedly(peers.Event{Kind: peers.ContentCleared, Runs: []quarantine.RunReport{{Content: k[:]}}})
 	if held {
-		log.With("content", k.String()).Info("A content is not held any more: a run of it ended well, or an operator let it through.")
+		log.With("content", k.String()).Info("A content is not held any more: a run of it succeeded, or an operator let it through.")
 		go g.dropRecord(k)
 	}
 	return true
@@ -180,12 +167,12 @@
 	now := steady.Now()
 	for _, e := range events {
 		switch e.Kind {
-		case peers.EndpointEnded:
-			g.takeToldEnd(now, quarantine.EndReport{Endpoint: e.Endpoint, AgeMS: e.AgeMS, From: owner, Runs: e.Runs})
+		case peers.EndpointCrashed:
+			g.takeToldCrash(now, quarantine.CrashReport{Endpoint: e.Endpoint, AgeMS: e.AgeMS, From: owner, Runs: e.Runs})
 		case peers.ContentCleared:
 			for _, r := range e.Runs {
 				if k, ok := quarantine.KeyFrom(r.Content); ok {
-					g.suspects.update(func(t *quarantine.Table) { t.EndedWell(k) })
+					g.suspects.update(func(t *quarantine.Table) { t.Succeeded(k) })
 				}
 			}
 		case peers.ContentHeld:
@@ -194,27 +181,27 @@
 	}
 }
 
-// takeToldEnd takes in an end that another entry saw. Runs of this entry that brought no
+// takeToldCrash takes in a crash that another entry saw. Runs of this entry that brought no
 // answer there lately were under way as well.
-func (g *Gateway) takeToldEnd(now time.Time, r quarantine.EndReport) {
+func (g *Gateway) takeToldCrash(now time.Time, r quarantine.CrashReport) {
 	var held []quarantine.Key
 	var own []quarantine.Run
 	g.suspects.update(func(t *quarantine.Table) {
-		held = t.TakeEnd(now, r)
+		held = t.TakeCrash(now, r)
 		own = t.TakeUnanswered(now, r.Endpoint)
 	})
 	for _, k := range held {
 		g.logHeld(now, k, r.From)
 	}
 	if len(own) > 0 {
-		g.takeEnd(r.Endpoint, now, own)
+		g.takeCrash(r.Endpoint, now, own)
 	}
 }
 
 // logHeld says that a content is held from now on.
 func (g *Gateway) logHeld(now time.Time, k quarantine.Key, owner uint64) {
 	s := g.suspects.state(now, k)
-	log.With("content", k.String()).With("ends", s.Ends).With("endpoints", s.Endpoints).
+	log.With("content", k.String()).With("crashes", s.Crashes).With("endpoints", s.Endpoints).
 		With("last_ms_ago", s.LastMS).With("held_for_ms", s.ForMS).With("told_by", owner).
-		Warnf("Endpoints have ended under one content; it is kept from them.")
+		Warnf("Endpoints have crashed under one content; it is held.")
 }
--- a/internal/direct/gateway/dump.go
+++ b/internal/direct/gateway/dump.go
@@ -19,7 +19,7 @@
 	Entries   int                       `json:"live_entries"`
 	Open      int                       `json:"open_requests"`
 	Endpoints []placement.EndpointState `json:"endpoints"`
-	Suspect   int                       `json:"suspect_contents"` // under which endpoints have ended
+	Suspect   int                       `json:"suspect_contents"` // under which endpoints have crashed
 	Held      int                       `json:"held_contents"`    // of these, kept from endpoints
 	Contents  []quarantine.State        `json:"contents"`         // the most suspect ones
 }
--- a/internal/direct/gateway/event.go
+++ b/internal/direct/gateway/event.go
@@ -27,9 +27,9 @@
 	// noAnswer: the connection broke, or brought no valid answer. The endpoint may
 	// have run the request.
 	noAnswer struct{ err error }
-	// endpointEnded: the connection broke since the endpoint has ended, with the request
+	// endpointCrashed: the connection broke since the endpoint has crashed, with the request
 	// under way there.
-	endpointEnded struct {
+	endpointCrashed struct {
 		err error
 		at  time.Time
 	}
@@ -46,23 +46,23 @@
 	callerLeft struct{}
 )
 
-func (unreachable) placementOutcome() placement.Outcome    { return placement.Unreachable }
-func (noAnswer) placementOutcome() placement.Outcome       { return placement.Broken }
-func (endpointEnded) placementOutcome() placement.Outcome  { return placement.Broken }
-func (notRun) placementOutcome() placement.Outcome         { return placement.Rejected }
-func (endpointError) placementOutcome() placement.Outcome  { return placement.Errored }
-func (answered) placementOutcome() placement.Outcome       { return placement.Succeeded }
-func (deadlinePassed) placementOutcome() placement.Outcome { return placement.Abandoned }
-func (callerLeft) placementOutcome() placement.Outcome     { return placement.Abandoned }
+func (unreachable) placementOutcome() placement.Outcome     { return placement.Unreachable }
+func (noAnswer) placementOutcome() placement.Outcome        { return placement.Broken }
+func (endpointCrashed) placementOutcome() placement.Outcome { return placement.Broken }
+func (notRun) placementOutcome() placement.Outcome          { return placement.Rejected }
+func (endpointError) placementOutcome() placement.Outcome   { return placement.Errored }
+func (answered) placementOutcome() placement.Outcome        { return placement.Succeeded }
+func (deadlinePassed) placementOutcome() placement.Outcome  { return placement.Abandoned }
+func (callerLeft) placementOutcome() placement.Outcome      { return placement.Abandoned }
 
-func (e unreachable) text() string   { return e.err.Error() }
-func (e noAnswer) text() string      { return e.err.Error() }
-func (e endpointEnded) text() string { return "the endpoint ended: " + e.err.Error() }
-func (e notRun) text() string        { return "not run, " + http.StatusText(e.status) }
-func (e endpointError) text() string { return "status " + strconv.Itoa(e.status) }
-func (e answered) text() string      { return "status " + strconv.Itoa(e.status) }
-func (deadlinePassed) text() string  { return "out of time" }
-func (callerLeft) text() string      { return "the caller left" }
+func (e unreachable) text() string     { return e.err.Error() }
+func (e noAnswer) text() string        { return e.err.Error() }
+func (e endpointCrashed) text() string { return "the endpoint crashed: " + e.err.Error() }
+func (e notRun) text() string          { return "not run, " + http.StatusText(e.status) }
+func (e endpointError) text() string   { return "status " + strconv.Itoa(e.status) }
+func (e answered) text() string        { return "status " + strconv.Itoa(e.status) }
+func (deadlinePassed) text() string    { return "out of time" }
+func (callerLeft) text() string        { return "the caller left" }
 
 // eventOfError returns what an error of an attempt stands for. ended is why the request's
 // context is done, nil if it is not.
--- a/internal/direct/gateway/forward.go
+++ b/internal/direct/gateway/forward.go
@@ -17,13 +17,13 @@
 	writer  http.ResponseWriter
 	request *request
 
-	tried      map[string]bool // ids of endpoints
-	sent       int             // attempts that reached an endpoint
-	dials      int             // attempts for which no connection was established
-	mayHaveRun bool            // one of the attempts
-	begun      bool            // some of an answer was passed on
-	trial      bool            // of a content whose hold was over
-	knownEnds  int             // of endpoints under the content, when its trial began
+	tried        map[string]bool // ids of endpoints
+	sent         int             // attempts that reached an endpoint
+	dials        int             // attempts for which no connection was established
+	mayHaveRun   bool            // one of the attempts
+	begun        bool            // some of an answer was passed on
+	trial        bool            // of a content whose hold was over
+	knownCrashes int             // of endpoints under the content, when its trial began
 }
 
 // forward sends the request until it has an answer, and passes that on. A failure
@@ -135,15 +135,15 @@
 	return decide(f.situation(), e)
 }
 
-// examine tells a broken connection from an endpoint that has ended.
+// examine tells a broken connection from an endpoint that has crashed.
 func (f *forwarding) examine(a *attempt, e event) event {
 	broken, ok := e.(noAnswer)
 	at := steady.Now()
-	if !ok || !f.gateway.pool.Ended(a.endpoint().Incarnation(), a.endpoint().Address) {
+	if !ok || !f.gateway.pool.Crashed(a.endpoint().Incarnation(), a.endpoint().Address) {
 		return e
 	}
-	f.gateway.options.Metrics.Counter("attempts_ended_with_endpoint").Inc(1)
-	return endpointEnded{err: broken.err, at: at}
+	f.gateway.options.Metrics.Counter("attempts_crashed").Inc(1)
+	return endpointCrashed{err: broken.err, at: at}
 }
 
 // end records how an attempt ended, for placement and for the quarantine of contents. It
@@ -154,8 +154,8 @@
 	e = f.examine(a, e)
 	a.outcome = e.text()
 	f.gateway.judgeContent(f.request, a, e)
-	if _, ended := e.(endpointEnded); ended && f.trial {
-		f.gateway.trialFailed(f.request.content(), f.knownEnds)
+	if _, crashed := e.(endpointCrashed); crashed && f.trial {
+		f.gateway.trialFailed(f.request.content(), f.knownCrashes)
 	}
 	return e
 }
--- a/internal/direct/gateway/fuzz_test.go
+++ b/internal/direct/gateway/fuzz_test.go
@@ -27,9 +27,9 @@
 		{{Kind: peers.AttemptSent, Number: 5, Endpoint: "i-1", Request: &request, Fetch: &memory.Fetch{Source: "i-2", Tokens: 60}}},
 		{{Kind: peers.FirstEvent, Number: 5}, {Kind: peers.AttemptEnded, Number: 5, Outcome: placement.Unreachable}},
 		{{Kind: peers.PartsKept, Endpoint: "i-1", Parts: []memory.Part{{ID: 1, Tokens: 100}}}},
-		{{Kind: peers.EndpointEnded, Endpoint: "i-1", Runs: []quarantine.RunReport{{Content: make([]byte, 16), RanMS: 90}}}},
+		{{Kind: peers.EndpointCrashed, Endpoint: "i-1", Runs: []quarantine.RunReport{{Content: make([]byte, 16), RanMS: 90}}}},
 		{{Kind: peers.ContentCleared, Runs: []quarantine.RunReport{{Content: make([]byte, 16)}}}},
-		{{Kind: peers.ContentHeld, Holds: []quarantine.HoldReport{{Content: make([]byte, 16), Ends: 3, Trials: 1 << 40, ForMS: -1 << 60}}}},
+		{{Kind: peers.ContentHeld, Holds: []quarantine.HoldReport{{Content: make([]byte, 16), Crashes: 3, Trials: 1 << 40, ForMS: -1 << 60}}}},
 	} {
 		data, err := cbor.Marshal(events)
 		if err != nil {
--- a/internal/direct/gateway/held.go
+++ b/internal/direct/gateway/held.go
@@ -1,11 +1,11 @@
 // Which contents are held, in the store's records.
 //
-// Rule: the entry that sees the end by which a content becomes held, or by which a trial of it
-// failed, writes it down. What is written down is read by an entry that starts and finds none
-// to ask, on behalf of its data centre, and by one that hears of no other entry and has seen
-// an endpoint end. When a hold is over one request may try the content: whoever writes the
-// trial down, on condition that nobody else has, sends it. The record goes when a run ends
-// well.
+// Rule: the entry that sees the crash by which a content becomes held, or by which a trial of
+// it failed, writes it down. What is written down is read by an entry that starts and finds
+// none to ask, on behalf of its data centre, and by one that hears of no other entry and has
+// seen an endpoint crash. When a hold is over one request may try the content: whoever writes
+// the trial down, on condition that nobody else has, sends it. The record goes when a run
+// succeeds.
 // Inputs: the store's records, true time.
 // Units: calls of the store: one for a content that becomes held, three for a trial, one for
 // a data centre that starts anew. None for a content that is not held.
@@ -17,6 +17,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -25,6 +26,7 @@
 	"foxcross.dev/foxcross/internal/direct/peers"
 	"foxcross.dev/foxcross/internal/steady"
 	"foxcross.dev/foxcross/internal/storeerr"
+	"foxcross.dev/foxcross/internal/workers"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -36,7 +38,7 @@
 	// after which a refused caller may come back. Chosen, not measured.
 	trialInterval = time.Second
 	// returnedTrialAfter is how long a content is held after a trial that reached no endpoint.
-	// Chosen, not measured: endpoints that ended are back after seconds.
+	// Chosen, not measured: endpoints that crashed are back after seconds.
 	returnedTrialAfter = 2 * time.Second
 	// trialTimeout bounds the calls before a trial, and what an entry that hears of no other
 	// one waits for the records. Chosen, not measured: the store answers in some ms.
@@ -46,6 +48,9 @@
 	// half a minute is borne.
 	recordTries = 30
 	recordRetry = time.Second
+	// holdsPerEvent is how many contents fit into one event, so that it fits into one datagram:
+	// each takes some 30 bytes of 1,200.
+	holdsPerEvent = 30
 	// maxRecords bounds the records that are told to other entries. Chosen, not measured:
 	// each takes 30 bytes.
 	maxRecords = 256
@@ -56,159 +61,161 @@
 
 // heldRecord is the record of a content that is held.
 type heldRecord struct {
-	Ends    int   `cbor:"1,keyasint"` // of endpoints under the content
+	Crashes int   `cbor:"1,keyasint"` // of endpoints under the content
 	UntilMS int64 `cbor:"2,keyasint"` // true time of the next trial, ms since 1970
 	Trials  int   `cbor:"3,keyasint"` // of it so far
 }
 
 func (r heldRecord) until() time.Time { return time.UnixMilli(r.UntilMS) }
 
-// encodeHeld returns a record as it is written.
-func encodeHeld(k quarantine.Key, r heldRecord) (driver.Record, error) {
-	value, err := cbor.Marshal(r)
-	if err != nil {
-		return driver.Record{}, fmt.Errorf("gateway: encode a held content: %w", err)
-	}
-	return driver.Record{Key: heldPrefix + k.String(), Value: value}, nil
-}
-
 // recordHeld writes down that a content is held.
 func (g *Gateway) recordHeld(k quarantine.Key) {
-	g.tryRecords("write", func(ctx context.Context) error {
+	g.tryRecords(context.Background(), "write", func(ctx context.Context) error {
 		now := steady.Now()
 		v := g.suspects.verdict(now, k)
 		if !v.Held {
 			return nil // cleared meanwhile
 		}
-		r, err := encodeHeld(k, heldRecord{Ends: v.Ends, Trials: g.suspects.trialsOf(k), UntilMS: g.attempts.trueTime(now).Add(v.For).UnixMilli()})
-		if err != nil {
-			return err
-		}
-		_, err = g.options.Records.Update(ctx, driver.Update{Put: []driver.Record{r}})
-		return err
+		return g.putHeld(ctx, k, heldRecord{
+			Crashes: v.Crashes, Trials: v.Trials, UntilMS: g.attempts.trueTime(now).Add(v.For).UnixMilli(),
+		})
 	})
 }
 
+// putHeld writes a record, on conditions.
+func (g *Gateway) putHeld(ctx context.Context, k quarantine.Key, r heldRecord, on ...driver.Condition) error {
+	value, err := cbor.Marshal(r)
+	if err != nil {
+		return fmt.Errorf("gateway: encode a held content: %w", err)
+	}
+	_, err = g.options.Records.Update(ctx, driver.Update{
+		Conditions: on,
+		Put:        []driver.Record{{Key: heldKey(k), Value: value}},
+	})
+	return err
+}
+
+// heldKey returns the key of a content's record.
+func heldKey(k quarantine.Key) string { return heldPrefix + k.String() }
+
 // dropRecord takes out the record of a content that is not held any more.
 func (g *Gateway) dropRecord(k quarantine.Key) {
-	g.tryRecords("drop", func(ctx context.Context) error {
-		_, err := g.options.Records.Update(ctx, driver.Update{Remove: []string{heldPrefix + k.String()}})
+	g.tryRecords(context.Background(), "drop", func(ctx context.Context) error {
+		_, err := g.options.Records.Update(ctx, driver.Update{Remove: []string{heldKey(k)}})
 		return err
 	})
 }
 
-// tryRecords makes a call of the records until it succeeds.
-func (g *Gateway) tryRecords(what string, call func(ctx context.Context) error) {
+// tryRecords makes a call of the records until it succeeds or ctx is done.
+func (g *Gateway) tryRecords(ctx context.Context, what string, call func(ctx context.Context) error) {
 	if g.options.Records == nil {
 		return
 	}
 	for range recordTries {
-		err := call(context.Background())
+		err := call(ctx)
 		if err == nil {
 			return
 		}
 		log.With("reason", err.Error()).With("call", what).Limited("held", "A record of a held content can't be written or read; it is tried again.")
-		time.Sleep(recordRetry)
+		if !workers.Sleep(ctx, recordRetry) {
+			return
+		}
 	}
 }
 
-// beginTrial tells whether this request may try a content whose hold is over.
+// beginTrial tells whether this request may try a content whose hold is over. Until that is
+// known, and for trialInterval if it can't be, other requests here find the content held.
 func (g *Gateway) beginTrial(ctx context.Context, k quarantine.Key) bool {
-	now := steady.Now()
-	s := &g.suspects
-	ends, trials, due := s.askForTrial(now, k)
-	if !due {
-		return false
+	var v quarantine.Verdict
+	g.suspects.update(func(t *quarantine.Table) {
+		now := steady.Now()
+		if v = t.Verdict(now, k); v.For == 0 {
+			t.Hold(k, v.Crashes, v.Trials, now.Add(trialInterval))
+		}
+	})
+	if v.For > 0 {
+		return false // another request was sooner
 	}
-	next := heldRecord{Ends: ends, Trials: trials + 1}
-	left, granted := quarantine.TrialTime, true
+	c := claim{trials: v.Trials + 1, hold: quarantine.TrialTime, granted: true}
 	if g.options.Records != nil {
 		ctx, cancel := context.WithTimeout(ctx, trialTimeout)
 		defer cancel()
 		var err error
-		if left, granted, err = g.claimTrial(ctx, k, &next); err != nil {
+		if c, err = g.claimTrial(ctx, k, v); err != nil {
 			log.With("content", k.String()).With("reason", err.Error()).Limited("trial", "The store does not say whether a content may be tried; it stays held.")
 			return false
 		}
 	}
-	s.update(func(t *quarantine.Table) {
-		t.Hold(k, ends, next.Trials, now.Add(left))
-		delete(s.trials, k)
-	})
-	if granted {
-		log.With("content", k.String()).With("ends", ends).With("trials", next.Trials).Info("A content that was held is tried.")
+	g.suspects.update(func(t *quarantine.Table) { t.Hold(k, v.Crashes, c.trials, steady.Now().Add(c.hold)) })
+	if c.granted {
+		log.With("content", k.String()).With("crashes", v.Crashes).With("trials", c.trials).Info("A content that was held is tried.")
 	}
-	return granted
+	return c.granted
 }
 
-// askForTrial tells whether a trial of a content is to be asked for now, and what is known of
-// it.
-func (s *suspects) askForTrial(now time.Time, k quarantine.Key) (ends, trials int, due bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if now.Sub(s.trials[k]) < trialInterval {
-		return 0, 0, false
-	}
-	if s.trials == nil {
-		s.trials = map[quarantine.Key]time.Time{}
-	}
-	s.trials[k] = now
-	return s.table.Verdict(now, k).Ends, s.table.Trials(k), true
-}
-
-// returnTrial lets another request try a content soon, since the one that was to reached no
-// endpoint: it would be held for the time of a trial that showed nothing.
-func (g *Gateway) returnTrial(k quarantine.Key) {
-	now := steady.Now()
-	var r heldRecord
-	g.suspects.update(func(t *quarantine.Table) {
-		r.Ends, r.Trials = t.Verdict(now, k).Ends, max(t.Trials(k)-1, 0)
-		t.Hold(k, r.Ends, r.Trials, now.Add(returnedTrialAfter))
-	})
-	r.UntilMS = g.attempts.trueTime(now).Add(returnedTrialAfter).UnixMilli()
-	g.tellHolds([]quarantine.HoldReport{{Content: k[:], Ends: r.Ends, Trials: r.Trials, ForMS: returnedTrialAfter.Milliseconds()}})
-	go g.tryRecords("return", func(ctx context.Context) error {
-		x, err := encodeHeld(k, r)
-		if err != nil {
-			return err
-		}
-		_, err = g.options.Records.Update(ctx, driver.Update{Put: []driver.Record{x}})
-		return err
-	})
+// claim is what came of asking for a trial: how often the content was tried then, for how
+// long it is held, and whether the trial is this entry's.
+type claim struct {
+	trials  int
+	hold    time.Duration
+	granted bool
 }
 
 // claimTrial writes down that a content is being tried, if nobody has since its hold was over.
-// next is changed to what is written down then. It returns for how long the content is held.
-func (g *Gateway) claimTrial(ctx context.Context, k quarantine.Key, next *heldRecord) (time.Duration, bool, error) {
+func (g *Gateway) claimTrial(ctx context.Context, k quarantine.Key, v quarantine.Verdict) (claim, error) {
 	trueNow := g.attempts.trueTime(steady.Now())
-	found, err := g.options.Records.Read(ctx, heldPrefix+k.String())
+	found, err := g.options.Records.Read(ctx, heldKey(k))
 	if err != nil && !errors.Is(err, storeerr.ErrNotFound) {
-		return 0, false, err
+		return claim{}, err
 	}
+	c := claim{trials: v.Trials + 1, hold: quarantine.TrialTime, granted: true}
 	if err == nil {
 		var r heldRecord
 		if err := cbor.Unmarshal(found.Value, &r); err != nil {
-			return 0, false, fmt.Errorf("gateway: decode a held content: %w", err)
+			return claim{}, fmt.Errorf("gateway: decode a held content: %w", err)
 		}
 		if left := r.until().Sub(trueNow); left > 0 {
-			next.Trials = r.Trials
-			return left, false, nil
+			return claim{trials: r.Trials, hold: left}, nil
 		}
-		next.Trials = r.Trials + 1
-	}
-	next.UntilMS = trueNow.Add(quarantine.TrialTime).UnixMilli()
-	x, err := encodeHeld(k, *next)
-	if err != nil {
-		return 0, false, err
+		c.trials = r.Trials + 1
 	}
-	_, err = g.options.Records.Update(ctx, driver.Update{
-		Conditions: []driver.Condition{{Key: x.Key, Revision: found.Revision}},
-		Put:        []driver.Record{x},
-	})
+	next := heldRecord{Crashes: v.Crashes, Trials: c.trials, UntilMS: trueNow.Add(c.hold).UnixMilli()}
+	err = g.putHeld(ctx, k, next, driver.Condition{Key: heldKey(k), Revision: found.Revision})
 	if errors.Is(err, driver.ErrConflict) {
-		return quarantine.TrialTime, false, nil
+		c.granted = false // another entry was sooner
+		return c, nil
 	}
-	return quarantine.TrialTime, err == nil, err
+	return c, err
+}
+
+// trialFailed takes in that an endpoint crashed at a trial: that is one crash more than were
+// known when it began, also where only their number was told.
+func (g *Gateway) trialFailed(k quarantine.Key, known int) {
+	g.holdAgain(k, func(v quarantine.Verdict) quarantine.Verdict {
+		return quarantine.Verdict{Crashes: known + 1, Trials: v.Trials}
+	})
+}
+
+// returnTrial lets another request try a content soon, since the one that was to reached no
+// endpoint: it would be held for the time of a trial that showed nothing.
+func (g *Gateway) returnTrial(k quarantine.Key) {
+	g.holdAgain(k, func(v quarantine.Verdict) quarantine.Verdict {
+		return quarantine.Verdict{Crashes: v.Crashes, Trials: max(v.Trials-1, 0), For: returnedTrialAfter}
+	})
+}
+
+// holdAgain changes the hold of a content after its trial, here, at the other entries and in
+// the store.
+func (g *Gateway) holdAgain(k quarantine.Key, change func(quarantine.Verdict) quarantine.Verdict) {
+	now := steady.Now()
+	var v quarantine.Verdict
+	g.suspects.update(func(t *quarantine.Table) {
+		next := change(t.Verdict(now, k))
+		t.Hold(k, next.Crashes, next.Trials, now.Add(next.For))
+		v = t.Verdict(now, k)
+	})
+	g.tellHolds([]quarantine.HoldReport{{Content: k[:], Crashes: v.Crashes, Trials: v.Trials, ForMS: v.For.Milliseconds()}})
+	go g.recordHeld(k)
 }
 
 // askStore reads the records, at an entry that hears of no other one.
@@ -232,20 +239,17 @@
 
 // LearnHeld reads which contents are held, and tells the other entries.
 func (g *Gateway) LearnHeld(ctx context.Context) {
-	g.tryRecords("read", func(context.Context) error {
+	g.tryRecords(ctx, "read", func(ctx context.Context) error {
 		holds, err := g.readHeld(ctx)
-		if err == nil && len(holds) > 0 {
-			g.tellHolds(holds)
-		}
+		g.tellHolds(holds)
 		return err
 	})
 }
 
 // tellHolds tells the other entries which contents are held.
 func (g *Gateway) tellHolds(holds []quarantine.HoldReport) {
-	const perEvent = 30 // in one datagram
-	for n := 0; n < len(holds); n += perEvent {
-		g.tellRepeatedly(peers.Event{Kind: peers.ContentHeld, Holds: holds[n:min(n+perEvent, len(holds))]})
+	for some := range slices.Chunk(holds, holdsPerEvent) {
+		g.tellRepeatedly(peers.Event{Kind: peers.ContentHeld, Holds: some})
 	}
 }
 
@@ -271,7 +275,7 @@
 			continue
 		}
 		if len(holds) < maxRecords {
-			holds = append(holds, quarantine.HoldReport{Content: k[:], Ends: r.Ends, Trials: r.Trials, ForMS: left.Milliseconds()})
+			holds = append(holds, quarantine.HoldReport{Content: k[:], Crashes: r.Crashes, Trials: r.Trials, ForMS: left.Milliseconds()})
 		}
 	}
 	g.suspects.restore(now, quarantine.Snapshot{Holds: holds})
@@ -281,6 +285,6 @@
 	return holds, nil
 }
 
-// ReleaseContent drops what is held against a content, by an operator's word. It returns
+// ReleaseContent drops what is counted against a content, by an operator's word. It returns
 // false if nothing is.
 func (g *Gateway) ReleaseContent(k quarantine.Key) bool { return g.clear(k) }
--- a/internal/direct/gateway/outcome.go
+++ b/internal/direct/gateway/outcome.go
@@ -78,7 +78,7 @@
 			return retry{s.mayHaveRun}
 		}
 		return fail{ownFailure(result.NoEndpoint, "no endpoint could be reached", s.mayHaveRun)}
-	case noAnswer, endpointEnded:
+	case noAnswer, endpointCrashed:
 		if s.attemptsLeft && s.repeatable {
 			return retry{mayHaveRun: true}
 		}
--- a/internal/direct/gateway/suspects.go
+++ b/internal/direct/gateway/suspects.go
@@ -8,15 +8,14 @@
 	"foxcross.dev/coord/quarantine"
 )
 
-// suspects is what an entry knows of contents under which endpoints have ended. The zero
+// suspects is what an entry knows of contents under which endpoints have crashed. The zero
 // value knows nothing. It is safe for concurrent use.
 type suspects struct {
-	any atomic.Bool // something is held against some content
+	any atomic.Bool // something is counted against some content
 
 	mu       sync.Mutex
 	table    quarantine.Table
-	trials   map[quarantine.Key]time.Time // asked for in the store, since when
-	loadedAt time.Time                    // when the store's records were last read
+	loadedAt time.Time // when the store's records were last read
 }
 
 // update changes the table.
@@ -50,12 +49,6 @@
 	return s.table.State(now, k)
 }
 
-func (s *suspects) trialsOf(k quarantine.Key) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.table.Trials(k)
-}
-
 func (s *suspects) counts(now time.Time) (known, held int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/direct/gateway/whole.go
+++ b/internal/direct/gateway/whole.go
@@ -71,7 +71,7 @@
 	}
 	broken = f.end(a, broken)
 	switch broken.(type) {
-	case noAnswer, endpointEnded:
+	case noAnswer, endpointCrashed:
 		return fail{&result.Error{Code: result.EndpointFailed, Run: result.Ran, Reason: err.Error()}}
 	default:
 		return decideBroken(situation{}, broken)
--- a/internal/direct/peers/packet.go
+++ b/internal/direct/peers/packet.go
@@ -30,10 +30,10 @@
 	AttemptSent Kind = iota + 1
 	FirstEvent       // of the attempt's answer
 	AttemptEnded
-	PartsKept      // by an engine, as it says itself; entries of former versions pass over it and what follows
-	EndpointEnded  // with Runs under way
-	ContentCleared // Runs ended well
-	ContentHeld    // as the store's records say
+	PartsKept       // by an engine, as it says itself; entries of former versions pass over it and what follows
+	EndpointCrashed // with Runs under way
+	ContentCleared  // Runs succeeded
+	ContentHeld     // as the store's records say
 )
 
 // Event is one thing that happened to an attempt of the sender.
@@ -47,7 +47,7 @@
 	Fetch    *memory.Fetch      `cbor:"7,keyasint,omitempty"` // of AttemptSent, nil for none; entries of former versions pass over it
 	Parts    []memory.Part      `cbor:"8,keyasint,omitempty"` // of PartsKept
 
-	Runs  []quarantine.RunReport  `cbor:"9,keyasint,omitempty"`  // of EndpointEnded and ContentCleared
+	Runs  []quarantine.RunReport  `cbor:"9,keyasint,omitempty"`  // of EndpointCrashed and ContentCleared
 	Holds []quarantine.HoldReport `cbor:"10,keyasint,omitempty"` // of ContentHeld
 
 	at time.Time // when it happened, at the sender
--- a/internal/direct/peers/suspension_test.go
+++ b/internal/direct/peers/suspension_test.go
@@ -21,24 +21,21 @@
 	}
 }
 
-// TestTrueTimeGoesOnWhileSuspended holds that the true time is right at once when the machine
-// wakes, before any other entry is heard.
-func TestTrueTimeGoesOnWhileSuspended(t *testing.T) {
-	const suspended = 10 * time.Second
+// TestTrueTimeIsComparedAnewAfterASuspension holds that an entry which wakes does not go by how
+// the clocks compared before: the time of day may have been set meanwhile. No true time is
+// known until they are compared again; who asks takes the time of day.
+func TestTrueTimeIsComparedAnewAfterASuspension(t *testing.T) {
 	g, _ := ranked(steady.Now(), 0)
 	g.observeOwnClock(steady.Now())
-	before, ok := g.TrueTime(steady.Now())
-	t.Cleanup(suspension.Suspend(suspended))
-	after, stillOK := g.TrueTime(steady.Now())
-	// What was heard before counts for 2 s only: the own clock is read anew.
-	if !stillOK {
-		g.observeOwnClock(steady.Now())
-		after, stillOK = g.TrueTime(steady.Now())
-	}
-	if !ok || !stillOK {
+	if _, ok := g.TrueTime(steady.Now()); !ok {
 		t.Fatal("no time is known")
 	}
-	if d := time.Until(after); d < -time.Second || d > time.Second {
-		t.Errorf("%v off the time of day, %v before", d, time.Until(before))
+	t.Cleanup(suspension.Suspend(10 * time.Second))
+	if _, ok := g.TrueTime(steady.Now()); ok {
+		t.Error("the clocks count as compared, 10 s later")
+	}
+	g.observeOwnClock(steady.Now())
+	if now, ok := g.TrueTime(steady.Now()); !ok || time.Until(now).Abs() > time.Second {
+		t.Errorf("%v off the time of day", time.Until(now))
 	}
 }
--- a/internal/direct/upstream/ended_test.go
+++ b/internal/direct/upstream/crashed_test.go
@@ -8,7 +8,7 @@
 	"foxcross.dev/foxcross/internal/direct/upstream"
 )
 
-func TestEndpointThatRefusesHasEnded(t *testing.T) {
+func TestEndpointThatRefusesHasCrashed(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -18,7 +18,7 @@
 		t.Fatal(err)
 	}
 	var p upstream.Pool
-	if !p.Ended("i-1", address) {
+	if !p.Crashed("i-1", address) {
 		t.Error("an endpoint whose port is closed counts as living")
 	}
 }
@@ -45,8 +45,8 @@
 	var all sync.WaitGroup
 	for range 32 {
 		all.Go(func() {
-			if p.Ended("i-1", l.Addr().String()) {
-				t.Error("an endpoint that takes connections counts as ended")
+			if p.Crashed("i-1", l.Addr().String()) {
+				t.Error("an endpoint that takes connections counts as crashed")
 			}
 		})
 	}
--- a/internal/steady/suspended_linux.go
+++ b/internal/steady/suspended_linux.go
@@ -13,7 +13,7 @@
 const minSuspension = 20 * time.Millisecond
 
 // lookInterval is how long a comparison of the clocks holds, on the monotonic clock. Chosen:
-// the two readings take 0.3 us, and 1.6 us where the users' machines are played, and a request
+// the two readings take 0.4 us (BenchmarkNow), and 1.6 us where the users' machines are played, and a request
 // takes some 40 readings; the machine may as well be suspended right after a comparison.
 const lookInterval = time.Millisecond
 
--- a/internal/testing/crashing/doc.go
+++ b/internal/testing/crashing/doc.go
@@ -1,4 +1,4 @@
 // Package crashing tests what becomes of requests that bring down the endpoints that run
 // them, with several entries that tell each other of their attempts before endpoints that
-// end and come back. All is in one process, over loopback.
+// crash and come back. All is in one process, over loopback.
 package crashing
--- a/internal/testing/crashing/fleet_test.go
+++ b/internal/testing/crashing/fleet_test.go
@@ -28,7 +28,7 @@
 	host    = "studio.example"
 	service = "pool"
 	teamKey = "key-of-a-team"
-	// crashing is the path below which a request ends the endpoint that runs it.
+	// crashing is the path below which a request crashes the endpoint that runs it.
 	crashing = "/chat/crash"
 	// crashingOnce is the same for what may not run twice.
 	crashingOnce = "/book/crash"
@@ -47,14 +47,14 @@
 }
 
 // fleet is a platform, entries that tell each other of their attempts, and endpoints. An
-// endpoint that ends comes back under its id.
+// endpoint that crashes comes back under its id.
 type fleet struct {
 	t       *testing.T
 	store   *platformtest.Store
 	entries []*entry
 	client  *http.Client
 	ids     atomic.Int64
-	ends    atomic.Int64 // of endpoints
+	crashes atomic.Int64 // of endpoints
 	over    chan struct{}
 
 	mu      sync.Mutex
@@ -112,7 +112,7 @@
 	})
 }
 
-// addEndpoint starts an endpoint, which starts again when it ends.
+// addEndpoint starts an endpoint, which starts again when it crashes.
 func (f *fleet) addEndpoint(id string, born int64) {
 	r := platformtest.NewRunner(id, service, platformtest.ByPath{
 		Prefix: []string{crashing, crashingOnce},
@@ -133,7 +133,7 @@
 		case <-f.over:
 			r.Close()
 		case <-r.Ended():
-			f.ends.Add(1)
+			f.crashes.Add(1)
 			f.mu.Lock()
 			f.serving = slices.DeleteFunc(f.serving, func(x *platformtest.Runner) bool { return x == r })
 			f.mu.Unlock()
@@ -142,7 +142,7 @@
 	}()
 }
 
-// endpoints returns the endpoints that have not ended.
+// endpoints returns the endpoints that have not crashed.
 func (f *fleet) endpoints() []*platformtest.Runner {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -288,7 +288,7 @@
 // askUntilHeld sends a request to an entry until it is refused.
 func (f *fleet) askUntilHeld(e *entry, target string) {
 	f.t.Helper()
-	f.eventually(target+" is refused", func() bool { return f.ask(e, target, "ends what runs it").isRefused() })
+	f.eventually(target+" is refused", func() bool { return f.ask(e, target, "crashes what runs it").isRefused() })
 }
 
 // eventuallyHeld waits until an entry holds so many contents.
--- a/internal/testing/crashing/hearing_test.go
+++ b/internal/testing/crashing/hearing_test.go
@@ -12,27 +12,27 @@
 )
 
 // TestOthersHear holds that a content which one entry knows of is refused at all, and that
-// no more than three endpoints end under it.
+// no more than three endpoints crash under it.
 func TestOthersHear(t *testing.T) {
 	f := newFleet(t, 4, 4)
 	for _, target := range []string{crashing, crashingOnce} {
-		before := f.ends.Load()
+		before := f.crashes.Load()
 		f.askUntilHeld(f.entries[0], target)
-		if n := f.ends.Load() - before; n != 3 {
-			t.Errorf("%s: %d endpoints have ended until it was known", target, n)
+		if n := f.crashes.Load() - before; n != 3 {
+			t.Errorf("%s: %d endpoints have crashed until it was known", target, n)
 		}
 	}
 	for _, e := range f.entries {
 		f.eventuallyHeld(e, 2)
 	}
-	before := f.ends.Load()
+	before := f.crashes.Load()
 	for _, e := range f.entries {
-		if a := f.ask(e, crashing, "ends what runs it"); !a.isRefused() {
+		if a := f.ask(e, crashing, "crashes what runs it"); !a.isRefused() {
 			t.Errorf("answered %d %v", a.status, a.header)
 		}
 	}
-	if n := f.ends.Load() - before; n != 0 {
-		t.Errorf("%d endpoints have ended under what all know of", n)
+	if n := f.crashes.Load() - before; n != 0 {
+		t.Errorf("%d endpoints have crashed under what all know of", n)
 	}
 	if a := f.ask(f.entries[0], crashing, "another body"); a.isRefused() {
 		t.Error("another content is refused")
@@ -57,10 +57,10 @@
 	f.askUntilHeld(f.entries[0], crashing)
 	f.eventuallyRecorded(1)
 	alone := f.addEntry(false)
-	before := f.ends.Load()
+	before := f.crashes.Load()
 	f.askUntilHeld(alone, crashing)
-	if n := f.ends.Load() - before; n != 1 {
-		t.Errorf("%d endpoints have ended under what the store knows of", n)
+	if n := f.crashes.Load() - before; n != 1 {
+		t.Errorf("%d endpoints have crashed under what the store knows of", n)
 	}
 }
 
@@ -88,8 +88,8 @@
 	f := newFleet(t, 3, 4)
 	f.holdOver(crashing)
 	f.askAtOnce(crashing)
-	if n := f.ends.Load(); n != 1 {
-		t.Errorf("%d endpoints have ended at the trial", n)
+	if n := f.crashes.Load(); n != 1 {
+		t.Errorf("%d endpoints have crashed at the trial", n)
 	}
 	for _, e := range f.entries {
 		f.eventually("it is held for longer", func() bool {
@@ -100,9 +100,9 @@
 	f.eventuallyRecorded(1)
 }
 
-// TestTrialThatEndsWell holds that a content is cleared at all entries by a trial that ends
-// well.
-func TestTrialThatEndsWell(t *testing.T) {
+// TestTrialThatSucceeds holds that a content is cleared at all entries by a trial that
+// succeeds.
+func TestTrialThatSucceeds(t *testing.T) {
 	f := newFleet(t, 3, 4)
 	f.holdOver("/chat/mended")
 	f.askAtOnce("/chat/mended")
@@ -123,13 +123,13 @@
 	for _, e := range f.entries {
 		f.eventually("the address has changed", func() bool { return e.gateway.Directory().Endpoints().List[0].Born == 0 })
 	}
-	if a := f.ask(f.entries[0], "/chat/mended", "ends what runs it"); a.status != http.StatusServiceUnavailable {
+	if a := f.ask(f.entries[0], "/chat/mended", "crashes what runs it"); a.status != http.StatusServiceUnavailable {
 		t.Errorf("answered %d", a.status)
 	}
 	f.store.Enter(f.endpoints()[0], "ready")
 	for _, e := range f.entries {
 		f.eventually("it is served", func() bool {
-			return f.ask(e, "/chat/mended", "ends what runs it").status == http.StatusOK
+			return f.ask(e, "/chat/mended", "crashes what runs it").status == http.StatusOK
 		})
 	}
 }
@@ -141,12 +141,12 @@
 	f.holdOver(crashing)
 	f.store.SetFault(platformtest.Busy)
 	for _, e := range f.entries {
-		if a := f.ask(e, crashing, "ends what runs it"); !a.isRefused() {
+		if a := f.ask(e, crashing, "crashes what runs it"); !a.isRefused() {
 			t.Errorf("answered %d %v", a.status, a.header)
 		}
 	}
-	if n := f.ends.Load(); n != 0 {
-		t.Errorf("%d endpoints have ended", n)
+	if n := f.crashes.Load(); n != 0 {
+		t.Errorf("%d endpoints have crashed", n)
 	}
 }
 
@@ -171,7 +171,7 @@
 	const asking = 12
 	var all sync.WaitGroup
 	for n := range asking {
-		all.Go(func() { f.ask(f.entries[n%len(f.entries)], target, "ends what runs it") })
+		all.Go(func() { f.ask(f.entries[n%len(f.entries)], target, "crashes what runs it") })
 	}
 	all.Wait()
 }
@@ -179,8 +179,8 @@
 // holdOver lets all entries believe that a content was held, and is not any more.
 func (f *fleet) holdOver(target string) {
 	f.t.Helper()
-	k := quarantine.KeyOf("studio-1", "POST", host+target, []byte("ends what runs it"))
-	told := peers.Event{Kind: peers.ContentHeld, Holds: []quarantine.HoldReport{{Content: k[:], Ends: 3, ForMS: 0}}}
+	k := quarantine.KeyOf("studio-1", "POST", host+target, []byte("crashes what runs it"))
+	told := peers.Event{Kind: peers.ContentHeld, Holds: []quarantine.HoldReport{{Content: k[:], Crashes: 3, ForMS: 0}}}
 	for _, e := range f.entries {
 		e.gateway.Listener().TakeEvents(99, []peers.Event{told})
 	}
@@ -190,9 +190,9 @@
 func (f *fleet) isKnownAt(e *entry) {
 	f.t.Helper()
 	f.eventuallyHeld(e, 1)
-	before := f.ends.Load()
-	if a := f.ask(e, crashing, "ends what runs it"); !a.isRefused() || f.ends.Load() != before {
-		f.t.Errorf("answered %d, %d endpoints ended", a.status, f.ends.Load()-before)
+	before := f.crashes.Load()
+	if a := f.ask(e, crashing, "crashes what runs it"); !a.isRefused() || f.crashes.Load() != before {
+		f.t.Errorf("answered %d, %d endpoints crashed", a.status, f.crashes.Load()-before)
 	}
 }
 
--- a/internal/testing/crashing/innocent_test.go
+++ b/internal/testing/crashing/innocent_test.go
@@ -9,7 +9,7 @@
 	"foxcross.dev/foxcross/internal/testing/standin/platformtest"
 )
 
-// TestPopularContentIsServed lets many callers ask the same thing while endpoints end under
+// TestPopularContentIsServed lets many callers ask the same thing while endpoints crash under
 // another request, again and again, and for no reason at all.
 func TestPopularContentIsServed(t *testing.T) {
 	const callers, each = 4, 40
@@ -29,7 +29,7 @@
 	go func() {
 		defer close(stop)
 		for n := range 12 {
-			f.ask(f.entries[n%len(f.entries)], crashing, "ends what runs it")
+			f.ask(f.entries[n%len(f.entries)], crashing, "crashes what runs it")
 			f.endpoints()[0].Close()
 		}
 	}()
@@ -40,7 +40,7 @@
 	})
 }
 
-// TestOtherFailuresDoNotCount lets requests meet what is no end of an endpoint: a connection
+// TestOtherFailuresDoNotCount lets requests meet what is no crash of an endpoint: a connection
 // that breaks, an answer that breaks off, bytes that are none, a failure of its own.
 func TestOtherFailuresDoNotCount(t *testing.T) {
 	f := newFleet(t, 2, 3)
@@ -86,7 +86,7 @@
 }
 
 // TestCallerThatLeaves holds that a content counts also if its caller is gone when the
-// endpoint ends: it is asked for, left at once, and the endpoint ends later.
+// endpoint crashes: it is asked for, left at once, and the endpoint crashes later.
 func TestCallerThatLeaves(t *testing.T) {
 	f := newFleet(t, 2, 1)
 	for n := range 3 {
@@ -100,16 +100,16 @@
 		})
 		ctx, leave := context.WithCancel(context.Background())
 		gone := make(chan reply, 1)
-		go func() { gone <- f.askFor(ctx, f.entries[0], "/chat/left", "ends what runs it") }()
+		go func() { gone <- f.askFor(ctx, f.entries[0], "/chat/left", "crashes what runs it") }()
 		f.eventually("it runs", func() bool { return len(r.Runs()) == 1 })
 		leave()
 		<-gone
 		f.eventually("the attempt has ended", func() bool { return f.entries[0].gateway.Dump().Open == 0 })
 		close(end)
 		<-r.Ended()
-		f.eventually("the end is known", func() bool {
+		f.eventually("the crash is known", func() bool {
 			d := f.entries[0].gateway.Dump()
-			return len(d.Contents) == 1 && d.Contents[0].Ends == n+1
+			return len(d.Contents) == 1 && d.Contents[0].Crashes == n+1
 		})
 	}
 	for _, e := range f.entries {
--- a/internal/testing/soak/crashing.go
+++ b/internal/testing/soak/crashing.go
@@ -11,22 +11,22 @@
 	"foxcross.dev/foxcross/internal/testing/standin/platformtest"
 )
 
-// crashingPath is below which a request ends the endpoint that runs it.
+// crashingPath is below which a request crashes the endpoint that runs it.
 const crashingPath = "/page/crash/"
 
 const (
 	// crashingPause is the longest time between two returns of the caller. Chosen, not
 	// measured.
 	crashingPause = 150 * time.Millisecond
-	// crashingBack is the time until an endpoint that ended is replaced. Chosen, not measured.
+	// crashingBack is the time until an endpoint that crashed is replaced. Chosen, not measured.
 	crashingBack = 300 * time.Millisecond
-	// maxEndsSeen is how many ends under one content an entry may see itself before it has to
+	// maxCrashesSeen is how many crashes under one content an entry may see itself before it has to
 	// know of it, in each of its lives.
-	maxEndsSeen = 3
+	maxCrashesSeen = 3
 )
 
 // callCrashing sends the same request again and again, to any entry, until ctx is done. It
-// ends each endpoint that runs it.
+// crashes each endpoint that runs it.
 func (d *deployment) callCrashing(ctx context.Context) {
 	random := rand.New(rand.NewPCG(d.options.Seed, 3))
 	for ctx.Err() == nil {
@@ -43,7 +43,7 @@
 func (d *deployment) askCrashing(ctx context.Context, e *entry) {
 	ctx, cancel := context.WithTimeout(ctx, requestTime)
 	defer cancel()
-	q, err := http.NewRequest(http.MethodPost, "http://"+host+crashingPath, bytes.NewBufferString("ends what runs it"))
+	q, err := http.NewRequest(http.MethodPost, "http://"+host+crashingPath, bytes.NewBufferString("crashes what runs it"))
 	if err != nil {
 		return
 	}
@@ -55,7 +55,7 @@
 	_, _, _ = c.exchange(ctx, q) // what it is answered does not matter
 }
 
-// awaitCrash replaces an endpoint that has ended under a request.
+// awaitCrash replaces an endpoint that has crashed under a request.
 func (d *deployment) awaitCrash(e *endpoint) {
 	<-e.runner.Ended()
 	d.mu.Lock()
@@ -73,7 +73,7 @@
 	d.addEndpoint()
 }
 
-// checkCrashing holds the number of endpoints that ended under the request to what is borne.
+// checkCrashing holds the number of endpoints that crashed under the request to what is borne.
 func (d *deployment) checkCrashing() {
 	lives := 0
 	for _, e := range d.entries {
@@ -84,7 +84,7 @@
 	d.mu.Lock()
 	crashed := d.crashed
 	d.mu.Unlock()
-	if crashed > maxEndsSeen*lives {
-		d.history.breach(KeptFrom, "", fmt.Sprintf("%d endpoints ended under one content, in %d lives of entries", crashed, lives))
+	if crashed > maxCrashesSeen*lives {
+		d.history.breach(KeptFrom, "", fmt.Sprintf("%d endpoints crashed under one content, in %d lives of entries", crashed, lives))
 	}
 }
--- a/internal/testing/soak/history.go
+++ b/internal/testing/soak/history.go
@@ -25,7 +25,7 @@
 	NeverBack   Promise = "settings never go back"
 	NothingLost Promise = "planned work cuts off no request"
 	Recovers    Promise = "all works again after the faults"
-	KeptFrom    Promise = "a request that ends its endpoints is kept from them"
+	KeptFrom    Promise = "a request that crashes its endpoints is kept from them"
 	OneReport   Promise = "usage is reported once for a window, by one holder, and no more than ran"
 	leaveSlack          = 1500 * time.Millisecond // for a request that was on its way
 )
--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -23,7 +23,7 @@
 	Endpoints int
 	Callers   int
 	Only      []string // names of the faults that may strike, empty for all
-	Crashing  bool     // a caller comes back with a request that ends each endpoint that runs it
+	Crashing  bool     // a caller comes back with a request that crashes each endpoint that runs it
 	// Command returns a command that runs an entry by the settings file. Its
 	// process is ended by Run.
 	Command func(settings string) *exec.Cmd
@@ -38,7 +38,7 @@
 	Faults   map[string]int
 	Fetches  int // runs whose endpoint was told to fetch memory
 	Reports  int // of usage
-	Crashed  int // endpoints that ended under a request
+	Crashed  int // endpoints that crashed under a request
 	Breaches []Breach
 }
 
@@ -57,7 +57,7 @@
 	extra     bool // the route that comes and goes is there
 	routes    int  // beside those that callers use
 	faults    map[string]int
-	crashed   int  // endpoints that ended under a request
+	crashed   int  // endpoints that crashed under a request
 	closed    bool // the run is over
 }
 
--- a/internal/testing/soak/soak_test.go
+++ b/internal/testing/soak/soak_test.go
@@ -39,8 +39,8 @@
 
 func TestAllFaults(t *testing.T) { play(t, 1, nil) }
 
-// TestCrashingRequest lets a caller come back with a request that ends each endpoint that runs
-// it, while all faults strike.
+// TestCrashingRequest lets a caller come back with a request that crashes each endpoint that
+// runs it, while all faults strike.
 func TestCrashingRequest(t *testing.T) {
 	r, err := Run(context.Background(), Options{
 		Seed: 3, Duration: 6 * time.Second, Entries: 3, Endpoints: 4, Callers: 6, Folder: t.TempDir(), Crashing: true,
@@ -53,7 +53,7 @@
 		t.Errorf("%s: request %s: %s", b.Promise, b.ID, b.Detail)
 	}
 	if r.Crashed == 0 {
-		t.Error("no endpoint has ended")
+		t.Error("no endpoint has crashed")
 	}
 }
 
