--- a/internal/direct/gateway/accept.go
+++ b/internal/direct/gateway/accept.go
@@ -39,7 +39,7 @@
 }
 
 // content returns the key of what is asked, and by whom. It is made when it is first asked
-// for: as long as no content is suspect no request is hashed.
+// for: as long as no content is suspect only requests that broke or were left are hashed.
 func (q *request) content() quarantine.Key {
 	if q.key == nil {
 		k := quarantine.KeyOf(q.team, q.incoming.Method, q.incoming.Host+q.incoming.URL.RequestURI(), q.body)
