--- a/coord/quarantine/table.go
+++ b/coord/quarantine/table.go
@@ -11,7 +11,7 @@
 	maxKnownCrashes = 256
 	// maxRuns bounds the runs that are remembered of one crash. Chosen: above the 48 to 64
 	// requests that an engine runs at once and those that it lets wait. TestMemoryIsBounded
-	// holds both: 32,768 contents, 8.9 MB (BenchmarkFullTable).
+	// holds both: 32,768 contents, 9.6 MB (BenchmarkFullTable).
 	maxRuns = 128
 	// keepFor is how long a crash counts. Chosen, not measured: beyond maxHold, so that what
 	// crashes an endpoint at each trial is not forgotten between two of them.
