Try what crashes endpoints together, and count a crash that is told again as the same

Crashes that come within a second of each other count once, so that a rack's failure holds nothing; but it was so for good, also where no run of the content ever succeeded. Now a content that was under way at three crashes and of which no run has succeeded a second later is tried by one request; where the store does not answer, each entry tries it by itself. A success elsewhere clears it within the second.

Found on the way: a crash that is told again 0.3 and 1 s later moved the beginning of its runs by the time the news took, so that three endpoints that crashed together counted as three; a popular content could be held for a minute by it. The beginning is now taken relative to the crash. And a trial that found its first endpoint unreachable was refused as held by its own trial; it goes on to the next.

--- a/coord/quarantine/quarantine.go
+++ b/coord/quarantine/quarantine.go
@@ -4,7 +4,8 @@
 // Rule: a crash of an endpoint counts against each content that was under way there. It does
 // not count where the last crash that counted was less than togetherFor before and the run had
 // begun by then: what is under way at many endpoints that crash together has met one
-// misfortune, not many. What the sender of a run knew to count when it began counts, whatever
+// misfortune, not many; but if no run of it succeeds within togetherFor after the last of
+// them, the next request is a trial. What the sender of a run knew to count when it began counts, whatever
 // the times that were told.
 //
 // A content with maxCrashes of them is held: it is sent to no endpoint for minHold after the
@@ -32,7 +33,8 @@
 	// the operators bear. Fewer would hold what was twice beside misfortune.
 	maxCrashes = 3
 	// togetherFor is the time within which endpoints that crash have crashed together. Chosen,
-	// not measured: a rack that loses power takes its endpoints along within a second.
+	// not measured: a rack that loses power takes its endpoints along within a second. Within as
+	// long a popular content succeeds elsewhere.
 	togetherFor = time.Second
 	// minHold is how long a content is held first. Derived: of a request that crashes what
 	// runs it operators bear three sends after it is known, so that trials have to be seldom;
@@ -70,6 +72,9 @@
 	Last    time.Time     // when the last crash was
 	Held    bool          // it is sent to no endpoint, but for a trial
 	For     time.Duration // for so long, if held; 0 for that a trial is due
+	// Doubtful is set if its crashes came together, so that it may only have met one
+	// misfortune.
+	Doubtful bool
 }
 
 // Verdict decides of a content.
@@ -82,20 +87,35 @@
 	if len(c.crashes) > 0 {
 		v.Last = c.crashes[len(c.crashes)-1].at
 	}
-	if v.Crashes < maxCrashes {
+	var next time.Time // trial, by what is known here
+	switch {
+	case v.Crashes >= maxCrashes:
+		hold := minHold
+		if t.unclear(c) {
+			hold = unclearHold(k)
+		}
+		failed := min(c.trials, v.Crashes-maxCrashes)
+		next = v.Last.Add(afterTrials(hold, failed))
+	case c.neverSucceeded(now):
+		v.Crashes = maxCrashes
+		v.Doubtful = true
+	default:
 		return v
 	}
 	v.Held = true
 	v.Trials = c.trials
-	hold := minHold
-	if t.unclear(c) {
-		hold = unclearHold(k)
-	}
-	failed := min(c.trials, v.Crashes-maxCrashes)
-	v.For = max(c.until.Sub(now), v.Last.Add(afterTrials(hold, failed)).Sub(now), 0)
+	v.For = max(c.until.Sub(now), next.Sub(now), 0)
 	return v
 }
 
+// neverSucceeded tells whether a content was under way at maxCrashes crashes, together or not, and
+// no run of it has succeeded though there was time for one. Many callers who ask for the same
+// in the same moment bring down endpoints that crash together; what is popular runs elsewhere
+// too, and has succeeded by then. Held without it: 12 sends too late (TestModelBoundsBursts).
+func (c *content) neverSucceeded(now time.Time) bool {
+	return len(c.crashes) >= maxCrashes && now.Sub(c.crashes[len(c.crashes)-1].at) >= togetherFor
+}
+
 // unclear tells whether a content that is held may only have run beside another one that is to
 // blame: one was under way at all but a few of its crashes. A trial makes it clear, if no other
 // one was under way.
--- a/coord/quarantine/quarantine_test.go
+++ b/coord/quarantine/quarantine_test.go
@@ -146,6 +146,59 @@
 	}
 }
 
+// TestToldAgainIsNoOtherCrash holds that crashes which came together count once also where each is
+// told again and again: what is told late seems to have happened later, and a run that had just
+// begun seemed to have begun after the crash before.
+func TestToldAgainIsNoOtherCrash(t *testing.T) {
+	var x quarantine.Table
+	for _, delay := range []float64{0, 0.01, 0.05} {
+		for n := range 3 {
+			r := quarantine.CrashReport{Endpoint: fmt.Sprint("i-", n), From: 7, Runs: []quarantine.RunReport{
+				quarantine.ReportOf(quarantine.Run{Content: key("popular"), Began: at(9.99)}, at(10)),
+			}}
+			x.TakeCrash(at(10+delay+0.001*float64(n)), r)
+		}
+	}
+	if v := x.Verdict(at(10.1), key("popular")); v.Crashes != 1 {
+		t.Errorf("three endpoints that crashed in the same moment: %+v", v)
+	}
+}
+
+// TestNoSuccessSince holds that a content under which endpoints crashed together is tried by one
+// request, if no run of it has succeeded within a second; and that it is free until then.
+func TestNoSuccessSince(t *testing.T) {
+	together := func(endpoints int) *quarantine.Table {
+		x := &quarantine.Table{}
+		for n := range endpoints {
+			x.Crashed(fmt.Sprint("i-", n), at(10+float64(n)*0.01), 0, quarantine.Run{Content: key("doubtful"), Began: at(9.9)})
+		}
+		return x
+	}
+	x := together(3)
+	if held(x, 11, "doubtful") {
+		t.Error("held within a second")
+	}
+	if v := x.Verdict(at(11.02), key("doubtful")); !v.Held || !v.Doubtful || v.For != 0 || v.Crashes != 3 {
+		t.Errorf("after a second: %+v", v)
+	}
+	x.Try(key("doubtful"), 1, at(11.02).Add(quarantine.TrialTime))
+	if v := x.Verdict(at(12.02), key("doubtful")); !v.Held || v.For != 4*time.Second {
+		t.Errorf("while it is tried: %+v", v)
+	}
+	x.Crashed("trial", at(12.1), 0, quarantine.Run{Content: key("doubtful"), Began: at(12), Known: 3})
+	if v := x.Verdict(at(12.1), key("doubtful")); v.Doubtful || v.Crashes != 4 || v.For < time.Minute {
+		t.Errorf("after a trial that failed: %+v", v)
+	}
+	if held(together(2), 60, "doubtful") {
+		t.Error("held after two crashes")
+	}
+	x = together(3)
+	x.Succeeded(key("doubtful"))
+	if held(x, 60, "doubtful") {
+		t.Error("held though it has succeeded")
+	}
+}
+
 // TestLongRunsCountOneByOne holds that a content which crashes its endpoints after seconds
 // is known by its third crash, though its runs began before the first.
 func TestLongRunsCountOneByOne(t *testing.T) {
--- a/coord/quarantine/report.go
+++ b/coord/quarantine/report.go
@@ -158,8 +158,8 @@
 		}
 	}
 	for k, c := range t.contents {
-		if c.toldCrashes > 0 {
-			s.Holds = append(s.Holds, HoldReport{Content: k[:], Crashes: c.toldCrashes, Trials: c.trials, ForMS: c.until.Sub(now).Milliseconds()})
+		if crashes := max(c.toldCrashes, c.counted); crashes >= maxCrashes && !c.until.IsZero() {
+			s.Holds = append(s.Holds, HoldReport{Content: k[:], Crashes: crashes, Trials: c.trials, ForMS: c.until.Sub(now).Milliseconds()})
 		}
 	}
 	return s
--- a/coord/quarantine/table.go
+++ b/coord/quarantine/table.go
@@ -78,6 +78,7 @@
 	}
 	var held []Key
 	for _, r := range runs {
+		r.Began = r.Began.Add(x.at.Sub(at)) // a crash that is told again is told later, not its runs begun later
 		before := t.Verdict(at, r.Content).Held
 		t.blame(x, r)
 		if !before && t.Verdict(at, r.Content).Held {
@@ -159,6 +160,14 @@
 	c.until = until
 }
 
+// Try takes in that a content which is held is being tried, for the so-many-th time, until a
+// time at which another trial may begin.
+func (t *Table) Try(k Key, trials int, until time.Time) {
+	c := t.content(k)
+	c.trials = trials
+	c.until = until
+}
+
 // Unanswered takes in that a run brought no answer, or that its caller left: should the
 // endpoint turn out to have crashed, the run was under way there.
 func (t *Table) Unanswered(now time.Time, endpoint string, r Run) {
--- a/internal/direct/gateway/content.go
+++ b/internal/direct/gateway/content.go
@@ -43,7 +43,7 @@
 	k := f.request.content()
 	v := g.suspects.verdict(now, k)
 	f.request.crashes = v.Crashes
-	if !v.Held {
+	if !v.Held || f.trial && f.sent == 0 {
 		return nil
 	}
 	if v.For == 0 && f.sent == 0 && g.beginTrial(f.ctx, k) {
--- a/internal/direct/gateway/held.go
+++ b/internal/direct/gateway/held.go
@@ -9,7 +9,8 @@
 // Inputs: the store's records, true time.
 // Units: calls of the store: one for a content that becomes held, three for a trial, one for
 // a data centre that starts anew. None for a content that is not held.
-// Never: a trial is sent while the store does not answer; the content stays held.
+// Never: a trial is sent while the store does not answer; the content stays held. Only where it
+// is in doubt whether the content is to blame at all does each entry try it by itself.
 
 package gateway
 
@@ -130,7 +131,7 @@
 	g.suspects.update(func(t *quarantine.Table) {
 		now := steady.Now()
 		if v = t.Verdict(now, k); v.For == 0 {
-			t.Hold(k, v.Crashes, v.Trials, now.Add(trialInterval))
+			t.Try(k, v.Trials, now.Add(trialInterval))
 		}
 	})
 	if v.For > 0 {
@@ -140,13 +141,16 @@
 	if g.options.Records != nil {
 		ctx, cancel := context.WithTimeout(ctx, trialTimeout)
 		defer cancel()
-		var err error
-		if c, err = g.claimTrial(ctx, k, v); err != nil {
+		claimed, err := g.claimTrial(ctx, k, v)
+		switch {
+		case err == nil:
+			c = claimed
+		case !v.Doubtful:
 			log.With("content", k.String()).With("reason", err.Error()).Limited("trial", "The store does not say whether a content may be tried; it stays held.")
 			return false
 		}
 	}
-	g.suspects.update(func(t *quarantine.Table) { t.Hold(k, v.Crashes, c.trials, steady.Now().Add(c.hold)) })
+	g.suspects.update(func(t *quarantine.Table) { t.Try(k, c.trials, steady.Now().Add(c.hold)) })
 	if c.granted {
 		log.With("content", k.String()).With("crashes", v.Crashes).With("trials", c.trials).Info("A content that was held is tried.")
 	}
@@ -199,6 +203,17 @@
 // returnTrial lets another request try a content soon, since the one that was to reached no
 // endpoint: it would be held for the time of a trial that showed nothing.
 func (g *Gateway) returnTrial(k quarantine.Key) {
+	doubtful := false
+	g.suspects.update(func(t *quarantine.Table) {
+		now := steady.Now()
+		v := t.Verdict(now, k)
+		if doubtful = v.Doubtful; doubtful {
+			t.Try(k, max(v.Trials-1, 0), now.Add(returnedTrialAfter)) // others are told of what is certain
+		}
+	})
+	if doubtful {
+		return
+	}
 	g.holdAgain(k, func(v quarantine.Verdict) quarantine.Verdict {
 		return quarantine.Verdict{Crashes: v.Crashes, Trials: max(v.Trials-1, 0), For: returnedTrialAfter}
 	})
