Look at the lease by an exact clock, and again when the call is written

A comparison of the clocks holds for a millisecond, within which a machine that was suspended goes on when it wakes: the holder of the duties sent with its former fence. And a call waited up to 1.5 s for a connection after the lease was looked at.

--- a/internal/direct/driver/duties.go
+++ b/internal/direct/driver/duties.go
@@ -65,12 +65,18 @@
 	ErrFenced = errors.New("driver: the platform has seen a higher fence")
 	// ErrTooMany means that the platform takes no more such calls for now.
 	ErrTooMany = errors.New("driver: the platform takes no more calls for now")
+	// ErrNotHeld means that the duties were not held any more right before the call was
+	// written: nothing was sent, or half of a call at the most.
+	ErrNotHeld = errors.New("driver: the duties are not held any more")
 )
 
 // Holder is who holds the duties.
 type Holder struct {
 	Name  string // of the process
 	Fence uint64 // rises whenever the holder changes
+	// MayAct tells whether the duties are still held. It is asked right before a call is
+	// written, since a connection may take its time.
+	MayAct func() bool
 }
 
 // Reporter makes the calls of the duties.
--- a/internal/direct/duties/reporting.go
+++ b/internal/direct/duties/reporting.go
@@ -42,20 +42,20 @@
 	return r.ledger.Unreported()
 }
 
-// errNotHeld means that the lease was over before the call.
-var errNotHeld = errors.New("duties: the lease is over")
-
-// send sends the report of one window. The lease is looked at right before.
+// send sends the report of one window. The lease is looked at right before, and again when a
+// connection is there, by a reading of the clock that is never behind: a holder whose machine was
+// suspended before either must not send (TestSuspendedHolderSendsNothing).
 func (r *reporting) send(ctx context.Context, w duty.Window) error {
 	r.mu.Lock()
 	lease := r.election.Lease
 	counts := r.ledger.Account(w).Closed
 	r.mu.Unlock()
-	if !lease.MayAct(steady.Now()) {
-		return errNotHeld
+	mayAct := func() bool { return lease.MayAct(steady.Exact()) }
+	if !mayAct() {
+		return driver.ErrNotHeld
 	}
 	r.metrics.Counter("usage_reports_sent").Inc(1)
-	err := r.options.Reporter.ReportUsage(ctx, driver.Holder{Name: r.options.Name, Fence: lease.Fence}, int64(w), counts)
+	err := r.options.Reporter.ReportUsage(ctx, driver.Holder{Name: r.options.Name, Fence: lease.Fence, MayAct: mayAct}, int64(w), counts)
 	line := log.With("window", w.String()).With("fence", lease.Fence)
 	switch {
 	case err == nil:
--- a/internal/steady/steady.go
+++ b/internal/steady/steady.go
@@ -16,12 +16,21 @@
 	"time"
 )
 
-// Suspended returns for how long the machine was suspended since the process started. Tests
-// put another function in its place before anything reads the clock.
-var Suspended = suspended
+// Suspended returns for how long the machine was suspended since the process started; Recent as of
+// a millisecond ago, which costs less. Tests put other functions in their place before anything
+// reads the clock.
+var (
+	Suspended = kernel.exact
+	Recent    = kernel.recent
+)
+
+// Now returns a reading of the clock. It is behind by the time suspended for up to a millisecond
+// after the machine has woken.
+func Now() time.Time { return time.Now().Add(Recent()) }
 
-// Now returns a reading of the clock.
-func Now() time.Time { return time.Now().Add(Suspended()) }
+// Exact returns a reading of the clock that is never behind. It is for the last check before what a
+// process may not do too late: a machine that wakes goes on within the millisecond.
+func Exact() time.Time { return time.Now().Add(Suspended()) }
 
 // Since returns the time since a reading of Now.
 func Since(t time.Time) time.Duration { return Now().Sub(t) }
@@ -80,6 +89,11 @@
 	return waits
 }
 
+// WithTimeout returns a context that is done after a time, suspension included if Watch runs.
+func WithTimeout(parent context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	return WithDeadline(parent, Now().Add(d))
+}
+
 // WithDeadline returns a context that is done at a reading of Now, with the cause
 // context.DeadlineExceeded, or when its parent is.
 func WithDeadline(parent context.Context, at time.Time) (context.Context, context.CancelFunc) {
--- a/internal/steady/suspended_linux.go
+++ b/internal/steady/suspended_linux.go
@@ -12,46 +12,53 @@
 // them.
 const minSuspension = 20 * time.Millisecond
 
-// lookInterval is how long a comparison of the clocks holds, on the monotonic clock. Chosen:
+// lookInterval is how long a comparison of the clocks holds for Now, on the monotonic clock. Chosen:
 // the two readings take 0.4 us (BenchmarkNow), and 1.6 us where the users' machines are played, and a request
-// takes some 40 readings; the machine may as well be suspended right after a comparison.
+// takes some 40 readings. A machine that was suspended within it is noticed as much later.
 const lookInterval = time.Millisecond
 
 // baseTries is how often the clocks are compared at the start. Chosen, not measured.
 const baseTries = 8
 
-var (
-	// base is what the clock that goes on was ahead of the monotonic one at the start.
-	base = firstGap()
-	// counted is the suspension that is known, in ns. It never shrinks.
-	counted atomic.Int64
-	// started and looked are when the process started and when the clocks were last compared,
-	// in ns after that.
-	started = time.Now()
-	looked  atomic.Int64
-)
+// kernel compares the clocks of this machine.
+var kernel = newComparison(gap)
+
+// comparison compares a clock that goes on while the machine is suspended with the monotonic
+// one. It is safe for concurrent use.
+type comparison struct {
+	gap     func() time.Duration // by which the one that goes on is ahead
+	base    time.Duration        // the gap at the start
+	counted atomic.Int64         // the suspension that is known, in ns; it never shrinks
+	started time.Time
+	looked  atomic.Int64 // when the clocks were last compared, in ns after started
+}
 
-// suspended compares CLOCK_BOOTTIME, which goes on, with CLOCK_MONOTONIC, which does not.
-func suspended() time.Duration {
-	since := time.Since(started)
-	if last := time.Duration(looked.Load()); since >= last && since-last < lookInterval {
-		return time.Duration(counted.Load())
+// newComparison starts a comparison. A pause between the two readings of a gap makes it smaller.
+func newComparison(gap func() time.Duration) *comparison {
+	c := &comparison{gap: gap, base: gap(), started: time.Now()}
+	for range baseTries {
+		c.base = max(c.base, gap())
 	}
-	looked.Store(int64(since))
-	known := counted.Load()
-	if now := int64(gap() - base); now-known >= int64(minSuspension) {
-		counted.CompareAndSwap(known, now)
+	return c
+}
+
+// recent returns the suspension that was known lookInterval ago, or is by now.
+func (c *comparison) recent() time.Duration {
+	since := time.Since(c.started)
+	if last := time.Duration(c.looked.Load()); since >= last && since-last < lookInterval {
+		return time.Duration(c.counted.Load())
 	}
-	return time.Duration(counted.Load())
+	c.looked.Store(int64(since))
+	return c.exact()
 }
 
-// firstGap returns the gap at the start. A pause between its two readings makes it smaller.
-func firstGap() time.Duration {
-	largest := gap()
-	for range baseTries {
-		largest = max(largest, gap())
+// exact compares the clocks.
+func (c *comparison) exact() time.Duration {
+	known := c.counted.Load()
+	if now := int64(c.gap() - c.base); now-known >= int64(minSuspension) {
+		c.counted.CompareAndSwap(known, now)
 	}
-	return largest
+	return time.Duration(c.counted.Load())
 }
 
 // gap returns by how much the clock that goes on is ahead. It is read first, so that a pause
--- a/internal/steady/suspended_other.go
+++ b/internal/steady/suspended_other.go
@@ -4,5 +4,11 @@
 
 import "time"
 
-// suspended returns 0: suspension is noticed on Linux only.
-func suspended() time.Duration { return 0 }
+// kernel notices nothing: suspension is noticed on Linux only.
+var kernel awake
+
+// awake is a machine that is never suspended.
+type awake struct{}
+
+func (awake) recent() time.Duration { return 0 }
+func (awake) exact() time.Duration  { return 0 }
