Count the time suspended in the own interface's stops, keys and greetings

The grace and the end of a stop, the wait for a key and the time in which an entry says its name were counted by timers that stand still while a machine is suspended: an hour of grace was waited for anew.

--- a/internal/process/agent.go
+++ b/internal/process/agent.go
@@ -12,6 +12,7 @@
 	"foxcross.dev/foxcross/internal/relay/endpoint"
 	"foxcross.dev/foxcross/internal/relay/link"
 	"foxcross.dev/foxcross/internal/relay/versions"
+	"foxcross.dev/foxcross/internal/steady"
 
 	"foxcross.dev/coord/dispatch"
 )
@@ -72,13 +73,14 @@
 	serving, end := context.WithCancel(context.Background())
 	defer end()
 	failed := make(chan error, 1)
+	go steady.Watch(serving)
 	go func() { failed <- a.Serve(serving, l) }()
 	select {
 	case err := <-failed:
 		return err
 	case <-first.Done():
 	}
-	stopping, cancel := context.WithTimeout(second, timeout)
+	stopping, cancel := steady.WithTimeout(second, timeout)
 	defer cancel()
 	return a.Stop(stopping)
 }
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -16,6 +16,7 @@
 	"foxcross.dev/foxcross/internal/relay/kv"
 	"foxcross.dev/foxcross/internal/relay/link"
 	"foxcross.dev/foxcross/internal/relay/versions"
+	"foxcross.dev/foxcross/internal/steady"
 
 	"foxcross.dev/coord/claim"
 )
@@ -106,6 +107,7 @@
 	o.Claims = collector
 	e = entry.New(o)
 	store.Watches = e.Watches
+	go steady.Watch(ctx)
 	go store.Watch(ctx)
 	go collector.Run(ctx)
 	go e.Run(ctx)
@@ -131,13 +133,10 @@
 // requests and waits for the answers on their way.
 func stopEntry(e *entry.Entry, callers *http.Server, c config.Entry, second context.Context) error {
 	e.StopTaking()
-	grace := time.NewTimer(config.Milliseconds(c.StopGraceMS, config.DefaultStopGrace))
-	defer grace.Stop()
-	select {
-	case <-grace.C:
-	case <-second.Done():
-	}
-	stopping, cancel := context.WithTimeout(second, config.Milliseconds(c.StopTimeoutMS, config.DefaultStopTimeout))
+	grace, end := steady.WithTimeout(second, config.Milliseconds(c.StopGraceMS, config.DefaultStopGrace))
+	defer end()
+	<-grace.Done()
+	stopping, cancel := steady.WithTimeout(second, config.Milliseconds(c.StopTimeoutMS, config.DefaultStopTimeout))
 	defer cancel()
 	return errors.Join(e.Drain(stopping), callers.Shutdown(stopping))
 }
--- a/internal/relay/agent/owner.go
+++ b/internal/relay/agent/owner.go
@@ -60,7 +60,7 @@
 
 // receiveHello waits a bounded time for the first message.
 func receiveHello(s link.Session) (message.Hello, bool) {
-	timer := time.AfterFunc(helloTimeout, s.Close)
+	timer := steady.AfterFunc(helloTimeout, s.Close)
 	defer timer.Stop()
 	m, err := s.Control().Receive()
 	if err != nil {
--- a/internal/relay/entry/handler.go
+++ b/internal/relay/entry/handler.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -12,6 +11,7 @@
 	"foxcross.dev/coord/message"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/coord/settings"
+	"foxcross.dev/foxcross/internal/steady"
 
 	"github.com/alexedwards/flow"
 )
@@ -128,7 +128,7 @@
 	if len(key) > maxKey || e.options.Claims == nil {
 		return nil, result.Errorf(result.BadKey, "at most %d bytes", maxKey)
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), k.GiveUp)
+	ctx, cancel := steady.WithTimeout(r.Context(), k.GiveUp)
 	defer cancel()
 	release, err := e.options.Claims.Claim(ctx, c.team.Name+"/"+k.Name+"/"+key)
 	if err == nil {
