Set no timer that is due when it is set

The simulation's tests once ended in the race detector, in its function SlotLock with a record that had no slot. The ticks of agents and entries began with a timer of 0, as did pauses of no time.

--- a/internal/clocks_test.go
+++ b/internal/clocks_test.go
@@ -16,6 +16,28 @@
 // clockUse is such a use. Timers and deadlines of package steady are none.
 var clockUse = regexp.MustCompile(`\b(time\.(?:Now|Since|Until|AfterFunc|NewTimer|NewTicker|After|Tick|Sleep)|context\.With(?:Timeout|Deadline)(?:Cause)?|Set(?:Read|Write)?Deadline)\(`)
 
+// dueTimer is a timer that is due when it is set.
+var dueTimer = regexp.MustCompile(`\b(?:NewTimer|Reset|AfterFunc)\(0[,)]`)
+
+// TestNoTimerIsDueWhenSet holds that nothing sets a timer that is due at once: in virtual time, under
+// the race detector, two of them in the same moment end the test (TestSleepOfNoTime in
+// internal/workers).
+func TestNoTimerIsDueWhenSet(t *testing.T) {
+	err := filepath.WalkDir(".", func(name string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || filepath.Ext(name) != ".go" || strings.HasSuffix(name, "_test.go") {
+			return err
+		}
+		data, err := os.ReadFile(name)
+		if use := dueTimer.Find(data); use != nil {
+			t.Errorf("%s: %s", name, use)
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
 // TestClocks holds that each use of a clock that stands still while a machine is suspended is
 // decided on the page, and that the page names none that is gone.
 func TestClocks(t *testing.T) {
--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -133,11 +133,14 @@
 	}
 }
 
+// leastTick is the least time until the core is looked at again. Chosen, not measured.
+const leastTick = time.Millisecond
+
 // tick calls the core when it has something to do, and sends heartbeats.
 func (a *Agent) tick(ctx context.Context) {
 	beat := time.NewTicker(a.options.Heartbeat)
 	defer beat.Stop()
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(leastTick)
 	defer timer.Stop()
 	for {
 		select {
@@ -151,7 +154,7 @@
 		a.mu.Lock()
 		now := steady.Now()
 		a.perform(a.core.Tick(now))
-		timer.Reset(max(time.Millisecond, a.core.Next(now).Sub(now)))
+		timer.Reset(max(leastTick, a.core.Next(now).Sub(now)))
 		a.mu.Unlock()
 	}
 }
--- a/internal/relay/entry/entry.go
+++ b/internal/relay/entry/entry.go
@@ -132,9 +132,12 @@
 	e.follow(ctx)
 }
 
+// leastTick is the least time until the core is looked at again. Chosen, not measured.
+const leastTick = time.Millisecond
+
 // tick calls the core when it has something to do.
 func (e *Entry) tick(ctx context.Context) {
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(leastTick)
 	defer timer.Stop()
 	for {
 		select {
@@ -146,7 +149,7 @@
 		e.mu.Lock()
 		e.perform(e.core.Tick(steady.Now()))
 		if at, ok := e.core.Next(); ok {
-			timer.Reset(max(time.Millisecond, steady.Until(at)))
+			timer.Reset(max(leastTick, steady.Until(at)))
 		}
 		e.mu.Unlock()
 	}
--- a/internal/testing/standin/card.go
+++ b/internal/testing/standin/card.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"foxcross.dev/coord/affinity"
+	"foxcross.dev/foxcross/internal/workers"
 )
 
 // Card is an accelerator that batches: every token takes longer the more
@@ -253,11 +254,7 @@
 
 // sleep waits, longer while the card is frozen.
 func (c *Card) sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+	if !workers.Sleep(ctx, d) {
 		return
 	}
 	c.mu.Lock()
