Say and count that a holder gives its lease up

After 10 s without an answer of the store the holder forgot its lease without a word, and the counter of lost duties stayed as it was. It is a move of the election now, and goes the way of every other loss.

--- a/coord/duty/duty_test.go
+++ b/coord/duty/duty_test.go
@@ -85,7 +85,12 @@
 	if e.Due(now.Add(9*time.Second), free) != duty.Renew {
 		t.Error("gives up a lease that the store may still keep")
 	}
-	if e.Due(now.Add(12*time.Second), free) != duty.Rest || e.Due(now.Add(12*time.Second), free) != duty.Try {
+	late := now.Add(12 * time.Second)
+	if e.Due(late, free) != duty.GiveUp {
+		t.Error("keeps a lease that was over for long")
+	}
+	e.Lost(late)
+	if e.Lease.Fence != 0 || e.Due(late.Add(499*time.Millisecond), free) != duty.Rest || e.Due(late.Add(500*time.Millisecond), free) != duty.Try {
 		t.Error("does not give up a lease that is long over")
 	}
 }
--- a/coord/duty/election.go
+++ b/coord/duty/election.go
@@ -37,9 +37,10 @@
 
 // The moves.
 const (
-	Rest  Move = iota // nothing is due
-	Try               // look for the holder's record, write the own one where there is none
-	Renew             // renew the lease
+	Rest   Move = iota // nothing is due
+	Try                // look for the holder's record, write the own one where there is none
+	Renew              // renew the lease
+	GiveUp             // the lease is to be taken for lost
 )
 
 // Election is what a process knows of its lease and its tries. The zero value has not tried.
@@ -57,8 +58,7 @@
 	}
 	if e.Lease.Fence != 0 {
 		if now.Sub(e.Lease.until) > giveUpAfter {
-			e.Lease = Lease{}
-			return Rest
+			return GiveUp
 		}
 		return Renew
 	}
@@ -86,7 +86,8 @@
 // RenewalFailed is told that a renewal was not answered.
 func (e *Election) RenewalFailed(at time.Time) { e.next = at.Add(renewRetry) }
 
-// Lost is told that the lease is over, by the store's word or that of a higher fence.
+// Lost is told that the lease is over, by the store's word or that of a higher fence, or that it is
+// given up.
 func (e *Election) Lost(at time.Time) {
 	e.Lease = Lease{}
 	e.next = at.Add(tryInterval)
--- a/internal/direct/duties/campaign.go
+++ b/internal/direct/duties/campaign.go
@@ -37,6 +37,8 @@
 		d.try(ctx)
 	case duty.Renew:
 		d.renew(ctx, lease)
+	case duty.GiveUp:
+		d.lose(lease.Fence, "the store has not renewed the lease for long")
 	}
 	d.announce()
 }
--- a/internal/direct/duties/simulation_test.go
+++ b/internal/direct/duties/simulation_test.go
@@ -13,6 +13,8 @@
 	"foxcross.dev/coord/duty"
 	"foxcross.dev/foxcross/internal/direct/driver"
 	"foxcross.dev/foxcross/internal/logs"
+
+	"github.com/uber-go/tally/v4"
 )
 
 // Bounds of the simulated deployments.
@@ -34,6 +36,7 @@
 	ignoreConditions bool // planted fault of the store
 	terms            func(duty.Terms) duty.Terms
 	script           func(r *run, step int) // strikes in place of random faults
+	metrics          tally.Scope            // of all entries, nil for none
 }
 
 // run is a simulated deployment.
@@ -71,6 +74,7 @@
 		Store:    reads{},
 		Records:  view{r.store, &m.cut},
 		Reporter: reporterOf{r.platform, m.name},
+		Metrics:  r.plan.metrics,
 	})
 	if r.plan.terms != nil {
 		d.election.Terms = r.plan.terms(d.election.Terms)
