Keep prompts from engines that crash under them, behind the own interface too

An agent tells which content was under way when its endpoint crashed: its entry with the end of the attempt, the others by a message, and whoever connects later. Entries hold a content as on the direct way, do not try a failed attempt of it again, and tell each other of trials and successes by an agent. Peers that do not say that they understand it are told nothing.

The states of entries and agents count ages by the clock that goes on while a machine is suspended; they compared its readings with the other clock.

--- a/coord/binding/binding_test.go
+++ b/coord/binding/binding_test.go
@@ -121,6 +121,19 @@
 		Expect(of[binding.Finish](c.End(now, s.Agent, message.End{Request: id, Attempt: 1}))).To(BeEmpty())
 	})
 
+	It("does not go on elsewhere with what is not to be tried again", func() {
+		c := newCore("a", "b")
+		id, start := started(c, request(true))
+		end := message.End{Request: id, Attempt: 1, Code: result.EndpointFailed, Run: result.Unknown}
+		Expect(c.Abandon(now, "another", end)).To(BeEmpty())
+		actions := c.Abandon(now, start.Agent, end)
+		finished := of[binding.Finish](actions)
+		Expect(finished).To(HaveLen(1))
+		Expect(finished[0].Code).To(Equal(result.EndpointFailed))
+		Expect(finished[0].Run).To(Equal(result.Unknown))
+		Expect(of[binding.Send](actions)).To(BeEmpty())
+	})
+
 	It("does not say not run when only the last attempt was not run", func() {
 		c := newCore("a", "b")
 		id, s := started(c, request(true))
--- a/coord/binding/retry.go
+++ b/coord/binding/retry.go
@@ -50,6 +50,17 @@
 	c.close(r, Finish{Request: r.id, Code: code, Run: m.Run, RetryAfter: c.retryAfter(r), End: m})
 }
 
+// Abandon is End for a request that is not to be tried again, whatever its class allows.
+func (c *Core) Abandon(now time.Time, name string, m message.End) []Action {
+	r := c.requests[m.Request]
+	if r == nil || r.state != started || r.attempt != m.Attempt || r.startedAt != name {
+		return c.take()
+	}
+	c.blame(now, c.agents[name])
+	c.close(r, Finish{Request: r.id, Code: m.Code, Run: m.Run, RetryAfter: c.retryAfter(r), End: m})
+	return c.take()
+}
+
 // again offers the request anew. The agent that had it is left out until the
 // others have been asked.
 func (c *Core) again(now time.Time, r *request) {
--- a/coord/message/message.go
+++ b/coord/message/message.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"foxcross.dev/coord/quarantine"
 	"foxcross.dev/coord/result"
 )
 
@@ -40,6 +41,7 @@
 	Name       string `cbor:"1,keyasint"`
 	DataCentre string `cbor:"2,keyasint,omitempty"`
 	Settings   uint64 `cbor:"3,keyasint,omitempty"` // highest settings version seen
+	Contents   bool   `cbor:"4,keyasint,omitempty"` // it understands Contents
 }
 
 // Offer asks an agent for a slot. No body comes with it.
@@ -85,6 +87,13 @@
 	Body       []byte    `cbor:"6,keyasint"`
 	SentText   string    `cbor:"7,keyasint,omitempty"` // answer text the caller already has
 	SentTokens int       `cbor:"8,keyasint,omitempty"` // tokens of SentText
+	Known      int       `cbor:"9,keyasint,omitempty"` // crashes that its entry counts against its content
+}
+
+// Content returns the key of what a start asks for, on behalf of the team in its terms: whoever
+// asks for the same again, by whatever entry, has the same key.
+func (m Start) Content(target string, t Terms) quarantine.Key {
+	return quarantine.KeyOf(t.Team, m.Method, target+" "+m.Path, m.Body)
 }
 
 // Field is one HTTP header field.
@@ -120,6 +129,9 @@
 	Reason       string      `cbor:"6,keyasint,omitempty"`
 	PromptTokens int         `cbor:"7,keyasint,omitempty"` // tokens of the prompt, as the engine counts
 	AnswerTokens int         `cbor:"8,keyasint,omitempty"` // tokens of this attempt's part of the answer
+	// Crash tells that the endpoint crashed under the attempt. It comes with the end, so that the
+	// entry knows before it decides what follows.
+	Crash *quarantine.CrashReport `cbor:"9,keyasint,omitempty"`
 }
 
 // Cancel stops a running attempt.
@@ -154,6 +166,15 @@
 // Leaving says that the agent takes no new work.
 type Leaving struct{}
 
+// Contents tells of contents under which endpoints have crashed, and of those that have succeeded
+// since. An agent tells its entries what it has seen and what an entry told it; an entry tells
+// its agents.
+type Contents struct {
+	Known   quarantine.Snapshot `cbor:"1,keyasint"`
+	Cleared [][]byte            `cbor:"2,keyasint,omitempty"` // keys
+	Relay   bool                `cbor:"3,keyasint,omitempty"` // the agent is to tell its other entries
+}
+
 // SettingsRequest asks a peer for a settings version it has announced. It opens
 // a stream of its own; the reply comes back on that stream.
 type SettingsRequest struct {
@@ -179,5 +200,6 @@
 func (Cancel) message()          {}
 func (Heartbeat) message()       {}
 func (Leaving) message()         {}
+func (Contents) message()        {}
 func (SettingsRequest) message() {}
 func (SettingsReply) message()   {}
--- a/coord/quarantine/report.go
+++ b/coord/quarantine/report.go
@@ -165,14 +165,25 @@
 	return s
 }
 
-// Restore takes in the snapshot of another table.
-func (t *Table) Restore(now time.Time, s Snapshot) {
+// Clear is Succeeded for what another process told of contents. What can't be right is left out.
+func (t *Table) Clear(told [][]byte) {
+	for _, x := range told {
+		if k, ok := KeyFrom(x); ok {
+			t.Succeeded(k)
+		}
+	}
+}
+
+// Restore takes in the snapshot of another table. It returns the contents that are held since by
+// the crashes in it.
+func (t *Table) Restore(now time.Time, s Snapshot) (held []Key) {
 	for _, e := range s.Crashes[:min(len(s.Crashes), maxKnownCrashes)] {
-		t.TakeCrash(now, e)
+		held = append(held, t.TakeCrash(now, e)...)
 	}
 	for _, h := range s.Holds[:min(len(s.Holds), maxKnownCrashes)] {
 		t.TakeHold(now, h)
 	}
+	return held
 }
 
 // maxAgeMS bounds an age, so that it does not overflow a time. Derived: above keepFor.
--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -12,6 +12,7 @@
 
 	"foxcross.dev/coord/dispatch"
 	"foxcross.dev/coord/message"
+	"foxcross.dev/coord/quarantine"
 	"foxcross.dev/coord/queue"
 	"foxcross.dev/foxcross/internal/lifecycle"
 	"foxcross.dev/foxcross/internal/logs"
@@ -79,6 +80,9 @@
 	recent  recent.Ring[RecentEnd]
 	onIdle  chan struct{}
 	streams int // attempts whose stream is not over
+
+	contents quarantine.Table // under which endpoints have crashed, as far as it was seen or told
+	crashes  map[string]crash // the last one of each endpoint
 }
 
 var log = logs.For("agent")
@@ -95,6 +99,7 @@
 		runs:    map[queue.Key]*run{},
 		kick:    make(chan struct{}, 1),
 		onIdle:  make(chan struct{}, 1),
+		crashes: map[string]crash{},
 		recent:  recent.Of[RecentEnd](recentSize),
 	}
 	if a.options.Heartbeat <= 0 {
@@ -163,6 +168,7 @@
 func (a *Agent) heartbeat() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.contents.Expire(steady.Now())
 	h := a.report()
 	for _, o := range a.owners {
 		o.send(h)
--- a/internal/relay/agent/dump.go
+++ b/internal/relay/agent/dump.go
@@ -6,6 +6,7 @@
 	"foxcross.dev/coord/dispatch"
 	"foxcross.dev/coord/message"
 	"foxcross.dev/foxcross/internal/lifecycle"
+	"foxcross.dev/foxcross/internal/steady"
 )
 
 // recentSize is how many ended attempts are kept for the dump. Chosen, not measured.
@@ -54,7 +55,7 @@
 		State:    a.life.State(),
 		Settings: a.version(),
 		Owners:   map[uint64]string{},
-		Dispatch: a.core.Dump(time.Now()),
+		Dispatch: a.core.Dump(steady.Now()),
 		Recent:   a.recent.Values(),
 	}
 	for id, o := range a.owners {
--- a/internal/relay/agent/owner.go
+++ b/internal/relay/agent/owner.go
@@ -19,10 +19,11 @@
 
 // owner is a connection from an entry.
 type owner struct {
-	id      uint64
-	name    string
-	session link.Session
-	outbox  chan message.Message
+	id       uint64
+	name     string
+	session  link.Session
+	outbox   chan message.Message
+	contents bool // it understands message.Contents
 }
 
 // send queues a control message. An owner that does not read is cut off.
@@ -74,10 +75,13 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.last++
-	o := &owner{id: a.last, name: h.Name, session: s, outbox: make(chan message.Message, outboxSize)}
+	o := &owner{id: a.last, name: h.Name, session: s, outbox: make(chan message.Message, outboxSize), contents: h.Contents}
 	a.owners[o.id] = o
-	o.send(message.Hello{Name: a.options.Name, DataCentre: a.options.DataCentre, Settings: a.version()})
+	o.send(message.Hello{Name: a.options.Name, DataCentre: a.options.DataCentre, Settings: a.version(), Contents: true})
 	o.send(a.report())
+	if !a.contents.Empty() {
+		o.sendContents(message.Contents{Known: a.contents.Snapshot(steady.Now(), 0)})
+	}
 	log.Infof("Entry %s connected.", h.Name)
 	return o
 }
@@ -118,6 +122,8 @@
 		a.perform(a.core.Withdraw(now, o.id, m))
 	case message.Heartbeat:
 		a.announced(o, m.Settings)
+	case message.Contents:
+		a.takeContents(now, o, m)
 	default:
 		log.Warnf("Entry %s sent an unexpected %T.", o.name, m)
 	}
--- a/internal/relay/agent/run.go
+++ b/internal/relay/agent/run.go
@@ -73,7 +73,9 @@
 	r.cancel = cancel
 	a.metrics.Tagged(map[string]string{"class": x.Terms.Class}).Counter("starts").Inc(1)
 	job := func() {
+		began := steady.Now()
 		end := a.drivers[x.Endpoint].Run(ctx, endpoint.Call{Target: x.Target, Terms: x.Terms, Start: x.Start}, r)
+		end.Crash = a.examine(ctx, x, began, end)
 		cancel()
 		a.ended(x.Key, end)
 	}
--- a/internal/relay/endpoint/chat.go
+++ b/internal/relay/endpoint/chat.go
@@ -26,6 +26,7 @@
 // with server-sent events.
 type chat struct {
 	address string
+	host    string
 	client  *http.Client
 }
 
@@ -34,7 +35,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &chat{address: base.JoinPath(chatPath).String(), client: newClient(true)}, nil
+	return &chat{address: base.JoinPath(chatPath).String(), host: hostOf(base), client: newClient(true)}, nil
 }
 
 // Run streams an answer. The engine is told the tier as its priority, and the
--- /dev/null
+++ b/internal/relay/endpoint/crashed_test.go
@@ -0,0 +1,27 @@
+package endpoint_test
+
+import (
+	"context"
+	"net/http/httptest"
+
+	"foxcross.dev/foxcross/internal/relay/endpoint"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("a driver's endpoint", func() {
+	It("has crashed if it refuses connections, and not while it takes them", func() {
+		for _, name := range []string{"http", "openai"} {
+			server := httptest.NewServer(nil)
+			factory, err := endpoint.Drivers.Get(name)
+			Expect(err).NotTo(HaveOccurred())
+			d, err := factory(endpoint.Settings{Name: "e", Address: server.URL})
+			Expect(err).NotTo(HaveOccurred())
+			x := d.(endpoint.Examiner)
+			Expect(x.Crashed(context.Background())).To(BeFalse(), name)
+			server.Close()
+			Expect(x.Crashed(context.Background())).To(BeTrue(), name)
+		}
+	})
+})
--- a/internal/relay/endpoint/endpoint.go
+++ b/internal/relay/endpoint/endpoint.go
@@ -33,6 +33,12 @@
 	Run(ctx context.Context, c Call, s Sink) message.End
 }
 
+// Examiner is a driver that can tell a crash of its endpoint from a connection that broke.
+type Examiner interface {
+	// Crashed tells, right after a call broke, whether the endpoint is gone.
+	Crashed(ctx context.Context) bool
+}
+
 // Settings describe an endpoint to its driver.
 type Settings struct {
 	Name    string
--- a/internal/relay/entry/agents.go
+++ b/internal/relay/entry/agents.go
@@ -33,6 +33,8 @@
 	outbox  chan message.Message
 	stop    context.CancelFunc
 	absent  time.Time // since when the list lacks the agent
+
+	contents bool // it understands message.Contents
 }
 
 // send queues a control message. Entry.mu is held. An agent that does not read
@@ -123,6 +125,7 @@
 		Name:       e.options.Name,
 		DataCentre: e.options.DataCentre,
 		Settings:   e.options.Settings.Version(),
+		Contents:   true,
 	}
 	if err := s.Control().Send(hello); err != nil {
 		s.Close()
@@ -149,7 +152,7 @@
 		log.Errorf("Agent %s answers at the address of %s.", h.Name, p.name)
 		return
 	}
-	if !e.connected(p, s) {
+	if !e.connected(p, s, h) {
 		return
 	}
 	defer e.disconnected(p, s)
@@ -166,13 +169,14 @@
 }
 
 // connected takes in a new connection; false if the agent was dropped meanwhile.
-func (e *Entry) connected(p *agent, s link.Session) bool {
+func (e *Entry) connected(p *agent, s link.Session, h message.Hello) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.agents[p.name] != p {
 		return false
 	}
 	p.session = s
+	p.contents = h.Contents
 	p.outbox = make(chan message.Message, outboxSize)
 	e.perform(e.core.AgentUp(steady.Now(), p.name, s.Trip()))
 	log.Infof("Agent %s connected.", p.name)
@@ -226,6 +230,8 @@
 		e.remind(p, m.Settings)
 	case message.Leaving:
 		e.core.AgentLeaving(p.name)
+	case message.Contents:
+		e.takeContents(now, p.name, m)
 	default:
 		log.Warnf("Agent %s sent an unexpected %T.", p.name, m)
 	}
--- a/internal/relay/entry/attempt.go
+++ b/internal/relay/entry/attempt.go
@@ -41,7 +41,9 @@
 		go e.ended(x.Agent, notStarted(key, "the connection is gone"))
 		return
 	}
-	a := &attempt{entry: e, key: key, agent: p.name, session: p.session, call: c, start: c.startFor(x.Attempt), cancelled: make(chan struct{})}
+	start := c.startFor(x.Attempt)
+	start.Known = e.knownCrashes(c)
+	a := &attempt{entry: e, key: key, agent: p.name, session: p.session, call: c, start: start, cancelled: make(chan struct{})}
 	e.attempts[key] = a
 	if err := e.pool.Do(a.run); err != nil {
 		delete(e.attempts, key)
@@ -64,10 +66,19 @@
 
 // ended reports the end of an attempt to the core.
 func (e *Entry) ended(agent string, m message.End) {
+	if m.Crash != nil {
+		e.takeCrash(agent, *m.Crash)
+	}
+	content, suspect := e.suspectOf(m.Request)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.attempts, attemptKey{m.Request, m.Attempt})
-	e.perform(e.core.End(steady.Now(), agent, m))
+	now := steady.Now()
+	if suspect && !e.judgeContent(now, content, m) {
+		e.perform(e.core.Abandon(now, agent, m))
+	} else {
+		e.perform(e.core.End(now, agent, m))
+	}
 	e.wake()
 }
 
--- a/internal/relay/entry/call.go
+++ b/internal/relay/entry/call.go
@@ -7,6 +7,7 @@
 
 	"foxcross.dev/coord/binding"
 	"foxcross.dev/coord/message"
+	"foxcross.dev/coord/quarantine"
 	"foxcross.dev/coord/result"
 
 	"foxcross.dev/foxcross/internal/workers"
@@ -42,6 +43,9 @@
 	request binding.Request
 	start   message.Start
 
+	hash sync.Once
+	key  quarantine.Key // of its content, once it was asked for
+
 	mu      sync.Mutex
 	sent    strings.Builder // text so far, to continue elsewhere
 	tokens  int
--- a/internal/relay/entry/dump.go
+++ b/internal/relay/entry/dump.go
@@ -5,7 +5,9 @@
 
 	"foxcross.dev/coord/binding"
 	"foxcross.dev/coord/message"
+	"foxcross.dev/coord/quarantine"
 	"foxcross.dev/foxcross/internal/lifecycle"
+	"foxcross.dev/foxcross/internal/steady"
 )
 
 // recentSize is how many finished requests are kept for the dump. Chosen, not
@@ -45,19 +47,23 @@
 	Open     int             `json:"open_requests"`
 	Binding  binding.Dump    `json:"binding"`
 	Recent   []RecentResult  `json:"recent"`
+	// Contents are those under which endpoints have crashed.
+	Contents []quarantine.State `json:"contents"`
 }
 
 // Dump returns the state.
 func (e *Entry) Dump() Dump {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	now := steady.Now()
 	return Dump{
 		Name:     e.options.Name,
 		State:    e.life.State(),
 		Settings: e.options.Settings.Version(),
 		Entries:  e.entries,
 		Open:     len(e.calls),
-		Binding:  e.core.Dump(time.Now()),
+		Binding:  e.core.Dump(now),
 		Recent:   e.recent.Values(),
+		Contents: e.contents.States(now),
 	}
 }
--- a/internal/relay/entry/entry.go
+++ b/internal/relay/entry/entry.go
@@ -14,6 +14,7 @@
 	"foxcross.dev/coord/binding"
 	"foxcross.dev/coord/limit"
 	"foxcross.dev/coord/message"
+	"foxcross.dev/coord/quarantine"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/coord/subset"
 	"foxcross.dev/foxcross/internal/lifecycle"
@@ -77,8 +78,9 @@
 	attempts map[attemptKey]*attempt
 	agents   map[string]*agent // by name, dialled or connected
 	teams    limit.Teams
-	entries  int  // live entries by the member list
-	watches  bool // among the watchers of its data centre
+	contents quarantine.Table // under which endpoints have crashed, as agents tell
+	entries  int              // live entries by the member list
+	watches  bool             // among the watchers of its data centre
 	kick     chan struct{}
 	onIdle   chan struct{}
 	recent   recent.Ring[RecentResult]
@@ -215,6 +217,12 @@
 // accept gives a request to the core.
 func (e *Entry) accept(q binding.Request, s message.Start, a limit.Allowance) (*call, *result.Error) {
 	now := steady.Now()
+	c := newCall(q, s)
+	if e.suspects() {
+		if refusal := e.checkContent(now, c.content()); refusal != nil {
+			return nil, refusal
+		}
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	team := q.Terms.Team
@@ -222,7 +230,6 @@
 	if !ok {
 		return nil, &result.Error{Code: result.TeamLimit, Run: result.NotRun, RetryAfter: retry, Reason: "team " + team}
 	}
-	c := newCall(q, s)
 	id, actions := e.core.Accept(now, q)
 	c.id = id
 	e.calls[id] = c
--- a/internal/relay/link/codec.go
+++ b/internal/relay/link/codec.go
@@ -39,6 +39,7 @@
 	message.Leaving{},
 	message.SettingsRequest{},
 	message.SettingsReply{},
+	message.Contents{},
 }
 
 var encMode, decMode = modes()
--- a/internal/testing/simulation/crashing_test.go
+++ b/internal/testing/simulation/crashing_test.go
@@ -74,6 +74,7 @@
 			time.Sleep(500 * time.Millisecond)
 		}
 		const borne = 4 // three, and one more whose retry began before its entry heard of the third
+		t.Logf("%d engines have crashed", f.crashes.Load())
 		if n := f.crashes.Load(); n > borne {
 			t.Errorf("%d engines have crashed under one prompt", n)
 		}
--- a/internal/testing/standin/engine.go
+++ b/internal/testing/standin/engine.go
@@ -136,6 +136,9 @@
 	_ = json.NewEncoder(w).Encode(map[string]int{"running": e.Load()}) // the caller may be gone
 }
 
+// Crashed implements endpoint.Examiner.
+func (e *Engine) Crashed(context.Context) bool { return e.isBroken() }
+
 // Run makes the engine a driver, for tests without a network.
 func (e *Engine) Run(ctx context.Context, c endpoint.Call, k endpoint.Sink) message.End {
 	var q engineRequest
