Fetch nothing for a content under which an endpoint has crashed

A moved part that crashes the engine which takes it looked like a content that does: the same part was fetched again at the next engine, and an innocent prompt was held after three. Its retry computes the part itself now. The test failed before.

--- a/coord/placement/choose.go
+++ b/coord/placement/choose.go
@@ -66,7 +66,9 @@
 		keepers:  t.keepersOf(r.Prompt),
 		home:     t.home(service, r.Prompt, long, size),
 	}
-	q.sources = q.findSources()
+	if !r.NoFetch {
+		q.sources = q.findSources()
+	}
 	return q
 }
 
--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -83,6 +83,7 @@
 	BetweenTokens time.Duration `cbor:"4,keyasint,omitempty"` // target between events, 0 for no stream
 	Priority      int           `cbor:"5,keyasint,omitempty"` // 0 is the most urgent
 	TimeLeft      time.Duration `cbor:"6,keyasint,omitempty"` // until its deadline, 0 for unknown
+	NoFetch       bool          `cbor:"-"`                    // nothing is fetched for it; decides the choice only
 }
 
 // firstTokenMS returns the target for the first event, at least one millisecond.
--- a/internal/direct/gateway/attempts.go
+++ b/internal/direct/gateway/attempts.go
@@ -149,6 +149,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	q.spec.TimeLeft = q.timeLeft()
+	q.spec.NoFetch = q.crashes > 0 // what was fetched may be what crashed the endpoint that took it
 	choice, ok := a.table.Choose(now, q.spec, func(id string) bool { return excluded[id] }, a.random)
 	if !ok {
 		return nil, nil
--- a/internal/direct/gateway/fetch_test.go
+++ b/internal/direct/gateway/fetch_test.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 
+	"foxcross.dev/coord/quarantine"
+	"foxcross.dev/foxcross/internal/direct/peers"
 	"foxcross.dev/foxcross/internal/testing/standin/platformtest"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -21,7 +23,7 @@
 	// that has computed it fails the second prompt if it gets it, so that this one runs at
 	// the other. It returns the address of the first and what the other was sent. Stand-ins
 	// compute a prompt in no time, so only small tokens are worth a fetch.
-	sendTwice := func(engine map[string]any) (string, http.Header) {
+	sendTwice := func(engine map[string]any, between func(w *world)) (string, http.Header) {
 		w := start(ok, ok)
 		w.engines(engine)
 		w.do(prompt(w, "ab:8000,cd:1000")).whole(200)
@@ -29,19 +31,33 @@
 		if len(keeper.Runs()) == 0 {
 			keeper, other = other, keeper
 		}
+		between(w)
 		keeper.Next(platformtest.Fail{Status: 500})
 		w.do(prompt(w, "ab:8000,ef:1000")).whole(200)
 		Expect(other.Runs()).To(HaveLen(1))
 		return keeper.Address(), other.Runs()[0].Header
 	}
 
+	fetches := map[string]any{"slots": 8, "kvCapacity": 500_000, "kvBytes": 1_000, "linkMbps": 260_000.0}
+	nothing := func(*world) {}
+
 	It("names the engine that has computed them", func() {
-		first, header := sendTwice(map[string]any{"slots": 8, "kvCapacity": 500_000, "kvBytes": 1_000, "linkMbps": 260_000.0})
+		first, header := sendTwice(fetches, nothing)
 		Expect(header.Get(platformtest.FetchField)).To(Equal(first))
 	})
 
 	It("is not asked of engines that offer none", func() {
-		_, header := sendTwice(map[string]any{"slots": 8, "kvCapacity": 500_000})
+		_, header := sendTwice(map[string]any{"slots": 8, "kvCapacity": 500_000}, nothing)
+		Expect(header).NotTo(HaveKey(platformtest.FetchField))
+	})
+
+	It("is not asked for once an engine has crashed under the prompt", func() {
+		_, header := sendTwice(fetches, func(w *world) {
+			k := quarantine.KeyOf("studio-1", http.MethodGet, routeHost+"/page/", nil)
+			w.gateway.Listener().TakeEvents(99, []peers.Event{{
+				Kind: peers.EndpointCrashed, Endpoint: "i-gone", Runs: []quarantine.RunReport{{Content: k[:]}},
+			}})
+		})
 		Expect(header).NotTo(HaveKey(platformtest.FetchField))
 	})
 })
