--- a/coord/quarantine/quarantine.go
+++ b/coord/quarantine/quarantine.go
@@ -4,15 +4,16 @@
 // Rule: a crash of an endpoint counts against each content that was under way there. It does
 // not count where the last crash that counted was less than togetherFor before and the run had
 // begun by then: what is under way at many endpoints that crash together has met one
-// misfortune, not many; but if no run of it succeeds within togetherFor after the last of
-// them, the next request is a trial. What the sender of a run knew to count when it began counts, whatever
-// the times that were told.
+// misfortune, not many. If no run of it succeeds within togetherFor after the last of
+// maxCrashes or more, the next request is a trial all the same. What the sender of a run knew to
+// count when it began counts, whatever the times that were told.
 //
 // A content with maxCrashes of them is held: it is sent to no endpoint for minHold after the
 // last one. Then one request at a time is a trial; if its endpoint crashes, the content is held
 // for holdFactor times as long as before. Where another content with as many crashes was under
 // way as well, so that it is not clear which of them is to blame, minUnclearHold to
-// maxUnclearHold take the place of minHold. A run that succeeded clears its content of all that was counted against it.
+// maxUnclearHold take the place of minHold. A run that succeeded clears its content of all that
+// was counted against it.
 //
 // Inputs: which contents were under way where an endpoint crashed, when these runs began,
 // runs that succeeded, the time. Entries tell each other of both; it does not matter in
@@ -33,8 +34,8 @@
 	// the operators bear. Fewer would hold what was twice beside misfortune.
 	maxCrashes = 3
 	// togetherFor is the time within which endpoints that crash have crashed together. Chosen,
-	// not measured: a rack that loses power takes its endpoints along within a second. Within as
-	// long a popular content succeeds elsewhere.
+	// not measured: a rack that loses power takes its endpoints along within a second, and a
+	// popular content succeeds elsewhere within as long.
 	togetherFor = time.Second
 	// minHold is how long a content is held first. Derived: of a request that crashes what
 	// runs it operators bear three sends after it is known, so that trials have to be seldom;
--- a/internal/direct/upstream/crashed.go
+++ b/internal/direct/upstream/crashed.go
@@ -4,13 +4,16 @@
 // refused nobody listens at the address any more: the endpoint has crashed. If it is taken the
 // endpoint lives, and the connection is kept for the next request. Anything else, above all
 // silence, tells nothing.
+//
 // An answer without a length ends with its connection: if the endpoint is gone then, the answer is
 // taken for broken off, since a process that crashes closes its connections as one that has finished.
 // So is, wrongly, the last such answer of an endpoint that ends within the 2 ms of the try.
+//
 // Inputs: the address, and when the connection broke.
 // Units: a connection.
-// Never: a try before a connection broke tells that the endpoint lived when it did. An endpoint that is silent or cut off counts as crashed. One that is up again before
-// the try counts as living; engines take seconds.
+// Never: a try before a connection broke tells that the endpoint lived when it did; an endpoint
+// that is silent or cut off counts as crashed. One that is up again before the try counts as
+// living; engines take seconds.
 
 package upstream
 
--- a/internal/relay/agent/contents.go
+++ b/internal/relay/agent/contents.go
@@ -42,6 +42,7 @@
 	if !ok || !d.Crashed(ctx) {
 		return nil
 	}
+	run := quarantine.Run{Content: x.Start.Content(x.Target, x.Terms), Began: began, Known: x.Start.Known}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := steady.Now()
@@ -53,7 +54,6 @@
 	case began.After(c.at):
 		return nil // it was sent to an endpoint that was gone
 	}
-	run := quarantine.Run{Content: x.Start.Content(x.Target, x.Terms), Began: began, Known: x.Start.Known}
 	a.contents.Crashed(c.name, c.at, 0, run)
 	log.With("endpoint", x.Endpoint).With("content", run.Content.String()).Info("The endpoint has crashed under a call.")
 	r := quarantine.CrashReport{
