Let operators of the own interface let a held content through

A restart of all its entries and agents was the only way. The handler is the one of the direct way; the operators' key is asked for. All entries hear of it by an agent.

--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -65,6 +65,7 @@
 	e := startEntry(running, c, store, entry.Options{Dialer: dialer, Members: platform, Metrics: scope})
 	operators, err := listen(c.Admin.Address, admin.Handler(admin.Options{
 		KeyHash: c.Admin.KeyHash, Dump: func() any { return e.Dump() }, Metrics: figures, Tree: &admin.Tree{Store: store},
+		Release: releaseHandler(e.ReleaseContent),
 	}))
 	if err != nil {
 		return err
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -183,12 +183,17 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(g.Dump()) // the caller may be gone
 	}, http.MethodGet)
-	mux.HandleFunc(releasePath, func(w http.ResponseWriter, r *http.Request) {
+	mux.Handle(releasePath, releaseHandler(g.ReleaseContent), http.MethodPost)
+	_, err := listen(settings.Metrics, mux)
+	return err
+}
+
+// releaseHandler lets the content that the path names through again.
+func releaseHandler(release func(quarantine.Key) bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		k, ok := quarantine.ParseKey(flow.Param(r.Context(), "content"))
-		if !ok || !g.ReleaseContent(k) {
+		if !ok || !release(k) {
 			http.Error(w, "nothing is held against this content", http.StatusNotFound)
 		}
-	}, http.MethodPost)
-	_, err := listen(settings.Metrics, mux)
-	return err
+	})
 }
--- a/internal/relay/admin/admin.go
+++ b/internal/relay/admin/admin.go
@@ -24,6 +24,7 @@
 	RollbackPath = "/v1/rollback"
 	StatePath    = "/v1/state"
 	MetricsPath  = "/metrics"
+	ReleasePath  = "/v1/contents/:content/release"
 )
 
 // Options are what an admin server shows.
@@ -31,7 +32,8 @@
 	KeyHash string // hash of the operators' bearer key
 	Dump    func() any
 	Metrics http.Handler
-	Tree    *Tree // nil where the process keeps none
+	Tree    *Tree        // nil where the process keeps none
+	Release http.Handler // lets a held content through again; nil where the process holds none
 }
 
 // Handler returns the routes for operators.
@@ -47,6 +49,9 @@
 		if o.Tree != nil {
 			o.Tree.routes(m)
 		}
+		if o.Release != nil {
+			m.Handle(ReleasePath, o.Release, http.MethodPost)
+		}
 	})
 	return mux
 }
--- a/internal/relay/admin/admin_test.go
+++ b/internal/relay/admin/admin_test.go
@@ -19,6 +19,7 @@
 	"foxcross.dev/coord/result"
 	"foxcross.dev/coord/settings"
 
+	"github.com/alexedwards/flow"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -66,6 +67,9 @@
 			Dump:    func() any { return map[string]string{"state": "serving"} },
 			Metrics: served,
 			Tree:    tree,
+			Release: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.WriteString(w, flow.Param(r.Context(), "content")) // to the test
+			}),
 		}))
 		DeferCleanup(server.Close)
 		key = operatorKey
@@ -102,6 +106,13 @@
 		Expect(call(http.MethodGet, "/health", "", "").status).To(Equal(http.StatusNoContent))
 	})
 
+	It("lets a content through by an operator's word alone", func() {
+		const path = "/v1/contents/0123/release"
+		Expect(call(http.MethodPost, path, "", "").body).To(Equal("0123"))
+		key = "gent-key"
+		Expect(call(http.MethodPost, path, "", "").status).To(Equal(http.StatusUnauthorized))
+	})
+
 	It("shows state and metrics", func() {
 		Expect(call(http.MethodGet, admin.StatePath, "", "").body).To(ContainSubstring("serving"))
 		Eventually(func() string { return call(http.MethodGet, admin.MetricsPath, "", "").body }, "10s").
--- a/internal/relay/entry/contents.go
+++ b/internal/relay/entry/contents.go
@@ -92,6 +92,19 @@
 	return true
 }
 
+// ReleaseContent drops what is counted against a content, by an operator's word, here and at the
+// other entries. It returns false if nothing is.
+func (e *Entry) ReleaseContent(k quarantine.Key) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.contents.Succeeded(k) {
+		return false
+	}
+	e.tellContents(message.Contents{Cleared: [][]byte{k[:]}})
+	log.With("content", k.String()).Info("A content is not held any more: an operator let it through.")
+	return true
+}
+
 // tellContents tells all agents, one of which tells the other entries. Entry.mu is held.
 func (e *Entry) tellContents(m message.Contents) {
 	m.Relay = true
--- a/internal/testing/simulation/crashing_test.go
+++ b/internal/testing/simulation/crashing_test.go
@@ -27,6 +27,7 @@
 	*simulation.Simulation
 	entries []*simulation.Entry
 	crashes atomic.Int64
+	mended  atomic.Bool // no prompt crashes an engine any more
 }
 
 func newCrashingFleet(r *simulation.Simulation, entries, engines int) *crashingFleet {
@@ -35,7 +36,7 @@
 		e := card()
 		r.AddAgent(fmt.Sprint("agent-", n), "glaze-8b", e)
 		e.OnStart = func(prompt string) {
-			if !strings.Contains(prompt, crashingPrompt) {
+			if !strings.Contains(prompt, crashingPrompt) || f.mended.Load() {
 				return
 			}
 			f.crashes.Add(1)
@@ -107,6 +108,30 @@
 	})
 }
 
+// TestReleaseOfAPrompt holds that an operator lets a prompt through at all entries, once it crashes
+// nothing any more.
+func TestReleaseOfAPrompt(t *testing.T) {
+	deployment(t, trees.Ovenhuis, func(r *simulation.Simulation) history.Rules {
+		f := newCrashingFleet(r, 3, 8)
+		for n := range 10 {
+			f.ask(n, crashingPrompt)
+			time.Sleep(500 * time.Millisecond)
+		}
+		f.mended.Store(true)
+		held := f.entries[1].Dump().Contents
+		if len(held) != 1 || !f.entries[1].ReleaseContent(held[0].Content) || f.entries[1].ReleaseContent(held[0].Content) {
+			t.Errorf("it could not be let through once: %+v", held)
+		}
+		time.Sleep(time.Second)
+		for n := range f.entries {
+			if a := f.ask(n, crashingPrompt); a.Code != result.OK {
+				t.Errorf("entry %d answers %v", n, a.Code)
+			}
+		}
+		return history.Rules{}
+	})
+}
+
 // TestPopularPromptIsServed lets engines that run a popular prompt break in turn: it succeeds
 // elsewhere in between, and is never held.
 func TestPopularPromptIsServed(t *testing.T) {
