Keep the logarithm of each slowdown

The mean slowdown was made anew of all engines at each first event of which something was learned. A decision at 1,600 engines, medians of 7 pairs beside other work: 105 us before, 68 now. The sum has the same terms in the same order, so that no decision changes.

--- a/coord/placement/bench_test.go
+++ b/coord/placement/bench_test.go
@@ -13,7 +13,8 @@
 // BenchmarkDecision measures what one request costs an entry that knows so many engines,
 // each with ten running requests: choose, place, first event, end. Beside other work 23 to
 // 38 µs at 160 engines, 24 to 29 at 400, 39 to 50 at 1,600; 210 to 270 at 200 where all
-// engines were looked at.
+// engines were looked at. Since the slowdowns' logarithms are kept 68 µs at 1,600 in place of 105,
+// medians of 7 pairs beside other work.
 func BenchmarkDecision(b *testing.B) {
 	for _, engines := range []int{160, 400, 1600} {
 		b.Run(fmt.Sprint(engines, " engines"), func(b *testing.B) { decide(b, engines, memory.Rate{}) })
--- a/coord/placement/endpoint.go
+++ b/coord/placement/endpoint.go
@@ -23,7 +23,8 @@
 	attempts  map[AttemptID]*attempt
 	cache     memory.Cache
 	prefills  []prefill // the last ones that were sent here, oldest first
-	slowdown  float64   // observed over expected time to a first event, 1 for as expected
+	slowdown  float64   // observed over expected time to a first event, 1 for as expected; set by setSlowdown
+	logFactor float64   // natural logarithm of slowdown
 	lastEvent time.Time // of any attempt of this entry
 	tokens    int       // of the open attempts, prompts and answers
 	backlog   backlog
--- a/coord/placement/health.go
+++ b/coord/placement/health.go
@@ -118,7 +118,15 @@
 	}
 	ratio := min(max(observedMS/expectedMS, 1/maxSlowdownRatio), maxSlowdownRatio)
 	weight := slowdownWeight * min(expectedMS/tellingMS, 1)
-	e.slowdown = min(max(e.slowdown*math.Pow(ratio, weight), minSlowdown), maxSlowdown)
+	e.setSlowdown(e.slowdown * math.Pow(ratio, weight))
+}
+
+// setSlowdown sets the slowdown, within its bounds. Its logarithm is kept, since each first event
+// asks for the mean of all: made anew each time, a decision at 1,600 engines took 105 us in place
+// of 68 (BenchmarkDecision, medians of 7 beside other work).
+func (e *endpoint) setSlowdown(factor float64) {
+	e.slowdown = min(max(factor, minSlowdown), maxSlowdown)
+	e.logFactor = math.Log(e.slowdown)
 }
 
 // meanSlowdown returns the geometric mean of the slowdowns of a service's endpoints. What is
@@ -128,7 +136,7 @@
 func (s *service) meanSlowdown() float64 {
 	sum := 0.0
 	for _, e := range s.endpoints {
-		sum += math.Log(e.slowdown)
+		sum += e.logFactor
 	}
 	return math.Exp(sum / float64(max(len(s.endpoints), 1)))
 }
--- a/coord/placement/snapshot.go
+++ b/coord/placement/snapshot.go
@@ -199,7 +199,7 @@
 // restoreEndpoint takes in what another table knows of an endpoint.
 func (t *Table) restoreEndpoint(now time.Time, e *endpoint, x EndpointSnapshot, parts []memory.Part) {
 	if e.slowdown == 1 && x.Slowdown > 0 {
-		e.slowdown = min(max(x.Slowdown, minSlowdown), maxSlowdown)
+		e.setSlowdown(x.Slowdown)
 	}
 	e.failures = max(e.failures, min(x.Failures, 1))
 	e.trust.Restore(x.Missing)
