Deny by an exact clock

An entry denied by settings a minute old within the millisecond in which its machine woke, when it reads the requests that came meanwhile. The test failed before.

--- a/internal/direct/gateway/deny.go
+++ b/internal/direct/gateway/deny.go
@@ -20,12 +20,14 @@
 // latest (the platform's bound on catching up).
 const currentFor = 4 * time.Second
 
-// deny returns the denial, or "not ready" if the settings may be out of date.
+// deny returns the denial, or "not ready" if the settings may be out of date. The clock is read
+// exactly: requests that came while the machine was suspended are answered as soon as it wakes.
 func (g *Gateway) deny(denial *result.Error) *result.Error {
-	if mayDeny(steady.Since(g.directory.Confirmed())) {
+	age := steady.Exact().Sub(g.directory.Confirmed())
+	if mayDeny(age) {
 		return denial
 	}
-	return notReady("the settings may be out of date", steady.Since(g.directory.Confirmed()))
+	return notReady("the settings may be out of date", age)
 }
 
 // mayDeny tells whether settings of that age since their confirmation may be
--- a/internal/direct/gateway/suspension_test.go
+++ b/internal/direct/gateway/suspension_test.go
@@ -33,11 +33,15 @@
 		Eventually(w.runners[0].Left()).Should(Receive(), "the endpoint is to stop its work")
 	})
 
-	It("denies nothing by settings that were the newest before", func() {
+	// Requests that came meanwhile are read in the millisecond in which it wakes.
+	DescribeTable("denies nothing by settings that were the newest before", func(suspend func(time.Duration) func()) {
 		w := start(ok)
 		w.get("/nothing").whole(http.StatusNotFound)
 		w.store.SetFault(platformtest.Busy)
-		DeferCleanup(suspension.Suspend(time.Minute))
+		DeferCleanup(suspend(time.Minute))
 		w.get("/nothing").whole(http.StatusServiceUnavailable)
-	})
+	},
+		Entry("once it is noticed", suspension.Suspend),
+		Entry("right after it has woken", suspension.Waken),
+	)
 })
