--- a/coord/clock/clock.go
+++ b/coord/clock/clock.go
@@ -92,22 +92,27 @@
 	}
 }
 
-// Now returns the true time at a reading of the steady clock, and of how many processes
-// the times were compared; false if none is known.
-func (e *Estimate) Now(steady time.Time) (now time.Time, compared int, ok bool) {
-	var offsets []time.Duration
-	for _, s := range e.sources {
-		if steady.Sub(s.newest.at) <= sampleLife {
-			offsets = append(offsets, s.best.offset)
-		}
-	}
+// Now returns the true time at a reading of the steady clock; false if none is known.
+func (e *Estimate) Now(steady time.Time) (now time.Time, ok bool) {
+	offsets := e.offsets(steady)
 	if len(offsets) == 0 {
-		return time.Time{}, 0, false
+		return time.Time{}, false
 	}
 	slices.Sort(offsets)
 	middle := offsets[(len(offsets)-1)/2]
 	if len(offsets)%2 == 0 {
 		middle += (offsets[len(offsets)/2] - middle) / 2
 	}
-	return time.Unix(0, 0).Add(middle + steady.Sub(e.steadyStart)), len(offsets), true
+	return time.Unix(0, 0).Add(middle + steady.Sub(e.steadyStart)), true
+}
+
+// offsets returns those of the processes whose times are compared at a reading.
+func (e *Estimate) offsets(steady time.Time) []time.Duration {
+	var all []time.Duration
+	for _, s := range e.sources {
+		if steady.Sub(s.newest.at) <= sampleLife {
+			all = append(all, s.best.offset)
+		}
+	}
+	return all
 }
--- a/coord/clock/clock_test.go
+++ b/coord/clock/clock_test.go
@@ -16,14 +16,14 @@
 	e.Observe(steady, 0, noon.Add(5*time.Second)) // the own clock has jumped
 	e.Observe(steady, 1, noon)
 	e.Observe(steady, 2, noon.Add(10*time.Millisecond))
-	now, compared, _ := e.Now(steady.Add(time.Second))
-	fmt.Println(now.UTC().Format(time.TimeOnly), compared)
+	now, _ := e.Now(steady.Add(time.Second))
+	fmt.Println(now.UTC().Format(time.TimeOnly), e.Compared(steady.Add(time.Second)))
 	// Output: 12:00:01 3
 }
 
 func TestNothingIsKnownAtFirst(t *testing.T) {
 	var e clock.Estimate
-	if _, _, ok := e.Now(time.Now()); ok {
+	if _, ok := e.Now(time.Now()); ok {
 		t.Error("a time is known of nothing")
 	}
 }
@@ -65,7 +65,8 @@
 				}
 				e.Observe(start.Add(at+held), clock.Source(n), truth.Add(at+skews[n]+jumps[n]))
 			}
-			now, compared, ok := e.Now(start.Add(at + transit))
+			now, ok := e.Now(start.Add(at + transit))
+			compared := e.Compared(start.Add(at + transit))
 			if !ok || compared != clocks {
 				t.Fatalf("seed %d, step %d: %d clocks compared", seed, step, compared)
 			}
@@ -88,7 +89,8 @@
 	}
 	later := start.Add(time.Minute)
 	e.Observe(later, 0, later)
-	now, compared, ok := e.Now(later)
+	now, ok := e.Now(later)
+	compared := e.Compared(later)
 	if !ok || compared != 1 || now.Sub(later).Abs() > time.Millisecond {
 		t.Errorf("%v of %d clocks, want %v", now, compared, later)
 	}
--- a/internal/direct/peers/usage.go
+++ b/internal/direct/peers/usage.go
@@ -167,7 +167,7 @@
 func (g *Group) TrueTime(steady time.Time) (time.Time, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now, _, ok := g.clock.Now(steady)
+	now, ok := g.clock.Now(steady)
 	return now, ok
 }
 
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -11,6 +11,7 @@
 
 	"foxcross.dev/coord/quarantine"
 	"foxcross.dev/foxcross/internal/direct/driver"
+	"foxcross.dev/foxcross/internal/direct/duties"
 	"foxcross.dev/foxcross/internal/direct/gateway"
 	"foxcross.dev/foxcross/internal/direct/peers"
 	"foxcross.dev/foxcross/internal/logs"
@@ -85,7 +86,16 @@
 	if err != nil {
 		return err
 	}
-	usage.start(running, platform.Reporter(settings), records, settings, g, group, scope)
+	usage.start(running, duties.Options{
+		Name:     settings.Name,
+		Owner:    g.Owner(),
+		Terms:    settings.Duties,
+		Group:    group,
+		Store:    g.Directory(),
+		Records:  records,
+		Reporter: platform.Reporter(settings),
+		Metrics:  scope,
+	})
 	store := countedStore{store: platform.Store(settings, g.Directory().StoreProgressed), scope: scope}
 	go g.Directory().Follow(running, store)
 	go g.Run(running)
--- a/internal/process/usageduty.go
+++ b/internal/process/usageduty.go
@@ -5,12 +5,7 @@
 	"sync/atomic"
 
 	"foxcross.dev/coord/duty"
-	"foxcross.dev/foxcross/internal/direct/driver"
 	"foxcross.dev/foxcross/internal/direct/duties"
-	"foxcross.dev/foxcross/internal/direct/gateway"
-	"foxcross.dev/foxcross/internal/direct/peers"
-
-	"github.com/uber-go/tally/v4"
 )
 
 // usageDuty lets the gateway and the group of entries, which are made before, tell the
@@ -19,20 +14,11 @@
 type usageDuty struct{ duties atomic.Pointer[duties.Duties] }
 
 // start begins the duties, if the platform asks for reports of usage.
-func (u *usageDuty) start(ctx context.Context, reporter driver.Reporter, records driver.Records, p driver.Process, g *gateway.Gateway, group *peers.Group, scope tally.Scope) {
-	if !p.Duties.Usage || p.Duties.Address == "" {
+func (u *usageDuty) start(ctx context.Context, o duties.Options) {
+	if !o.Terms.Usage || o.Terms.Address == "" {
 		return
 	}
-	d := duties.New(duties.Options{
-		Name:     p.Name,
-		Owner:    g.Owner(),
-		Terms:    p.Duties,
-		Group:    group,
-		Store:    g.Directory(),
-		Records:  records,
-		Reporter: reporter,
-		Metrics:  scope,
-	})
+	d := duties.New(o)
 	u.duties.Store(d)
 	go d.Run(ctx)
 }
