Let a try that is under way tell of a connection which broke meanwhile

Where an endpoint answers nothing a second try was made after the first, 0.2 s in place of 0.1 until the retry. What a try finds that ends after the break was so after it.

--- a/internal/direct/upstream/crashed.go
+++ b/internal/direct/upstream/crashed.go
@@ -11,7 +11,7 @@
 //
 // Inputs: the address, and when the connection broke.
 // Units: a connection.
-// Never: a try before a connection broke tells that the endpoint lived when it did; an endpoint
+// Never: a try that ended before a connection broke tells that the endpoint lived when it did; an endpoint
 // that is silent or cut off counts as crashed. One that is up again before the try counts as
 // living; engines take seconds.
 
@@ -38,28 +38,26 @@
 
 // examination is one try, by the first of the requests that broke at an endpoint.
 type examination struct {
-	done    chan struct{} // closed when crashed is set
+	done    chan struct{} // closed when the rest is set
 	begun   time.Time
+	ended   time.Time
 	crashed bool
 }
 
 // Crashed tells whether the endpoint has crashed, right after a connection to it broke at a time.
 func (p *Pool) Crashed(endpoint, address string, broke time.Time) bool {
-	for {
-		x, own := p.examination(endpoint, broke)
-		if own {
-			x.crashed = p.refused(endpoint, address)
-			close(x.done)
-		}
-		<-x.done
-		if x.crashed || !x.begun.Before(broke) {
-			return x.crashed
-		}
+	x, own := p.examination(endpoint, broke)
+	if own {
+		x.crashed = p.refused(endpoint, address)
+		x.ended = steady.Now()
+		close(x.done)
 	}
+	<-x.done
+	return x.crashed
 }
 
-// examination returns the try that tells of a connection which broke at a time, or the one under way
-// that is to be waited for. own is set if it is new, and the caller's to make.
+// examination returns the try that tells of a connection which broke at a time. own is set if it is
+// new, and the caller's to make.
 func (p *Pool) examination(endpoint string, broke time.Time) (x *examination, own bool) {
 	now := steady.Now()
 	p.mu.Lock()
@@ -75,12 +73,12 @@
 	return x, true
 }
 
-// serves tells whether a try is under way, or tells of a connection that broke at a time: it found
-// a crash lately, or was begun after that time.
+// serves tells whether a try tells of a connection that broke at a time: it is under way, so that
+// what it finds was so after that time, it found a crash lately, or it ended after that time.
 func (x *examination) serves(now, broke time.Time) bool {
 	select {
 	case <-x.done:
-		return now.Sub(x.begun) < examinedFor && (x.crashed || !x.begun.Before(broke))
+		return now.Sub(x.begun) < examinedFor && (x.crashed || !x.ended.Before(broke))
 	default:
 		return true
 	}
