--- a/internal/testing/simulation/crashing_test.go
+++ b/internal/testing/simulation/crashing_test.go
@@ -108,6 +108,39 @@
 	})
 }
 
+// TestEntriesOfOtherAgentsHear holds that a crash is told on from entry to entry by agents: in a large
+// fleet an entry keeps few of all agents, and an agent few of all entries.
+func TestEntriesOfOtherAgentsHear(t *testing.T) {
+	deployment(t, trees.Ovenhuis, func(r *simulation.Simulation) history.Rules {
+		r.Kept = 4
+		f := newCrashingFleet(r, 8, 16)
+		for range 10 {
+			f.ask(0, crashingPrompt)
+			time.Sleep(500 * time.Millisecond)
+		}
+		before := f.crashes.Load()
+		for n, e := range f.entries {
+			if a := f.ask(n, crashingPrompt); a.Code != result.Quarantined {
+				t.Errorf("%s answers %v", e.Name, a.Code)
+			}
+		}
+		if n := f.crashes.Load() - before; n != 0 {
+			t.Errorf("%d engines have crashed at entries that keep other agents", n)
+		}
+		f.mended.Store(true)
+		if !f.entries[0].ReleaseContent(f.entries[0].Dump().Contents[0].Content) {
+			t.Error("nothing was held")
+		}
+		time.Sleep(time.Second)
+		for n, e := range f.entries {
+			if a := f.ask(n, crashingPrompt); a.Code != result.OK {
+				t.Errorf("%s answers %v once it was let through", e.Name, a.Code)
+			}
+		}
+		return history.Rules{}
+	})
+}
+
 // TestReleaseOfAPrompt holds that an operator lets a prompt through at all entries, once it crashes
 // nothing any more.
 func TestReleaseOfAPrompt(t *testing.T) {
--- a/internal/testing/simulation/simulation.go
+++ b/internal/testing/simulation/simulation.go
@@ -36,6 +36,7 @@
 	Store    standin.Store
 	Recorder history.Recorder
 	Snapshot settings.Snapshot
+	Kept     int // most agents that an entry keeps, 0 for the default
 
 	mu      sync.Mutex // guards what follows
 	ctx     context.Context
@@ -216,6 +217,7 @@
 		Settings: h,
 		Seed:     uint64(len(t.entries) + 1),
 		Claims:   batcher,
+		Agents:   t.Kept,
 	}
 	e.Entry = entry.New(o)
 	e.Store.Watches = e.Watches
