Tell on what is news of contents, from entry to entry by their agents

An agent told of a crash only the entries that keep it: 9 of 620 at the size to design for. Each process tells on what was news to it now, and nothing else, so that telling ends.

The fuzz test, which now also holds that nothing is news twice, found a hold that counted for 24 hours: a time of the smallest number of ms was negated.

--- a/coord/message/message.go
+++ b/coord/message/message.go
@@ -167,12 +167,9 @@
 type Leaving struct{}
 
 // Contents tells of contents under which endpoints have crashed, and of those that have succeeded
-// since. An agent tells its entries what it has seen and what an entry told it; an entry tells
-// its agents.
+// since. An agent tells its entries, an entry its agents, each what is news to it.
 type Contents struct {
-	Known   quarantine.Snapshot `cbor:"1,keyasint"`
-	Cleared [][]byte            `cbor:"2,keyasint,omitempty"` // keys
-	Relay   bool                `cbor:"3,keyasint,omitempty"` // the agent is to tell its other entries
+	Known quarantine.Snapshot `cbor:"1,keyasint"`
 }
 
 // SettingsRequest asks a peer for a settings version it has announced. It opens
--- a/coord/quarantine/report.go
+++ b/coord/quarantine/report.go
@@ -70,13 +70,17 @@
 	return s
 }
 
-// Snapshot is what a table hands to that of a process which has just started. The forms of
-// it and of its parts are on the wire.
+// Snapshot is what a table hands to that of a process which has just started, or some of it that
+// is news. The forms of it and of its parts are on the wire.
 type Snapshot struct {
 	Crashes []CrashReport `cbor:"1,keyasint,omitempty"`
 	Holds   []HoldReport  `cbor:"2,keyasint,omitempty"`
+	Cleared [][]byte      `cbor:"3,keyasint,omitempty"` // keys of contents that have succeeded since
 }
 
+// Empty tells whether it holds nothing.
+func (s Snapshot) Empty() bool { return len(s.Crashes)+len(s.Holds)+len(s.Cleared) == 0 }
+
 // CrashReport tells of a crash of an endpoint.
 type CrashReport struct {
 	_        struct{} `cbor:",toarray"`
@@ -103,6 +107,11 @@
 	ForMS   int64 // until the next trial
 }
 
+// until returns when the next trial is, bounded, so that it does not overflow a time.
+func (r HoldReport) until(now time.Time) time.Time {
+	return now.Add(time.Duration(max(min(r.ForMS, maxAgeMS), -maxAgeMS)) * time.Millisecond)
+}
+
 // ReportOf returns what is told of a run at an endpoint that crashed at a time.
 func ReportOf(r Run, at time.Time) RunReport {
 	return RunReport{Content: r.Content[:], RanMS: at.Sub(r.Began).Milliseconds(), Known: r.Known}
@@ -138,7 +147,7 @@
 func (t *Table) TakeHold(now time.Time, r HoldReport) {
 	k, ok := KeyFrom(r.Content)
 	if ok && r.Crashes >= maxCrashes && r.ForMS <= maxHold.Milliseconds() {
-		t.Hold(k, r.Crashes, max(r.Trials, 0), ago(now, -r.ForMS))
+		t.Hold(k, r.Crashes, max(r.Trials, 0), r.until(now))
 	}
 }
 
@@ -165,25 +174,57 @@
 	return s
 }
 
-// Clear is Succeeded for what another process told of contents. What can't be right is left out.
-func (t *Table) Clear(told [][]byte) {
-	for _, x := range told {
-		if k, ok := KeyFrom(x); ok {
-			t.Succeeded(k)
+// Learn takes in what another process told. It returns the contents that are held since by the
+// crashes in it, and what of it was news, to be told on: what is known already, and what can't be
+// right, is none, so that telling on comes to an end.
+func (t *Table) Learn(now time.Time, s Snapshot) (held []Key, news Snapshot) {
+	for _, r := range s.Crashes[:min(len(s.Crashes), maxKnownCrashes)] {
+		known := t.knowsCrash(r)
+		held = append(held, t.TakeCrash(now, r)...)
+		if !known && t.knowsCrash(r) {
+			news.Crashes = append(news.Crashes, r)
+		}
+	}
+	for _, h := range s.Holds[:min(len(s.Holds), maxKnownCrashes)] {
+		known := t.knowsHold(now, h)
+		t.TakeHold(now, h)
+		if !known && t.knowsHold(now, h) {
+			news.Holds = append(news.Holds, h)
+		}
+	}
+	for _, told := range s.Cleared[:min(len(s.Cleared), maxKnownCrashes)] {
+		if k, ok := KeyFrom(told); ok && t.Succeeded(k) {
+			news.Cleared = append(news.Cleared, told)
 		}
 	}
+	return held, news
 }
 
-// Restore takes in the snapshot of another table. It returns the contents that are held since by
-// the crashes in it.
-func (t *Table) Restore(now time.Time, s Snapshot) (held []Key) {
-	for _, e := range s.Crashes[:min(len(s.Crashes), maxKnownCrashes)] {
-		held = append(held, t.TakeCrash(now, e)...)
+// knowsCrash tells whether all runs of a crash that was told are known, counted or cleared.
+func (t *Table) knowsCrash(r CrashReport) bool {
+	x := t.crashes[r.Endpoint]
+	if x == nil {
+		return false
 	}
-	for _, h := range s.Holds[:min(len(s.Holds), maxKnownCrashes)] {
-		t.TakeHold(now, h)
+	for _, run := range r.Runs {
+		if k, ok := KeyFrom(run.Content); ok {
+			if _, known := x.runs[k]; !known {
+				return false
+			}
+		}
 	}
-	return held
+	return true
+}
+
+// sameHold is by how much the ends of two holds differ at the most that are one, told on several
+// ways. Chosen: above the time that a message takes, below TrialTime.
+const sameHold = time.Second
+
+// knowsHold tells whether a hold that was told ends when the known one does.
+func (t *Table) knowsHold(now time.Time, h HoldReport) bool {
+	k, ok := KeyFrom(h.Content)
+	c := t.contents[k]
+	return ok && c != nil && h.until(now).Sub(c.until).Abs() < sameHold
 }
 
 // maxAgeMS bounds an age, so that it does not overflow a time. Derived: above keepFor.
--- a/coord/quarantine/report_test.go
+++ b/coord/quarantine/report_test.go
@@ -18,7 +18,7 @@
 	}
 	from.Succeeded(key("beside-1"))
 	from.Hold(key("told"), 4, 1, at(100))
-	to.Restore(at(10), from.Snapshot(at(10), 7))
+	to.Learn(at(10), from.Snapshot(at(10), 7))
 	for _, content := range []string{"bad", "beside-0", "beside-1", "told"} {
 		want, got := from.Verdict(at(10), key(content)), to.Verdict(at(10), key(content))
 		if got != want {
@@ -50,7 +50,7 @@
 			})
 		}
 		var started quarantine.Table
-		started.Restore(now, own.Snapshot(now, 1))
+		started.Learn(now, own.Snapshot(now, 1))
 		for name, x := range map[string]*quarantine.Table{"seen": &own, "told": &other, "handed on": &started} {
 			if n := x.Verdict(now, key("bad")).Crashes; n != 3 {
 				t.Errorf("%s: %d crashes count", name, n)
@@ -95,6 +95,36 @@
 	})
 }
 
+// TestNewsIsToldOnce holds that a table tells on what it did not know, and nothing else: processes
+// that tell each other of news would never come to an end.
+func TestNewsIsToldOnce(t *testing.T) {
+	var from, to quarantine.Table
+	crash(&from, "i-1", 1, "bad")
+	from.Hold(key("told"), 3, 1, at(100))
+	told := from.Snapshot(at(2), 7)
+	if _, news := to.Learn(at(2), told); len(news.Crashes) != 1 || len(news.Holds) != 1 {
+		t.Errorf("news: %+v", news)
+	}
+	if _, news := to.Learn(at(2.1), told); !news.Empty() {
+		t.Errorf("news again: %+v", news)
+	}
+	crash(&from, "i-1", 1, "beside")
+	if _, news := to.Learn(at(3), from.Snapshot(at(3), 7)); len(news.Crashes) != 1 {
+		t.Errorf("another run at a known crash: %+v", news)
+	}
+	k := key("bad")
+	cleared := quarantine.Snapshot{Cleared: [][]byte{k[:], []byte("no key")}}
+	if _, news := to.Learn(at(4), cleared); len(news.Cleared) != 1 {
+		t.Errorf("a content is cleared: %+v", news)
+	}
+	if _, news := to.Learn(at(4), cleared); !news.Empty() {
+		t.Errorf("a content is cleared again: %+v", news)
+	}
+	if _, news := to.Learn(at(5), from.Snapshot(at(5), 7)); len(news.Crashes) != 0 || held(&to, 5, "bad") {
+		t.Errorf("what was cleared is told again: %+v", news)
+	}
+}
+
 // FuzzReports takes in reports that no sound process sends.
 func FuzzReports(f *testing.F) {
 	f.Add([]byte("0123456789abcdef"), int64(5), int64(-5), 3)
@@ -102,10 +132,14 @@
 	f.Add([]byte(nil), int64(-1<<63), int64(-1<<63), 1<<30)
 	f.Fuzz(func(t *testing.T, content []byte, age, ran int64, crashes int) {
 		var x quarantine.Table
-		x.Restore(at(0), quarantine.Snapshot{
+		told := quarantine.Snapshot{
 			Crashes: []quarantine.CrashReport{{Endpoint: "i-1", AgeMS: age, Runs: []quarantine.RunReport{{Content: content, RanMS: ran}}}},
 			Holds:   []quarantine.HoldReport{{Content: content, Crashes: crashes, ForMS: age}},
-		})
+		}
+		x.Learn(at(0), told)
+		if _, again := x.Learn(at(0), told); !again.Empty() {
+			t.Errorf("what was told before is news: %+v", again)
+		}
 		for _, s := range x.States(at(0)) {
 			if s.ForMS > time.Hour.Milliseconds() || s.ForMS < 0 {
 				t.Errorf("a content is held for %d ms", s.ForMS)
--- a/internal/direct/gateway/suspects.go
+++ b/internal/direct/gateway/suspects.go
@@ -62,5 +62,5 @@
 }
 
 func (s *suspects) restore(now time.Time, x quarantine.Snapshot) {
-	s.update(func(t *quarantine.Table) { t.Restore(now, x) })
+	s.update(func(t *quarantine.Table) { t.Learn(now, x) })
 }
--- a/internal/relay/agent/contents.go
+++ b/internal/relay/agent/contents.go
@@ -2,9 +2,9 @@
 //
 // Rule: a call that the endpoint was given and that broke, without having been stopped, counts if
 // the endpoint turns out to be gone; calls that break within sameCrashFor belong to one crash. The
-// agent tells all its entries, and one that connects later. What an entry tells of a trial or a
-// success is told on to the others.
-// Units: a message to each entry for each call that a crash broke.
+// agent tells all its entries, and one that connects later. What an entry tells is told on to the
+// others if it was news, so that entries hear of each other that keep no agent in common.
+// Units: a message to each entry for each call that a crash broke, a trial or a success.
 // Never: the agent refuses a call by what it knows; its entries do (internal/relay/entry).
 
 package agent
@@ -59,32 +59,28 @@
 	r := quarantine.CrashReport{
 		Endpoint: c.name, AgeMS: now.Sub(c.at).Milliseconds(), Runs: []quarantine.RunReport{quarantine.ReportOf(run, c.at)},
 	}
-	a.tellContents(0, message.Contents{Known: quarantine.Snapshot{Crashes: []quarantine.CrashReport{r}}})
+	a.tellContents(0, quarantine.Snapshot{Crashes: []quarantine.CrashReport{r}})
 	return &r
 }
 
-// takeContents takes in what an entry tells, and tells the others if it is to. Agent.mu is held.
+// takeContents takes in what an entry tells, and tells the others what is news. Agent.mu is held.
 func (a *Agent) takeContents(now time.Time, o *owner, m message.Contents) {
-	a.contents.Restore(now, m.Known)
-	a.contents.Clear(m.Cleared)
-	if m.Relay {
-		m.Relay = false
-		a.tellContents(o.id, m)
-	}
+	_, news := a.contents.Learn(now, m.Known)
+	a.tellContents(o.id, news)
 }
 
 // tellContents tells all entries but one. Agent.mu is held.
-func (a *Agent) tellContents(but uint64, m message.Contents) {
+func (a *Agent) tellContents(but uint64, s quarantine.Snapshot) {
 	for _, o := range a.owners {
 		if o.id != but {
-			o.sendContents(m)
+			o.sendContents(s)
 		}
 	}
 }
 
-// sendContents is send, to an entry that understands it.
-func (o *owner) sendContents(m message.Contents) {
-	if o.contents {
-		o.send(m)
+// sendContents tells an entry, if it understands it and there is anything to tell.
+func (o *owner) sendContents(s quarantine.Snapshot) {
+	if o.contents && !s.Empty() {
+		o.send(message.Contents{Known: s})
 	}
 }
--- a/internal/relay/agent/owner.go
+++ b/internal/relay/agent/owner.go
@@ -79,9 +79,7 @@
 	a.owners[o.id] = o
 	o.send(message.Hello{Name: a.options.Name, DataCentre: a.options.DataCentre, Settings: a.version(), Contents: true})
 	o.send(a.report())
-	if !a.contents.Empty() {
-		o.sendContents(message.Contents{Known: a.contents.Snapshot(steady.Now(), 0)})
-	}
+	o.sendContents(a.contents.Snapshot(steady.Now(), 0))
 	log.Infof("Entry %s connected.", h.Name)
 	return o
 }
--- a/internal/relay/entry/agents.go
+++ b/internal/relay/entry/agents.go
@@ -231,7 +231,7 @@
 	case message.Leaving:
 		e.core.AgentLeaving(p.name)
 	case message.Contents:
-		e.takeContents(now, p.name, m)
+		e.takeContents(now, p.name, m.Known)
 	default:
 		log.Warnf("Agent %s sent an unexpected %T.", p.name, m)
 	}
--- a/internal/relay/entry/contents.go
+++ b/internal/relay/entry/contents.go
@@ -75,9 +75,9 @@
 	if v.Doubtful {
 		return // others are told of what is certain
 	}
-	e.tellContents(message.Contents{Known: quarantine.Snapshot{Holds: []quarantine.HoldReport{{
+	e.tellContents("", quarantine.Snapshot{Holds: []quarantine.HoldReport{{
 		Content: k[:], Crashes: v.Crashes, Trials: v.Trials + 1, ForMS: quarantine.TrialTime.Milliseconds(),
-	}}}})
+	}}})
 }
 
 // judgeContent takes in what the end of an attempt says of its content. It returns whether the
@@ -87,7 +87,7 @@
 		return m.Run == result.NotRun || !e.contents.Verdict(now, k).Held
 	}
 	if e.contents.Succeeded(k) {
-		e.tellContents(message.Contents{Cleared: [][]byte{k[:]}})
+		e.tellContents("", quarantine.Snapshot{Cleared: [][]byte{k[:]}})
 	}
 	return true
 }
@@ -100,18 +100,19 @@
 	if !e.contents.Succeeded(k) {
 		return false
 	}
-	e.tellContents(message.Contents{Cleared: [][]byte{k[:]}})
+	e.tellContents("", quarantine.Snapshot{Cleared: [][]byte{k[:]}})
 	log.With("content", k.String()).Info("A content is not held any more: an operator let it through.")
 	return true
 }
 
-// tellContents tells all agents, one of which tells the other entries. Entry.mu is held.
-func (e *Entry) tellContents(m message.Contents) {
-	m.Relay = true
+// tellContents tells all agents but one. Entry.mu is held.
+func (e *Entry) tellContents(but string, s quarantine.Snapshot) {
+	if s.Empty() {
+		return
+	}
 	for _, p := range e.agents {
-		if p.session != nil && p.contents {
-			p.send(m)
-			m.Relay = false
+		if p.name != but && p.session != nil && p.contents {
+			p.send(message.Contents{Known: s})
 		}
 	}
 }
@@ -128,15 +129,17 @@
 func (e *Entry) takeCrash(agent string, r quarantine.CrashReport) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.takeContents(steady.Now(), agent, message.Contents{Known: quarantine.Snapshot{Crashes: []quarantine.CrashReport{r}}})
+	e.takeContents(steady.Now(), agent, quarantine.Snapshot{Crashes: []quarantine.CrashReport{r}})
 }
 
-// takeContents takes in what an agent tells. Entry.mu is held.
-func (e *Entry) takeContents(now time.Time, agent string, m message.Contents) {
-	for _, k := range e.contents.Restore(now, m.Known) {
+// takeContents takes in what an agent tells, and tells the other agents what is news. Entry.mu is
+// held.
+func (e *Entry) takeContents(now time.Time, agent string, s quarantine.Snapshot) {
+	held, news := e.contents.Learn(now, s)
+	for _, k := range held {
 		s := e.contents.State(now, k)
 		log.With("content", k.String()).With("crashes", s.Crashes).With("endpoints", s.Endpoints).With("held_for_ms", s.ForMS).
 			With("told_by", agent).Warnf("Endpoints have crashed under one content; it is held.")
 	}
-	e.contents.Clear(m.Cleared)
+	e.tellContents(agent, news)
 }
