--- a/internal/relay/entry/contents.go
+++ b/internal/relay/entry/contents.go
@@ -137,9 +137,9 @@
 func (e *Entry) takeContents(now time.Time, agent string, s quarantine.Snapshot) {
 	held, news := e.contents.Learn(now, s)
 	for _, k := range held {
-		s := e.contents.State(now, k)
-		log.With("content", k.String()).With("crashes", s.Crashes).With("endpoints", s.Endpoints).With("held_for_ms", s.ForMS).
-			With("told_by", agent).Warnf("Endpoints have crashed under one content; it is held.")
+		state := e.contents.State(now, k)
+		log.With("content", k.String()).With("crashes", state.Crashes).With("endpoints", state.Endpoints).
+			With("held_for_ms", state.ForMS).With("told_by", agent).Warnf("Endpoints have crashed under one content; it is held.")
 	}
 	e.tellContents(agent, news)
 }
