--- a/internal/testing/soak/entry.go
+++ b/internal/testing/soak/entry.go
@@ -43,6 +43,7 @@
 	began   time.Time
 	life    int // counts the starts
 	ended   chan struct{}
+	outcome string // of the last life that has ended
 }
 
 // Rates of links to the store, in 10^6 bits a second.
@@ -117,10 +118,14 @@
 	e.command = c
 	e.began = time.Now()
 	e.life++
+	life := e.life
 	ended := make(chan struct{})
 	e.ended = ended
 	go func() {
 		_ = c.Wait() // a killed process ends with an error
+		e.mu.Lock()
+		e.outcome = fmt.Sprintf("life %d: %s", life, c.ProcessState)
+		e.mu.Unlock()
 		close(ended)
 	}()
 	return nil
@@ -137,6 +142,18 @@
 	}
 }
 
+// fate says how the process ended, if it does not run.
+func (e *entry) fate() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	select {
+	case <-e.ended:
+		return ", ended, " + e.outcome
+	default:
+		return ""
+	}
+}
+
 // settled tells whether the process has had the time to take signals.
 func (e *entry) settled() bool {
 	e.mu.Lock()
--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -177,7 +177,7 @@
 	want := d.version
 	d.mu.Unlock()
 	if version, ok := e.settingsVersion(ctx); !ok || version != want {
-		return fmt.Sprintf("settings %d in force, not %d", version, want)
+		return fmt.Sprintf("settings %d in force, not %d%s", version, want, e.fate())
 	}
 	for _, k := range kinds {
 		if s := d.request(ctx, e, k); s.status != 200 {
