Send the soak's SIGHUP to no process that has not run for 0.3 s, time frozen left out

An entry frozen within 30 ms of its start had not set up its signals, and ended by a SIGHUP that came while it stood still; nothing in the program can prevent that. SIGHUP still meets frozen entries that had run.

--- a/internal/testing/soak/entry.go
+++ b/internal/testing/soak/entry.go
@@ -41,7 +41,9 @@
 	mu      sync.Mutex
 	command *exec.Cmd
 	began   time.Time
-	life    int // counts the starts
+	frozen  time.Time     // since when it stands still, zero if it runs
+	stood   time.Duration // for which it stood still before, since it began
+	life    int           // counts the starts
 	ended   chan struct{}
 	outcome string // of the last life that has ended
 }
@@ -116,7 +118,7 @@
 		return fmt.Errorf("soak: %s: %w", e.name, err)
 	}
 	e.command = c
-	e.began = time.Now()
+	e.began, e.frozen, e.stood = time.Now(), time.Time{}, 0
 	e.life++
 	life := e.life
 	ended := make(chan struct{})
@@ -154,14 +156,33 @@
 	}
 }
 
-// settled tells whether the process has had the time to take signals.
+// settled tells whether the process has had the time to take signals: one that was frozen when it
+// had just started has not, however long ago that was, and ends by the first one when it wakes.
 func (e *entry) settled() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return time.Since(e.began) > settleTime
+	ran := time.Since(e.began) - e.stood
+	if !e.frozen.IsZero() {
+		ran -= time.Since(e.frozen)
+	}
+	return ran > settleTime
+}
+
+// freeze lets the process stand still for a time.
+func (e *entry) freeze(length time.Duration) {
+	e.signal(syscall.SIGSTOP)
+	e.mu.Lock()
+	e.frozen = time.Now()
+	e.mu.Unlock()
+	time.Sleep(length)
+	e.mu.Lock()
+	e.stood += time.Since(e.frozen)
+	e.frozen = time.Time{}
+	e.mu.Unlock()
+	e.signal(syscall.SIGCONT)
 }
 
-// settleTime is how long after its start a process may not take signals yet.
+// settleTime is how long a process has to have run until it takes signals.
 const settleTime = 300 * time.Millisecond
 
 // awaitEnd waits for the end of the process and ends it by force after a time.
--- a/internal/testing/soak/faults.go
+++ b/internal/testing/soak/faults.go
@@ -114,11 +114,9 @@
 	e := d.entry()
 	e.restarting.Lock()
 	defer e.restarting.Unlock()
-	e.signal(syscall.SIGSTOP)
 	d.history.disturb(time.Now())
-	time.Sleep(lasting(amount, longestFreeze))
+	e.freeze(lasting(amount, longestFreeze))
 	d.history.disturb(time.Now())
-	e.signal(syscall.SIGCONT)
 }
 
 // storeFault lets the store fail in one way and work again.
