Name the tests of several entries after what they are, not after one fault

Their package was named after requests that crash endpoints; endpoints that name a limit are to be tested with the same entries. No code changed.

--- a/internal/testing/crashing/crashing_test.go
+++ b/internal/testing/fleet/crashing_test.go
@@ -1,4 +1,4 @@
-package crashing_test
+package fleet_test
 
 // What users saw: a few requests came again and again, at any entry. Each brought down the
 // engine that began to run it, 43 and 44 engines in half a minute, and in the worst seconds
--- a/internal/testing/crashing/hearing_test.go
+++ b/internal/testing/fleet/hearing_test.go
@@ -1,4 +1,4 @@
-package crashing_test
+package fleet_test
 
 import (
 	"context"
