Log the limit that an endpoint's answer names

The logs could not tell entries that know nothing of a limit from entries that could not know it in time: no line said what an answer carried. Nothing is decided by it. The stand-in of endpoints can name one. Packages of the direct way tested.

--- a/internal/direct/explain/explain.go
+++ b/internal/direct/explain/explain.go
@@ -77,6 +77,9 @@
 		fmt.Fprintf(w, "  send %d to %s: %s\n", n+1, s.Endpoint, s.Outcome)
 		fmt.Fprintf(w, "    expected: %.0f ms of waiting, first event after %.0f ms, %d tokens to read, slowness %.2f\n",
 			s.WaitMS, s.FirstMS, s.PrefillTokens, s.Slowdown)
+		if s.Limit != "" {
+			fmt.Fprintf(w, "    its answer named a limit of %s requests a second\n", s.Limit)
+		}
 		if s.FetchedTokens > 0 {
 			fmt.Fprintf(w, "    fetches %d tokens from %s, expected to take %.0f ms\n", s.FetchedTokens, s.Source, s.FetchMS)
 		}
--- a/internal/direct/explain/explain_test.go
+++ b/internal/direct/explain/explain_test.go
@@ -36,3 +36,14 @@
 		t.Error("a line beyond the bound was taken")
 	}
 }
+
+func TestStoryTellsOfNamedLimits(t *testing.T) {
+	const log = `{"fields":{"request":"a","code":1000,"sends":[{"endpoint":"i-1","outcome":"status 200","limit":"2.2"}]}}`
+	var out bytes.Buffer
+	if _, err := explain.Story(&out, strings.NewReader(log), "a"); err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(out.String(), "named a limit of 2.2 requests a second") {
+		t.Error(out.String())
+	}
+}
--- a/internal/direct/gateway/attempts.go
+++ b/internal/direct/gateway/attempts.go
@@ -29,6 +29,7 @@
 	crashes int    // that counted against the request's content then
 	begun   bool   // its first event has come
 	outcome string // for the log
+	limit   string // that its answer named, as it stood there
 	bytes   int    // of its answer's body that were passed on
 }
 
--- a/internal/direct/gateway/forward.go
+++ b/internal/direct/gateway/forward.go
@@ -90,7 +90,7 @@
 func (f *forwarding) send(a *attempt, lastEvent string) (*upstream.Answer, error) {
 	q := f.request
 	r := q.incoming
-	return f.gateway.pool.Do(f.ctx, f.gateway.answers, &upstream.Request{
+	answer, err := f.gateway.pool.Do(f.ctx, f.gateway.answers, &upstream.Request{
 		Endpoint: a.endpoint().Incarnation(),
 		Address:  a.endpoint().Address,
 		Method:   r.Method,
@@ -101,6 +101,10 @@
 		HasBody:  r.ContentLength != 0 || r.Header.Get("Content-Length") != "",
 		ID:       q.id,
 	})
+	if err == nil {
+		a.limit = namedLimit(answer.Header.Values(f.gateway.fields.Limit))
+	}
+	return answer, err
 }
 
 // eventOf returns what a send brought.
--- a/internal/direct/gateway/report.go
+++ b/internal/direct/gateway/report.go
@@ -55,7 +55,9 @@
 func (q *request) records() []record.Attempt {
 	all := make([]record.Attempt, 0, len(q.attempts))
 	for _, a := range q.attempts {
-		all = append(all, record.AttemptOf(a.choice, a.outcome))
+		r := record.AttemptOf(a.choice, a.outcome)
+		r.Limit = a.limit
+		all = append(all, r)
 	}
 	return all
 }
--- a/internal/direct/record/record.go
+++ b/internal/direct/record/record.go
@@ -69,6 +69,7 @@
 	Source        string          `json:"fetched_from,omitempty"`
 	FetchedTokens int             `json:"fetched,omitempty"`
 	FetchMS       float64         `json:"expected_fetch_ms,omitempty"`
+	Limit         string          `json:"limit,omitempty"` // that the answer named, as it stood there
 }
 
 // AttemptOf returns the record of an attempt.
--- a/internal/testing/standin/platformtest/runner.go
+++ b/internal/testing/standin/platformtest/runner.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -22,6 +23,7 @@
 	InstanceField  = "X-Instance-Id"
 	NotRunField    = "X-Not-Executed"
 	SealField      = "X-Response-Seal"
+	LimitField     = "Server-Limit" // requests a second from all callers together
 	LastEventField = "Last-Event-Id"
 	FetchField     = "Kv-Fetch"
 	TokensField    = "X-Token-Usage" // of the prompt and, at the most, of the answer
@@ -60,6 +62,7 @@
 	script []Act   // for the next requests, then rest
 	shared *Script // before all others, nil for none
 	rest   Act
+	limit  []string // that its answers name, each in a field of its own
 	runs   []Run
 	conns  map[net.Conn]bool
 	memory memory
@@ -87,6 +90,14 @@
 	r.script = append(r.script, acts...)
 }
 
+// NameLimit sets what the next answers name as the limit, each value in a field of its own; no
+// value for none.
+func (r *Runner) NameLimit(values ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limit = values
+}
+
 // Runs returns the requests that were begun.
 func (r *Runner) Runs() []Run {
 	r.mu.Lock()
@@ -217,7 +228,7 @@
 	}
 	if e, early := r.peek().(Early); early {
 		r.take(q, nil)
-		write(c, "%s", head(e.Status, id, "Content-Length: 0\r\n"))
+		write(c, "%s", r.head(e.Status, id, "Content-Length: 0\r\n"))
 		_, _ = io.Copy(io.Discard, q.Body) // the caller may be gone
 		return true
 	}
@@ -227,19 +238,19 @@
 	}
 	switch a := r.take(q, body).(type) {
 	case Answer:
-		write(c, "%s%s", head(a.Status, id, length(a.Body)), a.Body)
+		write(c, "%s%s", r.head(a.Status, id, length(a.Body)), a.Body)
 		return true
 	case Refuse:
-		write(c, "HTTP/1.1 %d %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", a.Status, http.StatusText(a.Status), NotRunField)
+		write(c, "HTTP/1.1 %d %s\r\n%s: 1\r\n%sContent-Length: 0\r\n\r\n", a.Status, http.StatusText(a.Status), NotRunField, r.limitFields())
 		return true
 	case Fail:
-		write(c, "%s", head(a.Status, id, "Content-Length: 0\r\n"))
+		write(c, "%s", r.head(a.Status, id, "Content-Length: 0\r\n"))
 		return true
 	case Break:
 		return reset(c)
 	case Crash:
 		if a.Begun != "" {
-			write(c, "%s%s", head(http.StatusOK, id, "Connection: close\r\n"), a.Begun)
+			write(c, "%s%s", r.head(http.StatusOK, id, "Connection: close\r\n"), a.Begun)
 		}
 		if a.After != nil {
 			<-a.After
@@ -247,20 +258,20 @@
 		r.Close()
 		return false
 	case Cut:
-		write(c, "%sbroken", head(http.StatusOK, id, "Content-Length: 100\r\n"))
+		write(c, "%sbroken", r.head(http.StatusOK, id, "Content-Length: 100\r\n"))
 		return false
 	case Unframed:
-		write(c, "%s%s", head(http.StatusOK, id, "Connection: close\r\n"), a.Body)
+		write(c, "%s%s", r.head(http.StatusOK, id, "Connection: close\r\n"), a.Body)
 		if a.Broken {
 			time.Sleep(settle) // the bytes are to arrive before the reset
 			return reset(c)
 		}
 		return false
 	case Surplus:
-		write(c, "%swrong%sright", head(http.StatusOK, "another", length("wrong")), head(http.StatusOK, id, length("right")))
+		write(c, "%swrong%sright", r.head(http.StatusOK, "another", length("wrong")), r.head(http.StatusOK, id, length("right")))
 		return true
 	case Twice:
-		write(c, "%sright%swrong", head(http.StatusOK, id, length("right")), head(http.StatusOK, id, length("wrong")))
+		write(c, "%sright%swrong", r.head(http.StatusOK, id, length("right")), r.head(http.StatusOK, id, length("wrong")))
 		return true
 	case Garbage:
 		write(c, "these bytes are no answer\r\n\r\n")
@@ -295,7 +306,7 @@
 	if last, err := strconv.Atoi(q.Header.Get(LastEventField)); err == nil {
 		from = last + 1
 	}
-	write(c, "%s", head(http.StatusOK, id, InstanceField+": "+r.ID+"\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"))
+	write(c, "%s", r.head(http.StatusOK, id, InstanceField+": "+r.ID+"\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"))
 	r.prefill(q.Header, a.Token)
 	for n := from; n <= a.To; n++ {
 		time.Sleep(a.Pause)
@@ -313,9 +324,20 @@
 	return true
 }
 
-func head(status int, id, more string) string {
-	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: seal-%s\r\n%s\r\n",
-		status, http.StatusText(status), RequestIDField, id, SealField, id, more)
+func (r *Runner) head(status int, id, more string) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: seal-%s\r\n%s%s\r\n",
+		status, http.StatusText(status), RequestIDField, id, SealField, id, r.limitFields(), more)
+}
+
+// limitFields are the lines of an answer's head that name the limit.
+func (r *Runner) limitFields() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var lines strings.Builder
+	for _, v := range r.limit {
+		fmt.Fprintf(&lines, "%s: %s\r\n", LimitField, v)
+	}
+	return lines.String()
 }
 
 func length(body string) string { return fmt.Sprintf("Content-Length: %d\r\n", len(body)) }
