Send an endpoint that names a limit no more than it names, from all entries together

What callers saw: engines in need named the requests a second that they take and got as many as before, 30 in 4 s of 17, so that requests ran at engines that had asked for less while others had room.

Cause: nothing read what an answer says of its endpoint. Attempts of all entries are counted by each, but only to know how busy an endpoint is; the one rule that bounds what all entries together send, that of warm-ups, knew its rate from settings and its end from the start.

Why this works: each answer's head is looked at where every send comes back, so that first attempts, retries, resumed streams and trials all report. A limit ends with a success that names none and whose request was sent after the last answer that named one had come; what was asked for before an end brings nothing back. Placement asks the rule for each candidate. It belongs to one start of an endpoint. Limits of zero are raised to one request in 20 s, and what is no number is logged and left out. Where all endpoints are limited the caller is told when there is room (code 1212).

The rate is shared by coord/eligibility/pace.go, which warm-ups use as well in place of their window and spacing: a token bucket of all sends as heard, scaled by the share of entries that are heard, and a chance that keeps what is sent before news comes at about the rate, learned from the sends.

TestWarmup: the distance of two sends is now that of the rate, not of half of it, since tokens count them; it is held to the millisecond, as before.

--- a/coord/eligibility/eligibility.go
+++ b/coord/eligibility/eligibility.go
@@ -7,8 +7,10 @@
 //   - outside the regions that the request's class and team are served in, each of which
 //     binds (regions.go);
 //   - in a data centre that operators have evacuated;
-//   - while it warms up and has been sent as much as it bears, of which each entry takes no
-//     more than its part (warmup.go).
+//   - while it warms up and has been sent as much as it bears (warmup.go);
+//   - while its answers name a limit and it has been sent as much (limit.go).
+//
+// Both count by one rule what all entries together send (pace.go).
 //
 // Inputs: the request's regions, where the endpoint is, the attempts that all entries have
 // sent to it lately, the number of entries, the time.
@@ -24,6 +26,7 @@
 // The reasons, from the one that passes the soonest to the one that lasts longest.
 const (
 	Eligible       Reason = iota
+	Limited               // it has been sent as much as it names as its limit
 	WarmingUp             // it has been sent as much as it bears while it warms up
 	Evacuated             // its data centre is evacuated
 	OutsideRegions        // the request may not be served in its region
@@ -34,6 +37,8 @@
 	switch r {
 	case Eligible:
 		return "eligible"
+	case Limited:
+		return "at its limit"
 	case WarmingUp:
 		return "warming up"
 	case Evacuated:
--- /dev/null
+++ b/coord/eligibility/limit_test.go
@@ -0,0 +1,153 @@
+package eligibility_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"foxcross.dev/coord/eligibility"
+)
+
+// after returns a time of the tests.
+func after(ms int) time.Time { return origin.Add(time.Duration(ms) * time.Millisecond) }
+
+// word is what an answer says that was asked for and came at times in ms.
+func word(perSecond float64, sentMS, cameMS int) eligibility.Word {
+	return eligibility.Word{PerSecond: perSecond, Sent: after(sentMS), Came: after(cameMS)}
+}
+
+// An endpoint names a limit, which ends with the first answer without one whose request was sent
+// later.
+func ExampleLimit() {
+	var l eligibility.Limit
+	l.Take(word(2.5, 0, 100))
+	fmt.Println(l.PerSecond())
+	l.Take(word(0, 50, 300)) // was sent before the limit was known
+	fmt.Println(l.PerSecond())
+	l.Take(word(0, 200, 400))
+	fmt.Println(l.PerSecond())
+	// Output:
+	// 2.5
+	// 2.5
+	// 0
+}
+
+func TestWordsOfLimitsInAnyOrder(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		words []eligibility.Word
+		want  float64
+	}{
+		{"none is named", []eligibility.Word{word(0, 0, 10)}, 0},
+		{"named", []eligibility.Word{word(2, 0, 10)}, 2},
+		{"an answer without it that was asked for before ends nothing", []eligibility.Word{word(2, 0, 100), word(0, 90, 200)}, 2},
+		{"a later answer without it ends it", []eligibility.Word{word(2, 0, 100), word(0, 200, 300)}, 0},
+		{"it moves", []eligibility.Word{word(2, 0, 100), word(3.4, 50, 200)}, 3.4},
+		{"an older answer does not move it back", []eligibility.Word{word(3.4, 50, 200), word(2, 0, 100)}, 3.4},
+		{"an answer that was asked for before the end brings nothing back", []eligibility.Word{word(2, 0, 100), word(0, 200, 300), word(2, 150, 400)}, 0},
+		{"the same word twice", []eligibility.Word{word(2, 0, 100), word(0, 200, 300), word(2, 0, 100)}, 0},
+		{"named again", []eligibility.Word{word(2, 0, 100), word(0, 200, 300), word(1, 350, 400)}, 1},
+		{"no less than is kept to", []eligibility.Word{word(1e-300, 0, 100)}, eligibility.MinLimit},
+		{"no more than is kept to", []eligibility.Word{word(1e300, 0, 100)}, eligibility.MaxLimit},
+	} {
+		var l eligibility.Limit
+		for _, w := range c.words {
+			l.Take(w)
+		}
+		if l.PerSecond() != c.want {
+			t.Errorf("%s: %g, want %g", c.name, l.PerSecond(), c.want)
+		}
+	}
+}
+
+// TestLimitNeverComesBackByOlderWords tells entries of answers in any order, late and twice, and
+// expects that none believes in a limit that it knows to be over, and that all agree on the truth
+// once they have heard of an answer that was asked for after all others had come.
+func TestLimitNeverComesBackByOlderWords(t *testing.T) {
+	const needEnds = 5000
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		var words []eligibility.Word
+		for range 60 {
+			sent := random.IntN(10_000)
+			came := sent + random.IntN(3000)
+			begun := sent + random.IntN(came-sent+1) // when the endpoint wrote the answer's head
+			limit := 0.0
+			if begun < needEnds {
+				limit = 2
+			}
+			words = append(words, word(limit, sent, came))
+		}
+		var l eligibility.Limit
+		var over time.Time
+		for _, n := range append(random.Perm(len(words)), random.Perm(len(words))...) {
+			w := words[n]
+			change := l.Take(w)
+			if change == eligibility.Ended {
+				over = w.Sent
+			}
+			if change == eligibility.Began && w.Sent.Before(over) {
+				t.Fatalf("seed %d: a request sent at %v brings back what one of %v ended", seed, w.Sent, over)
+			}
+		}
+		l.Take(word(0, 14_000, 14_100))
+		if l.Limited() {
+			t.Fatalf("seed %d: a limit that is over stands", seed)
+		}
+	}
+}
+
+func TestLimitIsToldAtOnceThenNowAndThen(t *testing.T) {
+	var l eligibility.Limit
+	if l.Tell(after(0), l.Take(word(0, 0, 1))) {
+		t.Error("it is told that there is no limit where there was none")
+	}
+	if !l.Tell(after(100), l.Take(word(2, 0, 100))) {
+		t.Error("a limit is not told")
+	}
+	if l.Tell(after(110), l.Take(word(2, 0, 110))) || !l.Tell(after(400), l.Take(word(2, 0, 400))) {
+		t.Error("a limit that stands is not told now and then")
+	}
+	if !l.Tell(after(700), l.Take(word(0, 600, 700))) || !l.Tell(after(1000), l.Take(word(0, 900, 1000))) {
+		t.Error("it is not told that a limit is over")
+	}
+	if l.Tell(after(100_000), l.Take(word(0, 99_000, 100_000))) {
+		t.Error("it is told for ever that a limit is over")
+	}
+}
+
+// TestExtremeLimits holds that no limit that can be taken in shuts an endpoint, or spoils what is
+// counted.
+func TestExtremeLimits(t *testing.T) {
+	for _, perSecond := range []float64{math.SmallestNonzeroFloat64, 1e-9, 0.3, 1e300, math.MaxFloat64} {
+		for _, g := range []eligibility.Group{{Entries: 1, Live: 1}, {Self: 7, Entries: 620, Live: 620}, {Self: 7, Entries: 620, Live: 1}} {
+			var l eligibility.Limit
+			l.Take(word(perSecond, 0, 0))
+			allowed := false
+			for at := 0; at < 20_000_000 && !allowed; at += 100 {
+				chance := l.Chance(after(at), 100, g)
+				if !(chance >= 0 && chance <= 1) {
+					t.Fatalf("%g a second: the chance is %g", perSecond, chance)
+				}
+				allowed = l.Allows(after(at), g)
+			}
+			if !allowed {
+				t.Errorf("%g a second, %+v: nothing is ever sent", perSecond, g)
+			}
+			if wait := l.Wait(after(0), g); wait < 0 {
+				t.Errorf("%g a second: the wait is %v", perSecond, wait)
+			}
+		}
+	}
+}
+
+// TestLimitHoldsBackNoOtherEndpoint holds that the zero value allows everything.
+func TestLimitHoldsBackNoOtherEndpoint(t *testing.T) {
+	var l eligibility.Limit
+	l.Sent(after(0), true, eligibility.Group{})
+	if !l.Allows(after(0), eligibility.Group{}) || l.Chance(after(0), 100, eligibility.Group{}) != 1 || l.Wait(after(0), eligibility.Group{}) != 0 {
+		t.Error("an endpoint without a limit is held back")
+	}
+}
--- a/coord/eligibility/warmup_test.go
+++ b/coord/eligibility/warmup_test.go
@@ -60,10 +60,13 @@
 	groups := make([]eligibility.Group, r.entries)
 	for n := range warmups {
 		warmups[n] = make([]eligibility.Warmup, r.endpoints)
-		groups[n] = eligibility.Group{Self: random.Uint64(), Entries: r.entries, Hearing: !r.evenShare}
+		groups[n] = eligibility.Group{Self: random.Uint64(), Entries: r.entries, Live: r.entries}
+		if r.evenShare {
+			groups[n].Live = 1
+		}
 		switch share := (float64(n) + 0.5) / float64(r.entries); {
 		case share < r.deaf:
-			groups[n].Hearing = false
+			groups[n].Live = 1
 		case share < r.deaf+r.young:
 			groups[n] = eligibility.Group{Self: groups[n].Self}
 		}
@@ -81,7 +84,7 @@
 			x := heap.Pop(&waiting).(news)
 			for n := range warmups {
 				if n != x.from && !isDeaf(n) {
-					warmups[n][x.endpoint].Sent(x.at.Add(-r.delay), false)
+					warmups[n][x.endpoint].Sent(x.at.Add(-r.delay), limit, false, groups[n])
 				}
 			}
 		}
@@ -92,7 +95,7 @@
 		}
 		chosen := -1
 		for _, e := range random.Perm(r.endpoints) {
-			shown := r.uncounted || random.Float64() < eligibility.Chance(r.rate)
+			shown := r.uncounted || random.Float64() < warmups[n][e].Chance(now, limit, r.rate, groups[n])
 			if shown && (r.uncounted || warmups[n][e].Allows(now, limit, groups[n])) {
 				chosen = e
 				break
@@ -102,7 +105,7 @@
 			turnedAway++
 			continue
 		}
-		warmups[n][chosen].Sent(now, true)
+		warmups[n][chosen].Sent(now, limit, true, groups[n])
 		sent[chosen] = append(sent[chosen], now)
 		if !isDeaf(n) {
 			heap.Push(&waiting, news{at: now.Add(r.delay), endpoint: chosen, from: n})
@@ -189,7 +192,7 @@
 
 func TestWarmup(t *testing.T) {
 	limit := eligibility.WarmupLimit{PerSecond: 2}
-	alone := eligibility.Group{Self: 1, Entries: 1, Hearing: true}
+	alone := eligibility.Group{Self: 1, Entries: 1, Live: 1}
 	var w eligibility.Warmup
 	if !w.Allows(origin, limit, eligibility.Group{}) {
 		t.Error("the zero value is not warm")
@@ -205,11 +208,11 @@
 	if !w.Allows(origin, eligibility.WarmupLimit{}, eligibility.Group{}) {
 		t.Error("there is no limit, and nothing is sent")
 	}
-	w.Sent(origin, true)
-	if w.Allows(origin.Add(200*time.Millisecond), limit, alone) || !w.Allows(origin.Add(300*time.Millisecond), limit, alone) {
+	w.Sent(origin, limit, true, alone)
+	if w.Allows(origin.Add(499*time.Millisecond), limit, alone) || !w.Allows(origin.Add(500*time.Millisecond), limit, alone) {
 		t.Error("requests do not keep their distance")
 	}
-	w.Sent(origin.Add(300*time.Millisecond), false)
+	w.Sent(origin.Add(500*time.Millisecond), limit, false, alone)
 	if w.Allows(origin.Add(900*time.Millisecond), limit, alone) {
 		t.Error("a third request within a second")
 	}
--- a/coord/placement/attempts.go
+++ b/coord/placement/attempts.go
@@ -49,10 +49,9 @@
 		e.lastEvent = now
 	}
 	e.attempts[id] = a
-	if service.Warmup.Limits() {
-		e.warmup.Sent(now, a.own)
-		service.arrivals.add(now)
-	}
+	service.arrivals.add(now)
+	e.warmup.Sent(now, service.Warmup, a.own, t.Group)
+	e.limit.Sent(now, a.own, t.Group)
 	e.tokens += r.Prompt.Tokens + r.Prompt.Out()
 	if e.Engine {
 		t.placePrompt(now, service, e, a, prefillMS)
--- a/coord/placement/choose.go
+++ b/coord/placement/choose.go
@@ -128,7 +128,7 @@
 func (s *service) busyShare() float64 {
 	busy, slots := 0, 0
 	for _, e := range s.endpoints {
-		if e.Leaving || e.location.Evacuated {
+		if e.Leaving || e.location.Evacuated || e.limit.Limited() {
 			continue
 		}
 		busy += min(len(e.attempts), e.Slots)
--- a/coord/placement/dump.go
+++ b/coord/placement/dump.go
@@ -15,12 +15,14 @@
 	Leaving      bool    `json:"leaving,omitempty"`
 	Evacuated    bool    `json:"evacuated,omitempty"`
 	Warming      bool    `json:"warming_up,omitempty"`
-	Requests     int     `json:"requests"`    // open attempts of all entries
-	BacklogMS    float64 `json:"reading_ms"`  // until no prompt waits for prefill
-	Slowdown     float64 `json:"factor"`      // 1 for as fast as expected
-	Failures     float64 `json:"errors"`      // decayed share of recent attempts that failed
-	CachedTokens int     `json:"kept_tokens"` // of prompt prefixes
-	MissedMoves  float64 `json:"missed"`      // decayed share of fetches from it that did not bring them
+	Limit        float64 `json:"limit_per_s,omitempty"` // that its answers name, in requests a second
+	LimitNamedMS int64   `json:"limit_named,omitempty"` // since the last one did
+	Requests     int     `json:"requests"`              // open attempts of all entries
+	BacklogMS    float64 `json:"reading_ms"`            // until no prompt waits for prefill
+	Slowdown     float64 `json:"factor"`                // 1 for as fast as expected
+	Failures     float64 `json:"errors"`                // decayed share of recent attempts that failed
+	CachedTokens int     `json:"kept_tokens"`           // of prompt prefixes
+	MissedMoves  float64 `json:"missed"`                // decayed share of fetches from it that did not bring them
 }
 
 // States returns what is believed of all endpoints, by service and id.
@@ -34,6 +36,8 @@
 			Leaving:      e.Leaving,
 			Evacuated:    e.location.Evacuated,
 			Warming:      e.warmup.Warming(now),
+			Limit:        e.limit.PerSecond(),
+			LimitNamedMS: e.limitAge(now).Milliseconds(),
 			Requests:     len(e.attempts),
 			BacklogMS:    e.backlogMS(now),
 			Slowdown:     e.slowdown,
@@ -47,3 +51,11 @@
 	})
 	return all
 }
+
+// limitAge returns since when no answer has named the endpoint's limit, 0 for no limit.
+func (e *endpoint) limitAge(now time.Time) time.Duration {
+	if !e.limit.Limited() {
+		return 0
+	}
+	return now.Sub(e.limit.Named())
+}
--- a/coord/placement/eligible.go
+++ b/coord/placement/eligible.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"foxcross.dev/coord/eligibility"
@@ -15,37 +14,10 @@
 	if !e.warmup.Allows(q.now, q.service.Warmup, q.table.Group) {
 		return eligibility.WarmingUp
 	}
-	return eligibility.Eligible
-}
-
-// shown tells whether the request may choose an endpoint that warms up, so that not all do
-// before they have heard of each other.
-func (q *query) shown(e *endpoint, random *rand.Rand) bool {
-	if !q.service.Warmup.Limits() || !e.warmup.Warming(q.now) {
-		return true
-	}
-	return random.Float64() < eligibility.Chance(q.service.arrivals.perSecond(q.now))
-}
-
-// Obstacle returns why none of the service's endpoints may take a request now: of those
-// that are not leaving, the reason that passes the soonest. It is Eligible if one may, or if
-// there is no endpoint.
-func (t *Table) Obstacle(now time.Time, r Request) eligibility.Reason {
-	q := query{table: t, service: t.service(r.Service), request: r, now: now}
-	soonest := eligibility.Eligible
-	for _, e := range q.service.endpoints {
-		if e.Leaving {
-			continue
-		}
-		reason := q.eligibility(e)
-		if reason == eligibility.Eligible {
-			return eligibility.Eligible
-		}
-		if soonest == eligibility.Eligible || reason < soonest {
-			soonest = reason
-		}
+	if !e.limit.Allows(q.now, q.table.Group) {
+		return eligibility.Limited
 	}
-	return soonest
+	return eligibility.Eligible
 }
 
 // SetEvacuated takes in which data centres are evacuated. What operators have emptied may
--- a/coord/placement/eligible_test.go
+++ b/coord/placement/eligible_test.go
@@ -15,7 +15,7 @@
 func spread() *placement.Table {
 	t := fleetOf(0)
 	t.Regions = map[string]string{"zone-1": "north", "zone-2": "south"}
-	t.Group = eligibility.Group{Self: self, Entries: 1, Hearing: true}
+	t.Group = eligibility.Group{Self: self, Entries: 1, Live: 1}
 	t.SetServices([]placement.Service{{
 		Name: "pool", MemoryTokens: 500_000, EventTokens: 6, BetweenTokens: 150 * time.Millisecond,
 		MoveRate: memory.Rate{TokenBytes: 131072, LinkMbps: 370_000},
@@ -66,14 +66,14 @@
 	if got := chosen(table, origin, r); got["zone-1"] > 0 {
 		t.Errorf("after a new list requests go to %v", got)
 	}
-	if got := table.Obstacle(origin, r); got != eligibility.Eligible {
+	if got := table.Obstacle(origin, r).Reason; got != eligibility.Eligible {
 		t.Errorf("with endpoints left: %v", got)
 	}
 	table.SetEvacuated(origin, []string{"zone-1", "zone-2"})
 	if got := chosen(table, origin, r); len(got) > 0 {
 		t.Errorf("with all evacuated requests go to %v", got)
 	}
-	if got := table.Obstacle(origin, r); got != eligibility.Evacuated {
+	if got := table.Obstacle(origin, r).Reason; got != eligibility.Evacuated {
 		t.Errorf("with all evacuated: %v", got)
 	}
 }
@@ -89,7 +89,7 @@
 	if got := chosen(table, origin, r); len(got) > 0 {
 		t.Errorf("without a common region requests go to %v", got)
 	}
-	if got := table.Obstacle(origin, r); got != eligibility.OutsideRegions {
+	if got := table.Obstacle(origin, r).Reason; got != eligibility.OutsideRegions {
 		t.Errorf("without a common region: %v", got)
 	}
 }
@@ -132,11 +132,11 @@
 	if sent := sendFor(table, time.Second); sent < 10 || sent > 3*4 {
 		t.Errorf("%d requests in the first second at 3 endpoints of 4 each", sent)
 	}
-	if got := table.Obstacle(origin.Add(time.Second-time.Millisecond), plan(70, 71)); got != eligibility.WarmingUp {
+	if got := table.Obstacle(origin.Add(time.Second-time.Millisecond), plan(70, 71)).Reason; got != eligibility.WarmingUp {
 		t.Errorf("when they have got as much as they bear: %v", got)
 	}
 	late := origin.Add(4 * time.Second)
-	if got := table.Obstacle(late, plan(70, 71)); got != eligibility.Eligible {
+	if got := table.Obstacle(late, plan(70, 71)).Reason; got != eligibility.Eligible {
 		t.Errorf("when they are warm: %v", got)
 	}
 }
--- a/coord/placement/endpoint.go
+++ b/coord/placement/endpoint.go
@@ -33,6 +33,7 @@
 	trust     memory.Trust // as a source of fetches
 	location  eligibility.Location
 	warmup    eligibility.Warmup
+	limit     eligibility.Limit
 }
 
 // attempt is one send of a request to an endpoint.
--- a/coord/placement/snapshot.go
+++ b/coord/placement/snapshot.go
@@ -15,6 +15,7 @@
 import (
 	"time"
 
+	"foxcross.dev/coord/eligibility"
 	"foxcross.dev/coord/memory"
 )
 
@@ -33,7 +34,8 @@
 	UsedMS    []int64            `cbor:"2,keyasint"` // since the last use of each of Parts
 	Endpoints []EndpointSnapshot `cbor:"3,keyasint"`
 	Services  []ServiceSnapshot  `cbor:"4,keyasint"`
-	Warmups   []WarmupSnapshot   `cbor:"5,keyasint,omitempty"` // entries of former versions pass over it
+	Warmups   []WarmupSnapshot   `cbor:"5,keyasint,omitempty"` // entries of former versions pass over it and what follows
+	Limits    []LimitSnapshot    `cbor:"6,keyasint,omitempty"`
 }
 
 // EndpointSnapshot is what is known of one endpoint.
@@ -77,6 +79,14 @@
 	LeftMS int64
 }
 
+// LimitSnapshot is that an endpoint has named a limit.
+type LimitSnapshot struct {
+	_         struct{} `cbor:",toarray"`
+	ID        string
+	PerSecond float64
+	NamedMS   int64 // since the last answer that named it
+}
+
 // noFirst stands for an attempt without a first event.
 const noFirst = -1
 
@@ -91,6 +101,11 @@
 		if left := e.warmup.Left(now); left > 0 {
 			s.Warmups = append(s.Warmups, WarmupSnapshot{ID: id, LeftMS: left.Milliseconds()})
 		}
+		if e.limit.Limited() {
+			s.Limits = append(s.Limits, LimitSnapshot{
+				ID: id, PerSecond: e.limit.PerSecond(), NamedMS: now.Sub(e.limit.Named()).Milliseconds(),
+			})
+		}
 	}
 	for name, v := range t.services {
 		p := v.prefill
@@ -160,6 +175,12 @@
 			e.warmup.Cold(now, time.Duration(x.LeftMS)*time.Millisecond)
 		}
 	}
+	for _, x := range s.Limits {
+		if e := t.endpoints[x.ID]; e != nil {
+			named := now.Add(-time.Duration(x.NamedMS) * time.Millisecond)
+			e.limit.Take(eligibility.Word{PerSecond: x.PerSecond, Sent: named, Came: named})
+		}
+	}
 	t.StopRestoring()
 }
 
--- a/coord/result/code.go
+++ b/coord/result/code.go
@@ -39,6 +39,7 @@
 	NoRegion    Code = 1209
 	Evacuated   Code = 1210
 	WarmingUp   Code = 1211
+	Limited     Code = 1212
 
 	EndpointFailed Code = 1301
 	EndpointLost   Code = 1302
--- a/internal/direct/gateway/attempts.go
+++ b/internal/direct/gateway/attempts.go
@@ -188,7 +188,7 @@
 }
 
 // obstacle returns why no endpoint may take a request now.
-func (a *attempts) obstacle(q *request) eligibility.Reason {
+func (a *attempts) obstacle(q *request) placement.Obstacle {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.table.Obstacle(steady.Now(), q.spec)
--- a/internal/direct/gateway/forward.go
+++ b/internal/direct/gateway/forward.go
@@ -102,7 +102,7 @@
 		ID:       q.id,
 	})
 	if err == nil {
-		a.limit = namedLimit(answer.Header.Values(f.gateway.fields.Limit))
+		f.gateway.noteLimit(a, answer)
 	}
 	return answer, err
 }
--- a/internal/direct/gateway/outcome.go
+++ b/internal/direct/gateway/outcome.go
@@ -18,10 +18,12 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
 	"foxcross.dev/coord/eligibility"
+	"foxcross.dev/coord/placement"
 	"foxcross.dev/coord/result"
 )
 
@@ -36,6 +38,8 @@
 	noEndpointRetryAfter  = 500 * time.Millisecond
 	warmingRetryAfter     = 300 * time.Millisecond
 	ineligibleRetryAfter  = 2 * time.Second // an evacuation or a region without endpoints lasts
+	minLimitedRetryAfter  = 100 * time.Millisecond
+	maxLimitedRetryAfter  = 2 * time.Second
 	drainingRetryAfter    = 50 * time.Millisecond
 	fullRetryAfter        = 300 * time.Millisecond
 )
@@ -159,10 +163,11 @@
 }
 
 // noEndpoint returns the answer to a request for which there is no endpoint to try.
-func noEndpoint(obstacle eligibility.Reason, mayHaveRun bool) *result.Error {
+func noEndpoint(o placement.Obstacle, mayHaveRun bool) *result.Error {
 	var code result.Code
+	reason := o.Reason.String()
 	after := ineligibleRetryAfter
-	switch obstacle {
+	switch o.Reason {
 	case eligibility.OutsideRegions:
 		code = result.NoRegion
 	case eligibility.Evacuated:
@@ -170,10 +175,14 @@
 	case eligibility.WarmingUp:
 		code = result.WarmingUp
 		after = warmingRetryAfter
+	case eligibility.Limited:
+		code = result.Limited
+		after = min(max(o.Wait, minLimitedRetryAfter), maxLimitedRetryAfter)
+		reason = fmt.Sprintf("%s takes %.3g requests a second, as it said %v ago", o.Endpoint, o.Limit, o.Named.Round(time.Millisecond))
 	default:
 		return ownFailure(result.NoEndpoint, "", mayHaveRun)
 	}
-	failed := ownFailure(code, obstacle.String(), mayHaveRun)
+	failed := ownFailure(code, reason, mayHaveRun)
 	if failed.Run == result.NotRun {
 		failed.RetryAfter = after
 	}
--- a/internal/direct/gateway/sharing.go
+++ b/internal/direct/gateway/sharing.go
@@ -20,10 +20,10 @@
 // census returns what this entry knows of the others. attempts.mu is held.
 func (a *attempts) census() eligibility.Group {
 	if a.group == nil {
-		return eligibility.Group{Self: a.owner, Entries: 1, Hearing: true}
+		return eligibility.Group{Self: a.owner, Entries: 1, Live: 1}
 	}
 	live, known := a.group.Census()
-	return eligibility.Group{Self: a.owner, Entries: known, Hearing: live > 1 || known == 1}
+	return eligibility.Group{Self: a.owner, Entries: known, Live: live}
 }
 
 // tell passes an event on to the other entries.
@@ -79,6 +79,8 @@
 			a.table.End(at, id, e.Outcome)
 		case peers.PartsKept:
 			a.table.TakeKept(at, e.Endpoint, e.Parts)
+		case peers.LimitTold:
+			a.takeLimitTold(at, e)
 		}
 	}
 }
--- a/internal/direct/peers/events.go
+++ b/internal/direct/peers/events.go
@@ -16,8 +16,8 @@
 	flushDelay = 10 * time.Millisecond
 	// maxWaiting bounds the events that wait.
 	maxWaiting = 4096
-	// maxEventAge bounds the age of an event that is believed.
-	maxEventAge = time.Second
+	// MaxEventAge bounds the age of an event that is believed.
+	MaxEventAge = time.Second
 )
 
 // Broadcast sends an event to all live entries, shortly after and together with
--- a/internal/direct/peers/golden_test.go
+++ b/internal/direct/peers/golden_test.go
@@ -55,6 +55,8 @@
 		{"endpoint ended", packet{Owner: 7, Events: []Event{{Kind: EndpointCrashed, Endpoint: "i-1@5", AgeMS: 2, Runs: []quarantine.RunReport{{Content: []byte{0xab, 0xcd}, RanMS: 90}}}}}},
 		{"content ended well", packet{Owner: 7, Events: []Event{{Kind: ContentCleared, Runs: []quarantine.RunReport{{Content: []byte{0xab, 0xcd}}}}}}},
 		{"content held", packet{Owner: 7, Events: []Event{{Kind: ContentHeld, Holds: []quarantine.HoldReport{{Content: []byte{0xab, 0xcd}, Crashes: 3, Trials: 1, ForMS: 60_000}}}}}},
+		{"limit", packet{Owner: 7, Events: []Event{{Kind: LimitTold, Endpoint: "i-1@5", Limit: 2.5, SentMS: 40, AgeMS: 2}}}},
+		{"limit over", packet{Owner: 7, Events: []Event{{Kind: LimitTold, Endpoint: "i-1@5", SentMS: 40}}}},
 		{"report", packet{Owner: 7, Hop: hopLocal, Reports: []report{{Address: "10.0.0.1:7340", Owner: 8, Version: 3, Revision: 9, AgeMS: 5,
 			Heartbeat: heartbeat{Name: "entry-2", ConfirmMS: 1, ContactMS: 2, Relayed: true, DataCentre: "z", Reply: true, Informed: true}}}}},
 		{"holder", packet{Owner: 7, Heartbeat: &heartbeat{Name: "entry-1", ConfirmMS: -1, ContactMS: -1, ClockMS: 1_700_000_000_000, Fence: 12}}},
--- a/internal/direct/peers/receive.go
+++ b/internal/direct/peers/receive.go
@@ -94,7 +94,7 @@
 // tellListener hands over events of an entry that relays held for a time.
 func (g *Group) tellListener(owner uint64, events []Event, heldMS int64) {
 	for n := range events {
-		events[n].AgeMS = min(max(events[n].AgeMS+heldMS, 0), maxEventAge.Milliseconds())
+		events[n].AgeMS = min(max(events[n].AgeMS+heldMS, 0), MaxEventAge.Milliseconds())
 	}
 	g.options.Listener.TakeEvents(owner, events)
 }
--- a/internal/testing/fleet/limits_test.go
+++ b/internal/testing/fleet/limits_test.go
@@ -40,6 +40,7 @@
 	}
 	from := time.Now().Add(toldBefore)
 	f.askAtRate(perSecond, lasts)
+	t.Logf("at most %d requests in %v", mostWithin(limited, from, limitWindow), limitWindow)
 	if most, allowed := mostWithin(limited, from, limitWindow), limitOverrun*limit*limitWindow.Seconds()+limitSlack; float64(most) > allowed {
 		t.Errorf("an endpoint that names a limit of %g a second got %d requests in %v, of %.0f", limit, most, limitWindow, allowed)
 	}
