--- a/coord/eligibility/pace.go
+++ b/coord/eligibility/pace.go
@@ -104,7 +104,7 @@
 func (p *Pace) Wait(now time.Time, perSecond float64, g Group) time.Duration {
 	rate := g.share() * perSecond
 	if rate <= 0 {
-		return 0
+		rate = perSecond
 	}
 	p.advance(now, rate)
 	return time.Duration(max(1-p.tokens, 0) / rate * float64(time.Second))
