Let endpoints name limits in the soak, and hold what they get to what they bear

A fault of its own: an endpoint names a limit for some seconds, then half of it, then none. What it got later than 3 s after the first answer is held to 1.5 times what the limit allows in 4 s, and 5 more, summed over all entries, those that were just killed or frozen included, which is stricter than the users' rule.

--- a/internal/testing/soak/faults.go
+++ b/internal/testing/soak/faults.go
@@ -46,6 +46,7 @@
 	{"settings grow", []Promise{NothingNew, NeverBack, NothingLost, Recovers}, true, growSettings},
 	{"reports fail", []Promise{OneReport, Recovers}, false, reportsFail},
 	{"data centre evacuated", []Promise{Emptied, InRegion, WarmsUp, OwnAnswer}, true, evacuate},
+	{"endpoint names a limit", []Promise{Heeds, OwnAnswer}, true, nameLimit},
 }
 
 // How long faults last and what they do,.
--- a/internal/testing/soak/history.go
+++ b/internal/testing/soak/history.go
@@ -30,6 +30,7 @@
 	Emptied     Promise = "an evacuated data centre gets nothing new"
 	InRegion    Promise = "a request runs in its regions only"
 	WarmsUp     Promise = "an endpoint that warms up gets no more than it bears"
+	Heeds       Promise = "an endpoint that names a limit gets no more than it bears"
 	leaveSlack          = 1500 * time.Millisecond // for a request that was on its way
 )
 
@@ -60,6 +61,7 @@
 	versions  map[string]int // in force, by life of an entry
 
 	evacuations []interval
+	limits      []namedLimit
 	breaches    []Breach
 }
 
--- a/internal/testing/soak/platform.go
+++ b/internal/testing/soak/platform.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"foxcross.dev/foxcross/internal/testing/standin/platformtest"
@@ -83,7 +84,8 @@
 	runner *platformtest.Runner
 	left   time.Time // when the sound store took that it leaves, zero for not
 	gone   bool
-	began  time.Time // it warms up from then on
+	began  time.Time  // it warms up from then on
+	naming sync.Mutex // one limit at a time
 }
 
 // addEndpoint starts an endpoint and enters it in the store.
--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -206,6 +206,9 @@
 		d.history.addRuns(e)
 		d.history.checkWarmup(e, e.runner.Runs())
 	}
+	for _, l := range d.history.limits {
+		d.history.checkLimit(l, l.runner.Runs())
+	}
 	r := d.history.check(d.options.planned(), d.reports.Taken())
 	r.Faults = d.faults
 	r.Crashed = d.crashed
--- a/internal/testing/soak/soak_test.go
+++ b/internal/testing/soak/soak_test.go
@@ -58,6 +58,14 @@
 	}
 }
 
+// TestNamedLimits lets endpoints name limits while entries are killed and frozen.
+func TestNamedLimits(t *testing.T) {
+	const names = "endpoint names a limit"
+	if r := play(t, 6, []string{names, "kill an entry", "freeze an entry"}); r.Faults[names] == 0 {
+		t.Error("no endpoint has named a limit")
+	}
+}
+
 func TestPlannedWork(t *testing.T) { play(t, 2, Planned()) }
 
 // TestSlowCallers plays callers that do not read their answers or do not end their bodies
@@ -89,7 +97,7 @@
 			attacked[p] = true
 		}
 	}
-	for _, p := range []Promise{OwnAnswer, InOrder, AtMostOnce, NotRun, Untouched, NothingNew, GoodSource, NeverBack, NothingLost, Recovers, OneReport, Emptied, InRegion, WarmsUp} {
+	for _, p := range []Promise{OwnAnswer, InOrder, AtMostOnce, NotRun, Untouched, NothingNew, GoodSource, NeverBack, NothingLost, Recovers, OneReport, Emptied, InRegion, WarmsUp, Heeds} {
 		if !attacked[p] {
 			t.Errorf("no fault attacks %q", p)
 		}
@@ -189,6 +197,13 @@
 	if r := overrun.check(false, nil); len(r.Breaches) != 1 || r.Breaches[0].Promise != WarmsUp {
 		t.Errorf("an endpoint that is overrun: found %v", r.Breaches)
 	}
+	var overLimit history
+	limit := namedLimit{runner: started.runner, perSecond: 2, during: interval{from: now, to: now.Add(time.Minute)}}
+	overLimit.checkLimit(limit, slices.Repeat([]platformtest.Run{{At: now.Add(limitKnownWithin + time.Millisecond)}}, 18))
+	overLimit.checkLimit(limit, slices.Repeat([]platformtest.Run{{At: now.Add(limitKnownWithin - time.Millisecond)}}, 100))
+	if r := overLimit.check(false, nil); len(r.Breaches) != 1 || r.Breaches[0].Promise != Heeds {
+		t.Errorf("an endpoint over its limit: found %v", r.Breaches)
+	}
 	lost := history{seen: []seen{of(page, seen{})}, runs: map[string][]run{"a": {ran(page)}}}
 	if r := lost.check(true, nil); len(r.Breaches) != 1 || r.Breaches[0].Promise != NothingLost {
 		t.Errorf("a lost answer: found %v", r.Breaches)
