--- a/coord/placement/limits.go
+++ b/coord/placement/limits.go
@@ -30,12 +30,15 @@
 // shown tells whether the request may choose an endpoint that bears a rate, so that not all do
 // before they have heard of each other.
 func (q *query) shown(e *endpoint, random *rand.Rand) bool {
+	if !e.limit.Limited() && !e.warmup.Warming(q.now) {
+		return true
+	}
 	arrivals := q.service.arrivals.perSecond(q.now)
 	chance := min(
 		e.warmup.Chance(q.now, q.service.Warmup, arrivals, q.table.Group),
 		e.limit.Chance(q.now, arrivals, q.table.Group),
 	)
-	return chance >= 1 || random.Float64() < chance
+	return random.Float64() < chance
 }
 
 // Obstacle returns why none of the service's endpoints may take a request now: of those
