Wait until settings are confirmed before the test of a machine that was suspended

The test asked for an unknown path as soon as the entry was ready and wanted 404. Settings come into force some microseconds before they are recorded as the newest; asked in between, an entry answers 503, as it must. What is held after the suspension is unchanged.

--- a/internal/direct/gateway/suspension_test.go
+++ b/internal/direct/gateway/suspension_test.go
@@ -36,7 +36,7 @@
 	// Requests that came meanwhile are read in the millisecond in which it wakes.
 	DescribeTable("denies nothing by settings that were the newest before", func(suspend func(time.Duration) func()) {
 		w := start(ok)
-		w.get("/nothing").whole(http.StatusNotFound)
+		Eventually(func() int { return w.get("/nothing").status }).Should(Equal(http.StatusNotFound), "the settings are confirmed")
 		w.store.SetFault(platformtest.Busy)
 		DeferCleanup(suspend(time.Minute))
 		w.get("/nothing").whole(http.StatusServiceUnavailable)
