--- a/internal/direct/spread/spread.go
+++ b/internal/direct/spread/spread.go
@@ -1,5 +1,5 @@
 // Package spread reads from the kept logs of many entries how long news takes to reach them:
-// settings in force, endpoints that leave or are gone, evacuated data centres, lost entries.
+// settings in force, endpoints that leave, are gone or name a limit, evacuated data centres, lost entries.
 package spread
 
 import (
@@ -24,6 +24,8 @@
 	EndpointGone    Kind = "endpoint gone"
 	Evacuation      Kind = "evacuations"
 	EntryLost       Kind = "entry lost"
+	LimitNamed      Kind = "limit named"
+	LimitOver       Kind = "limit over"
 )
 
 // sameNews is how long after one another lines tell the same news: an endpoint or an entry may
@@ -70,6 +72,10 @@
 		return Evacuation, fmt.Sprint(f.Revision), true
 	case "peers: An entry is lost: nothing was heard of it.":
 		return EntryLost, f.Peer, true
+	case "gateway: An endpoint names a limit.":
+		return LimitNamed, f.Endpoint, true
+	case "gateway: An endpoint names no limit any more.":
+		return LimitOver, f.Endpoint, true
 	default:
 		return "", "", false
 	}
--- a/internal/direct/spread/spread_test.go
+++ b/internal/direct/spread/spread_test.go
@@ -17,6 +17,9 @@
 		`{"message":"directory: An endpoint left the list.","timestamp":"2026-01-01T00:00:02Z","fields":{"endpoint":"i-1"}}`,
 		`{"message":"directory: An endpoint left the list.","timestamp":"2026-01-01T00:01:02Z","fields":{"endpoint":"i-1"}}`,
 		`{"message":"directory: An endpoint changed or came.","timestamp":"2026-01-01T00:00:02Z","fields":{"endpoint":"i-2"}}`,
+		`{"message":"gateway: An endpoint names a limit.","timestamp":"2026-01-01T00:00:03Z","fields":{"endpoint":"i-1"}}`,
+		`{"message":"gateway: An endpoint names a limit.","timestamp":"2026-01-01T00:00:03.025Z","fields":{"endpoint":"i-1"}}`,
+		`{"message":"gateway: An endpoint names no limit any more.","timestamp":"2026-01-01T00:00:09Z","fields":{"endpoint":"i-1"}}`,
 		`another program's line {`,
 	}, "\n")
 	rows, err := spread.Read(strings.NewReader(logs))
@@ -29,5 +32,7 @@
 	// Output:
 	//               news  pieces  entries  middle ms  largest  last ms  largest
 	//       endpoint gone       2        1          0        0        0        0
+	//         limit named       1        2         25       25       25       25
+	//          limit over       1        1          0        0        0        0
 	//   settings in force       1        3        110      110      260      260
 }
