Set the timer of an interval only while its goroutine waits

What was seen: in one of four whole checks the race detector itself ended the tests of the own interface in virtual time (SIGSEGV, address 0, no report). A timer that falls due while its goroutine does something else is run by that goroutine when it looks, with a record of the race detector that all goroutines of the test share; two at once spoil it. Tickers of entries that read the list of members, and of whatever works at intervals, fell due so when a call took longer than the interval.

Every sets a timer only while it waits, with the same calls as before; the agent's heartbeat is set anew after each. A test holds that no ticker comes back where virtual time runs.

--- a/internal/clocks_test.go
+++ b/internal/clocks_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -19,6 +20,27 @@
 // dueTimer is a timer that is due when it is set.
 var dueTimer = regexp.MustCompile(`\b(?:NewTimer|Reset|AfterFunc)\(0[,)]`)
 
+// tickersAllowed are files of what never runs in virtual time.
+var tickersAllowed = []string{"direct/peers/group.go", "process/reload.go", "steady/steady.go", "testing/soak/usage.go", "testing/soak/soak.go"}
+
+// TestNoTickerInVirtualTime holds that nothing has a ticker that may fall due while its goroutine
+// does something else (TestEveryOfLongWork in internal/workers).
+func TestNoTickerInVirtualTime(t *testing.T) {
+	err := filepath.WalkDir(".", func(name string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || filepath.Ext(name) != ".go" || strings.HasSuffix(name, "_test.go") {
+			return err
+		}
+		data, err := os.ReadFile(name)
+		if strings.Contains(string(data), "time.NewTicker(") && !slices.Contains(tickersAllowed, filepath.ToSlash(name)) {
+			t.Errorf("%s has a ticker; workers.Every needs none", name)
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
 // TestNoTimerIsDueWhenSet holds that nothing sets a timer that is due at once: in virtual time, under
 // the race detector, two of them in the same moment end the test (TestSleepOfNoTime in
 // internal/workers).
--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -141,7 +141,7 @@
 
 // tick calls the core when it has something to do, and sends heartbeats.
 func (a *Agent) tick(ctx context.Context) {
-	beat := time.NewTicker(a.options.Heartbeat)
+	beat := time.NewTimer(a.options.Heartbeat)
 	defer beat.Stop()
 	timer := time.NewTimer(leastTick)
 	defer timer.Stop()
@@ -151,6 +151,7 @@
 			return
 		case <-beat.C:
 			a.heartbeat()
+			beat.Reset(a.options.Heartbeat)
 		case <-timer.C:
 		case <-a.kick:
 		}
--- a/internal/relay/entry/members.go
+++ b/internal/relay/entry/members.go
@@ -8,6 +8,7 @@
 	"foxcross.dev/coord/subset"
 	"foxcross.dev/foxcross/internal/relay/kv"
 	"foxcross.dev/foxcross/internal/steady"
+	"foxcross.dev/foxcross/internal/workers"
 )
 
 const (
@@ -18,16 +19,8 @@
 // follow reads the member list again and again and keeps the connections to
 // match it.
 func (e *Entry) follow(ctx context.Context) {
-	ticker := time.NewTicker(e.options.ListEvery)
-	defer ticker.Stop()
-	for {
-		e.readList(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	e.readList(ctx)
+	workers.Every(ctx, e.options.ListEvery, func(time.Time) { e.readList(ctx) })
 }
 
 func (e *Entry) readList(ctx context.Context) {
--- a/internal/workers/every.go
+++ b/internal/workers/every.go
@@ -7,16 +7,15 @@
 	"foxcross.dev/foxcross/internal/steady"
 )
 
-// Every calls do at each interval until ctx is done.
+// Every calls do at each interval until ctx is done. Of the calls that a longer one has outlasted
+// one is made up for. Its timer is set only while it waits: TestEveryOfLongWork says why.
 func Every(ctx context.Context, interval time.Duration, do func(now time.Time)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			do(steady.Now())
+	next := steady.Now().Add(interval)
+	for Sleep(ctx, steady.Until(next)) {
+		do(steady.Now())
+		next = next.Add(interval)
+		if late := steady.Since(next); late > 0 {
+			next = next.Add(late.Truncate(interval))
 		}
 	}
 }
