Keep one copy of what an endpoint with a limit bears, and of what happens later in virtual time

The soak and the tests of several entries each had the bound and the count of a window; the models of warm-ups and limits each had a heap of news.

--- a/coord/eligibility/pace_test.go
+++ b/coord/eligibility/pace_test.go
@@ -1,7 +1,6 @@
 package eligibility_test
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -36,20 +35,8 @@
 
 // heard is that an entry hears of a request.
 type heard struct {
-	at, sent time.Time
-	to       int
-}
-
-type hearing []heard
-
-func (h hearing) Len() int           { return len(h) }
-func (h hearing) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
-func (h hearing) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *hearing) Push(x any)        { *h = append(*h, x.(heard)) }
-func (h *hearing) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
+	to   int
+	sent time.Time
 }
 
 // side returns which entries hear of each other: 0 for most, 1 for the others, -1 for none.
@@ -87,15 +74,14 @@
 	arrivals := max(s.service, s.demand, s.later)
 	restarted := origin
 	var sent []time.Time
-	var waiting hearing
+	var news agenda[heard]
 	for now := origin; now.Before(origin.Add(s.lasts)); {
 		demand := s.demand
 		if s.later > 0 && now.Sub(origin) > s.lasts/2 {
 			demand = s.later
 		}
 		now = now.Add(time.Duration(random.ExpFloat64() / demand * float64(time.Second)))
-		for len(waiting) > 0 && !waiting[0].at.After(now) {
-			x := heap.Pop(&waiting).(heard)
+		for x, due := news.next(now); due; x, due = news.next(now) {
 			paces[x.to].Sent(x.sent, s.rate, false, groups[x.to])
 		}
 		if s.restart > 0 && now.Sub(restarted) > s.restart {
@@ -124,7 +110,7 @@
 			if s.varied {
 				delay = time.Duration(random.Float64() * float64(delay))
 			}
-			heap.Push(&waiting, heard{at: now.Add(delay), sent: now, to: to})
+			news.add(now.Add(delay), heard{to: to, sent: now})
 		}
 	}
 	return sent
--- a/coord/eligibility/warmup_test.go
+++ b/coord/eligibility/warmup_test.go
@@ -1,7 +1,6 @@
 package eligibility_test
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -33,25 +32,13 @@
 	uncounted          bool          // a fault: nothing is counted
 }
 
-// news is that an entry hears of a request.
-type news struct {
-	at       time.Time
+// told is that entries hear of a request.
+type told struct {
+	sent     time.Time
 	endpoint int
 	from     int
 }
 
-type queue []news
-
-func (q queue) Len() int           { return len(q) }
-func (q queue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
-func (q queue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)        { *q = append(*q, x.(news)) }
-func (q *queue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // play returns the most requests that any endpoint got within a second, how many all got in
 // the first second, and how many requests found no endpoint.
 func (r rush) play(seed uint64) (most, first, turnedAway int) {
@@ -77,14 +64,13 @@
 	isDeaf := func(n int) bool { return (float64(n)+0.5)/float64(r.entries) < r.deaf }
 	limit := eligibility.WarmupLimit{PerSecond: perSecond, Duration: warmupTime}
 	sent := make([][]time.Time, r.endpoints)
-	var waiting queue
+	var news agenda[told]
 	for now := origin; now.Before(origin.Add(warmupTime)); {
 		now = now.Add(time.Duration(random.ExpFloat64() / r.rate * float64(time.Second)))
-		for len(waiting) > 0 && !waiting[0].at.After(now) {
-			x := heap.Pop(&waiting).(news)
+		for x, due := news.next(now); due; x, due = news.next(now) {
 			for n := range warmups {
 				if n != x.from && !isDeaf(n) {
-					warmups[n][x.endpoint].Sent(x.at.Add(-r.delay), limit, false, groups[n])
+					warmups[n][x.endpoint].Sent(x.sent, limit, false, groups[n])
 				}
 			}
 		}
@@ -108,7 +94,7 @@
 		warmups[n][chosen].Sent(now, limit, true, groups[n])
 		sent[chosen] = append(sent[chosen], now)
 		if !isDeaf(n) {
-			heap.Push(&waiting, news{at: now.Add(r.delay), endpoint: chosen, from: n})
+			news.add(now.Add(r.delay), told{sent: now, endpoint: chosen, from: n})
 		}
 	}
 	for _, all := range sent {
--- a/internal/testing/fleet/limits_test.go
+++ b/internal/testing/fleet/limits_test.go
@@ -11,16 +11,8 @@
 	"foxcross.dev/foxcross/internal/testing/standin/platformtest"
 )
 
-const (
-	// limitWindow is the time in which an endpoint's requests are counted.
-	limitWindow = 4 * time.Second
-	// limitOverrun and limitSlack are how many times what its limit allows it bears in a window,
-	// and how many requests besides.
-	limitOverrun = 1.5
-	limitSlack   = 5
-	// toldBefore is how long after an entry has passed such an answer on its requests count.
-	toldBefore = 500 * time.Millisecond
-)
+// toldBefore is how long after an entry has passed such an answer on its requests count.
+const toldBefore = 500 * time.Millisecond
 
 // TestEndpointIsNotSentMoreThanItNames guards against entries that go on sending to an endpoint
 // as if its answers named no limit.
@@ -40,9 +32,10 @@
 	}
 	from := time.Now().Add(toldBefore)
 	f.askAtRate(perSecond, lasts)
-	t.Logf("at most %d requests in %v", mostWithin(limited, from, limitWindow), limitWindow)
-	if most, allowed := mostWithin(limited, from, limitWindow), limitOverrun*limit*limitWindow.Seconds()+limitSlack; float64(most) > allowed {
-		t.Errorf("an endpoint that names a limit of %g a second got %d requests in %v, of %.0f", limit, most, limitWindow, allowed)
+	most := platformtest.MostWithin(times(limited, from), platformtest.LimitWindow)
+	t.Logf("at most %d requests in %v", most, platformtest.LimitWindow)
+	if allowed := platformtest.Borne(limit); float64(most) > allowed {
+		t.Errorf("an endpoint that names a limit of %g a second got %d requests in %v, of %.0f", limit, most, platformtest.LimitWindow, allowed)
 	}
 }
 
@@ -64,21 +57,13 @@
 	asking.Wait()
 }
 
-// mostWithin returns the most requests that an endpoint got within a time, from a moment on.
-func mostWithin(r *platformtest.Runner, from time.Time, window time.Duration) int {
-	most := 0
-	runs := r.Runs()
-	for n, first := range runs {
-		if first.At.Before(from) {
-			continue
-		}
-		within := 0
-		for _, x := range runs[n:] {
-			if x.At.Sub(first.At) < window {
-				within++
-			}
+// times returns when an endpoint got requests, from a moment on.
+func times(r *platformtest.Runner, from time.Time) []time.Time {
+	var all []time.Time
+	for _, run := range r.Runs() {
+		if !run.At.Before(from) {
+			all = append(all, run.At)
 		}
-		most = max(most, within)
 	}
-	return most
+	return all
 }
--- a/internal/testing/soak/limits.go
+++ b/internal/testing/soak/limits.go
@@ -8,11 +8,6 @@
 )
 
 const (
-	// What an endpoint that names a limit bears: in any limitWindow so many times what the limit
-	// allows, and some requests more at the outermost.
-	limitWindow  = 4 * time.Second
-	limitOverrun = 1.5
-	limitSlack   = 5
 	// limitKnownWithin is how long after an endpoint first named a limit entries are to keep to it.
 	limitKnownWithin = 3 * time.Second
 
@@ -41,7 +36,7 @@
 	for _, perSecond := range []float64{higher, limitChange * higher} {
 		begun := time.Now()
 		e.runner.NameLimit(strconv.FormatFloat(perSecond, 'f', -1, 64))
-		time.Sleep(limitKnownWithin + limitWindow + lasting(amount, longestLimit))
+		time.Sleep(limitKnownWithin + platformtest.LimitWindow + lasting(amount, longestLimit))
 		d.history.named(namedLimit{e.runner, perSecond, interval{from: begun, to: time.Now()}})
 	}
 	e.runner.NameLimit()
@@ -63,20 +58,8 @@
 			times = append(times, r.At)
 		}
 	}
-	most := limitOverrun*l.perSecond*limitWindow.Seconds() + limitSlack
-	if got := mostWithin(times, limitWindow); float64(got) > most {
-		h.found(Heeds, "", "%s named a limit of %.2f a second and got %d requests in %v; it bears %.0f", l.runner.ID, l.perSecond, got, limitWindow, most)
+	most := platformtest.Borne(l.perSecond)
+	if got := platformtest.MostWithin(times, platformtest.LimitWindow); float64(got) > most {
+		h.found(Heeds, "", "%s named a limit of %.2f a second and got %d requests in %v; it bears %.0f", l.runner.ID, l.perSecond, got, platformtest.LimitWindow, most)
 	}
 }
-
-// mostWithin returns the most times within any window.
-func mostWithin(times []time.Time, window time.Duration) int {
-	most, first := 0, 0
-	for n, at := range times {
-		for at.Sub(times[first]) >= window {
-			first++
-		}
-		most = max(most, n-first+1)
-	}
-	return most
-}
