--- a/coord/placement/bench_test.go
+++ b/coord/placement/bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"foxcross.dev/coord/eligibility"
 	"foxcross.dev/coord/memory"
 	"foxcross.dev/coord/placement"
 )
@@ -17,7 +18,7 @@
 // medians of 7 pairs beside other work.
 func BenchmarkDecision(b *testing.B) {
 	for _, engines := range []int{160, 400, 1600} {
-		b.Run(fmt.Sprint(engines, " engines"), func(b *testing.B) { decide(b, engines, memory.Rate{}) })
+		b.Run(fmt.Sprint(engines, " engines"), func(b *testing.B) { decide(b, engines, 0, memory.Rate{}) })
 	}
 }
 
@@ -25,11 +26,20 @@
 // work: 0.21 to 0.34 ms and 7 allocations, against 0.21 to 0.27 ms and 5 before there were
 // moves; most of the time goes into the estimate of each of the 200 engines.
 func BenchmarkDecisionWithMoves(b *testing.B) {
-	decide(b, 200, memory.Rate{TokenBytes: 163_840, LinkMbps: 260_000})
+	decide(b, 200, 0, memory.Rate{TokenBytes: 163_840, LinkMbps: 260_000})
 }
 
-// decide measures decisions at engines that move memory at the rate.
-func decide(b *testing.B, endpoints int, rate memory.Rate) {
+// BenchmarkDecisionWithLimits is the same where so many of 1,600 engines name a limit of 2 requests a
+// second to 620 entries. Medians of 5, beside other work: 74 µs without limits, 73
+// with 160, 83 before endpoints could name limits.
+func BenchmarkDecisionWithLimits(b *testing.B) {
+	for _, limited := range []int{0, 160} {
+		b.Run(fmt.Sprint(limited, " limited"), func(b *testing.B) { decide(b, 1600, limited, memory.Rate{}) })
+	}
+}
+
+// decide measures decisions at engines that move memory at the rate, of which some name a limit.
+func decide(b *testing.B, endpoints, limited int, rate memory.Rate) {
 	running := 10 * endpoints
 	now := time.Unix(1_000_000, 0)
 	var t placement.Table
@@ -43,6 +53,10 @@
 		list[n] = placement.Endpoint{ID: fmt.Sprint("i-", n), Service: "pool", Slots: 48, Engine: true}
 	}
 	t.SetEndpoints(now, list)
+	t.Group = eligibility.Group{Self: 1, Entries: 620, Live: 620}
+	for _, e := range list[:limited] {
+		t.TakeLimit(now, e.ID, eligibility.Word{PerSecond: 2, Sent: now, Came: now})
+	}
 	random := rand.New(rand.NewPCG(1, 2))
 	job := func(n int) placement.Request {
 		tokens := 600
