--- a/coord/eligibility/pace.go
+++ b/coord/eligibility/pace.go
@@ -5,9 +5,9 @@
 // while there is a token. What is sent before news of it has come is bounded by showing the
 // endpoint to a part of the requests only, so that about openRate are sent a second while there
 // is a token, whatever the demand. The demand is learned: each send raises it, a token that
-// nobody takes lowers it. An entry that hears of half of the others or fewer sends once in a slot of its own,
-// and the slots of all entries follow each other at the rate. One that does not know yet how many
-// entries there are sends nothing.
+// nobody takes lowers it. An entry that hears of half of all or fewer sends once in a slot of its
+// own, and the slots of all entries follow each other at the rate. One that does not know yet how
+// many entries there are sends nothing.
 // Inputs: the rate, sends of all entries, the number of entries, the arrivals at the service.
 // Units: requests a second, tokens of one request, entries.
 // Never: a token is lent by one entry to another, or asked for, so that nobody waits for an answer.
