--- a/coord/eligibility/agenda_test.go
+++ b/coord/eligibility/agenda_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"iter"
 	"time"
 )
 
@@ -28,10 +29,14 @@
 // add enters what happens at a time.
 func (a *agenda[T]) add(at time.Time, value T) { heap.Push(&a.entries, entry[T]{at, value}) }
 
-// next takes out what happens first, if it is due.
-func (a *agenda[T]) next(now time.Time) (value T, due bool) {
-	if len(a.entries) == 0 || a.entries[0].at.After(now) {
-		return value, false
+// until takes out what happens up to a time, in order.
+func (a *agenda[T]) until(end time.Time) iter.Seq2[time.Time, T] {
+	return func(yield func(time.Time, T) bool) {
+		for len(a.entries) > 0 && !a.entries[0].at.After(end) {
+			e := heap.Pop(&a.entries).(entry[T])
+			if !yield(e.at, e.value) {
+				return
+			}
+		}
 	}
-	return heap.Pop(&a.entries).(entry[T]).value, true
 }
--- a/coord/eligibility/pace_test.go
+++ b/coord/eligibility/pace_test.go
@@ -81,7 +81,7 @@
 			demand = s.later
 		}
 		now = now.Add(time.Duration(random.ExpFloat64() / demand * float64(time.Second)))
-		for x, due := news.next(now); due; x, due = news.next(now) {
+		for _, x := range news.until(now) {
 			paces[x.to].Sent(x.sent, s.rate, false, groups[x.to])
 		}
 		if s.restart > 0 && now.Sub(restarted) > s.restart {
--- a/coord/eligibility/warmup_test.go
+++ b/coord/eligibility/warmup_test.go
@@ -67,7 +67,7 @@
 	var news agenda[told]
 	for now := origin; now.Before(origin.Add(warmupTime)); {
 		now = now.Add(time.Duration(random.ExpFloat64() / r.rate * float64(time.Second)))
-		for x, due := news.next(now); due; x, due = news.next(now) {
+		for _, x := range news.until(now) {
 			for n := range warmups {
 				if n != x.from && !isDeaf(n) {
 					warmups[n][x.endpoint].Sent(x.sent, limit, false, groups[n])
