--- a/coord/eligibility/need_test.go
+++ b/coord/eligibility/need_test.go
@@ -8,9 +8,9 @@
 	"foxcross.dev/coord/eligibility"
 )
 
-// need is a fleet before one endpoint that names a limit for a time, in virtual time: entries
+// limitedFleet is a fleet before one endpoint that names a limit for a time, in virtual time: entries
 // learn of it by the heads of answers and by what the others tell.
-type need struct {
+type limitedFleet struct {
 	entries  int
 	rate     float64       // that the endpoint names
 	demand   float64       // requests a second that would go there
@@ -34,8 +34,8 @@
 	backWithin = 2 * time.Second
 )
 
-// needing is one entry.
-type needing struct {
+// fleetEntry is one entry.
+type fleetEntry struct {
 	limit    eligibility.Limit
 	group    eligibility.Group
 	frozen   time.Time // until then
@@ -43,25 +43,25 @@
 	passedOn time.Time // when it first passed on an answer that names the limit
 }
 
-// needPlayed is what came of a play.
-type needPlayed struct {
+// playedNeed is what came of a play.
+type playedNeed struct {
 	counted []time.Time // sends of entries that had passed a limit on, while it was to be kept to
 	late    int         // entries that run and still believe in the limit when all are to send as before
 	revived int         // times that an entry believed in it again later
 }
 
-func (s need) play(seed uint64) needPlayed {
+func (s limitedFleet) play(seed uint64) playedNeed {
 	random := rand.New(rand.NewPCG(seed, 4))
-	entries := make([]*needing, s.entries)
+	entries := make([]*fleetEntry, s.entries)
 	for n := range entries {
-		entries[n] = &needing{group: eligibility.Group{Self: random.Uint64(), Entries: s.entries, Live: s.entries}}
+		entries[n] = &fleetEntry{group: eligibility.Group{Self: random.Uint64(), Entries: s.entries, Live: s.entries}}
 	}
 	var later agenda[func()]
-	var played needPlayed
+	var played playedNeed
 	now := origin
 	at := func() time.Duration { return now.Sub(origin) }
 	// do lets an entry do something at a time, or once it goes on.
-	do := func(e *needing, when time.Time, what func()) {
+	do := func(e *fleetEntry, when time.Time, what func()) {
 		later.add(when, func() {
 			if now.Before(e.frozen) {
 				e.held = append(e.held, what)
@@ -70,7 +70,7 @@
 			what()
 		})
 	}
-	take := func(e *needing, w eligibility.Word) eligibility.Change {
+	take := func(e *fleetEntry, w eligibility.Word) eligibility.Change {
 		if s.takesAny {
 			w.Sent = now
 		}
@@ -80,7 +80,7 @@
 		}
 		return c
 	}
-	tell := func(from *needing, w eligibility.Word) {
+	tell := func(from *fleetEntry, w eligibility.Word) {
 		for _, e := range entries {
 			if e == from || random.Float64() < s.loss {
 				continue
@@ -88,7 +88,7 @@
 			do(e, now.Add(time.Duration(random.Float64()*float64(s.delay))), func() { e.limit.Tell(now, take(e, w)) })
 		}
 	}
-	send := func(e *needing) {
+	send := func(e *fleetEntry) {
 		sent := now
 		e.limit.Sent(now, true, e.group)
 		for _, other := range entries {
@@ -142,12 +142,12 @@
 }
 
 // backBy returns when all entries are to send as before.
-func (s need) backBy() time.Duration {
+func (s limitedFleet) backBy() time.Duration {
 	return needEnds + backWithin + time.Duration(2/s.rate*float64(time.Second))
 }
 
 // disturb lets entries stand still, and start again.
-func (s need) disturb(entries []*needing, later *agenda[func()], random *rand.Rand) {
+func (s limitedFleet) disturb(entries []*fleetEntry, later *agenda[func()], random *rand.Rand) {
 	for at := time.Second; at < needPlay; at += 2 * time.Second {
 		e, other := entries[random.IntN(len(entries))], entries[random.IntN(len(entries))]
 		begins := origin.Add(at)
@@ -177,23 +177,25 @@
 // answers and by each other, and expects that it gets no more than it bears, and is in full use at
 // all of them once it names none.
 func TestLimitIsKeptToByAFleet(t *testing.T) {
-	calm := need{entries: 5, rate: 2, demand: 30, answers: 100 * time.Millisecond, delay: 40 * time.Millisecond}
+	calm := limitedFleet{entries: 5, rate: 2, demand: 30, answers: 100 * time.Millisecond, delay: 40 * time.Millisecond}
 	for _, c := range []struct {
 		name   string
-		change func(*need)
+		change func(*limitedFleet)
 	}{
-		{"calm", func(*need) {}},
-		{"below one a second", func(s *need) { s.rate = 0.3 }},
-		{"slow answers", func(s *need) { s.answers = time.Second }},
-		{"late and lost news", func(s *need) { s.delay, s.loss = 300*time.Millisecond, 0.2 }},
-		{"entries stand still", func(s *need) { s.freezes = 1500 * time.Millisecond }},
-		{"entries start again", func(s *need) { s.restarts = true }},
-		{"all together", func(s *need) { s.delay, s.loss, s.freezes, s.restarts = 200*time.Millisecond, 0.1, time.Second, true }},
-		{"23 entries", func(s *need) { s.entries, s.demand = 23, 100 }},
-		{"23 entries, all together", func(s *need) {
+		{"calm", func(*limitedFleet) {}},
+		{"below one a second", func(s *limitedFleet) { s.rate = 0.3 }},
+		{"slow answers", func(s *limitedFleet) { s.answers = time.Second }},
+		{"late and lost news", func(s *limitedFleet) { s.delay, s.loss = 300*time.Millisecond, 0.2 }},
+		{"entries stand still", func(s *limitedFleet) { s.freezes = 1500 * time.Millisecond }},
+		{"entries start again", func(s *limitedFleet) { s.restarts = true }},
+		{"all together", func(s *limitedFleet) {
+			s.delay, s.loss, s.freezes, s.restarts = 200*time.Millisecond, 0.1, time.Second, true
+		}},
+		{"23 entries", func(s *limitedFleet) { s.entries, s.demand = 23, 100 }},
+		{"23 entries, all together", func(s *limitedFleet) {
 			s.entries, s.demand, s.loss, s.freezes, s.restarts = 23, 100, 0.1, time.Second, true
 		}},
-		{"100 entries", func(s *need) { s.entries, s.demand, s.rate = 100, 60, 3.4 }},
+		{"100 entries", func(s *limitedFleet) { s.entries, s.demand, s.rate = 100, 60, 3.4 }},
 	} {
 		s := calm
 		c.change(&s)
@@ -212,9 +214,9 @@
 	}
 }
 
-// TestOlderWordIsSeen plants the fault that entries believe the word that came last.
-func TestOlderWordIsSeen(t *testing.T) {
-	s := need{entries: 5, rate: 4, demand: 60, answers: 2 * time.Second, delay: 40 * time.Millisecond, freezes: 6 * time.Second}
+// TestOlderWordsFaultIsSeen plants the fault that entries believe the word that came last.
+func TestOlderWordsFaultIsSeen(t *testing.T) {
+	s := limitedFleet{entries: 5, rate: 4, demand: 60, answers: 2 * time.Second, delay: 40 * time.Millisecond, freezes: 6 * time.Second}
 	revived := 0
 	for seed := range uint64(20) {
 		if p := s.play(seed); p.revived > 0 {
