--- a/coord/eligibility/limit_test.go
+++ b/coord/eligibility/limit_test.go
@@ -62,9 +62,7 @@
 	}
 }
 
-// TestLimitNeverComesBackByOlderWords tells entries of answers in any order, late and twice, and
-// expects that none believes in a limit that it knows to be over, and that all agree on the truth
-// once they have heard of an answer that was asked for after all others had come.
+// TestLimitNeverComesBackByOlderWords guards against an older answer that brings back an ended limit.
 func TestLimitNeverComesBackByOlderWords(t *testing.T) {
 	const needEnds = 5000
 	for seed := range uint64(200) {
@@ -118,8 +116,7 @@
 	}
 }
 
-// TestExtremeLimits holds that no limit that can be taken in shuts an endpoint, or spoils what is
-// counted.
+// TestExtremeLimits guards against a limit that shuts an endpoint or spoils what is counted.
 func TestExtremeLimits(t *testing.T) {
 	for _, perSecond := range []float64{math.SmallestNonzeroFloat64, 1e-9, 0.3, 1e300, math.MaxFloat64} {
 		for _, g := range []eligibility.Group{{Entries: 1, Live: 1}, {Self: 7, Entries: 620, Live: 620}, {Self: 7, Entries: 620, Live: 1}} {
--- a/coord/eligibility/need_test.go
+++ b/coord/eligibility/need_test.go
@@ -173,9 +173,7 @@
 	}
 }
 
-// TestLimitIsKeptToByAFleet plays an endpoint that names a limit before entries that hear of it by
-// answers and by each other, and expects that it gets no more than it bears, and is in full use at
-// all of them once it names none.
+// TestLimitIsKeptToByAFleet guards against a fleet that overruns a limit or does not learn of its end.
 func TestLimitIsKeptToByAFleet(t *testing.T) {
 	calm := limitedFleet{entries: 5, rate: 2, demand: 30, answers: 100 * time.Millisecond, delay: 40 * time.Millisecond}
 	for _, c := range []struct {
--- a/coord/eligibility/pace_test.go
+++ b/coord/eligibility/pace_test.go
@@ -141,8 +141,7 @@
 // paceSeeds is how many plays each case has.
 const paceSeeds = 3
 
-// TestPaceHoldsTheBound has entries of all numbers share rates of all sizes, with news that comes
-// late, varied, or not at all, and expects that the endpoint never gets more than it bears.
+// TestPaceHoldsTheBound guards against entries that together send more than an endpoint bears.
 func TestPaceHoldsTheBound(t *testing.T) {
 	const near, far, late = 20 * time.Millisecond, 50 * time.Millisecond, 500 * time.Millisecond
 	for _, c := range []struct {
@@ -193,8 +192,7 @@
 	}
 }
 
-// TestPaceUsesTheRate expects that what the endpoint bears is sent where entries hear of each
-// other and enough would go there.
+// TestPaceUsesTheRate guards against a rate that is left unused where entries hear of each other.
 func TestPaceUsesTheRate(t *testing.T) {
 	const leastUsed = 0.8
 	for _, s := range []shared{
--- a/internal/clocks_test.go
+++ b/internal/clocks_test.go
@@ -23,8 +23,7 @@
 // tickersAllowed are files of what never runs in virtual time.
 var tickersAllowed = []string{"direct/peers/group.go", "process/reload.go", "steady/steady.go", "testing/soak/usage.go", "testing/soak/soak.go"}
 
-// TestNoTickerInVirtualTime holds that nothing has a ticker that may fall due while its goroutine
-// does something else (TestEveryOfLongWork in internal/workers).
+// TestNoTickerInVirtualTime guards against tickers that fall due beside other work (TestEveryOfLongWork).
 func TestNoTickerInVirtualTime(t *testing.T) {
 	err := filepath.WalkDir(".", func(name string, d fs.DirEntry, err error) error {
 		if err != nil || d.IsDir() || filepath.Ext(name) != ".go" || strings.HasSuffix(name, "_test.go") {
