Log the Retry-After and the sign of draining that each response had

The line of a request has both fields of each send as they stood in the response, and explain tells them. The stand-in of endpoints can refuse each entry once with a Retry-After, respond late, and say that it drains.

--- a/internal/direct/driver/driver.go
+++ b/internal/direct/driver/driver.go
@@ -128,6 +128,7 @@
 	NotRun    string   // an endpoint's word that it did not run the request
 	Seal      string   // marks an answer as an endpoint's own
 	Limit     string   // requests a second that an endpoint takes from all entries together
+	Draining  string   // an endpoint's sign that it drains
 	Priority  string   // 0 is the most urgent
 	LastEvent string   // after which a stream goes on
 	Fetch     string   // address of an engine from which parts of the prompt are fetched first
--- a/internal/direct/explain/explain.go
+++ b/internal/direct/explain/explain.go
@@ -80,6 +80,12 @@
 		if s.Limit != "" {
 			fmt.Fprintf(w, "    its answer named a limit of %s requests a second\n", s.Limit)
 		}
+		if s.RetryAfter != "" {
+			fmt.Fprintf(w, "    its response had Retry-After: %s\n", s.RetryAfter)
+		}
+		if s.Draining != "" {
+			fmt.Fprintf(w, "    its response said that it drains\n")
+		}
 		if s.FetchedTokens > 0 {
 			fmt.Fprintf(w, "    fetches %d tokens from %s, expected to take %.0f ms\n", s.FetchedTokens, s.Source, s.FetchMS)
 		}
--- a/internal/direct/explain/explain_test.go
+++ b/internal/direct/explain/explain_test.go
@@ -37,13 +37,18 @@
 	}
 }
 
-func TestStoryTellsOfNamedLimits(t *testing.T) {
-	const log = `{"fields":{"request":"a","code":1000,"sends":[{"endpoint":"i-1","outcome":"status 200","limit":"2.2"}]}}`
+func TestStoryNamesSignalsOfEndpoints(t *testing.T) {
+	const log = `{"fields":{"request":"a","code":1000,"sends":[` +
+		`{"endpoint":"i-1","outcome":"status 200","limit":"2.2"},` +
+		`{"endpoint":"i-2","outcome":"not run, Service Unavailable","retry_after":"3"},` +
+		`{"endpoint":"i-3","outcome":"status 200","draining":"1"}]}}`
 	var out bytes.Buffer
 	if _, err := explain.Story(&out, strings.NewReader(log), "a"); err != nil {
 		t.Fatal(err)
 	}
-	if !strings.Contains(out.String(), "named a limit of 2.2 requests a second") {
-		t.Error(out.String())
+	for _, want := range []string{"named a limit of 2.2 requests a second", "had Retry-After: 3", "said that it drains"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is missing in %s", want, out.String())
+		}
 	}
 }
--- a/internal/direct/gateway/attempts.go
+++ b/internal/direct/gateway/attempts.go
@@ -30,7 +30,10 @@
 	begun   bool   // its first event has come
 	outcome string // for the log
 	limit   string // that its answer named, as it stood there
-	bytes   int    // of its answer's body that were passed on
+
+	retryAfter string // of its answer, as it stood there
+	draining   string // the same of the sign that the endpoint drains
+	bytes      int    // of its answer's body that were passed on
 }
 
 // Outcomes of an attempt in the log, beside those of its events.
--- a/internal/direct/gateway/limits.go
+++ b/internal/direct/gateway/limits.go
@@ -14,8 +14,8 @@
 	"foxcross.dev/foxcross/internal/steady"
 )
 
-// maxLoggedLimit bounds what is logged of the limit that an answer names, in bytes.
-const maxLoggedLimit = 32
+// maxLoggedField bounds what is logged of a field of an answer, in bytes.
+const maxLoggedField = 32
 
 // maxSentMS bounds the time from a send to its answer that another entry tells, in ms.
 const maxSentMS = 3_600_000
@@ -27,7 +27,9 @@
 // for.
 func (g *Gateway) noteLimit(a *attempt, answer *upstream.Answer) {
 	values := answer.Header.Values(g.fields.Limit)
-	a.limit = loggedLimit(values)
+	a.limit = loggedField(values)
+	a.retryAfter = loggedField(answer.Header.Values("Retry-After"))
+	a.draining = loggedField(answer.Header.Values(g.fields.Draining))
 	limit, err := parseLimit(values)
 	switch {
 	case err != nil:
@@ -53,10 +55,10 @@
 	return max(limit, eligibility.MinLimit), nil
 }
 
-// loggedLimit returns the limit that an answer names, as it stands there.
-func loggedLimit(values []string) string {
+// loggedField returns a field of an answer as it stands there.
+func loggedField(values []string) string {
 	text := strings.Join(values, ", ")
-	return text[:min(len(text), maxLoggedLimit)]
+	return text[:min(len(text), maxLoggedField)]
 }
 
 // takeLimit takes in what the answer to an attempt of this entry says of its endpoint's limit, 0
--- a/internal/direct/gateway/report.go
+++ b/internal/direct/gateway/report.go
@@ -57,6 +57,8 @@
 	for _, a := range q.attempts {
 		r := record.AttemptOf(a.choice, a.outcome)
 		r.Limit = a.limit
+		r.RetryAfter = a.retryAfter
+		r.Draining = a.draining
 		all = append(all, r)
 	}
 	return all
--- a/internal/direct/record/record.go
+++ b/internal/direct/record/record.go
@@ -69,7 +69,9 @@
 	Source        string          `json:"fetched_from,omitempty"`
 	FetchedTokens int             `json:"fetched,omitempty"`
 	FetchMS       float64         `json:"expected_fetch_ms,omitempty"`
-	Limit         string          `json:"limit,omitempty"` // that the answer named, as it stood there
+	Limit         string          `json:"limit,omitempty"`       // advertised rate limit, as it stood in the response
+	RetryAfter    string          `json:"retry_after,omitempty"` // as it stood in the response
+	Draining      string          `json:"draining,omitempty"`    // as it stood in the response
 }
 
 // AttemptOf returns the record of an attempt.
--- a/internal/testing/standin/platformtest/act.go
+++ b/internal/testing/standin/platformtest/act.go
@@ -15,10 +15,22 @@
 		Status int
 		Body   string
 	}
-	// Refuse says that the request is not run.
-	Refuse struct{ Status int }
+	// Refuse says that the request is not run, and when to come back: each value in a Retry-After
+	// field of its own.
+	Refuse struct {
+		Status     int
+		RetryAfter []string
+	}
 	// Fail is a failure without the word that the request has not run.
-	Fail struct{ Status int }
+	Fail struct {
+		Status     int
+		RetryAfter []string
+	}
+	// Delayed does something after a time.
+	Delayed struct {
+		By   time.Duration
+		Then Act
+	}
 	// Break runs the request and resets the connection without an answer.
 	Break struct{}
 	// Crash runs the request and ends the runner with all its connections, once After is
@@ -67,6 +79,7 @@
 func (Answer) act()   {}
 func (Refuse) act()   {}
 func (Fail) act()     {}
+func (Delayed) act()  {}
 func (Break) act()    {}
 func (Crash) act()    {}
 func (Cut) act()      {}
--- a/internal/testing/standin/platformtest/runner.go
+++ b/internal/testing/standin/platformtest/runner.go
@@ -24,6 +24,7 @@
 	NotRunField    = "X-Not-Executed"
 	SealField      = "X-Response-Seal"
 	LimitField     = "Server-Limit" // requests a second from all callers together
+	DrainingField  = "Server-Leaving"
 	LastEventField = "Last-Event-Id"
 	FetchField     = "Kv-Fetch"
 	TokensField    = "X-Token-Usage" // of the prompt and, at the most, of the answer
@@ -58,18 +59,21 @@
 
 	listener net.Listener
 
-	mu     sync.Mutex
-	script []Act   // for the next requests, then rest
-	shared *Script // before all others, nil for none
-	rest   Act
-	limit  []string // that its answers name, each in a field of its own
-	runs   []Run
-	conns  map[net.Conn]bool
-	memory memory
-	dialed int
-	left   chan string // ids of requests whose caller closed the connection
-	ended  sync.Once
-	end    chan struct{} // closed when the runner has ended
+	mu       sync.Mutex
+	script   []Act   // for the next requests, then rest
+	shared   *Script // before all others, nil for none
+	rest     Act
+	limit    []string // that its answers name, each in a field of its own
+	drains   []string // how its answers say that it drains, each in a field of its own
+	backoffs backoffs
+	runs     []Run
+	arrivals []Arrival
+	conns    map[net.Conn]bool
+	memory   memory
+	dialed   int
+	left     chan string // ids of requests whose caller closed the connection
+	ended    sync.Once
+	end      chan struct{} // closed when the runner has ended
 }
 
 // NewRunner starts a runner on a free port of the loopback address.
@@ -98,6 +102,14 @@
 	r.limit = values
 }
 
+// Drain sets how the next answers say that the runner drains, each value in a field of its own;
+// no value for not at all.
+func (r *Runner) Drain(values ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.drains = values
+}
+
 // Runs returns the requests that were begun.
 func (r *Runner) Runs() []Run {
 	r.mu.Lock()
@@ -194,10 +206,15 @@
 	if b, ok := a.(ByPath); ok {
 		a = b.choose(q.URL.Path)
 	}
+	now := time.Now()
+	r.arrivals = append(r.arrivals, Arrival{ID: q.Header.Get(RequestIDField), Target: q.RequestURI, At: now})
+	if refusal, refuses := r.backoffs.refuse(q, now); refuses {
+		return refusal
+	}
 	if _, refused := a.(Refuse); !refused {
 		r.runs = append(r.runs, Run{
 			ID: q.Header.Get(RequestIDField), Method: q.Method, Target: q.RequestURI,
-			Host: q.Host, Header: q.Header, Body: body, At: time.Now(),
+			Host: q.Host, Header: q.Header, Body: body, At: now,
 		})
 	}
 	return a
@@ -236,15 +253,20 @@
 	if err != nil {
 		return false
 	}
-	switch a := r.take(q, body).(type) {
+	act := r.take(q, body)
+	if d, delayed := act.(Delayed); delayed {
+		time.Sleep(d.By)
+		act = d.Then
+	}
+	switch a := act.(type) {
 	case Answer:
 		write(c, "%s%s", r.head(a.Status, id, length(a.Body)), a.Body)
 		return true
 	case Refuse:
-		write(c, "HTTP/1.1 %d %s\r\n%s: 1\r\n%sContent-Length: 0\r\n\r\n", a.Status, http.StatusText(a.Status), NotRunField, r.limitFields())
+		write(c, "HTTP/1.1 %d %s\r\n%s: 1\r\n%s%sContent-Length: 0\r\n\r\n", a.Status, http.StatusText(a.Status), NotRunField, r.signalFields(), fieldLines(retryAfterField, a.RetryAfter))
 		return true
 	case Fail:
-		write(c, "%s", r.head(a.Status, id, "Content-Length: 0\r\n"))
+		write(c, "%s", r.head(a.Status, id, fieldLines(retryAfterField, a.RetryAfter)+"Content-Length: 0\r\n"))
 		return true
 	case Break:
 		return reset(c)
@@ -326,16 +348,21 @@
 
 func (r *Runner) head(status int, id, more string) string {
 	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: seal-%s\r\n%s%s\r\n",
-		status, http.StatusText(status), RequestIDField, id, SealField, id, r.limitFields(), more)
+		status, http.StatusText(status), RequestIDField, id, SealField, id, r.signalFields(), more)
 }
 
-// limitFields are the lines of an answer's head that name the limit.
-func (r *Runner) limitFields() string {
+// signalFields are the lines of an answer's head that say something of the runner.
+func (r *Runner) signalFields() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return fieldLines(LimitField, r.limit) + fieldLines(DrainingField, r.drains)
+}
+
+// fieldLines are the lines of a field, one for each value.
+func fieldLines(name string, values []string) string {
 	var lines strings.Builder
-	for _, v := range r.limit {
-		fmt.Fprintf(&lines, "%s: %s\r\n", LimitField, v)
+	for _, v := range values {
+		fmt.Fprintf(&lines, "%s: %s\r\n", name, v)
 	}
 	return lines.String()
 }
