--- a/internal/testing/fleet/limits_test.go
+++ b/internal/testing/fleet/limits_test.go
@@ -42,19 +42,24 @@
 // askAtRate sends requests to the entries in turn, and returns when all are answered.
 func (f *fleet) askAtRate(perSecond int, lasts time.Duration) {
 	f.t.Helper()
-	var asking sync.WaitGroup
+	f.inTurn(perSecond, lasts, func(e *entry, n int) {
+		if a := f.ask(e, fmt.Sprint("/page/", n), ""); a.status != http.StatusOK {
+			f.t.Errorf("request %d: status %d, code %s", n, a.status, a.header.Get("X-Foxcross-Code"))
+		}
+	})
+}
+
+// inTurn does something with the entries in turn, so many times a second, and returns when all is
+// done.
+func (f *fleet) inTurn(perSecond int, lasts time.Duration, do func(e *entry, n int)) {
+	var doing sync.WaitGroup
 	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
 	defer ticker.Stop()
-	for n := 0; n < int(lasts.Seconds()*float64(perSecond)); n++ {
+	for n := range int(lasts.Seconds() * float64(perSecond)) {
 		<-ticker.C
-		e := f.entries[n%len(f.entries)]
-		asking.Go(func() {
-			if a := f.ask(e, fmt.Sprint("/page/", n), ""); a.status != http.StatusOK {
-				f.t.Errorf("request %d: status %d, code %s", n, a.status, a.header.Get("X-Foxcross-Code"))
-			}
-		})
+		doing.Go(func() { do(f.entries[n%len(f.entries)], n) })
 	}
-	asking.Wait()
+	doing.Wait()
 }
 
 // times returns when an endpoint got requests, from a moment on.
--- a/internal/testing/standin/platformtest/runner.go
+++ b/internal/testing/standin/platformtest/runner.go
@@ -102,6 +102,13 @@
 	r.limit = values
 }
 
+// SetRest sets what becomes of requests for which nothing else is set.
+func (r *Runner) SetRest(a Act) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rest = a
+}
+
 // Drain sets how the next answers say that the runner drains, each value in a field of its own;
 // no value for not at all.
 func (r *Runner) Drain(values ...string) {
