Send an endpoint nothing during its Retry-After

What callers saw: nothing at first; the endpoint that had asked an entry for 3 s without requests got 5 from it in that time (7 to 16 in the failing test), since a burst made the other endpoints dearer than its one failure.

Cause: nothing read the Retry-After of an endpoint's 503. The answer only added to its share of failures, which is a cost among others and excludes nothing.

A Retry-After on a 503 begins a backoff of this entry from the endpoint (coord/eligibility/backoff.go): it is excluded from each choice, and what was placed before asks again when its connection is ready and is withdrawn. The latest of several ends counts, on the steady clock. After the end the entry sends one request, and one more open one with each response (slow start), and the ends of entries spread by up to 0.3 of the delay. It outlasts a lapsed record and ends with the incarnation. Where all endpoints are in backoff the caller gets code 1213 and the time until the first end as its Retry-After. Invalid values are logged and change nothing. Slots in backoff are no capacity.

Why it works: exclusion depends on nothing but the response and the time, so that no load on other endpoints outweighs it, and the last question is asked when nothing but the write follows.

--- a/coord/eligibility/eligibility.go
+++ b/coord/eligibility/eligibility.go
@@ -8,9 +8,10 @@
 //     binds (regions.go);
 //   - in a data centre that operators have evacuated;
 //   - while it warms up and has been sent as much as it bears (warmup.go);
-//   - while its answers name a limit and it has been sent as much (limit.go).
+//   - while its answers name a limit and it has been sent as much (limit.go);
+//   - while it has asked this entry to back off, or gets little after that (backoff.go).
 //
-// Both count by one rule what all entries together send (pace.go).
+// Warm-ups and limits count by one rule what all entries together send (pace.go).
 //
 // Inputs: the request's regions, where the endpoint is, the attempts that all entries have
 // sent to it lately, the number of entries, the time.
@@ -27,6 +28,7 @@
 const (
 	Eligible       Reason = iota
 	Limited               // it has been sent as much as it names as its limit
+	BackedOff             // it has asked this entry to back off
 	WarmingUp             // it has been sent as much as it bears while it warms up
 	Evacuated             // its data centre is evacuated
 	OutsideRegions        // the request may not be served in its region
@@ -39,6 +41,8 @@
 		return "eligible"
 	case Limited:
 		return "at its limit"
+	case BackedOff:
+		return "backed off from"
 	case WarmingUp:
 		return "warming up"
 	case Evacuated:
--- a/coord/placement/attempts.go
+++ b/coord/placement/attempts.go
@@ -91,6 +91,9 @@
 	a.firstAt = now
 	a.lastAt = now
 	a.backlogMS = e.backlogMS(now)
+	if a.own {
+		e.backoff.Responded(a.sentAt, e.Slots)
+	}
 	if !e.Engine {
 		return
 	}
--- a/coord/placement/choose.go
+++ b/coord/placement/choose.go
@@ -5,8 +5,8 @@
 // may not be tried
 // while it is leaving, when the caller of Choose excludes it (it was tried before),
 // when it has as many open requests as the service allows it, or when it is not
-// eligible for the request (eligible.go). An endpoint that
-// is backed off from may be tried: its cost is so high that all others go first.
+// eligible for the request (eligible.go). An endpoint that could not be reached lately may be
+// tried: its cost is so high that all others go first.
 // Inputs: the table, the request, the time, a source of randomness.
 // Never: it does not change the table but for the pool's size; it does not refuse
 // (see admit.go).
@@ -79,13 +79,13 @@
 func (t *Table) Choose(now time.Time, r Request, exclude func(id string) bool, random *rand.Rand) (Choice, bool) {
 	q := t.newQuery(now, r)
 	best, found := q.cheapest(q.candidates(random), exclude, random)
-	if !found || best.Cost >= backoffCost {
+	if !found || best.Cost >= unreachableCost {
 		best, found = q.cheapest(q.all(), exclude, random)
 	}
 	best.PoolSize = q.poolSize
 	best.HarmsStreams = q.service.prefillHarms()
 	best.Overrun = q.service.overruns.factor(r.Priority)
-	best.BusyShare = q.service.busyShare()
+	best.BusyShare = q.service.busyShare(now)
 	return best, found
 }
 
@@ -125,10 +125,10 @@
 
 // busyShare returns the share of the service's slots that are in use, 0 if the
 // number of slots is unknown.
-func (s *service) busyShare() float64 {
+func (s *service) busyShare(now time.Time) float64 {
 	busy, slots := 0, 0
 	for _, e := range s.endpoints {
-		if e.Leaving || e.location.Evacuated || e.limit.Limited() {
+		if e.Leaving || e.location.Evacuated || e.limit.Limited() || e.backoff.Active(now) {
 			continue
 		}
 		busy += min(len(e.attempts), e.Slots)
--- a/coord/placement/cost.go
+++ b/coord/placement/cost.go
@@ -9,7 +9,7 @@
 //	          that another endpoint caches, and those that are fetched from one
 //	crowding  slots and memory that run out
 //	pool      a long prompt outside the pool of long prompts, or a short one inside
-//	trouble   recent failures, backoff, silence
+//	trouble   recent failures, unreachable lately, silence
 //	distance  another data centre
 //
 // Unit: one request answered within its targets is worth 1.
@@ -55,9 +55,9 @@
 	distanceWeight = 0.01
 	// failureWeight is the cost of an endpoint that always fails.
 	failureWeight = 2.0
-	// backoffCost is the cost of an endpoint that is backed off from. Chosen above
-	// what the other terms usually add up to, so that such an endpoint goes last.
-	backoffCost = 20.0
+	// unreachableCost is the cost of an endpoint that could not be reached lately. Above what the
+	// other terms usually add up to, so that such an endpoint goes last.
+	unreachableCost = 20.0
 	// overdueWeight is the cost of an endpoint that is late by one first-event target.
 	overdueWeight = 1.0
 	// plainWeight is the cost of a full endpoint without a model.
--- a/coord/placement/dump.go
+++ b/coord/placement/dump.go
@@ -17,6 +17,7 @@
 	Warming      bool    `json:"warming_up,omitempty"`
 	Limit        float64 `json:"limit_per_s,omitempty"` // that its answers name, in requests a second
 	LimitNamedMS int64   `json:"limit_named,omitempty"` // since the last one did
+	BackoffMS    int64   `json:"backoff_ms,omitempty"`  // that this entry sends it nothing
 	Requests     int     `json:"requests"`              // open attempts of all entries
 	BacklogMS    float64 `json:"reading_ms"`            // until no prompt waits for prefill
 	Slowdown     float64 `json:"factor"`                // 1 for as fast as expected
@@ -38,6 +39,7 @@
 			Warming:      e.warmup.Warming(now),
 			Limit:        e.limit.PerSecond(),
 			LimitNamedMS: e.limitAge(now).Milliseconds(),
+			BackoffMS:    e.backoff.Left(now).Milliseconds(),
 			Requests:     len(e.attempts),
 			BacklogMS:    e.backlogMS(now),
 			Slowdown:     e.slowdown,
--- a/coord/placement/eligible.go
+++ b/coord/placement/eligible.go
@@ -14,6 +14,9 @@
 	if !e.warmup.Allows(q.now, q.service.Warmup, q.table.Group) {
 		return eligibility.WarmingUp
 	}
+	if !e.allowsBackoff(q.now) {
+		return eligibility.BackedOff
+	}
 	if !e.limit.Allows(q.now, q.table.Group) {
 		return eligibility.Limited
 	}
--- a/coord/placement/endpoint.go
+++ b/coord/placement/endpoint.go
@@ -33,7 +33,7 @@
 	trust     memory.Trust // as a source of fetches
 	location  eligibility.Location
 	warmup    eligibility.Warmup
-	limit     eligibility.Limit
+	signals
 }
 
 // attempt is one send of a request to an endpoint.
@@ -89,3 +89,23 @@
 	}
 	return n
 }
+
+// openAfterBackoff returns the number of open attempts of this entry that were sent since the
+// endpoint's backoff ended.
+func (e *endpoint) openAfterBackoff() int {
+	n := 0
+	for _, a := range e.attempts {
+		if a.own && e.backoff.Since(a.sentAt) {
+			n++
+		}
+	}
+	return n
+}
+
+// allowsBackoff tells whether the backoff allows one more request of this entry.
+func (e *endpoint) allowsBackoff(now time.Time) bool {
+	if !e.backoff.Ramping(now) {
+		return !e.backoff.Active(now)
+	}
+	return e.backoff.Allows(now, e.openAfterBackoff())
+}
--- a/coord/placement/health.go
+++ b/coord/placement/health.go
@@ -3,8 +3,8 @@
 // Rules:
 //   - failing: the decayed share of recent attempts that failed costs up to
 //     failureWeight (cost.go); each success lowers it;
-//   - unreachable: it is backed off from, twice as long after each failure in a row;
-//     after the backoff, or after a success, it is tried like any other;
+//   - unreachable: it is tried last, twice as long after each failure in a row; after that, or
+//     after a success, it is tried like any other;
 //   - silent: a first event later than twice the expected time, or no event of any
 //     stream for silentAfter, costs by how late it is; the next event ends that;
 //   - slow: the ratio of observed to expected times to a first event moves the
@@ -23,10 +23,10 @@
 const (
 	// failureDecay is the weight of the newest outcome in the share of failures.
 	failureDecay = 0.2
-	// minBackoff is the first backoff from an unreachable endpoint.
-	minBackoff = 300 * time.Millisecond
-	// maxBackoff is the longest backoff.
-	maxBackoff = 5 * time.Second
+	// minRedialWait is how long an unreachable endpoint is tried last at first.
+	minRedialWait = 300 * time.Millisecond
+	// maxRedialWait is the longest such time.
+	maxRedialWait = 5 * time.Second
 	// overdueSlackMS is how much later than twice the expected time a first event may be, in
 	// ms, before the endpoint is suspected.
 	overdueSlackMS = 150
@@ -49,9 +49,9 @@
 
 // health is what recent outcomes say of an endpoint. The zero value is healthy.
 type health struct {
-	failures     float64 // decayed share of recent attempts that failed
-	backoff      time.Duration
-	backoffUntil time.Time
+	failures   float64 // decayed share of recent attempts that failed
+	redialWait time.Duration
+	redialAt   time.Time // until then it counts as unreachable
 }
 
 // record takes in how an attempt ended.
@@ -66,19 +66,19 @@
 	h.failures += failureDecay * (failed - h.failures)
 	switch o {
 	case Succeeded:
-		h.backoff = 0
-		h.backoffUntil = time.Time{}
+		h.redialWait = 0
+		h.redialAt = time.Time{}
 	case Unreachable:
-		h.backoff = min(max(2*h.backoff, minBackoff), maxBackoff)
-		h.backoffUntil = now.Add(h.backoff)
+		h.redialWait = min(max(2*h.redialWait, minRedialWait), maxRedialWait)
+		h.redialAt = now.Add(h.redialWait)
 	}
 }
 
 // failureCost returns the cost of recent failures.
 func (h *health) failureCost(now time.Time) float64 {
 	cost := failureWeight * h.failures
-	if now.Before(h.backoffUntil) {
-		cost += backoffCost
+	if now.Before(h.redialAt) {
+		cost += unreachableCost
 	}
 	return cost
 }
--- a/coord/placement/table.go
+++ b/coord/placement/table.go
@@ -31,10 +31,11 @@
 	endpoints map[string]*endpoint
 	services  map[string]*service
 	byAttempt map[AttemptID]*endpoint
-	ended     map[AttemptID]bool // attempts that ended without being known, while Restoring
-	shared    map[uint64]*use    // of shared parts
-	swept     time.Time          // when shared was last walked over
-	evacuated map[string]bool    // data centres
+	ended     map[AttemptID]bool   // attempts that ended without being known, while Restoring
+	shared    map[uint64]*use      // of shared parts
+	swept     time.Time            // when shared was last walked over
+	evacuated map[string]bool      // data centres
+	unlisted  map[string]*unlisted // by incarnation
 }
 
 // service is what the endpoints of one service have in common.
@@ -76,7 +77,10 @@
 	for _, listed := range list {
 		e := t.endpoints[listed.Incarnation()]
 		if e == nil {
-			e = &endpoint{slowdown: 1, attempts: map[AttemptID]*attempt{}, hash: rendezvous.Hash(listed.ID)}
+			e = &endpoint{
+				slowdown: 1, attempts: map[AttemptID]*attempt{}, hash: rendezvous.Hash(listed.ID),
+				signals: t.relist(listed.Incarnation()),
+			}
 		}
 		e.takeWarmup(now, listed)
 		e.Endpoint = listed
@@ -84,10 +88,15 @@
 		next[listed.Incarnation()] = e
 	}
 	for id, e := range t.endpoints {
-		if next[id] == nil {
-			t.forgetAttempts(e)
+		if next[id] != nil {
+			continue
+		}
+		t.forgetAttempts(e)
+		if e.matter(now) {
+			t.setAside(now, id, e.signals)
 		}
 	}
+	t.forgetUnlisted(now)
 	t.endpoints = next
 	t.group()
 }
--- a/coord/result/code.go
+++ b/coord/result/code.go
@@ -40,6 +40,7 @@
 	Evacuated   Code = 1210
 	WarmingUp   Code = 1211
 	Limited     Code = 1212
+	Overloaded  Code = 1213
 
 	EndpointFailed Code = 1301
 	EndpointLost   Code = 1302
--- a/coord/result/table.go
+++ b/coord/result/table.go
@@ -26,6 +26,7 @@
 	{Evacuated, "evacuated", 503, "all data centres with endpoints of the service are evacuated"},
 	{WarmingUp, "warming_up", 503, "all endpoints of the service warm up and bear no more for now"},
 	{Limited, "limited", 503, "all endpoints of the service get as many requests as they name as their limit"},
+	{Overloaded, "overloaded", 503, "all endpoints of the service have asked this entry to back off"},
 	{EndpointFailed, "endpoint_failed", 502, "the endpoint failed or refused while it ran the request"},
 	{EndpointLost, "endpoint_lost", 502, "the connection to the agent was lost after the start"},
 	{Stalled, "stalled", 504, "the endpoint sent nothing for longer than allowed"},
--- a/internal/direct/driver/driver.go
+++ b/internal/direct/driver/driver.go
@@ -120,19 +120,22 @@
 
 // Fields are the names of header fields towards callers and endpoints.
 type Fields struct {
-	RequestID string   // both ways
-	Deadline  string   // milliseconds left
-	Key       string   // of the team, from callers only
-	Team      string   // to endpoints only
-	Target    string   // id of the endpoint that is meant
-	NotRun    string   // an endpoint's word that it did not run the request
-	Seal      string   // marks an answer as an endpoint's own
-	Limit     string   // requests a second that an endpoint takes from all entries together
-	Draining  string   // an endpoint's sign that it drains
-	Priority  string   // 0 is the most urgent
-	LastEvent string   // after which a stream goes on
-	Fetch     string   // address of an engine from which parts of the prompt are fetched first
-	Internal  []string // others that only the system may set; callers' are dropped
+	RequestID string // both ways
+	Deadline  string // milliseconds left
+	Key       string // of the team, from callers only
+	Team      string // to endpoints only
+	Target    string // id of the endpoint that is meant
+	NotRun    string // an endpoint's word that it did not run the request
+	Seal      string // marks an answer as an endpoint's own
+	Limit     string // requests a second that an endpoint takes from all entries together
+	Draining  string // an endpoint's sign that it drains
+	// SignalPrefix begins the fields by which endpoints say something of themselves; empty where
+	// they have nothing in common.
+	SignalPrefix string
+	Priority     string   // 0 is the most urgent
+	LastEvent    string   // after which a stream goes on
+	Fetch        string   // address of an engine from which parts of the prompt are fetched first
+	Internal     []string // others that only the system may set; callers' are dropped
 }
 
 // Driver knows one platform's names, formats and calls. It decides nothing.
--- a/internal/direct/gateway/attempts.go
+++ b/internal/direct/gateway/attempts.go
@@ -33,6 +33,7 @@
 
 	retryAfter string // of its answer, as it stood there
 	draining   string // the same of the sign that the endpoint drains
+	pushedBack bool   // its answer asked for a backoff
 	bytes      int    // of its answer's body that were passed on
 }
 
--- a/internal/direct/gateway/event.go
+++ b/internal/direct/gateway/event.go
@@ -33,6 +33,9 @@
 		err error
 		at  time.Time
 	}
+	// withdrawn: nothing was sent, since the endpoint had asked for a backoff before the
+	// connection was ready.
+	withdrawn struct{}
 	// notRun: the endpoint says that it did not run the request.
 	notRun struct{ status int }
 	// endpointError: the endpoint answered with a failure of its own, and without its
@@ -49,12 +52,14 @@
 func (unreachable) placementOutcome() placement.Outcome     { return placement.Unreachable }
 func (noAnswer) placementOutcome() placement.Outcome        { return placement.Broken }
 func (endpointCrashed) placementOutcome() placement.Outcome { return placement.Broken }
+func (withdrawn) placementOutcome() placement.Outcome       { return placement.Abandoned }
 func (notRun) placementOutcome() placement.Outcome          { return placement.Rejected }
 func (endpointError) placementOutcome() placement.Outcome   { return placement.Errored }
 func (answered) placementOutcome() placement.Outcome        { return placement.Succeeded }
 func (deadlinePassed) placementOutcome() placement.Outcome  { return placement.Abandoned }
 func (callerLeft) placementOutcome() placement.Outcome      { return placement.Abandoned }
 
+func (withdrawn) text() string         { return "withdrawn before it was sent" }
 func (e unreachable) text() string     { return e.err.Error() }
 func (e noAnswer) text() string        { return e.err.Error() }
 func (e endpointCrashed) text() string { return "the endpoint crashed: " + e.err.Error() }
@@ -67,12 +72,15 @@
 // eventOfError returns what an error of an attempt stands for. ended is why the request's
 // context is done, nil if it is not.
 func eventOfError(ended, err error) event {
-	sent := !errors.Is(err, upstream.ErrUnreachable)
+	withheld := errors.Is(err, upstream.ErrWithdrawn)
+	sent := !withheld && !errors.Is(err, upstream.ErrUnreachable)
 	switch {
 	case errors.Is(ended, context.Canceled):
 		return callerLeft{}
 	case ended != nil:
 		return deadlinePassed{sent: sent}
+	case withheld:
+		return withdrawn{}
 	case !sent:
 		return unreachable{err}
 	default:
--- a/internal/direct/gateway/forward.go
+++ b/internal/direct/gateway/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"foxcross.dev/coord/eligibility"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/foxcross/internal/direct/upstream"
 	"foxcross.dev/foxcross/internal/steady"
@@ -57,23 +58,31 @@
 		case retry:
 			f.mayHaveRun = o.mayHaveRun
 		case fail:
-			return o.err
+			return f.refusal(a, o.err)
 		default:
 			return nil
 		}
 	}
 }
 
+// refusal returns the answer to a request whose last attempt has failed. Where the endpoint asked
+// for a backoff, and all others have, the caller is told when the first one ends.
+func (f *forwarding) refusal(last *attempt, failed *result.Error) *result.Error {
+	if !last.pushedBack || failed.Run != result.NotRun {
+		return failed
+	}
+	if o := f.gateway.attempts.obstacle(f.request); o.Reason == eligibility.BackedOff {
+		return noEndpoint(o, f.mayHaveRun)
+	}
+	return failed
+}
+
 // try sends the request to the attempt's endpoint and does what follows.
 func (f *forwarding) try(a *attempt) outcome {
 	f.tried[a.endpoint().ID] = true
 	answer, err := f.send(a, "")
 	e := f.eventOf(answer, err)
-	if _, failed := e.(unreachable); failed {
-		f.dials++
-	} else {
-		f.sent++
-	}
+	f.count(e)
 	if provesRun(e) && !f.isStream(answer) {
 		f.gateway.began(f.request)
 	}
@@ -85,6 +94,17 @@
 	return decide(f.situation(), e)
 }
 
+// count counts an attempt by what it reached.
+func (f *forwarding) count(e event) {
+	switch e.(type) {
+	case unreachable:
+		f.dials++
+	case withdrawn:
+	default:
+		f.sent++
+	}
+}
+
 // send sends the request to the attempt's endpoint and returns the head of its
 // answer. A stream goes on after the event, if one is named.
 func (f *forwarding) send(a *attempt, lastEvent string) (*upstream.Answer, error) {
@@ -100,19 +120,20 @@
 		Body:     q.body,
 		HasBody:  r.ContentLength != 0 || r.Header.Get("Content-Length") != "",
 		ID:       q.id,
+		Withdraw: func() bool { return f.gateway.attempts.withdraw(a.endpoint().Incarnation()) },
 	})
 	if err == nil {
-		f.gateway.noteLimit(a, answer)
+		f.gateway.applySignals(a, answer)
 	}
 	return answer, err
 }
 
 // eventOf returns what a send brought.
-func (f *forwarding) eventOf(a *upstream.Answer, err error) event {
+func (f *forwarding) eventOf(answer *upstream.Answer, err error) event {
 	if err != nil {
 		return eventOfError(context.Cause(f.ctx), err)
 	}
-	return eventOfAnswer(context.Cause(f.ctx), f.gateway.fields, a.Status, a.Header)
+	return eventOfAnswer(context.Cause(f.ctx), f.gateway.fields, answer.Status, answer.Header)
 }
 
 // isStream tells whether an answer is a stream of events.
--- a/internal/direct/gateway/gateway.go
+++ b/internal/direct/gateway/gateway.go
@@ -12,6 +12,7 @@
 //	upload.go     its body is read
 //	forward.go    attempt after attempt, until there is an answer
 //	attempts.go   an endpoint is chosen
+//	signals.go    what responses say of endpoints
 //	sharing.go    other entries are told, and tell
 //	header.go     the header that the endpoint gets
 //	event.go      what happened to an attempt, from its answer or error
--- a/internal/direct/gateway/outcome.go
+++ b/internal/direct/gateway/outcome.go
@@ -84,6 +84,8 @@
 			return retry{s.mayHaveRun}
 		}
 		return fail{ownFailure(result.NoEndpoint, "no endpoint could be reached", s.mayHaveRun)}
+	case withdrawn:
+		return retry{s.mayHaveRun}
 	case noAnswer, endpointCrashed:
 		if s.attemptsLeft && s.repeatable {
 			return retry{mayHaveRun: true}
@@ -178,7 +180,11 @@
 	case eligibility.Limited:
 		code = result.Limited
 		after = min(max(o.Wait, minLimitedRetryAfter), maxLimitedRetryAfter)
-		reason = fmt.Sprintf("%s takes %.3g requests a second, as it said %v ago", o.Endpoint, o.Limit, o.Named.Round(time.Millisecond))
+		reason = fmt.Sprintf("%s takes %.3g requests a second, as it said %v ago", o.Endpoint, o.Limit, o.Since.Round(time.Millisecond))
+	case eligibility.BackedOff:
+		code = result.Overloaded
+		after = max(o.Wait, minLimitedRetryAfter)
+		reason = fmt.Sprintf("%s asked for %v without requests, %v ago", o.Endpoint, o.Delay, o.Since.Round(time.Millisecond))
 	default:
 		return ownFailure(result.NoEndpoint, "", mayHaveRun)
 	}
--- a/internal/direct/gateway/sharing.go
+++ b/internal/direct/gateway/sharing.go
@@ -80,7 +80,7 @@
 		case peers.PartsKept:
 			a.table.TakeKept(at, e.Endpoint, e.Parts)
 		case peers.LimitTold:
-			a.takeLimitTold(at, e)
+			a.applyAnnouncedLimit(at, e)
 		}
 	}
 }
--- a/internal/direct/gateway/snapshot.go
+++ b/internal/direct/gateway/snapshot.go
@@ -86,7 +86,7 @@
 	evacuations := g.directory.Evacuations()
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] }) // entries that take too many take others
 	for _, e := range all {
-		if !e.Engine || e.Leaving || evacuations.Has(e.DataCentre) || !mine(e.ID, e.DataCentre) {
+		if !e.Engine || e.Leaving || evacuations.Has(e.DataCentre) || !mine(e.ID, e.DataCentre) || g.attempts.withdraw(e.Incarnation()) {
 			continue
 		}
 		if asked == maxAsked {
--- a/internal/direct/upstream/exchange.go
+++ b/internal/direct/upstream/exchange.go
@@ -28,11 +28,12 @@
 	maxDrained = 64 << 10
 )
 
-// Errors of an exchange. After any but ErrUnreachable the endpoint may have run
+// Errors of an exchange. After any but ErrUnreachable and ErrWithdrawn the endpoint may have run
 // the request.
 var (
-	ErrBroken   = errors.New("upstream: the connection broke off")
-	ErrNoAnswer = errors.New("upstream: what came is no answer")
+	ErrWithdrawn = errors.New("upstream: the request was withdrawn before it was sent")
+	ErrBroken    = errors.New("upstream: the connection broke off")
+	ErrNoAnswer  = errors.New("upstream: what came is no answer")
 )
 
 // Request is what is sent to an endpoint.
@@ -46,6 +47,9 @@
 	Body     []byte
 	HasBody  bool   // a body was sent, be it empty
 	ID       string // that the answer must carry
+	// Withdraw is asked when the connection is ready whether the request is not to be sent after
+	// all; nil for never.
+	Withdraw func() bool
 }
 
 // Names are the header fields by which answers are told apart. An answer belongs to
@@ -72,15 +76,12 @@
 }
 
 // Do sends the request and returns the head of its answer. The context bounds the
-// whole exchange, its body included. The error is ErrUnreachable if nothing was sent,
-// else ErrBroken or ErrNoAnswer: the endpoint may have run the request.
+// whole exchange, its body included. The error is ErrUnreachable or ErrWithdrawn if nothing was
+// sent, else ErrBroken or ErrNoAnswer: the endpoint may have run the request.
 func (p *Pool) Do(ctx context.Context, names Names, r *Request) (*Answer, error) {
-	c := p.takeIdle(r.Endpoint)
-	if c == nil {
-		var err error
-		if c, err = p.dial(ctx, r.Address); err != nil {
-			return nil, err
-		}
+	c, err := p.connect(ctx, r)
+	if err != nil {
+		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) }) // a closed connection needs none
 	w := c.send(r)
@@ -99,6 +100,27 @@
 	return a, nil
 }
 
+// connect returns a connection on which the request is to be sent.
+func (p *Pool) connect(ctx context.Context, r *Request) (*conn, error) {
+	c := p.takeIdle(r.Endpoint)
+	idle := c != nil
+	if !idle {
+		var err error
+		if c, err = p.dial(ctx, r.Address); err != nil {
+			return nil, err
+		}
+	}
+	switch {
+	case r.Withdraw == nil || !r.Withdraw():
+		return c, nil
+	case idle:
+		p.putIdle(r.Endpoint, c)
+	default:
+		c.close()
+	}
+	return nil, ErrWithdrawn
+}
+
 // writing is a request on its way out.
 type writing struct {
 	mu   sync.Mutex
--- a/internal/process/gauges.go
+++ b/internal/process/gauges.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"foxcross.dev/coord/placement"
 	"foxcross.dev/foxcross/internal/direct/gateway"
 	"foxcross.dev/foxcross/internal/workers"
 
@@ -23,6 +24,7 @@
 		}
 		scope.Gauge("open_requests").Update(float64(d.Open))
 		scope.Gauge("suspect_contents").Update(float64(d.Suspect))
+		scope.Gauge("endpoints_in_backoff").Update(float64(inBackoff(d.Endpoints)))
 		scope.Gauge("held_contents").Update(float64(d.Held))
 		scope.Gauge("live_entries").Update(float64(d.Entries))
 		scope.Gauge("settings_version").Update(float64(d.Version))
@@ -31,3 +33,14 @@
 		scope.Gauge("settings_outstanding_bytes").Update(float64(d.Behind.Outstanding))
 	})
 }
+
+// inBackoff returns the number of endpoints that this entry backs off from.
+func inBackoff(all []placement.EndpointState) int {
+	n := 0
+	for _, e := range all {
+		if e.BackoffMS > 0 {
+			n++
+		}
+	}
+	return n
+}
