Take a request for a backoff for no failure of the endpoint

Cause: the refusal was announced as a failure, and the share of failures of an endpoint is lowered only by a success, which an endpoint that gets nothing can't have.

Change: a response that asks for a backoff ends its attempt with an outcome of its own, which says nothing of the endpoint's health, here or at other entries.

Why it works: the entry that was refused is kept away by the backoff itself, and the others decide by what they know.

--- a/coord/placement/backoff_play_test.go
+++ b/coord/placement/backoff_play_test.go
@@ -199,7 +199,7 @@
 		return
 	}
 	table.ApplyBackoff(now, endpoint, delay, p.random)
-	table.End(now, id, placement.Rejected)
+	table.End(now, id, placement.PushedBack)
 }
 
 // TestAtMostTwoRequestsReachAnEndpointInABackoff guards against requests to an endpoint that has
--- a/coord/placement/health.go
+++ b/coord/placement/health.go
@@ -8,7 +8,9 @@
 //   - silent: a first event later than twice the expected time, or no event of any
 //     stream for silentAfter, costs by how late it is; the next event ends that;
 //   - slow: the ratio of observed to expected times to a first event moves the
-//     endpoint's slowdown, by little each time, within bounds.
+//     endpoint's slowdown, by little each time, within bounds;
+//   - overloaded: an endpoint that asks an entry to back off is not failing: it says nothing
+//     of its health, here or at other entries (signals.go).
 //
 // Inputs: events and outcomes of attempts, of all entries where they tell them.
 // Never: an endpoint is not excluded by any of these, it only costs more.
@@ -56,7 +58,7 @@
 
 // record takes in how an attempt ended.
 func (h *health) record(now time.Time, o Outcome) {
-	if o == Abandoned {
+	if o == Abandoned || o == PushedBack {
 		return
 	}
 	failed := 0.0
--- a/coord/placement/overload_test.go
+++ b/coord/placement/overload_test.go
@@ -221,7 +221,7 @@
 	o.after(now, networkTime, func(now time.Time) {
 		t := o.tables[q.entry]
 		t.ApplyBackoff(now, endpoint, delay, o.random)
-		o.tell(now, q.entry, func(t *placement.Table, at time.Time) { t.End(at, id, placement.Rejected) })
+		o.tell(now, q.entry, func(t *placement.Table, at time.Time) { t.End(at, id, placement.PushedBack) })
 		if q.sends < callerSends {
 			o.place(now, q)
 			return
--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -108,6 +108,7 @@
 	Errored             // the endpoint answered with a failure of its own
 	Broken              // the connection failed or brought no valid answer
 	Unreachable         // no connection was established
+	PushedBack          // the endpoint asked this entry to back off; entries of former versions take it for a success
 )
 
 // failed tells whether the outcome speaks against the endpoint.
--- a/coord/placement/signals_test.go
+++ b/coord/placement/signals_test.go
@@ -86,6 +86,20 @@
 	}
 }
 
+// TestRequestForBackoffIsNoFailure guards against an endpoint that gets nothing from any entry
+// since it has refused one of them.
+func TestRequestForBackoffIsNoFailure(t *testing.T) {
+	table, _ := deskTable("a", "b")
+	id := placement.AttemptID{Owner: 2, Number: 1}
+	table.Place(origin, id, "a", placement.Request{Service: "desk"}, memory.Fetch{})
+	table.End(origin, id, placement.PushedBack)
+	for _, s := range table.States(origin) {
+		if s.Failures != 0 {
+			t.Errorf("%s has a share of failures of %g", s.ID, s.Failures)
+		}
+	}
+}
+
 func TestEndpointInBackoffIsNoCapacity(t *testing.T) {
 	table, _ := deskTable("a", "b")
 	for n := range overloadSlots {
--- a/internal/direct/gateway/attempts.go
+++ b/internal/direct/gateway/attempts.go
@@ -229,6 +229,9 @@
 func (a *attempts) end(x *attempt, e event) {
 	x.outcome = e.text()
 	o := e.placementOutcome()
+	if x.pushedBack {
+		o = placement.PushedBack
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.table.End(steady.Now(), x.id, o)
--- a/internal/testing/fleet/backoff_test.go
+++ b/internal/testing/fleet/backoff_test.go
@@ -81,3 +81,29 @@
 		}
 	})
 }
+
+// TestRefusalOfOneEntryLeavesTheEndpointToTheOthers guards against an endpoint that gets nothing
+// from any entry since it has refused one of them.
+func TestRefusalOfOneEntryLeavesTheEndpointToTheOthers(t *testing.T) {
+	const perSecond = 100
+	f := newFleet(t, 5, 4)
+	pushing := f.endpoints()[0]
+	pushing.RefuseOnce(time.Second, func(*http.Request) string { return "any" })
+	f.askEachAtRate("page", perSecond, time.Second)
+	if n := len(pushing.Refusals()); n != 1 {
+		t.Fatalf("%d requests were refused", n)
+	}
+	refused := entryOf(pushing.Refusals()[0].Target)
+	before := len(pushing.Runs())
+	f.askEachAtRate("page", perSecond, time.Second)
+	byOthers := 0
+	for _, r := range pushing.Runs()[before:] {
+		if entryOf(r.Target) != refused {
+			byOthers++
+		}
+	}
+	t.Logf("%d requests of other entries", byOthers)
+	if byOthers < perSecond/20 {
+		t.Errorf("the other entries sent %d requests in a second", byOthers)
+	}
+}
