Send nothing to an endpoint whose responses say that it drains

One endpoint of four that says Server-Leaving in each response, with its record still ready, got 50 requests in the two seconds after the grace period (TestDrainingEndpointGetsNothingAfterTheGracePeriod on the code before), and the requests that it took ended with it.

Only the store's record told that an endpoint leaves.

The grace period runs from the earliest sign; meanwhile the endpoint is the last resort, after it nothing is sent there.

Responses of 421 are no evidence, invalid values change nothing.

Why it works: the endpoint's own word reaches the entry with the response that the rule counts from, whatever the store knows.

--- a/coord/eligibility/backoff_test.go
+++ b/coord/eligibility/backoff_test.go
@@ -52,3 +52,24 @@
 		t.Error("the number of open requests stays bounded")
 	}
 }
+
+func TestDrainCountsFromTheEarliestSign(t *testing.T) {
+	const grace = 2 * time.Second
+	var d eligibility.Drain
+	if !d.Allows(origin, 0) {
+		t.Error("an endpoint that has said nothing gets nothing")
+	}
+	if !d.Apply(origin.Add(time.Second)) || d.Apply(origin) || d.Apply(origin.Add(time.Second)) {
+		t.Error("not only the first sign is told as the first")
+	}
+	if !d.Allows(origin.Add(grace-1), grace) || d.Allows(origin.Add(grace), grace) {
+		t.Error("the grace period does not run from the earliest sign")
+	}
+}
+
+func TestDrainIsAnnouncedAtIntervals(t *testing.T) {
+	var d eligibility.Drain
+	if !d.Announce(origin) || d.Announce(origin.Add(100*time.Millisecond)) || !d.Announce(origin.Add(time.Second)) {
+		t.Error("it is not announced once in an interval")
+	}
+}
--- a/coord/eligibility/eligibility.go
+++ b/coord/eligibility/eligibility.go
@@ -9,7 +9,8 @@
 //   - in a data centre that operators have evacuated;
 //   - while it warms up and has been sent as much as it bears (warmup.go);
 //   - while its answers name a limit and it has been sent as much (limit.go);
-//   - while it has asked this entry to back off, or gets little after that (backoff.go).
+//   - while it has asked this entry to back off, or gets little after that (backoff.go);
+//   - once it has drained for longer than the grace period (drain.go).
 //
 // Warm-ups and limits count by one rule what all entries together send (pace.go).
 //
@@ -30,6 +31,7 @@
 	Limited               // it has been sent as much as it names as its limit
 	BackedOff             // it has asked this entry to back off
 	WarmingUp             // it has been sent as much as it bears while it warms up
+	Draining              // it drains, and the grace period is over
 	Evacuated             // its data centre is evacuated
 	OutsideRegions        // the request may not be served in its region
 )
@@ -45,6 +47,8 @@
 		return "backed off from"
 	case WarmingUp:
 		return "warming up"
+	case Draining:
+		return "draining"
 	case Evacuated:
 		return "evacuated"
 	case OutsideRegions:
--- a/coord/placement/choose.go
+++ b/coord/placement/choose.go
@@ -5,8 +5,9 @@
 // may not be tried
 // while it is leaving, when the caller of Choose excludes it (it was tried before),
 // when it has as many open requests as the service allows it, or when it is not
-// eligible for the request (eligible.go). An endpoint that could not be reached lately may be
-// tried: its cost is so high that all others go first.
+// eligible for the request (eligible.go). An endpoint that could not be reached lately, or that
+// says in its responses that it drains, may be tried: its cost is so high that all others go
+// first.
 // Inputs: the table, the request, the time, a source of randomness.
 // Never: it does not change the table but for the pool's size; it does not refuse
 // (see admit.go).
@@ -128,7 +129,7 @@
 func (s *service) busyShare(now time.Time) float64 {
 	busy, slots := 0, 0
 	for _, e := range s.endpoints {
-		if e.Leaving || e.location.Evacuated || e.limit.Limited() || e.backoff.Active(now) {
+		if e.draining() || e.location.Evacuated || e.limit.Limited() || e.backoff.Active(now) {
 			continue
 		}
 		busy += min(len(e.attempts), e.Slots)
--- a/coord/placement/cost.go
+++ b/coord/placement/cost.go
@@ -9,7 +9,7 @@
 //	          that another endpoint caches, and those that are fetched from one
 //	crowding  slots and memory that run out
 //	pool      a long prompt outside the pool of long prompts, or a short one inside
-//	trouble   recent failures, unreachable lately, silence
+//	trouble   recent failures, unreachable lately, silence, draining
 //	distance  another data centre
 //
 // Unit: one request answered within its targets is worth 1.
@@ -58,6 +58,9 @@
 	// unreachableCost is the cost of an endpoint that could not be reached lately. Above what the
 	// other terms usually add up to, so that such an endpoint goes last.
 	unreachableCost = 20.0
+	// drainingCost is the cost of an endpoint that says that it drains. Above unreachableCost, so that
+	// it is the last resort.
+	drainingCost = 40.0
 	// overdueWeight is the cost of an endpoint that is late by one first-event target.
 	overdueWeight = 1.0
 	// plainWeight is the cost of a full endpoint without a model.
@@ -94,6 +97,9 @@
 		Slowdown: e.slowdown,
 		Terms:    Terms{Distance: q.distance(e), Trouble: e.failureCost(q.now)},
 	}
+	if e.drain.Draining() {
+		c.Terms.Trouble += drainingCost
+	}
 	if e.Engine {
 		q.estimateEngine(e, inPool, &c)
 	} else {
--- a/coord/placement/dump.go
+++ b/coord/placement/dump.go
@@ -18,6 +18,7 @@
 	Limit        float64 `json:"limit_per_s,omitempty"` // that its answers name, in requests a second
 	LimitNamedMS int64   `json:"limit_named,omitempty"` // since the last one did
 	BackoffMS    int64   `json:"backoff_ms,omitempty"`  // that this entry sends it nothing
+	DrainingMS   int64   `json:"draining_ms,omitempty"` // since the first sign that it drains
 	Requests     int     `json:"requests"`              // open attempts of all entries
 	BacklogMS    float64 `json:"reading_ms"`            // until no prompt waits for prefill
 	Slowdown     float64 `json:"factor"`                // 1 for as fast as expected
@@ -40,6 +41,7 @@
 			Limit:        e.limit.PerSecond(),
 			LimitNamedMS: e.limitAge(now).Milliseconds(),
 			BackoffMS:    e.backoff.Left(now).Milliseconds(),
+			DrainingMS:   e.drainAge(now).Milliseconds(),
 			Requests:     len(e.attempts),
 			BacklogMS:    e.backlogMS(now),
 			Slowdown:     e.slowdown,
@@ -61,3 +63,11 @@
 	}
 	return now.Sub(e.limit.Named())
 }
+
+// drainAge returns since when the endpoint drains, 0 for not.
+func (e *endpoint) drainAge(now time.Time) time.Duration {
+	if !e.drain.Draining() {
+		return 0
+	}
+	return max(now.Sub(e.drain.Since()), time.Millisecond)
+}
--- a/coord/placement/eligible.go
+++ b/coord/placement/eligible.go
@@ -11,6 +11,9 @@
 	if reason := eligibility.Check(q.request.Regions, e.location); reason != eligibility.Eligible {
 		return reason
 	}
+	if !e.drain.Allows(q.now, q.table.DrainGrace) {
+		return eligibility.Draining
+	}
 	if !e.warmup.Allows(q.now, q.service.Warmup, q.table.Group) {
 		return eligibility.WarmingUp
 	}
--- a/coord/placement/endpoint.go
+++ b/coord/placement/endpoint.go
@@ -90,6 +90,9 @@
 	return n
 }
 
+// draining tells whether the endpoint has said that it drains, in its record or in a response.
+func (e *endpoint) draining() bool { return e.Leaving || e.drain.Draining() }
+
 // openAfterBackoff returns the number of open attempts of this entry that were sent since the
 // endpoint's backoff ended.
 func (e *endpoint) openAfterBackoff() int {
--- a/coord/placement/home.go
+++ b/coord/placement/home.go
@@ -29,7 +29,7 @@
 	lowest := uint64(math.MaxUint64)
 	for n, e := range s.endpoints {
 		inPool := n < poolSize
-		if e.Leaving || eligibility.Check(r.Regions, e.location) != eligibility.Eligible || poolSize > 0 && inPool != long {
+		if e.draining() || eligibility.Check(r.Regions, e.location) != eligibility.Eligible || poolSize > 0 && inPool != long {
 			continue
 		}
 		if rank := rendezvous.Rank(prefix, e.hash); rank < lowest {
--- a/coord/placement/signals.go
+++ b/coord/placement/signals.go
@@ -1,8 +1,8 @@
 // What an endpoint has said of itself in its responses.
 //
-// Rule: a rate limit and a backoff belong to one start of an endpoint. They are kept for
+// Rule: a rate limit, a backoff and draining belong to one start of an endpoint. They are kept for
 // signalRetention after the endpoint has left the list, since its record may lapse and come
-// back.
+// back; what other entries announce of an endpoint that is not listed yet is kept as well.
 // Inputs: signals of responses, the list of endpoints.
 // Never: an endpoint that comes back under the same start is used as if it had said nothing.
 
@@ -30,6 +30,7 @@
 type signals struct {
 	limit   eligibility.Limit
 	backoff eligibility.Backoff
+	drain   eligibility.Drain
 }
 
 // unlisted are the signals of an endpoint that is not on the list.
@@ -40,7 +41,7 @@
 
 // matter tells whether there is anything to keep.
 func (s *signals) matter(now time.Time) bool {
-	return s.limit.Limited() || s.backoff.Active(now)
+	return s.limit.Limited() || s.backoff.Active(now) || s.drain.Draining()
 }
 
 // knownSignals returns the signals of an endpoint that is listed, or of which some are kept; else
@@ -55,15 +56,26 @@
 	return nil
 }
 
+// signalsOf returns the signals of an endpoint, listed or not; nil if there is no room for one
+// that is not listed.
+func (t *Table) signalsOf(now time.Time, incarnation string) *signals {
+	if s := t.knownSignals(incarnation); s != nil {
+		return s
+	}
+	return t.setAside(now, incarnation, signals{})
+}
+
 // setAside keeps the signals of an endpoint that is not listed.
-func (t *Table) setAside(now time.Time, incarnation string, s signals) {
+func (t *Table) setAside(now time.Time, incarnation string, s signals) *signals {
 	if t.unlisted == nil {
 		t.unlisted = map[string]*unlisted{}
 	}
 	if len(t.unlisted) >= maxUnlisted {
-		return
+		return nil
 	}
-	t.unlisted[incarnation] = &unlisted{signals: s, since: now}
+	u := &unlisted{signals: s, since: now}
+	t.unlisted[incarnation] = u
+	return &u.signals
 }
 
 // relist returns the signals that were kept of an endpoint that is listed now.
@@ -95,9 +107,19 @@
 	return e.backoff.Apply(now, delay, time.Duration(backoffJitter*random.Float64()*float64(delay)))
 }
 
+// ApplyDrain records a sign that an endpoint drains, of a response or of another entry. It
+// returns whether it is the first one, and whether others are to be told.
+func (t *Table) ApplyDrain(now time.Time, incarnation string, at time.Time) (began, announce bool) {
+	s := t.signalsOf(now, incarnation)
+	if s == nil {
+		return false, false
+	}
+	return s.drain.Apply(at), s.drain.Announce(now)
+}
+
 // Withdraw tells whether a request that was placed at an endpoint is not to be sent there any
 // more.
 func (t *Table) Withdraw(now time.Time, incarnation string) bool {
 	s := t.knownSignals(incarnation)
-	return s != nil && s.backoff.Active(now)
+	return s != nil && (s.backoff.Active(now) || !s.drain.Allows(now, t.DrainGrace))
 }
--- a/coord/placement/snapshot.go
+++ b/coord/placement/snapshot.go
@@ -36,6 +36,7 @@
 	Services  []ServiceSnapshot  `cbor:"4,keyasint"`
 	Warmups   []WarmupSnapshot   `cbor:"5,keyasint,omitempty"` // entries of former versions pass over it and what follows
 	Limits    []LimitSnapshot    `cbor:"6,keyasint,omitempty"`
+	Drains    []DrainSnapshot    `cbor:"7,keyasint,omitempty"`
 }
 
 // EndpointSnapshot is what is known of one endpoint.
@@ -87,6 +88,13 @@
 	NamedMS   int64 // since the last answer that named it
 }
 
+// DrainSnapshot is that an endpoint drains.
+type DrainSnapshot struct {
+	_       struct{} `cbor:",toarray"`
+	ID      string
+	SinceMS int64 // since the first sign
+}
+
 // noFirst stands for an attempt without a first event.
 const noFirst = -1
 
@@ -107,6 +115,7 @@
 			})
 		}
 	}
+	s.Drains = t.drainSnapshots(now)
 	for name, v := range t.services {
 		p := v.prefill
 		s.Services = append(s.Services, ServiceSnapshot{
@@ -117,6 +126,23 @@
 	return s
 }
 
+// drainSnapshots returns which endpoints drain, listed or not.
+func (t *Table) drainSnapshots(now time.Time) []DrainSnapshot {
+	var all []DrainSnapshot
+	add := func(id string, s *signals) {
+		if s.drain.Draining() {
+			all = append(all, DrainSnapshot{ID: id, SinceMS: now.Sub(s.drain.Since()).Milliseconds()})
+		}
+	}
+	for id, e := range t.endpoints {
+		add(id, &e.signals)
+	}
+	for id, u := range t.unlisted {
+		add(id, &u.signals)
+	}
+	return all
+}
+
 // snapshotOf returns what is known of an endpoint. Parts that it keeps are added to the
 // snapshot's, whose index is given.
 func (t *Table) snapshotOf(now time.Time, id string, e *endpoint, s *Snapshot, index map[uint64]int) EndpointSnapshot {
@@ -181,6 +207,9 @@
 			e.limit.Take(eligibility.Word{PerSecond: x.PerSecond, Sent: named, Came: named})
 		}
 	}
+	for _, x := range s.Drains {
+		t.ApplyDrain(now, x.ID, now.Add(-time.Duration(x.SinceMS)*time.Millisecond))
+	}
 	t.StopRestoring()
 }
 
--- a/coord/placement/source.go
+++ b/coord/placement/source.go
@@ -53,7 +53,7 @@
 
 // maySend tells whether an engine is fit to be fetched from.
 func (q *query) maySend(e *endpoint) bool {
-	return e.Engine && !e.Leaving && eligibility.Check(q.request.Regions, e.location) == eligibility.Eligible && e.failures <= maxSourceFailures && !q.now.Before(e.redialAt) &&
+	return e.Engine && !e.draining() && eligibility.Check(q.request.Regions, e.location) == eligibility.Eligible && e.failures <= maxSourceFailures && !q.now.Before(e.redialAt) &&
 		e.slowdown <= maxSourceSlowdown && e.overdueMS(q.now) == 0
 }
 
--- a/coord/placement/table.go
+++ b/coord/placement/table.go
@@ -27,6 +27,7 @@
 	Restoring  bool              // a snapshot of another table is still to come
 	Regions    map[string]string // of data centres, by name
 	Group      eligibility.Group // of entries that send to the same endpoints
+	DrainGrace time.Duration     // a draining endpoint gets nothing that comes later
 
 	endpoints map[string]*endpoint
 	services  map[string]*service
@@ -82,6 +83,9 @@
 				signals: t.relist(listed.Incarnation()),
 			}
 		}
+		if listed.Leaving {
+			e.drain.Apply(now)
+		}
 		e.takeWarmup(now, listed)
 		e.Endpoint = listed
 		e.location = t.locationOf(listed)
--- a/internal/decisions_test.go
+++ b/internal/decisions_test.go
@@ -38,6 +38,7 @@
 	"coord/eligibility/warmup.go",
 	"coord/eligibility/limit.go",
 	"coord/eligibility/backoff.go",
+	"coord/eligibility/drain.go",
 	"coord/memory/cache.go",
 	"coord/memory/move.go",
 	"coord/memory/fetch.go",
--- a/internal/direct/gateway/attempts.go
+++ b/internal/direct/gateway/attempts.go
@@ -73,9 +73,17 @@
 		Restoring:  true,
 		Regions:    o.Process.Regions,
 		Group:      eligibility.Group{Self: o.Owner},
+		DrainGrace: drainGrace(o.Process.Bounds),
 	}
 }
 
+// drainSlack is the part of the time allowed after the first sign of draining that is not used:
+// what a request takes from its arrival to its send.
+const drainSlack = 100 * time.Millisecond
+
+// drainGrace returns how long after the first sign of draining an endpoint may get a request.
+func drainGrace(b driver.Bounds) time.Duration { return max(b.LeaveWithin-drainSlack, 0) }
+
 func (a *attempts) join(group *peers.Group) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -87,6 +95,7 @@
 	defer a.mu.Unlock()
 	a.bounds = b
 	a.table.ReuseLife = b.ReuseWithin
+	a.table.DrainGrace = drainGrace(b)
 	for _, x := range a.budgets {
 		x.Rules = rulesOf(b)
 	}
--- a/internal/direct/gateway/event.go
+++ b/internal/direct/gateway/event.go
@@ -33,8 +33,8 @@
 		err error
 		at  time.Time
 	}
-	// withdrawn: nothing was sent, since the endpoint had asked for a backoff before the
-	// connection was ready.
+	// withdrawn: nothing was sent, since the endpoint had asked for a backoff, or drained for too
+	// long, before the connection was ready.
 	withdrawn struct{}
 	// notRun: the endpoint says that it did not run the request.
 	notRun struct{ status int }
--- a/internal/direct/gateway/outcome.go
+++ b/internal/direct/gateway/outcome.go
@@ -185,6 +185,8 @@
 		code = result.Overloaded
 		after = max(o.Wait, minLimitedRetryAfter)
 		reason = fmt.Sprintf("%s asked for %v without requests, %v ago", o.Endpoint, o.Delay, o.Since.Round(time.Millisecond))
+	case eligibility.Draining:
+		return ownFailure(result.NoEndpoint, "all endpoints drain", mayHaveRun)
 	default:
 		return ownFailure(result.NoEndpoint, "", mayHaveRun)
 	}
--- a/internal/direct/gateway/sharing.go
+++ b/internal/direct/gateway/sharing.go
@@ -81,6 +81,8 @@
 			a.table.TakeKept(at, e.Endpoint, e.Parts)
 		case peers.LimitTold:
 			a.applyAnnouncedLimit(at, e)
+		case peers.EndpointDraining:
+			a.applyAnnouncedDrain(at, e)
 		}
 	}
 }
--- a/internal/direct/gateway/signals.go
+++ b/internal/direct/gateway/signals.go
@@ -25,6 +25,8 @@
 		case signal.Backoff:
 			a.pushedBack = true
 			g.attempts.applyBackoff(a, s)
+		case signal.Draining:
+			g.attempts.applyDrain(a)
 		case signal.Invalid:
 			log.With("endpoint", a.endpoint().ID).With("field", s.Field).With("value", s.Value).With("reason", s.Err.Error()).
 				Limited("signal-"+s.Field, "A response has a field that can't be applied; it is left out.")
@@ -83,6 +85,34 @@
 	}
 }
 
+// applyDrain records that the response to an attempt of this entry says that its endpoint drains,
+// and announces it to the others.
+func (a *attempts) applyDrain(x *attempt) {
+	now := steady.Now()
+	endpoint := x.endpoint().Incarnation()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	began, announce := a.table.ApplyDrain(now, endpoint, now)
+	logDrain(began, endpoint, "answer")
+	if announce {
+		a.broadcast(peers.Event{Kind: peers.EndpointDraining, Endpoint: endpoint})
+	}
+}
+
+// applyAnnouncedDrain records that another entry announces that an endpoint drains, as of a
+// time. attempts.mu is held.
+func (a *attempts) applyAnnouncedDrain(at time.Time, e peers.Event) {
+	began, _ := a.table.ApplyDrain(steady.Now(), e.Endpoint, at)
+	logDrain(began, e.Endpoint, "peer")
+}
+
+// logDrain logs that an endpoint drains.
+func logDrain(began bool, endpoint, from string) {
+	if began {
+		log.With("endpoint", endpoint).With("from", from).Info("An endpoint drains, as its responses say.")
+	}
+}
+
 // withdraw tells whether nothing is to be sent to an endpoint any more that was chosen before.
 func (a *attempts) withdraw(incarnation string) bool {
 	a.mu.Lock()
--- a/internal/direct/gateway/signals_test.go
+++ b/internal/direct/gateway/signals_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"foxcross.dev/coord/placement"
+	"foxcross.dev/foxcross/internal/direct/driver"
 	"foxcross.dev/foxcross/internal/testing/standin/platformtest"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -148,3 +149,68 @@
 		Eventually(func() int { return w.get("/once/2").status }).Should(Equal(http.StatusOK))
 	})
 })
+
+var _ = Describe("an endpoint that says that it drains", func() {
+	const grace = 500 * time.Millisecond
+
+	// allow sets the time within which an endpoint that drains gets requests.
+	allow := func(w *world, within time.Duration) {
+		w.gateway.SetBounds(driver.Bounds{LeaveWithin: within, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50})
+	}
+
+	It("is the last resort, and gets nothing after the grace period, though its record is ready", func() {
+		w := start(ok)
+		allow(w, grace)
+		w.runners[0].Drain("1")
+		w.get("/page/1").whole(http.StatusOK)
+		began := time.Now()
+		w.get("/page/2").whole(http.StatusOK)
+		w.join(platformtest.NewRunner("i-2", service, ok))
+		w.get("/page/3").whole(http.StatusOK)
+		Expect(w.runners[1].Runs()).To(HaveLen(1))
+		w.store.Enter(w.runners[0], "ready")
+		w.runners[1].SetRest(platformtest.Fail{Status: http.StatusInternalServerError})
+		time.Sleep(grace - time.Since(began)) // the end of the grace period
+		before := len(w.runners[0].Arrivals())
+		w.get("/page/4")
+		Expect(w.runners[0].Arrivals()).To(HaveLen(before))
+	})
+
+	DescribeTable("is used as before after what says nothing", func(values ...string) {
+		w := start(ok)
+		w.runners[0].Drain(values...)
+		w.get("/page/1").whole(http.StatusOK)
+		w.get("/page/2").whole(http.StatusOK)
+		Expect(w.stateOf(w.runners[0]).DrainingMS).To(BeZero())
+	},
+		Entry("another value", "0"),
+		Entry("a word", "true"),
+		Entry("two fields", "1", "1"),
+		Entry("an empty one", ""),
+	)
+
+	DescribeTable("is known to drain from any response of its own", func(act platformtest.Act) {
+		w := start(act)
+		w.runners[0].Drain("1")
+		w.get("/once/1")
+		Expect(w.stateOf(w.runners[0]).DrainingMS).NotTo(BeZero())
+	},
+		Entry("a success", ok),
+		Entry("a failure", platformtest.Fail{Status: http.StatusInternalServerError}),
+		Entry("a refusal", platformtest.Refuse{Status: http.StatusServiceUnavailable}),
+	)
+
+	It("is not known to drain by a 421 of another one", func() {
+		w := start(platformtest.Refuse{Status: http.StatusMisdirectedRequest})
+		w.runners[0].Drain("1")
+		w.get("/once/1")
+		Expect(w.stateOf(w.runners[0]).DrainingMS).To(BeZero())
+	})
+
+	It("keeps the streams that it has", func() {
+		w := start(platformtest.Events{To: 3, Pause: 300 * time.Millisecond})
+		allow(w, grace)
+		w.runners[0].Drain("1")
+		w.do(w.request(http.MethodPost, "/plan/1", "a question")).whole(http.StatusOK)
+	})
+})
--- a/internal/direct/peers/packet.go
+++ b/internal/direct/peers/packet.go
@@ -36,13 +36,14 @@
 	ContentCleared  // Runs succeeded
 	ContentHeld     // as the store's records say
 	LimitTold       // of an endpoint, as its answer said
+	EndpointDraining
 )
 
 // Event is one thing that happened to an attempt of the sender.
 type Event struct {
 	Kind     Kind               `cbor:"1,keyasint"`
 	Number   uint64             `cbor:"2,keyasint"`           // of the attempt, at its owner
-	Endpoint string             `cbor:"3,keyasint,omitempty"` // of AttemptSent, PartsKept and LimitTold
+	Endpoint string             `cbor:"3,keyasint,omitempty"` // of AttemptSent, PartsKept, LimitTold and EndpointDraining
 	Request  *placement.Request `cbor:"4,keyasint,omitempty"` // of AttemptSent
 	Outcome  placement.Outcome  `cbor:"5,keyasint,omitempty"` // of AttemptEnded
 	AgeMS    int64              `cbor:"6,keyasint,omitempty"` // since it happened, when it is sent
--- a/internal/direct/signal/signal.go
+++ b/internal/direct/signal/signal.go
@@ -20,6 +20,9 @@
 // retryAfter is the field of RFC 9110, 10.2.3. Only its form in seconds is read, with fractions.
 const retryAfter = "Retry-After"
 
+// drains is the only value of the sign of draining.
+const drains = "1"
+
 // Signal is what a response says of its endpoint.
 type Signal interface{ signal() }
 
@@ -29,6 +32,8 @@
 	RateLimit struct{ PerSecond float64 }
 	// Backoff is the delay in which this entry is to send the endpoint nothing.
 	Backoff struct{ Delay time.Duration }
+	// Draining is that the endpoint drains.
+	Draining struct{}
 	// Invalid is a field that can't be applied.
 	Invalid struct {
 		Field, Value string
@@ -40,14 +45,16 @@
 
 func (RateLimit) signal() {}
 func (Backoff) signal()   {}
+func (Draining) signal()  {}
 func (Invalid) signal()   {}
 func (Unread) signal()    {}
 
 // Why a field can't be applied.
 var (
-	errNumber  = errors.New("not one decimal number that is not negative")
-	errTooLong = errors.New("a longer delay than is valid")
-	errStatus  = errors.New("only a 503 asks for a backoff")
+	errNumber   = errors.New("not one decimal number that is not negative")
+	errTooLong  = errors.New("a longer delay than is valid")
+	errStatus   = errors.New("only a 503 asks for a backoff")
+	errDraining = errors.New("not the value that stands for draining")
 )
 
 // Parse returns the signals of a response.
@@ -62,6 +69,9 @@
 	if s := backoff(status, h); s != nil {
 		all = append(all, s)
 	}
+	if s := draining(f, h); s != nil {
+		all = append(all, s)
+	}
 	return append(all, unread(f, h)...)
 }
 
@@ -102,6 +112,19 @@
 	}
 }
 
+// draining returns what is said of draining; nil for nothing.
+func draining(f driver.Fields, h http.Header) Signal {
+	values := h.Values(f.Draining)
+	switch {
+	case len(values) == 0:
+		return nil
+	case len(values) == 1 && strings.TrimSpace(values[0]) == drains:
+		return Draining{}
+	default:
+		return invalid(f.Draining, values, errDraining)
+	}
+}
+
 // unread returns the fields that begin as the platform's signals do and are none that is known.
 func unread(f driver.Fields, h http.Header) []Signal {
 	if f.SignalPrefix == "" {
--- a/internal/process/gauges.go
+++ b/internal/process/gauges.go
@@ -24,7 +24,9 @@
 		}
 		scope.Gauge("open_requests").Update(float64(d.Open))
 		scope.Gauge("suspect_contents").Update(float64(d.Suspect))
-		scope.Gauge("endpoints_in_backoff").Update(float64(inBackoff(d.Endpoints)))
+		backoffs, draining := signalling(d.Endpoints)
+		scope.Gauge("endpoints_in_backoff").Update(float64(backoffs))
+		scope.Gauge("endpoints_draining").Update(float64(draining))
 		scope.Gauge("held_contents").Update(float64(d.Held))
 		scope.Gauge("live_entries").Update(float64(d.Entries))
 		scope.Gauge("settings_version").Update(float64(d.Version))
@@ -34,13 +36,16 @@
 	})
 }
 
-// inBackoff returns the number of endpoints that this entry backs off from.
-func inBackoff(all []placement.EndpointState) int {
-	n := 0
+// signalling returns the numbers of endpoints that this entry backs off from, and of those that
+// drain.
+func signalling(all []placement.EndpointState) (backoffs, draining int) {
 	for _, e := range all {
 		if e.BackoffMS > 0 {
-			n++
+			backoffs++
+		}
+		if e.Leaving || e.DrainingMS > 0 {
+			draining++
 		}
 	}
-	return n
+	return backoffs, draining
 }
