Let endpoints ask for backoffs and drain in their responses in the soak

Each life of an entry is held to what endpoints had said in their responses to it, by what callers and endpoints saw: at most two requests within a Retry-After, and nothing that a caller sends two seconds after the entry has passed a sign of draining on.

--- a/internal/testing/soak/caller.go
+++ b/internal/testing/soak/caller.go
@@ -28,6 +28,10 @@
 	body   string
 	whole  bool // the answer ended as its framing says
 	left   bool // the caller gave up, by its time or the end of the run
+	by     life // of the entry that had the request, zero for not known
+	sent   time.Time
+	ended  time.Time // when the answer was read
+	drains bool      // the answer said that its endpoint drains
 }
 
 // ids counts the requests of this process.
@@ -49,7 +53,7 @@
 		k := kinds[random.IntN(len(kinds))]
 		c := kept[e]
 		if c == nil {
-			c = &connection{address: e.callers()}
+			c = &connection{entry: e}
 		}
 		d.requestOver(ctx, c, k)
 		if keeps {
@@ -66,7 +70,7 @@
 
 // request sends one request over a connection of its own.
 func (d *deployment) request(ctx context.Context, e *entry, k kind) seen {
-	c := &connection{address: e.callers()}
+	c := &connection{entry: e}
 	defer c.close()
 	return d.requestOver(ctx, c, k)
 }
@@ -94,7 +98,14 @@
 		q.Header.Set(platformtest.TokensField, "9000,100")
 		q.Header.Set(platformtest.PartsField, fmt.Sprintf("a%s:4000,%s:5000", s.id[len(s.id)-1:], s.id))
 	}
-	if a, data, err := c.exchange(ctx, q); a != nil {
+	s.by, s.sent = c.entry.lived(), time.Now()
+	a, data, err := c.exchange(ctx, q)
+	s.ended = time.Now()
+	if c.entry.lived() != s.by {
+		s.by = life{}
+	}
+	if a != nil {
+		s.drains = a.Header.Get(platformtest.DrainingField) != ""
 		s.status = a.StatusCode
 		s.seal = a.Header.Get(platformtest.SealField)
 		s.body = string(data)
--- a/internal/testing/soak/connection.go
+++ b/internal/testing/soak/connection.go
@@ -11,7 +11,7 @@
 // connection is one of a caller to an entry. It is opened when it is needed, and repeats
 // nothing. Only one request goes over it at a time.
 type connection struct {
-	address string
+	entry   *entry
 	conn    net.Conn // nil for none
 	answers *bufio.Reader
 }
@@ -47,7 +47,7 @@
 		return nil
 	}
 	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", c.address)
+	conn, err := dialer.DialContext(ctx, "tcp", c.entry.callers())
 	if err != nil {
 		return err
 	}
--- a/internal/testing/soak/crashing.go
+++ b/internal/testing/soak/crashing.go
@@ -49,7 +49,7 @@
 	q.Header.Set(platformtest.RequestIDField, fmt.Sprintf("%016x", ids.Add(1)))
 	q.Header.Set(platformtest.DeadlineField, fmt.Sprint(requestTime.Milliseconds()))
 	q.Header.Set(platformtest.KeyField, teamKey)
-	c := &connection{address: e.callers()}
+	c := &connection{entry: e}
 	defer c.close()
 	_, _, _ = c.exchange(ctx, q) // what it is answered does not matter
 }
--- a/internal/testing/soak/entry.go
+++ b/internal/testing/soak/entry.go
@@ -46,6 +46,7 @@
 	began   time.Time
 	frozen  time.Time     // since when it stands still, zero if it runs
 	stood   time.Duration // for which it stood still before, since it began
+	freezes []interval    // that are over
 	life    int           // counts the starts
 	ended   chan struct{}
 	outcome string // of the last life that has ended
@@ -180,6 +181,7 @@
 	time.Sleep(length)
 	e.mu.Lock()
 	e.stood += time.Since(e.frozen)
+	e.freezes = append(e.freezes, interval{from: e.frozen, to: time.Now()})
 	e.frozen = time.Time{}
 	e.mu.Unlock()
 	e.signal(syscall.SIGCONT)
@@ -219,6 +221,27 @@
 	}
 }
 
+// life is one life of an entry. The zero value is none.
+type life struct {
+	entry  string
+	number int
+}
+
+// lived returns the present life.
+func (e *entry) lived() life { return life{e.name, e.number()} }
+
+// froze tells whether the entry stood still at any time of an interval.
+func (e *entry) froze(from, to time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, f := range e.freezes {
+		if f.from.Before(to) && f.to.After(from) {
+			return true
+		}
+	}
+	return !e.frozen.IsZero() && e.frozen.Before(to)
+}
+
 // number returns which life of the process it is.
 func (e *entry) number() int {
 	e.mu.Lock()
--- a/internal/testing/soak/faults.go
+++ b/internal/testing/soak/faults.go
@@ -47,6 +47,8 @@
 	{"reports fail", []Promise{OneReport, Recovers}, false, reportsFail},
 	{"data centre evacuated", []Promise{Emptied, InRegion, WarmsUp, OwnAnswer}, true, evacuate},
 	{"endpoint names a limit", []Promise{Heeds, OwnAnswer}, true, nameLimit},
+	{"endpoint asks for a backoff", []Promise{BacksOff, NotRun, AtMostOnce, OwnAnswer}, true, askForBackoff},
+	{"endpoint drains in its responses", []Promise{Drains, OwnAnswer, InOrder}, true, drainInResponses},
 }
 
 // How long faults last and what they do,.
--- a/internal/testing/soak/history.go
+++ b/internal/testing/soak/history.go
@@ -31,6 +31,8 @@
 	InRegion    Promise = "a request runs in its regions only"
 	WarmsUp     Promise = "an endpoint that warms up gets no more than it bears"
 	Heeds       Promise = "an endpoint that names a limit gets no more than it bears"
+	BacksOff    Promise = "an endpoint that asks an entry to back off gets at most two requests from it in that time"
+	Drains      Promise = "an endpoint that says in a response that it drains gets nothing new from the entry that passed it on"
 	leaveSlack          = 1500 * time.Millisecond // for a request that was on its way
 )
 
@@ -62,6 +64,7 @@
 
 	evacuations []interval
 	limits      []namedLimit
+	refusals    int // that asked for a backoff
 	breaches    []Breach
 }
 
@@ -131,6 +134,7 @@
 	r.Breaches = h.breaches
 	r.Reports = len(reports)
 	r.Fetches = h.fetches
+	r.Refusals = h.refusals
 	return r
 }
 
--- a/internal/testing/soak/platform.go
+++ b/internal/testing/soak/platform.go
@@ -86,6 +86,7 @@
 	gone   bool
 	began  time.Time  // it warms up from then on
 	naming sync.Mutex // one limit at a time
+	drains bool       // its responses say that it drains
 }
 
 // addEndpoint starts an endpoint and enters it in the store.
@@ -126,7 +127,7 @@
 	defer d.mu.Unlock()
 	var serving []*endpoint
 	for _, e := range d.endpoints {
-		if !e.gone && e.left.IsZero() {
+		if !e.gone && e.left.IsZero() && !e.drains {
 			serving = append(serving, e)
 		}
 	}
--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -40,6 +40,7 @@
 	Fetches  int // runs whose endpoint was told to fetch memory
 	Reports  int // of usage
 	Crashed  int // endpoints that crashed under a request
+	Refusals int // of endpoints that asked for a backoff
 	MemoryMB int // of the entry that had the most
 	// BodyBytes is the most that one entry held of bodies.
 	BodyBytes int64
@@ -209,6 +210,7 @@
 	for _, l := range d.history.limits {
 		d.history.checkLimit(l, l.runner.Runs())
 	}
+	d.checkSignals()
 	r := d.history.check(d.options.planned(), d.reports.Taken())
 	r.Faults = d.faults
 	r.Crashed = d.crashed
--- a/internal/testing/soak/soak_test.go
+++ b/internal/testing/soak/soak_test.go
@@ -58,6 +58,17 @@
 	}
 }
 
+// TestSignalsOfEndpoints lets endpoints ask for backoffs and drain in their responses while entries
+// are killed, stopped and frozen and the store fails.
+func TestSignalsOfEndpoints(t *testing.T) {
+	r := play(t, 7, []string{
+		"endpoint asks for a backoff", "endpoint drains in its responses", "kill an entry", "stop an entry", "freeze an entry", "store silent",
+	})
+	if r.Refusals == 0 || r.Faults["endpoint drains in its responses"] == 0 {
+		t.Errorf("%d requests were refused with a backoff, %d endpoints drained", r.Refusals, r.Faults["endpoint drains in its responses"])
+	}
+}
+
 // TestNamedLimits lets endpoints name limits while entries are killed and frozen.
 func TestNamedLimits(t *testing.T) {
 	const names = "endpoint names a limit"
@@ -97,7 +108,7 @@
 			attacked[p] = true
 		}
 	}
-	for _, p := range []Promise{OwnAnswer, InOrder, AtMostOnce, NotRun, Untouched, NothingNew, GoodSource, NeverBack, NothingLost, Recovers, OneReport, Emptied, InRegion, WarmsUp, Heeds} {
+	for _, p := range []Promise{OwnAnswer, InOrder, AtMostOnce, NotRun, Untouched, NothingNew, GoodSource, NeverBack, NothingLost, Recovers, OneReport, Emptied, InRegion, WarmsUp, Heeds, BacksOff, Drains} {
 		if !attacked[p] {
 			t.Errorf("no fault attacks %q", p)
 		}
