--- a/coord/eligibility/drain.go
+++ b/coord/eligibility/drain.go
@@ -39,7 +39,7 @@
 
 // Announce tells whether other entries are to be told of a sign, and counts that as told.
 func (d *Drain) Announce(now time.Time) bool {
-	if !d.announced.IsZero() && now.Sub(d.announced) < tellInterval {
+	if !d.announced.IsZero() && now.Sub(d.announced) < announceInterval {
 		return false
 	}
 	d.announced = now
--- a/coord/eligibility/limit.go
+++ b/coord/eligibility/limit.go
@@ -1,37 +1,37 @@
-// The rate that an endpoint in need names as the most it takes from all entries together.
+// The rate limit that an endpoint advertises, for all entries together.
 //
-// Rule: an answer that names a limit sets it, unless a later send has shown that it is over, or a
-// later answer has named another one. A success that names none ends the limit if its request was
-// sent after the last answer that named one had come, since answers end in another order than
-// they began. What other entries tell goes by the same rule, so that a word which comes late, or
-// twice, changes nothing. While the limit stands all entries together send at its rate
-// (pace.go), so that the endpoint is asked and can say that it is over.
-// Inputs: words of answers with the times of their sends, sends of all entries.
+// Rule: a response that advertises a limit sets it, unless a later request has shown that it is
+// over, or a later response has advertised another one. A success that advertises none ends the limit
+// if its request was sent after the last response that advertised one was received, since responses
+// come in another order than requests. What other entries announce goes by the same rule, so that
+// an announcement which comes late, or twice, changes nothing. While the limit stands all entries together send
+// at its rate (pace.go), so that the endpoint is asked and can say that it is over.
+// Inputs: updates from responses with the times of their requests, sends of all entries.
 // Units: requests a second, times.
-// Never: a limit of one start of an endpoint holds for another start; one that can't be kept, such
-// as none at all, shuts an endpoint.
+// Never: a limit of one start of an endpoint holds for another start; one that can't be
+// honoured, such as none at all, shuts an endpoint.
 
 package eligibility
 
 import "time"
 
 const (
-	// MinLimit is the least limit that is kept to, in requests a second, so that the endpoint is asked
-	// at times.
+	// MinLimit is the least limit that is honoured, in requests a second, so that the endpoint is
+	// asked at times.
 	MinLimit = 0.05
 	// MaxLimit is the largest one.
 	MaxLimit = 1e6
-	// orderSlack is how much later than an answer that named a limit a request has to be sent whose
-	// answer ends it. Above the error of times that other entries tell.
+	// orderSlack is how much later than a response that advertised a limit a request has to be sent
+	// whose response ends it. Above the error of times that other entries announce.
 	orderSlack = 50 * time.Millisecond
-	// tellInterval is how often what answers say is told again, so that who missed it hears of it.
-	tellInterval = 250 * time.Millisecond
-	// tellOverFor is for how long it is told that a limit is over. As long as entries remember
+	// announceInterval is how often a signal is announced again, for entries that missed it.
+	announceInterval = 250 * time.Millisecond
+	// announceEndFor is for how long the end of a limit is announced. As long as entries remember
 	// others that they have lost.
-	tellOverFor = time.Minute
+	announceEndFor = time.Minute
 )
 
-// Change is what a word has changed.
+// Change is what an update has changed.
 type Change uint8
 
 // The changes.
@@ -42,20 +42,20 @@
 	Ended            // it has none any more
 )
 
-// Word is what an answer of an endpoint says of its limit.
-type Word struct {
+// LimitUpdate is what a response says of its endpoint's limit.
+type LimitUpdate struct {
 	PerSecond float64   // 0 for none
 	Sent      time.Time // when its request was sent
-	Came      time.Time // when the answer began to come
+	Received  time.Time // when its head was received
 }
 
 // Limit is the limit of one endpoint. The zero value is none.
 type Limit struct {
-	perSecond float64   // 0 for none
-	named     time.Time // when the last answer that named it came
-	over      time.Time // when the request was sent whose answer ended the last limit
-	told      time.Time // when entries were last told
-	pace      Pace
+	perSecond  float64   // 0 for none
+	advertised time.Time // when the last response that advertised it was received
+	ended      time.Time // when the request was sent whose response ended the last limit
+	announced  time.Time // when it was last announced
+	pace       Pace
 }
 
 // Limited tells whether the endpoint has a limit.
@@ -64,20 +64,20 @@
 // PerSecond returns the limit, 0 for none.
 func (l *Limit) PerSecond() float64 { return l.perSecond }
 
-// Named returns when the last answer that named the limit came.
-func (l *Limit) Named() time.Time { return l.named }
+// AdvertisedAt returns when the last response that advertised the limit was received.
+func (l *Limit) AdvertisedAt() time.Time { return l.advertised }
 
-// Take takes in what an answer says.
-func (l *Limit) Take(w Word) Change {
-	if w.PerSecond <= 0 {
-		return l.end(w)
+// Apply records an update.
+func (l *Limit) Apply(u LimitUpdate) Change {
+	if u.PerSecond <= 0 {
+		return l.end(u)
 	}
-	if w.Sent.Before(l.over) || w.Came.Before(l.named) {
+	if u.Sent.Before(l.ended) || u.Received.Before(l.advertised) {
 		return Unchanged
 	}
 	before := l.perSecond
-	l.perSecond = min(max(w.PerSecond, MinLimit), MaxLimit)
-	l.named = w.Came
+	l.perSecond = min(max(u.PerSecond, MinLimit), MaxLimit)
+	l.advertised = u.Received
 	switch before {
 	case 0:
 		l.pace = Pace{}
@@ -89,23 +89,23 @@
 	}
 }
 
-// end ends the limit if the word is later than those that named it.
-func (l *Limit) end(w Word) Change {
-	if !l.Limited() || !w.Sent.After(l.named.Add(orderSlack)) {
+// end ends the limit if the update is later than those that advertised it.
+func (l *Limit) end(u LimitUpdate) Change {
+	if !l.Limited() || !u.Sent.After(l.advertised.Add(orderSlack)) {
 		return Unchanged
 	}
 	l.perSecond = 0
-	l.over = w.Sent
+	l.ended = u.Sent
 	return Ended
 }
 
-// Tell tells whether other entries are to be told what an answer says, and counts that as told.
-func (l *Limit) Tell(now time.Time, c Change) bool {
-	concerns := l.Limited() || !l.over.IsZero() && now.Sub(l.over) < tellOverFor
-	if c == Unchanged && (!concerns || now.Sub(l.told) < tellInterval) {
+// Announce tells whether an update is to be announced to other entries, and counts that as done.
+func (l *Limit) Announce(now time.Time, c Change) bool {
+	concerns := l.Limited() || !l.ended.IsZero() && now.Sub(l.ended) < announceEndFor
+	if c == Unchanged && (!concerns || now.Sub(l.announced) < announceInterval) {
 		return false
 	}
-	l.told = now
+	l.announced = now
 	return true
 }
 
--- a/coord/eligibility/need_test.go
+++ b/coord/eligibility/need_test.go
@@ -19,7 +19,7 @@
 	loss     float64       // share of the news that is lost
 	freezes  time.Duration // so long one entry after the other stands still, each second second
 	restarts bool          // one entry each two seconds forgets all, and is handed what another knows
-	// takesAny is a planted fault: an entry believes the word that came last.
+	// takesAny is a planted fault: an entry believes the update that came last.
 	takesAny bool
 }
 
@@ -70,22 +70,22 @@
 			what()
 		})
 	}
-	take := func(e *fleetEntry, w eligibility.Word) eligibility.Change {
+	take := func(e *fleetEntry, w eligibility.LimitUpdate) eligibility.Change {
 		if s.takesAny {
 			w.Sent = now
 		}
-		c := e.limit.Take(w)
+		c := e.limit.Apply(w)
 		if c == eligibility.Began && at() > s.backBy() {
 			played.revived++
 		}
 		return c
 	}
-	tell := func(from *fleetEntry, w eligibility.Word) {
+	tell := func(from *fleetEntry, w eligibility.LimitUpdate) {
 		for _, e := range entries {
 			if e == from || random.Float64() < s.loss {
 				continue
 			}
-			do(e, now.Add(time.Duration(random.Float64()*float64(s.delay))), func() { e.limit.Tell(now, take(e, w)) })
+			do(e, now.Add(time.Duration(random.Float64()*float64(s.delay))), func() { e.limit.Announce(now, take(e, w)) })
 		}
 	}
 	send := func(e *fleetEntry) {
@@ -103,14 +103,14 @@
 		head := now.Add(time.Duration(random.ExpFloat64() * float64(s.answers)))
 		begun := head.Sub(origin)
 		do(e, head, func() {
-			w := eligibility.Word{Sent: sent, Came: now}
+			w := eligibility.LimitUpdate{Sent: sent, Received: now}
 			if begun >= needBegins && begun < needEnds {
 				w.PerSecond = s.rate
 				if e.passedOn.IsZero() {
 					e.passedOn = now
 				}
 			}
-			if e.limit.Tell(now, take(e, w)) {
+			if e.limit.Announce(now, take(e, w)) {
 				tell(e, w)
 			}
 		})
@@ -166,7 +166,7 @@
 				e.limit = eligibility.Limit{}
 				e.passedOn = time.Time{}
 				if other.limit.Limited() {
-					e.limit.Take(eligibility.Word{PerSecond: other.limit.PerSecond(), Sent: other.limit.Named(), Came: other.limit.Named()})
+					e.limit.Apply(eligibility.LimitUpdate{PerSecond: other.limit.PerSecond(), Sent: other.limit.AdvertisedAt(), Received: other.limit.AdvertisedAt()})
 				}
 			})
 		}
@@ -212,7 +212,7 @@
 	}
 }
 
-// TestOlderWordsFaultIsSeen plants the fault that entries believe the word that came last.
+// TestOlderWordsFaultIsSeen plants the fault that entries believe the update that came last.
 func TestOlderWordsFaultIsSeen(t *testing.T) {
 	s := limitedFleet{entries: 5, rate: 4, demand: 60, answers: 2 * time.Second, delay: 40 * time.Millisecond, freezes: 6 * time.Second}
 	revived := 0
--- a/coord/placement/admit.go
+++ b/coord/placement/admit.go
@@ -19,25 +19,19 @@
 
 const (
 	// maxStartTargets is the longest wait, in first-event targets, after which a prompt counts
-	// as started at once. 0.02 earns 0.711 in place of 0.706 on five days at 52 engines, and 0.701
-	// in place of 0.749 at 9, where engines are seldom free.
+	// as started at once. Above the shortest waits, since few engines are seldom free.
 	maxStartTargets = 0.15
 	// maxFirstTargets is until when, in first-event targets, a prompt that waits has to have
-	// its first event: what comes later earns little and delays everything behind it. Where 65
-	// of 160 engines crash under a burst, 0.7 and less refuse prompts that would come in time.
+	// its first event: what comes later earns little and delays everything behind it.
 	maxFirstTargets = 1.0
-	// maxHarmfulFirstTargets is the same where streams miss their targets beside prefill. On
-	// three days of bursts of long prompts at 52 engines 0.741, 0.712 and 0.880 of what is owed
-	// is earned at 1.0, and 0.783, 0.718 and 0.903 at 0.35; of the streams with the strictest
-	// target 0.25, 0.29 and 0.09 come late, and 0.19, 0.30 and 0.05.
+	// maxHarmfulFirstTargets is the same where streams miss their targets beside prefill.
 	maxHarmfulFirstTargets = 0.35
 	// crowdedShare is the share of busy slots from which the service counts as crowded.
 	crowdedShare = 0.5
 	// crowdedHarm is the most harm that is admitted at a crowded service, in requests.
 	crowdedHarm = 1.0
 	// minRetryAfter is the soonest that a refused request may come back: a time in which
-	// some prompts are computed at each engine. Told to come back after an eighth to a quarter
-	// of their time, a tenth fewer are refused in the end, and four times as many come late.
+	// some prompts are computed at each engine.
 	minRetryAfter = 700 * time.Millisecond
 	// maxRetryShare is the share of the time to its deadline that a refused caller is told to
 	// wait at the most, as one part in so many.
--- a/coord/placement/attempts.go
+++ b/coord/placement/attempts.go
@@ -111,10 +111,9 @@
 	t.boundBacklog(now, e)
 }
 
-// learnPrefill takes in a first event before which nothing was fetched. What a token takes is
-// learned of prompts that nothing waited before and that nothing joined: with those that
-// others joined it was learned as 0.08 ms a token in a burst and 0.06 for long after, at
-// engines that take 0.021, and a third of the prompts of 1,700 tokens counted as long.
+// learnPrefill records a first event before which nothing was fetched. What a token takes is
+// learned of prompts that nothing waited before and that nothing joined, since others make it
+// seem longer.
 func (t *Table) learnPrefill(e *endpoint, a *attempt, observedMS float64) {
 	if a.alone && a.own && e.lastSent.Equal(a.sentAt) {
 		s := t.service(e.Service)
--- a/coord/placement/bench_test.go
+++ b/coord/placement/bench_test.go
@@ -55,7 +55,7 @@
 	t.SetEndpoints(now, list)
 	t.Group = eligibility.Group{Self: 1, Entries: 620, Live: 620}
 	for _, e := range list[:limited] {
-		t.TakeLimit(now, e.ID, eligibility.Word{PerSecond: 2, Sent: now, Came: now})
+		t.ApplyLimit(now, e.ID, eligibility.LimitUpdate{PerSecond: 2, Sent: now, Received: now})
 	}
 	random := rand.New(rand.NewPCG(1, 2))
 	job := func(n int) placement.Request {
--- a/coord/placement/dump.go
+++ b/coord/placement/dump.go
@@ -61,7 +61,7 @@
 	if !e.limit.Limited() {
 		return 0
 	}
-	return now.Sub(e.limit.Named())
+	return now.Sub(e.limit.AdvertisedAt())
 }
 
 // drainAge returns since when the endpoint drains, 0 for not.
--- a/coord/placement/health.go
+++ b/coord/placement/health.go
@@ -119,8 +119,7 @@
 }
 
 // setSlowdown sets the slowdown, within its bounds. Its logarithm is kept, since each first event
-// asks for the mean of all: made anew each time, a decision at 1,600 engines took 105 us in place
-// of 68 (BenchmarkDecision, medians of 7 beside other work).
+// asks for the mean of all.
 func (e *endpoint) setSlowdown(factor float64) {
 	e.slowdown = min(max(factor, minSlowdown), maxSlowdown)
 	e.logFactor = math.Log(e.slowdown)
--- a/coord/placement/limits.go
+++ b/coord/placement/limits.go
@@ -7,15 +7,15 @@
 	"foxcross.dev/coord/eligibility"
 )
 
-// TakeLimit takes in what an answer of an endpoint, or another entry, says of its limit. It
-// returns what that has changed, and whether others are to be told.
-func (t *Table) TakeLimit(now time.Time, endpointID string, w eligibility.Word) (c eligibility.Change, tell bool) {
+// ApplyLimit records an update of an endpoint's limit, from a response or another entry. It returns
+// what that has changed, and whether it is to be announced to others.
+func (t *Table) ApplyLimit(now time.Time, endpointID string, u eligibility.LimitUpdate) (c eligibility.Change, announce bool) {
 	s := t.knownSignals(endpointID)
 	if s == nil {
 		return eligibility.Unchanged, false
 	}
-	c = s.limit.Take(w)
-	return c, s.limit.Tell(now, c)
+	c = s.limit.Apply(u)
+	return c, s.limit.Announce(now, c)
 }
 
 // shown tells whether the request may choose an endpoint that bears a rate, so that not all do
--- a/coord/placement/obstacle.go
+++ b/coord/placement/obstacle.go
@@ -65,7 +65,7 @@
 	case eligibility.Limited:
 		o.Endpoint = e.ID
 		o.Limit = e.limit.PerSecond()
-		o.Since = q.now.Sub(e.limit.Named())
+		o.Since = q.now.Sub(e.limit.AdvertisedAt())
 		o.Wait = e.limit.Wait(q.now, q.table.Group)
 	case eligibility.BackedOff:
 		asked, delay := e.backoff.Asked()
--- a/coord/placement/signals_test.go
+++ b/coord/placement/signals_test.go
@@ -77,7 +77,7 @@
 	table, list := deskTable("a", "b", "c")
 	table.ApplyBackoff(origin, "a", signalDelay, deskRandom())
 	table.ApplyDrain(origin, "b", origin)
-	table.TakeLimit(origin, "c", eligibility.Word{PerSecond: 1, Sent: origin, Came: origin})
+	table.ApplyLimit(origin, "c", eligibility.LimitUpdate{PerSecond: 1, Sent: origin, Received: origin})
 	table.SetEndpoints(origin, nil)
 	table.SetEndpoints(origin.Add(time.Second), list)
 	for _, s := range table.States(origin.Add(time.Second)) {
--- a/coord/placement/snapshot.go
+++ b/coord/placement/snapshot.go
@@ -111,7 +111,7 @@
 		}
 		if e.limit.Limited() {
 			s.Limits = append(s.Limits, LimitSnapshot{
-				ID: id, PerSecond: e.limit.PerSecond(), NamedMS: now.Sub(e.limit.Named()).Milliseconds(),
+				ID: id, PerSecond: e.limit.PerSecond(), NamedMS: now.Sub(e.limit.AdvertisedAt()).Milliseconds(),
 			})
 		}
 	}
@@ -204,7 +204,7 @@
 	for _, x := range s.Limits {
 		if e := t.endpoints[x.ID]; e != nil {
 			named := now.Add(-time.Duration(x.NamedMS) * time.Millisecond)
-			e.limit.Take(eligibility.Word{PerSecond: x.PerSecond, Sent: named, Came: named})
+			e.limit.Apply(eligibility.LimitUpdate{PerSecond: x.PerSecond, Sent: named, Received: named})
 		}
 	}
 	for _, x := range s.Drains {
--- a/coord/quarantine/key.go
+++ b/coord/quarantine/key.go
@@ -6,7 +6,7 @@
 	"encoding/hex"
 )
 
-// keyBytes is the length of a key. Derived: with 16 bytes of SHA-256 nobody finds a request
+// keyBytes is the length of a key. With 16 bytes of SHA-256 nobody finds a request
 // of another content with the same key, so that nobody has another caller's request refused.
 const keyBytes = 16
 
--- a/coord/quarantine/quarantine.go
+++ b/coord/quarantine/quarantine.go
@@ -37,7 +37,7 @@
 	// that loses power takes its endpoints along within a second, and a popular content
 	// succeeds elsewhere within as long.
 	togetherFor = time.Second
-	// minHold is how long a content is held first. Derived: of a request that crashes what
+	// minHold is how long a content is held first. Of a request that crashes what
 	// runs it operators bear three sends after it is known, so that trials have to be seldom;
 	// and a caller that comes back within its deadline, 15 s, is told once.
 	minHold = time.Minute
--- a/coord/quarantine/report.go
+++ b/coord/quarantine/report.go
@@ -227,7 +227,7 @@
 	return ok && c != nil && h.until(now).Sub(c.until).Abs() < sameHold
 }
 
-// maxAgeMS bounds an age, so that it does not overflow a time. Derived: above keepFor.
+// maxAgeMS bounds an age, so that it does not overflow a time. Above keepFor.
 const maxAgeMS = int64(24 * time.Hour / time.Millisecond)
 
 // ago returns the time so many ms before.
--- a/internal/direct/directory/lapse.go
+++ b/internal/direct/directory/lapse.go
@@ -22,7 +22,7 @@
 	// lapseWindow is how long after the store's return an endpoint may vanish by a lapse.
 	lapseWindow = time.Second
 	// lapseEnd is when, after the store's return, all that have vanished are dropped.
-	// Derived: live endpoints are back within about two seconds of the return.
+	// Live endpoints are back within about two seconds of the return.
 	lapseEnd = 2300 * time.Millisecond
 	// leaveSlack is the part of the time allowed after leaving that is not used.
 	leaveSlack = 100 * time.Millisecond
--- a/internal/direct/gateway/deny.go
+++ b/internal/direct/gateway/deny.go
@@ -16,7 +16,7 @@
 )
 
 // currentFor is how long after their last confirmation settings are taken for the
-// newest. Derived: a key has to work 4 s after its settings were accepted at the
+// newest. A key has to work 4 s after its settings were accepted at the
 // latest (the platform's bound on catching up).
 const currentFor = 4 * time.Second
 
--- a/internal/direct/gateway/sharing.go
+++ b/internal/direct/gateway/sharing.go
@@ -79,7 +79,7 @@
 			a.table.End(at, id, e.Outcome)
 		case peers.PartsKept:
 			a.table.TakeKept(at, e.Endpoint, e.Parts)
-		case peers.LimitTold:
+		case peers.LimitAnnounced:
 			a.applyAnnouncedLimit(at, e)
 		case peers.EndpointDraining:
 			a.applyAnnouncedDrain(at, e)
--- a/internal/direct/gateway/signals.go
+++ b/internal/direct/gateway/signals.go
@@ -42,13 +42,13 @@
 func (a *attempts) applyLimit(x *attempt, perSecond float64) {
 	now := steady.Now()
 	endpoint := x.endpoint().Incarnation()
-	w := eligibility.Word{PerSecond: perSecond, Sent: x.sentAt, Came: now}
+	u := eligibility.LimitUpdate{PerSecond: perSecond, Sent: x.sentAt, Received: now}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	change, announce := a.table.TakeLimit(now, endpoint, w)
+	change, announce := a.table.ApplyLimit(now, endpoint, u)
 	logLimit(change, endpoint, perSecond, "answer")
 	if announce {
-		a.broadcast(peers.Event{Kind: peers.LimitTold, Endpoint: endpoint, Limit: perSecond, SentMS: now.Sub(x.sentAt).Milliseconds()})
+		a.broadcast(peers.Event{Kind: peers.LimitAnnounced, Endpoint: endpoint, Limit: perSecond, SentMS: now.Sub(x.sentAt).Milliseconds()})
 	}
 }
 
@@ -58,8 +58,8 @@
 	if e.AgeMS >= peers.MaxEventAge.Milliseconds() || !(e.Limit >= 0) || e.SentMS < 0 || e.SentMS > maxSentMS {
 		return
 	}
-	w := eligibility.Word{PerSecond: e.Limit, Sent: at.Add(-time.Duration(e.SentMS) * time.Millisecond), Came: at}
-	change, _ := a.table.TakeLimit(steady.Now(), e.Endpoint, w)
+	u := eligibility.LimitUpdate{PerSecond: e.Limit, Sent: at.Add(-time.Duration(e.SentMS) * time.Millisecond), Received: at}
+	change, _ := a.table.ApplyLimit(steady.Now(), e.Endpoint, u)
 	logLimit(change, e.Endpoint, e.Limit, "peer")
 }
 
--- a/internal/direct/peers/packet.go
+++ b/internal/direct/peers/packet.go
@@ -35,7 +35,7 @@
 	EndpointCrashed // with Runs under way
 	ContentCleared  // Runs succeeded
 	ContentHeld     // as the store's records say
-	LimitTold       // of an endpoint, as its answer said
+	LimitAnnounced  // of an endpoint, as its answer said
 	EndpointDraining
 )
 
@@ -43,7 +43,7 @@
 type Event struct {
 	Kind     Kind               `cbor:"1,keyasint"`
 	Number   uint64             `cbor:"2,keyasint"`           // of the attempt, at its owner
-	Endpoint string             `cbor:"3,keyasint,omitempty"` // of AttemptSent, PartsKept, LimitTold and EndpointDraining
+	Endpoint string             `cbor:"3,keyasint,omitempty"` // of AttemptSent, PartsKept, LimitAnnounced and EndpointDraining
 	Request  *placement.Request `cbor:"4,keyasint,omitempty"` // of AttemptSent
 	Outcome  placement.Outcome  `cbor:"5,keyasint,omitempty"` // of AttemptEnded
 	AgeMS    int64              `cbor:"6,keyasint,omitempty"` // since it happened, when it is sent
@@ -53,8 +53,8 @@
 	Runs  []quarantine.RunReport  `cbor:"9,keyasint,omitempty"`  // of EndpointCrashed and ContentCleared
 	Holds []quarantine.HoldReport `cbor:"10,keyasint,omitempty"` // of ContentHeld
 
-	Limit  float64 `cbor:"11,keyasint,omitempty"` // of LimitTold, in requests a second, 0 for none
-	SentMS int64   `cbor:"12,keyasint,omitempty"` // of LimitTold, from the send of the request to the answer
+	Limit  float64 `cbor:"11,keyasint,omitempty"` // of LimitAnnounced, in requests a second, 0 for none
+	SentMS int64   `cbor:"12,keyasint,omitempty"` // of LimitAnnounced, from the send of the request to the answer
 
 	at time.Time // when it happened, at the sender
 }
--- a/internal/direct/upstream/exchange.go
+++ b/internal/direct/upstream/exchange.go
@@ -239,8 +239,8 @@
 	return a.response.ContentLength >= 0 || len(a.response.TransferEncoding) > 0
 }
 
-// unframedBody is the body of an answer whose end is that of its connection. It comes whole unless
-// the endpoint is gone then: 3 of 51 runs of the soak passed on what a crash had cut off.
+// unframedBody is the body of an answer whose end is that of its connection. It is whole unless the
+// endpoint is gone then.
 type unframedBody struct{ answer *Answer }
 
 // Read implements io.Reader.
--- a/internal/relay/claims/claims.go
+++ b/internal/relay/claims/claims.go
@@ -27,7 +27,7 @@
 	DefaultRetain = 60
 	// MinPace is the shortest time between two swaps of a partition by one entry.
 	MinPace = 50 * time.Millisecond
-	// SwapsPerSecond bounds the swaps of all entries together. Derived: a part of the
+	// SwapsPerSecond bounds the swaps of all entries together. A part of the
 	// some hundred writes a second that the service takes.
 	SwapsPerSecond = 80
 )
--- a/internal/relay/versions/store.go
+++ b/internal/relay/versions/store.go
@@ -46,7 +46,7 @@
 
 // readInterval is how often a process that does not watch reads the root. Versions
 // reach it sooner through other processes; this covers the case that none has them.
-// Derived: below the 11 s in which a change has to be in force.
+// Below the 11 s in which a change has to be in force.
 const readInterval = 9 * time.Second
 
 // Load reads the newest version and puts it in force. It returns the revision of the
