Keep a backoff whose response comes while the endpoint's record has lapsed

An endpoint may go from the list between a request and its 503. The backoff was dropped then, and the endpoint used at once when its record was back: TestBackoffOfAnEndpointWhoseRecordHasLapsedIsKept chose it before. It is kept beside the list, as all signals are.

--- a/coord/placement/signals.go
+++ b/coord/placement/signals.go
@@ -100,11 +100,11 @@
 // ApplyBackoff records a response of an endpoint to this entry that asks for a delay. It returns
 // whether a backoff began.
 func (t *Table) ApplyBackoff(now time.Time, incarnation string, delay time.Duration, random *rand.Rand) (began bool) {
-	e := t.endpoints[incarnation]
-	if e == nil {
+	s := t.signalsOf(now, incarnation)
+	if s == nil {
 		return false
 	}
-	return e.backoff.Apply(now, delay, time.Duration(backoffJitter*random.Float64()*float64(delay)))
+	return s.backoff.Apply(now, delay, time.Duration(backoffJitter*random.Float64()*float64(delay)))
 }
 
 // ApplyDrain records a sign that an endpoint drains, of a response or of another entry. It
--- a/coord/placement/signals_test.go
+++ b/coord/placement/signals_test.go
@@ -90,6 +90,16 @@
 	}
 }
 
+func TestBackoffOfAnEndpointWhoseRecordHasLapsedIsKept(t *testing.T) {
+	table, list := deskTable("a")
+	table.SetEndpoints(origin, nil)
+	table.ApplyBackoff(origin, "a", signalDelay, deskRandom())
+	table.SetEndpoints(origin.Add(time.Second), list)
+	if got := deskChoice(table, origin.Add(signalDelay-1)); got != "" {
+		t.Errorf("%q is chosen", got)
+	}
+}
+
 func TestAnnouncedDrainOfAnEndpointThatIsNotListedYetIsKept(t *testing.T) {
 	table, list := deskTable()
 	table.ApplyDrain(origin, "a", origin)
