--- a/internal/direct/gateway/attempts.go
+++ b/internal/direct/gateway/attempts.go
@@ -41,6 +41,8 @@
 const (
 	outcomeOpen    = "open"
 	outcomeRefused = "refused"
+	// outcomeWithdrawn is that of an attempt that was not sent after all.
+	outcomeWithdrawn = "withdrawn before it was sent"
 )
 
 func (a *attempt) endpoint() placement.Endpoint { return a.choice.Endpoint }
--- a/internal/direct/gateway/event.go
+++ b/internal/direct/gateway/event.go
@@ -59,7 +59,7 @@
 func (deadlinePassed) placementOutcome() placement.Outcome  { return placement.Abandoned }
 func (callerLeft) placementOutcome() placement.Outcome      { return placement.Abandoned }
 
-func (withdrawn) text() string         { return "withdrawn before it was sent" }
+func (withdrawn) text() string         { return outcomeWithdrawn }
 func (e unreachable) text() string     { return e.err.Error() }
 func (e noAnswer) text() string        { return e.err.Error() }
 func (e endpointCrashed) text() string { return "the endpoint crashed: " + e.err.Error() }
--- a/internal/direct/gateway/report.go
+++ b/internal/direct/gateway/report.go
@@ -89,7 +89,7 @@
 // measureBytes counts the bodies that went to an endpoint and came back, without headers,
 // by whether they crossed between data centres.
 func (g *Gateway) measureBytes(q *request, a *attempt) {
-	if a.outcome == outcomeRefused {
+	if a.outcome == outcomeRefused || a.outcome == outcomeWithdrawn {
 		return // nothing was sent
 	}
 	place := "own"
