Hold draining in the soak against the endpoint that said it

The check took the sign for that of all endpoints that had run the request. Answers with the sign now name their endpoint, and the check goes by that name; its bound stays.

--- a/internal/testing/soak/caller.go
+++ b/internal/testing/soak/caller.go
@@ -31,7 +31,7 @@
 	by     life // of the entry that had the request, zero for not known
 	sent   time.Time
 	ended  time.Time // when the answer was read
-	drains bool      // the answer said that its endpoint drains
+	drains string    // id of the endpoint whose answer said that it drains, empty for none
 }
 
 // ids counts the requests of this process.
@@ -105,7 +105,9 @@
 		s.by = life{}
 	}
 	if a != nil {
-		s.drains = a.Header.Get(platformtest.DrainingField) != ""
+		if a.Header.Get(platformtest.DrainingField) != "" {
+			s.drains = a.Header.Get(platformtest.InstanceField)
+		}
 		s.status = a.StatusCode
 		s.seal = a.Header.Get(platformtest.SealField)
 		s.body = string(data)
--- a/internal/testing/soak/signals.go
+++ b/internal/testing/soak/signals.go
@@ -91,7 +91,7 @@
 	passedOn := map[life]time.Time{}
 	for _, run := range e.runner.Runs() {
 		s := byID[run.ID]
-		if at, known := passedOn[s.by]; s.drains && (!known || s.ended.Before(at)) {
+		if at, known := passedOn[s.by]; s.drains == e.runner.ID && (!known || s.ended.Before(at)) {
 			passedOn[s.by] = s.ended
 		}
 	}
--- a/internal/testing/standin/platformtest/runner.go
+++ b/internal/testing/standin/platformtest/runner.go
@@ -362,7 +362,11 @@
 func (r *Runner) signalFields() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return fieldLines(LimitField, r.limit) + fieldLines(DrainingField, r.drains)
+	lines := fieldLines(LimitField, r.limit) + fieldLines(DrainingField, r.drains)
+	if len(r.drains) > 0 {
+		lines += fieldLines(InstanceField, []string{r.ID})
+	}
+	return lines
 }
 
 // fieldLines are the lines of a field, one for each value.
