--- a/internal/direct/gateway/settings_test.go
+++ b/internal/direct/gateway/settings_test.go
@@ -13,7 +13,7 @@
 var _ = Describe("settings", func() {
 	It("decide the route by the longest prefix, and deny what they lack", func() {
 		w := start(ok)
-		w.get("/nowhere/").whole(404)
+		Eventually(func() int { return w.get("/nowhere/").status }).Should(Equal(http.StatusNotFound), "the settings are confirmed")
 		q := w.request(http.MethodGet, "/page/1", "")
 		q.Host = "other.example"
 		w.do(q).whole(404)
