--- a/coord/placement/backoff_play_test.go
+++ b/coord/placement/backoff_play_test.go
@@ -202,8 +202,7 @@
 	table.End(now, id, placement.PushedBack)
 }
 
-// TestAtMostTwoRequestsReachAnEndpointInABackoff guards against requests to an endpoint that has
-// asked the entry to back off, whatever comes late, is lost or is repeated.
+// Guards against requests within a Retry-After, with late, lost and repeated responses.
 func TestAtMostTwoRequestsReachAnEndpointInABackoff(t *testing.T) {
 	const plays = 20
 	for _, fault := range []string{sound, pathDoesNotAsk, shorterCounts, takesAny, noSecondAsking} {
--- a/coord/placement/endpoint.go
+++ b/coord/placement/endpoint.go
@@ -107,8 +107,9 @@
 
 // allowsBackoff tells whether the backoff allows one more request of this entry.
 func (e *endpoint) allowsBackoff(now time.Time) bool {
-	if !e.backoff.Ramping(now) {
-		return !e.backoff.Active(now)
+	open := 0
+	if e.backoff.Ramping(now) {
+		open = e.openAfterBackoff()
 	}
-	return e.backoff.Allows(now, e.openAfterBackoff())
+	return e.backoff.Allows(now, open)
 }
--- a/coord/placement/obstacle.go
+++ b/coord/placement/obstacle.go
@@ -53,8 +53,8 @@
 	return soonest
 }
 
-// obstacle returns why an endpoint may not take the request now. One that bears a rate is an
-// obstacle also while it may be sent to, since it is shown to a part of the requests.
+// obstacle returns why an endpoint may not take the request now. A rate-limited endpoint is one
+// also while it has capacity, since only a share of the requests may choose it.
 func (q *query) obstacle(e *endpoint) Obstacle {
 	reason := q.eligibility(e)
 	if reason == eligibility.Eligible && e.limit.Limited() {
--- a/coord/placement/overload_test.go
+++ b/coord/placement/overload_test.go
@@ -250,8 +250,7 @@
 	return n
 }
 
-// TestOverloadedEndpointsAreNotOverrunWhenTheyAreBack guards against entries that were refused
-// together and come back together.
+// Guards against entries that were refused together and come back together.
 func TestOverloadedEndpointsAreNotOverrunWhenTheyAreBack(t *testing.T) {
 	const mostRefused = 0.1 // of what comes in the first second after the delay
 	for _, c := range []struct{ endpoints, refusing int }{{4, 1}, {16, 8}} {
--- a/coord/placement/signals_test.go
+++ b/coord/placement/signals_test.go
@@ -147,8 +147,7 @@
 	}
 }
 
-// TestRequestForBackoffIsNoFailure guards against an endpoint that gets nothing from any entry
-// since it has refused one of them.
+// Guards against an endpoint that no entry uses since it has refused one of them.
 func TestRequestForBackoffIsNoFailure(t *testing.T) {
 	table, _ := deskTable("a", "b")
 	id := placement.AttemptID{Owner: 2, Number: 1}
--- a/coord/quarantine/quarantine.go
+++ b/coord/quarantine/quarantine.go
@@ -37,9 +37,9 @@
 	// that loses power takes its endpoints along within a second, and a popular content
 	// succeeds elsewhere within as long.
 	togetherFor = time.Second
-	// minHold is how long a content is held first. Of a request that crashes what
-	// runs it operators bear three sends after it is known, so that trials have to be seldom;
-	// and a caller that comes back within its deadline, 15 s, is told once.
+	// minHold is how long a content is held first. Operators accept three sends of a request that
+	// is known to crash endpoints, so that trials have to be rare; and a caller that comes back
+	// within its deadline, 15 s, is refused once.
 	minHold = time.Minute
 	// unclearHold is the same for a content that may only have run beside others, from the
 	// first to the last, by the content: trials at the same time meet at the few endpoints
--- a/internal/direct/explain/explain.go
+++ b/internal/direct/explain/explain.go
@@ -84,7 +84,7 @@
 			fmt.Fprintf(w, "    its response had Retry-After: %s\n", s.RetryAfter)
 		}
 		if s.Draining != "" {
-			fmt.Fprintf(w, "    its response said that it drains\n")
+			fmt.Fprintf(w, "    its response had the sign of draining: %s\n", s.Draining)
 		}
 		if s.FetchedTokens > 0 {
 			fmt.Fprintf(w, "    fetches %d tokens from %s, expected to take %.0f ms\n", s.FetchedTokens, s.Source, s.FetchMS)
--- a/internal/direct/explain/explain_test.go
+++ b/internal/direct/explain/explain_test.go
@@ -46,7 +46,7 @@
 	if _, err := explain.Story(&out, strings.NewReader(log), "a"); err != nil {
 		t.Fatal(err)
 	}
-	for _, want := range []string{"named a limit of 2.2 requests a second", "had Retry-After: 3", "said that it drains"} {
+	for _, want := range []string{"named a limit of 2.2 requests a second", "had Retry-After: 3", "had the sign of draining: 1"} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("%q is missing in %s", want, out.String())
 		}
--- a/internal/direct/gateway/forward.go
+++ b/internal/direct/gateway/forward.go
@@ -65,8 +65,8 @@
 	}
 }
 
-// refusal returns the answer to a request whose last attempt has failed. Where the endpoint asked
-// for a backoff, and all others have, the caller is told when the first one ends.
+// refusal returns the response to a request whose last attempt has failed. If every endpoint is
+// in backoff, its Retry-After is the time until the first backoff ends.
 func (f *forwarding) refusal(last *attempt, failed *result.Error) *result.Error {
 	if !last.pushedBack || failed.Run != result.NotRun {
 		return failed
--- a/internal/testing/fleet/backoff_test.go
+++ b/internal/testing/fleet/backoff_test.go
@@ -20,8 +20,7 @@
 	return entry
 }
 
-// TestEndpointIsNotSentRequestsDuringItsRetryAfter guards against entries that send to an endpoint
-// that has asked them to back off.
+// Guards against entries that send to an endpoint that has asked them to back off.
 func TestEndpointIsNotSentRequestsDuringItsRetryAfter(t *testing.T) {
 	for _, kind := range []string{"page", "chat", "book"} {
 		t.Run(kind, func(t *testing.T) {
@@ -82,8 +81,7 @@
 	})
 }
 
-// TestRefusalOfOneEntryLeavesTheEndpointToTheOthers guards against an endpoint that gets nothing
-// from any entry since it has refused one of them.
+// Guards against an endpoint that no entry uses since it has refused one of them.
 func TestRefusalOfOneEntryLeavesTheEndpointToTheOthers(t *testing.T) {
 	const perSecond = 100
 	f := newFleet(t, 5, 4)
--- a/internal/testing/fleet/drain_test.go
+++ b/internal/testing/fleet/drain_test.go
@@ -10,8 +10,7 @@
 // leaveWithin is the time after the first sign of draining in which an endpoint may get requests.
 const leaveWithin = time.Second
 
-// TestDrainingEndpointGetsNothingAfterTheGracePeriod guards against entries that go on sending to
-// an endpoint whose responses say that it drains, while its record says that it is ready.
+// Guards against requests to an endpoint that drains by its responses and is ready by its record.
 func TestDrainingEndpointGetsNothingAfterTheGracePeriod(t *testing.T) {
 	const perSecond = 100
 	f := newFleet(t, 5, 4)
