Continue runs at a copy of their memory after their engine has crashed

Cause: a stream that may not be resumed ended with its engine, and a request that an engine had accepted and that may not be repeated ended with 502. The copy is an optional field of the event of an attempt.

--- a/coord/memory/transfer.go
+++ b/coord/memory/transfer.go
@@ -34,14 +34,25 @@
 // MS returns the duration of a transfer of tokens. crossCentre is whether the engines are in
 // different data centres.
 func (r Rate) MS(tokens int, crossCentre bool) float64 {
-	const bitsPerMSPerMbps = 1000
-	ms := float64(tokens) * float64(r.TokenBytes) * 8 / (r.LinkMbps * bitsPerMSPerMbps)
+	ms := r.bytesMS(tokens)
 	if crossCentre {
 		ms *= crossCentreFactor
 	}
 	return setUpMS + ms
 }
 
+// bytesMS returns the time of the bytes of tokens on the link, within a data centre.
+func (r Rate) bytesMS(tokens int) float64 {
+	const bitsPerMSPerMbps = 1000
+	return float64(tokens) * float64(r.TokenBytes) * 8 / (r.LinkMbps * bitsPerMSPerMbps)
+}
+
+// Transfer returns the time for which the bytes of tokens occupy a link within a data centre. The
+// rate must be offered.
+func (r Rate) Transfer(tokens int) time.Duration {
+	return time.Duration(r.bytesMS(tokens) * float64(time.Millisecond))
+}
+
 // Link is the occupancy of an engine's network link by transfers. The zero value is idle.
 type Link struct {
 	freeAt time.Time
--- a/coord/placement/attempts.go
+++ b/coord/placement/attempts.go
@@ -72,7 +72,7 @@
 	e.backlog.prefillMS[clampPriority(a.request.Priority)] += prefillMS
 	e.lastSent = now
 	e.recordPrefill(now, prefillMS)
-	a.addedParts = e.cache.Use(a.request.Prompt, memory.CacheSize(s.MemoryTokens, e.openTokens))
+	a.addedParts = e.cache.Use(a.request.Prompt, memory.CacheSize(s.MemoryTokens, e.openTokens+e.replicas.tokens))
 	t.recordUse(now, a.request.Prompt, e)
 	s.pool.add(now, prefillMS, s.isLong(prefillMS))
 }
@@ -177,6 +177,7 @@
 	a := e.attempts[id]
 	delete(t.byAttempt, id)
 	delete(e.attempts, id)
+	t.dropReplica(a)
 	e.openTokens -= a.request.Prompt.Tokens + a.request.Prompt.ExpectedOutput()
 	e.record(now, o)
 	if !e.Engine || !a.waiting() {
--- a/coord/placement/bench_test.go
+++ b/coord/placement/bench_test.go
@@ -38,6 +38,34 @@
 	}
 }
 
+// BenchmarkChooseReplica measures the choice of the engine that holds a copy, which adds to
+// BenchmarkDecision, at engines with ten running requests each.
+func BenchmarkChooseReplica(b *testing.B) {
+	for _, engines := range []int{160, 1600} {
+		b.Run(fmt.Sprint(engines, " engines"), func(b *testing.B) {
+			now := time.Unix(1_000_000, 0)
+			var t placement.Table
+			t.SetServices([]placement.Service{{Name: "pool", MemoryTokens: 500_000}})
+			list := make([]placement.Endpoint, engines)
+			for n := range list {
+				list[n] = placement.Endpoint{ID: fmt.Sprint("i-", n), Service: "pool", Slots: 48, Engine: true}
+			}
+			t.SetEndpoints(now, list)
+			r := placement.Request{Service: "pool", Prompt: memory.Prompt{Tokens: 600, MaxOutputTokens: 300}}
+			for n := range 10 * engines {
+				t.Place(now, placement.AttemptID{Owner: 1, Number: uint64(n)}, list[n%engines].ID, r, memory.Fetch{})
+			}
+			random := rand.New(rand.NewPCG(1, 2))
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				if _, ok := t.ChooseReplica(now, r, list[n%engines].ID, random); !ok {
+					b.Fatal("no engine")
+				}
+			}
+		})
+	}
+}
+
 // benchmarkDecision measures decisions at engines that transfer memory at the rate. The first
 // limited endpoints advertise a limit.
 func benchmarkDecision(b *testing.B, endpoints, limited int, rate memory.Rate) {
--- a/coord/placement/dump.go
+++ b/coord/placement/dump.go
@@ -20,6 +20,7 @@
 	BackoffMS      int64   `json:"backoff_ms,omitempty"`  // ms for which this entry sends it no requests
 	DrainingMS     int64   `json:"draining_ms,omitempty"` // ms since the first drain signal
 	Requests       int     `json:"requests"`              // open attempts of all entries
+	Replicas       int     `json:"replicas,omitempty"`    // copies that it holds for runs of other engines
 	BacklogMS      float64 `json:"reading_ms"`            // ms until no prompt waits for prefill
 	Slowdown       float64 `json:"factor"`                // 1 for as fast as expected
 	Failures       float64 `json:"errors"`                // decayed share of recent attempts that failed
@@ -43,6 +44,7 @@
 			BackoffMS:      e.backoff.Remaining(now).Milliseconds(),
 			DrainingMS:     e.drainAge(now).Milliseconds(),
 			Requests:       len(e.attempts),
+			Replicas:       e.replicas.count,
 			BacklogMS:      e.backlogMS(now),
 			Slowdown:       e.slowdown,
 			Failures:       e.failures,
--- a/coord/placement/endpoint.go
+++ b/coord/placement/endpoint.go
@@ -33,6 +33,7 @@
 	missRate    memory.MissRate // as a source of fetches
 	location    eligibility.Location
 	warmup      eligibility.Warmup
+	replicas    replicas // of runs of other engines
 	signals
 }
 
@@ -42,6 +43,7 @@
 	own           bool // sent by this entry
 	sentAt        time.Time
 	fetch         memory.Fetch
+	replica       string    // incarnation of the engine that holds its copy, empty for none
 	addedParts    []uint64  // parts of the prompt that the endpoint did not cache
 	prefillTokens int       // prompt tokens that were neither cached nor fetched
 	expectedMS    float64   // until the first event, as estimated when it was sent
--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -9,6 +9,7 @@
 //   - pool.go: the size of the pool for long prompts;
 //   - home.go: the preferred endpoint of a prompt prefix that none is known to cache;
 //   - health.go: when an endpoint counts as slow, stalled, failing, or recovered;
+//   - replica.go: the engine that holds the copy of a run's memory;
 //   - eligible.go: which endpoints may take a request at all (package eligibility).
 //
 // Their inputs are maintained in attempts.go (events of attempts), backlog.go (prompts waiting
--- a/coord/placement/table.go
+++ b/coord/placement/table.go
@@ -63,6 +63,15 @@
 // ServiceSettings returns the settings of a service.
 func (t *Table) ServiceSettings(name string) Service { return t.service(name).Service }
 
+// ServiceOf returns the service of a listed endpoint.
+func (t *Table) ServiceOf(incarnation string) (string, bool) {
+	e := t.endpoints[incarnation]
+	if e == nil {
+		return "", false
+	}
+	return e.Service, true
+}
+
 func (t *Table) service(name string) *service {
 	if t.services == nil {
 		t.services = map[string]*service{}
@@ -110,7 +119,8 @@
 }
 
 func (t *Table) removeAttempts(e *endpoint) {
-	for id := range e.attempts {
+	for id, a := range e.attempts {
+		t.dropReplica(a)
 		delete(t.byAttempt, id)
 	}
 }
--- a/internal/direct/driver/driver.go
+++ b/internal/direct/driver/driver.go
@@ -134,6 +134,8 @@
 	Priority     string   // 0 is the most urgent
 	LastEvent    string   // ID of the event after which a stream resumes
 	Fetch        string   // address of an engine from which cached parts of the prompt are fetched first
+	Replica      string   // address of the engine to which the memory of the run is copied
+	Continue     string   // address of the engine that holds the copy, "/", RequestID; to that engine, to continue the run
 	Internal     []string // further fields that only the system may set; they are removed from callers' requests
 }
 
--- a/internal/direct/explain/explain.go
+++ b/internal/direct/explain/explain.go
@@ -86,6 +86,15 @@
 		if a.Draining != "" {
 			fmt.Fprintf(w, "    its response had the sign of draining: %s\n", a.Draining)
 		}
+		if a.Replica != "" {
+			fmt.Fprintf(w, "    the run's memory is copied to %s\n", a.Replica)
+		}
+		if a.NotContinued != "" {
+			fmt.Fprintf(w, "    not continued from the copy: %s\n", a.NotContinued)
+		}
+		if a.ContinuedFrom != "" {
+			fmt.Fprintf(w, "    continues the run from its copy, after event %q: %s has crashed\n", a.ContinuedAfter, a.ContinuedFrom)
+		}
 		if a.FetchedTokens > 0 {
 			fmt.Fprintf(w, "    fetches %d tokens from %s, expected to take %.0f ms\n", a.FetchedTokens, a.Source, a.FetchMS)
 		}
--- a/internal/direct/gateway/attempts.go
+++ b/internal/direct/gateway/attempts.go
@@ -10,6 +10,7 @@
 	"foxcross.dev/coord/eligibility"
 	"foxcross.dev/coord/memory"
 	"foxcross.dev/coord/placement"
+	"foxcross.dev/coord/replication"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/coord/settings"
 	"foxcross.dev/foxcross/internal/direct/directory"
@@ -27,10 +28,13 @@
 	id            placement.AttemptID
 	choice        placement.Choice
 	sentAt        time.Time
-	crashes       int    // counted against the request's content when it was sent
-	gotFirstEvent bool   // the first event of the response was received
-	outcome       string // for the log
-	limit         string // value of the response's rate limit field, for the log
+	replica       replication.Replica // of the run's memory
+	continues     *continuation       // nil unless it continues the run of another attempt
+	notContinued  string              // why its run was not continued from its copy, for the log
+	crashes       int                 // counted against the request's content when it was sent
+	gotFirstEvent bool                // the first event of the response was received
+	outcome       string              // for the log
+	limit         string              // value of the response's rate limit field, for the log
 
 	retryAfter       string // value of the response's Retry-After field, for the log
 	draining         string // value of the response's draining field, for the log
@@ -59,14 +63,16 @@
 	table      placement.Table
 	budgets    map[string]*budget.Budget // by service
 	random     *rand.Rand
-	lastNumber uint64       // of the latest attempt
-	group      *peers.Group // nil before Join
+	lastNumber uint64                          // of the latest attempt
+	crashes    map[string]*replication.Crashes // by service
+	group      *peers.Group                    // nil before Join
 }
 
 func (d *dispatcher) init(o Options) {
 	d.owner = o.Owner
 	d.bounds = o.Process.Bounds
 	d.budgets = map[string]*budget.Budget{}
+	d.crashes = map[string]*replication.Crashes{}
 	d.random = rand.New(rand.NewPCG(o.Seed, o.Owner))
 	d.table = placement.Table{
 		DataCentre:  o.Process.DataCentre,
@@ -203,6 +209,7 @@
 	if choice.Fetch.Any() {
 		sent.Fetch = &choice.Fetch
 	}
+	d.placeReplica(now, q, x, &sent)
 	d.broadcastLocked(sent)
 	q.attempts = append(q.attempts, x)
 	return x, nil
--- a/internal/direct/gateway/forward.go
+++ b/internal/direct/gateway/forward.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"foxcross.dev/coord/eligibility"
+	"foxcross.dev/coord/replication"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/foxcross/internal/direct/upstream"
 	"foxcross.dev/foxcross/internal/steady"
@@ -24,6 +25,7 @@
 	mayHaveRun      bool            // whether any attempt may have run
 	responseStarted bool            // part of a response was relayed
 	trial           bool            // the request is the trial of a held content
+	copied          replication.Run // life of the latest attempt's run
 }
 
 // forward sends the request until it gets a response, and relays that. If it returns a failure, the
@@ -58,6 +60,9 @@
 		case retry:
 			f.mayHaveRun = d.mayHaveRun
 		case fail:
+			if next, response := f.continueRun(""); next != nil {
+				return f.relayContinuation(next, response)
+			}
 			return f.finalFailure(a, d.err)
 		default:
 			return nil
@@ -81,6 +86,7 @@
 // on how to continue.
 func (f *forwarding) try(a *attempt) decision {
 	f.tried[a.endpoint().ID] = true
+	f.copied = replication.Run{Replica: a.replica}
 	response, err := f.send(a, "")
 	res := f.resultOf(response, err)
 	f.countAttempt(res)
@@ -178,6 +184,7 @@
 	f.gateway.dispatcher.recordEnd(a, res)
 	res = f.checkCrash(a, res)
 	a.outcome = res.text()
+	f.copied = f.copied.Apply(replicationEvent(res))
 	f.gateway.recordContentResult(f.request, a, res)
 	if f.trial {
 		f.endTrial(a, res)
--- a/internal/direct/gateway/gateway.go
+++ b/internal/direct/gateway/gateway.go
@@ -14,6 +14,7 @@
 //	attempts.go   chooses an endpoint and records the attempt
 //	signals.go    applies the signals of endpoints in responses
 //	sharing.go    exchanges events with other entries
+//	replicas.go   has runs copied to a second engine, and continues them there after a crash
 //	header.go     makes the header for the endpoint
 //	event.go      result of an attempt, from its response or error
 //	runs.go       counts requests that an endpoint began to run, for the usage of teams
--- a/internal/direct/gateway/header.go
+++ b/internal/direct/gateway/header.go
@@ -21,7 +21,7 @@
 	for _, name := range hopByHopFields {
 		dropped[name] = true
 	}
-	for _, name := range append([]string{f.Deadline, f.Key, f.Team, f.Target, f.Priority, f.Fetch}, f.Internal...) {
+	for _, name := range append([]string{f.Deadline, f.Key, f.Team, f.Target, f.Priority, f.Fetch, f.Replica, f.Continue}, f.Internal...) {
 		dropped[http.CanonicalHeaderKey(name)] = true
 	}
 	return dropped
@@ -60,6 +60,7 @@
 	if lastEvent != "" {
 		h.Set(g.fields.LastEvent, lastEvent)
 	}
+	g.setReplicaFields(h, q, a)
 	return h
 }
 
--- a/internal/direct/gateway/report.go
+++ b/internal/direct/gateway/report.go
@@ -59,6 +59,7 @@
 		r.Limit = a.limit
 		r.RetryAfter = a.retryAfter
 		r.Draining = a.draining
+		a.recordReplica(&r)
 		records = append(records, r)
 	}
 	return records
@@ -75,6 +76,7 @@
 	for _, a := range q.attempts {
 		scope.Counter("reread_tokens").Inc(int64(a.choice.RecomputedTokens))
 		g.countBytes(q, a)
+		g.countReplica(scope, q, a)
 		if a.choice.Fetch.Any() {
 			scope.Counter("fetches").Inc(1)
 			scope.Counter("fetched_tokens").Inc(int64(a.choice.Fetch.Tokens))
--- a/internal/direct/gateway/sharing.go
+++ b/internal/direct/gateway/sharing.go
@@ -72,6 +72,7 @@
 		case peers.AttemptSent:
 			if e.Request != nil {
 				d.table.Place(at, id, e.Endpoint, *e.Request, e.Fetched())
+				d.table.PlaceReplica(id, e.Replica)
 			}
 		case peers.FirstEvent:
 			d.table.FirstEvent(at, id)
--- a/internal/direct/gateway/stream.go
+++ b/internal/direct/gateway/stream.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 
+	"foxcross.dev/coord/replication"
 	"foxcross.dev/foxcross/internal/direct/upstream"
 )
 
@@ -21,6 +22,7 @@
 type stream struct {
 	*forwarding
 	lastEventID string // ID of the last relayed event, empty for none
+	continued   bool   // another engine continues the run after lastEventID
 	callerGone  bool   // a write to the caller failed
 }
 
@@ -40,7 +42,10 @@
 		res := s.recordBreak(a, err)
 		d := decideBrokenStream(s.retryState(), res)
 		if _, resumes := d.(resume); !resumes {
-			return d
+			if a, response = s.continueStream(); a == nil {
+				return d
+			}
+			continue
 		}
 		if a, response = s.resume(a); a == nil {
 			return fail{unresumable(res)}
@@ -96,9 +101,13 @@
 	if a.gotFirstEvent {
 		s.gateway.dispatcher.recordNextEvent(s.request, a)
 	}
+	id, ok := eventID(event)
+	if s.continued && !replication.Follows(s.lastEventID, id) {
+		return errNoContinuation
+	}
 	s.start(a, response)
 	a.bytes += len(event)
-	if id, ok := eventID(event); ok {
+	if ok {
 		s.lastEventID = id
 	}
 	if _, err := s.writer.Write(event); err != nil {
--- a/internal/direct/peers/golden_test.go
+++ b/internal/direct/peers/golden_test.go
@@ -63,6 +63,7 @@
 		{"usage", packet{Owner: 7, Usage: &usage{ThroughMS: 1_700_000_000_000, Windows: []usageCount{{Window: 340_000_000, Total: 5, Counts: map[string]int64{"a": 5}}}}}},
 		{"evacuations", packet{Owner: 7, Heartbeat: &heartbeat{Name: "entry-1", ConfirmedAgeMS: -1, StoreResponseAgeMS: -1, Evacuated: []string{"z"}, EvacuationsRevision: 12, Presence: true}}},
 		{"presence", packet{Owner: 7, Hop: hopRemote, Presence: &presence{DataCentre: "z", Members: []byte{0, 0, 0, 8, 30}}}},
+		{"placed with a copy", packet{Owner: 7, Events: []Event{{Kind: AttemptSent, Number: 5, Endpoint: "i-1", Request: &placement.Request{Service: "app"}, Replica: "i-2@5"}}}},
 		{"first heartbeat", packet{Owner: 7, Heartbeat: &heartbeat{Name: "entry-1", ConfirmedAgeMS: -1, StoreResponseAgeMS: -1}}},
 	} {
 		data, err := cbor.Marshal(s.packet)
--- a/internal/direct/peers/packet.go
+++ b/internal/direct/peers/packet.go
@@ -58,6 +58,8 @@
 	Limit      float64 `cbor:"11,keyasint,omitempty"` // of LimitAnnounced, in requests a second, 0 for none
 	ResponseMS int64   `cbor:"12,keyasint,omitempty"` // of LimitAnnounced, from sending the request to its response
 
+	Replica string `cbor:"15,keyasint,omitempty"` // of AttemptSent: incarnation of the engine that holds the run's copy
+
 	occurredAt time.Time // on the sender's clock
 }
 
--- a/internal/direct/record/record.go
+++ b/internal/direct/record/record.go
@@ -69,9 +69,13 @@
 	Source           string          `json:"fetched_from,omitempty"`
 	FetchedTokens    int             `json:"fetched,omitempty"`
 	FetchMS          float64         `json:"expected_fetch_ms,omitempty"`
-	Limit            string          `json:"limit,omitempty"`       // advertised rate limit, as received
-	RetryAfter       string          `json:"retry_after,omitempty"` // as received
-	Draining         string          `json:"draining,omitempty"`    // as received
+	Limit            string          `json:"limit,omitempty"`         // advertised rate limit, as received
+	RetryAfter       string          `json:"retry_after,omitempty"`   // as received
+	Draining         string          `json:"draining,omitempty"`      // as received
+	Replica          string          `json:"replica,omitempty"`       // engine that holds the copy of the run's memory
+	NotContinued     string          `json:"not_continued,omitempty"` // why its run was not continued from the copy
+	ContinuedFrom    string          `json:"continued_from,omitempty"`
+	ContinuedAfter   string          `json:"continued_after,omitempty"` // ID of the last event of the engine before, empty for none
 }
 
 // AttemptOf returns the record of an attempt on the chosen endpoint.
--- a/internal/testing/standin/platformtest/runner.go
+++ b/internal/testing/standin/platformtest/runner.go
@@ -218,6 +218,9 @@
 	if refusal, refuses := r.backoffs.refuse(q, now); refuses {
 		return refusal
 	}
+	if refusal, refuses := r.refuseContinuation(q); refuses {
+		return refusal
+	}
 	if _, refused := a.(Refuse); !refused {
 		r.runs = append(r.runs, Run{
 			ID: q.Header.Get(RequestIDField), Method: q.Method, Target: q.RequestURI,
@@ -333,7 +336,7 @@
 	id := q.Header.Get(RequestIDField)
 	from := 1
 	if last, err := strconv.Atoi(q.Header.Get(LastEventField)); err == nil {
-		from = last + 1
+		from = last + 1 - a.Repeat
 	}
 	write(c, "%s", r.head(http.StatusOK, id, InstanceField+": "+r.ID+"\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"))
 	r.prefill(q.Header, a.Token)
@@ -344,6 +347,12 @@
 			<-a.Hold
 		}
 	}
+	if a.Crash {
+		chunk(c, fmt.Sprintf("id: %d\nda", a.To+1))
+		time.Sleep(resetDelay)
+		r.Close()
+		return false
+	}
 	if a.Broken {
 		chunk(c, fmt.Sprintf("id: %d\nda", a.To+1))
 		time.Sleep(resetDelay)
