--- a/internal/direct/gateway/replicas_test.go
+++ b/internal/direct/gateway/replicas_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"foxcross.dev/coord/placement"
 	"foxcross.dev/foxcross/internal/direct/peers"
 	"foxcross.dev/foxcross/internal/testing/standin/platformtest"
 
@@ -210,6 +211,27 @@
 		Expect(send().Get(platformtest.ReplicaField)).NotTo(BeEmpty())
 	})
 
+	It("count at the engine that holds the copy, also for runs of other entries", func() {
+		h := newHarness(whole, whole)
+		h.engines(engine(true))
+		copies := func() int {
+			n := 0
+			for _, e := range h.gateway.Dump().Endpoints {
+				n += e.Replicas
+			}
+			return n
+		}
+		spec := &placement.Request{Service: service}
+		sent := func(number uint64, replica string) peers.Event {
+			return peers.Event{Kind: peers.AttemptSent, Number: number, Endpoint: h.runners[0].ID, Request: spec, Replica: replica}
+		}
+		receiver := h.gateway.EventReceiver()
+		receiver.HandleEvents(99, []peers.Event{sent(1, h.runners[1].ID), sent(2, "i-unknown"), sent(3, "")})
+		Expect(copies()).To(Equal(1))
+		receiver.HandleEvents(99, []peers.Event{{Kind: peers.AttemptEnded, Number: 1}, {Kind: peers.AttemptEnded, Number: 2}})
+		Expect(copies()).To(Equal(0))
+	})
+
 	It("get no copy if they may be repeated", func() {
 		h := start()
 		q := h.request(http.MethodPost, "/chat/1", "x")
