Don't continue a run whose content has crashed another engine before

Cause: a continuation brings the same content to a second engine within one request. With one crash counted before, a third engine would crash before the content is held. Change: such a run ends with its engine, as without a copy.

--- a/coord/admission/admission.go
+++ b/coord/admission/admission.go
@@ -59,9 +59,9 @@
 type Decision interface{ decision() }
 
 type (
-	// Send: the request is sent to the chosen endpoint.
+	// Send is the decision to send the request to the chosen endpoint.
 	Send struct{}
-	// Refuse: the request is refused, and its caller may come back after RetryAfter.
+	// Refuse is the decision to refuse the request. Its caller may come back after RetryAfter.
 	Refuse struct{ RetryAfter time.Duration }
 )
 
--- a/internal/direct/gateway/replicas.go
+++ b/internal/direct/gateway/replicas.go
@@ -180,6 +180,8 @@
 		return nil, "the caller has left or the deadline has passed"
 	case f.checkContent() != nil:
 		return nil, "its content is held"
+	case q.crashes > 1: // with this crash
+		return nil, "its content has crashed another engine"
 	case !d.mayContinueAt(q, f.copied.Replica.Endpoint):
 		return nil, "the engine with the copy may not take it"
 	case !d.allowRetry(q.spec.Service):
--- a/internal/direct/gateway/replicas_test.go
+++ b/internal/direct/gateway/replicas_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"foxcross.dev/coord/placement"
+	"foxcross.dev/coord/quarantine"
 	"foxcross.dev/foxcross/internal/direct/peers"
 	"foxcross.dev/foxcross/internal/testing/standin/platformtest"
 
@@ -232,6 +233,18 @@
 		Expect(copies()).To(Equal(0))
 	})
 
+	It("are not continued where their content has crashed another engine before, which would crash a third", func() {
+		h := start(crash, whole)
+		q := plan(h, small)
+		k := quarantine.KeyOf("studio-1", http.MethodPost, routeHost+"/plan/1", []byte("x"))
+		h.gateway.EventReceiver().HandleEvents(99, []peers.Event{{
+			Kind: peers.EndpointCrashed, Endpoint: "i-gone", Runs: []quarantine.RunReport{{Content: k[:]}},
+		}})
+		a := h.do(q)
+		a.expectTruncated()
+		Expect(h.runs()).To(Equal(1))
+	})
+
 	It("get no copy if they may be repeated", func() {
 		h := start()
 		q := h.request(http.MethodPost, "/chat/1", "x")
