--- a/internal/direct/gateway/replicas.go
+++ b/internal/direct/gateway/replicas.go
@@ -47,7 +47,6 @@
 	input := replication.Input{
 		Repeatable:       q.class.MayRepeat(),
 		PromptTokens:     q.spec.Prompt.Tokens,
-		MemoryTokens:     service.MemoryTokens,
 		FirstEventTarget: q.spec.FirstEventTarget,
 		Rate:             service.TransferRate,
 		Crashing:         d.crashesOf(q.spec.Service).Recent(now) > 0,
