--- a/coord/placement/attempts.go
+++ b/coord/placement/attempts.go
@@ -35,19 +35,23 @@
 	baseMS, perTokenMS := service.prefill.coefficients()
 	tokens := max(e.cache.Uncached(r.Prompt)-f.Tokens, 0)
 	prefillMS := float64(tokens) * perTokenMS
+	waitMS := max(e.waitMS(now, r.Priority), t.reserveLinks(now, e, f))
 	a := &attempt{
 		request:       r,
 		fetch:         f,
 		own:           id.Owner == t.Self,
 		sentAt:        now,
 		prefillTokens: tokens,
-		expectedMS:    baseMS + max(e.waitMS(now, r.Priority), t.reserveLinks(now, e, f)) + prefillMS*e.slowdown,
+		expectedMS:    baseMS + waitMS + prefillMS*e.slowdown,
 		idleEngine:    e.backlogMS(now) == 0,
+		plainMS:       baseMS + prefillMS,
+		waitedMS:      waitMS,
 	}
 	if a.own && e.ownStreams() == 0 {
 		e.lastEvent = now
 	}
 	e.attempts[id] = a
+	e.countStream(r.InterEventTarget, 1)
 	service.arrivalRate.add(now)
 	e.warmup.RecordSend(now, service.Warmup, a.own, t.Group)
 	e.limit.RecordSend(now, a.own, t.Group)
@@ -72,6 +76,7 @@
 	e.backlog.prefillMS[clampPriority(a.request.Priority)] += prefillMS
 	e.lastSent = now
 	e.recordPrefill(now, prefillMS)
+	s.recordBusy(now, e, prefillMS)
 	a.addedParts = e.cache.Use(a.request.Prompt, memory.CacheSize(s.MemoryTokens, e.openTokens))
 	t.recordUse(now, a.request.Prompt, e)
 	s.pool.add(now, prefillMS, s.isLong(prefillMS))
@@ -90,6 +95,7 @@
 	a.firstAt = now
 	a.lastAt = now
 	a.backlogMS = e.backlogMS(now)
+	e.running++
 	if a.own {
 		e.backoff.RecordResponse(a.sentAt, e.Slots)
 	}
@@ -118,6 +124,10 @@
 		s := t.service(e.Service)
 		s.prefill.observe(a.prefillTokens, observedMS*s.meanSlowdown()/e.slowdown)
 	}
+	if t.service(e.Service).EngineSpeeds {
+		e.observeSlowdown(a.firstAt, a, observedMS)
+		return
+	}
 	e.updateSlowdown(a.expectedMS, observedMS)
 }
 
@@ -152,9 +162,12 @@
 	switch {
 	case a.backlogMS >= intervalMS:
 		service.intervalsWithPrefill.observe(intervalMS / e.slowdown)
+		service.observeBusyInterval(e, intervalMS)
 	case a.backlogMS == 0 && backlogMS == 0 && e.lastSent.Before(a.lastAt):
 		service.intervalsWithoutPrefill.observe(intervalMS / e.slowdown)
+		service.observePlainInterval(now, e, intervalMS)
 	}
+	a.missed = a.missed || a.request.InterEventTarget > 0 && now.Sub(a.lastAt) > a.request.InterEventTarget
 	a.lastAt = now
 	a.backlogMS = backlogMS
 }
@@ -178,6 +191,10 @@
 	delete(t.byAttempt, id)
 	delete(e.attempts, id)
 	e.openTokens -= a.request.Prompt.Tokens + a.request.Prompt.ExpectedOutput()
+	e.countStream(a.request.InterEventTarget, -1)
+	if !a.waiting() {
+		e.running--
+	}
 	e.record(now, o)
 	if !e.Engine || !a.waiting() {
 		return nil
--- a/coord/placement/choose.go
+++ b/coord/placement/choose.go
@@ -37,6 +37,7 @@
 	Overrun           float64 // recent ratio of observed to expected times to a first event, at least 1
 	BusyShare         float64 // share of the service's slots in use, 0 to 1
 	Slowdown          float64 // of the endpoint, 1 for as fast as expected
+	PauseChance       float64 // that the stream pauses for longer than its inter-event target; 0 where engine speeds are not learned
 }
 
 // query is a request to be placed, with the values shared by all candidates.
@@ -50,6 +51,8 @@
 	cachingEngines []*endpoint     // cache the prompt's last shared part that any engine caches
 	home           *endpoint       // nil if the prompt has no shared part
 	sources        []memory.Source // of the prompt's parts
+	spread         [spreadBuckets]float64
+	calibration    float64
 }
 
 func (t *Table) newQuery(now time.Time, r Request) query {
@@ -67,6 +70,10 @@
 		cachingEngines: t.cachingEngines(r.Prompt),
 		home:           t.home(service, r, long, size),
 	}
+	if service.EngineSpeeds {
+		q.spread = service.steps.spread.shares()
+		q.calibration = service.steps.calibration.factor()
+	}
 	if !r.NoFetch {
 		q.sources = q.findSources()
 	}
--- a/coord/placement/cost.go
+++ b/coord/placement/cost.go
@@ -127,7 +127,7 @@
 	target := q.request.firstEventTargetMS()
 	c.Terms.Late = latenessCost(c.FirstMS / target)
 	c.Terms.Unreliability += overdueWeight * e.overdueMS(q.now) / target
-	c.Terms.Interference = q.interferenceCost(e, prefillMS)
+	q.estimateInterference(e, prefillMS, c)
 	c.Terms.Recompute = q.recomputeCost(e, *c)
 	c.Terms.Saturation = q.saturationCost(e)
 	if inPool != c.Long {
@@ -167,6 +167,17 @@
 	return latenessWeight*ramp + extraLatenessWeight*targets
 }
 
+// estimateInterference adds the expected cost of missed inter-event targets.
+func (q *query) estimateInterference(e *endpoint, prefillMS float64, c *Choice) {
+	if !q.service.EngineSpeeds {
+		c.Terms.Interference = q.interferenceCost(e, prefillMS)
+		return
+	}
+	own, others := q.pauses(e, prefillMS)
+	c.PauseChance = own
+	c.Terms.Interference = pauseWeight * (own + others)
+}
+
 // interferenceCost returns the expected cost of missed inter-event targets: of the streams that
 // run at the engine, because of a prefill of the given length, and of the request's own stream,
 // because of long prompts that arrive later.
--- a/coord/placement/endpoint.go
+++ b/coord/placement/endpoint.go
@@ -34,6 +34,11 @@
 	location    eligibility.Location
 	warmup      eligibility.Warmup
 	signals
+
+	speed   engineSpeed
+	busy    busyPeriods
+	streams []streamGroup // of the open attempts
+	running int           // attempts that have had an event
 }
 
 // attempt is one send of a request to an endpoint.
@@ -49,6 +54,9 @@
 	firstAt       time.Time // of the first event, zero before it
 	lastAt        time.Time // of the last event
 	backlogMS     float64   // of the endpoint at the last event
+	plainMS       float64   // until the first event, at a slowdown of 1 and without a wait
+	waitedMS      float64   // expected until the prefill started
+	missed        bool      // an inter-event target
 }
 
 // waiting reports whether the attempt has had no event.
--- /dev/null
+++ b/coord/placement/pause.go
@@ -0,0 +1,280 @@
+// Estimates the chance that a stream pauses for longer than its target between events.
+//
+// Rule: while prompts are computed at an engine, every step computes one piece of them, and a
+// stream gets one token a step. A busy period makes a stream pause if enough of its steps fall
+// between two events: the chance is 0 if it is too short, grows with its length, since it
+// begins at any point of an event, and is 1 once it covers the needed steps twice. At an engine
+// where even an event of nothing but such steps is within the target, no busy period makes a
+// stream pause. The engine's speed varies for spells; the chance is the mean over the spread of
+// the observed over the expected intervals. Placement adds the expected misses to the cost of an
+// engine: of the request's own stream, because of the prompts that wait behind it and of busy
+// periods as frequent as lately; of the streams there, because of the request's prompt and the
+// longer steps.
+// Inputs: the times of a step and of a piece, tokens per event, the target, busy periods.
+// Units: ms; chances from 0 to 1.
+// Never: the name of a class counts; a foreseen pause excludes no endpoint.
+// Load: urgent streams that run beside long prompts, and beside many short ones.
+
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// pauseWeight is the cost of a stream that misses its inter-event target. It is that of a
+	// late first event, since both make the request late.
+	pauseWeight = latenessWeight
+	// maxBusyPeriods bounds the busy periods kept per engine.
+	maxBusyPeriods = 12
+	// spreadDecay is the factor applied to the weight of an observation with each newer one. It
+	// halves the weight after some 700.
+	spreadDecay = 0.999
+	// spreadBuckets is the number of classes of the spread, and spreadFirst the ratio at the
+	// centre of the first one. Each next centre is spreadStep times as high.
+	spreadBuckets = 6
+	spreadFirst   = 0.7
+	spreadStep    = 1.45
+	// spreadPriorWeight is the weight of the prior, which expects the exact time.
+	spreadPriorWeight = 20.0
+	// calibrationDecay halves the weight of a stream after some 350.
+	calibrationDecay = 0.998
+	// calibrationPrior is the number of streams by which the calibration starts at 1.
+	calibrationPrior = 5.0
+	// maxCalibration bounds the factor that the calibration applies, in both directions.
+	maxCalibration = 3.0
+)
+
+// spreadRatios are the ratios at the centres of the classes of a spread.
+var spreadRatios = func() (all [spreadBuckets]float64) {
+	for n := range all {
+		all[n] = spreadFirst * math.Pow(spreadStep, float64(n))
+	}
+	return all
+}()
+
+// spread is the decayed distribution of observed over expected intervals, weighted by time. The
+// zero value is the prior.
+type spread struct {
+	weights [spreadBuckets]float64
+	total   float64
+}
+
+// observe adds a ratio.
+func (s *spread) observe(ratio float64) {
+	for n := range s.weights {
+		s.weights[n] *= spreadDecay
+	}
+	n := int(math.Round(math.Log(max(ratio, spreadFirst)/spreadFirst) / math.Log(spreadStep)))
+	n = min(n, spreadBuckets-1)
+	weight := min(ratio, spreadRatios[spreadBuckets-1])
+	s.total = s.total*spreadDecay + weight
+	s.weights[n] += weight
+}
+
+// shares returns the share of time spent at each of spreadRatios.
+func (s *spread) shares() (all [spreadBuckets]float64) {
+	for n, w := range s.weights {
+		all[n] = w / (s.total + spreadPriorWeight)
+	}
+	all[1] += spreadPriorWeight / (s.total + spreadPriorWeight) // the class of the exact time
+	return all
+}
+
+// calibration compares the chances foreseen with the pauses seen. The zero value has a factor
+// of 1.
+type calibration struct{ foreseen, missed float64 }
+
+// observe adds an ended stream.
+func (c *calibration) observe(chance float64, missed bool) {
+	c.foreseen = c.foreseen*calibrationDecay + chance
+	c.missed *= calibrationDecay
+	if missed {
+		c.missed++
+	}
+}
+
+// factor returns the factor to apply to a chance.
+func (c *calibration) factor() float64 {
+	ratio := (c.missed + calibrationPrior) / (c.foreseen + calibrationPrior)
+	return min(max(ratio, 1/maxCalibration), maxCalibration)
+}
+
+// busyPeriod is a time in which an engine computes prompts without a gap.
+type busyPeriod struct {
+	startedAt, endsAt time.Time
+	prefillMS         float64 // at a slowdown of 1
+}
+
+// busyPeriods are the last ones of an engine, as a ring. The zero value is empty.
+type busyPeriods struct {
+	periods [maxBusyPeriods]busyPeriod
+	count   int
+}
+
+// add records a prompt of the given prefill time that takes durationMS at the engine.
+func (b *busyPeriods) add(now time.Time, prefillMS, durationMS float64) {
+	duration := time.Duration(durationMS * float64(time.Millisecond))
+	if b.count > 0 {
+		last := &b.periods[(b.count-1)%maxBusyPeriods]
+		if !now.After(last.endsAt) {
+			last.prefillMS += prefillMS
+			last.endsAt = last.endsAt.Add(duration)
+			return
+		}
+	}
+	b.periods[b.count%maxBusyPeriods] = busyPeriod{startedAt: now, endsAt: now.Add(duration), prefillMS: prefillMS}
+	b.count++
+}
+
+// pauseModel estimates the pauses of the streams with one target at one engine. It holds, for
+// each ratio of the spread at which a busy period can make them pause, the ms of prefill that
+// it has to compute between two events, and those that it can.
+type pauseModel struct {
+	ratios  int
+	shares  [spreadBuckets]float64
+	needMS  [spreadBuckets]float64 // at the engine's usual speed
+	eventMS float64                // prefill computed while one event is made
+	always  float64                // share of time in which events come late without prefill
+}
+
+// newPauseModel returns the model of an engine whose steps take stepMS, and pieceMS more while
+// prompts are computed.
+func newPauseModel(shares *[spreadBuckets]float64, stepMS, pieceMS float64, eventTokens int, targetMS float64) pauseModel {
+	tokens := float64(max(eventTokens, 1))
+	m := pauseModel{eventMS: tokens * pieceMS}
+	for n, ratio := range spreadRatios {
+		needMS := targetMS/ratio - tokens*stepMS
+		switch {
+		case shares[n] == 0 || needMS > m.eventMS:
+		case needMS <= 0:
+			m.always += shares[n]
+		default:
+			m.shares[m.ratios], m.needMS[m.ratios] = shares[n], needMS
+			m.ratios++
+		}
+	}
+	return m
+}
+
+// chance returns the chance that a busy period with the given ms of prefill makes a stream
+// pause for longer than its target.
+func (m *pauseModel) chance(busyMS float64) float64 {
+	if busyMS <= 0 {
+		return 0
+	}
+	sum := 0.0
+	for n := range m.ratios {
+		need := m.needMS[n]
+		if busyMS >= need {
+			sum += m.shares[n] * min(1-(2*need-busyMS)/m.eventMS, 1)
+		}
+	}
+	return sum
+}
+
+// harmless reports whether no pause is foreseen.
+func (m *pauseModel) harmless() bool { return m.ratios == 0 && m.always == 0 }
+
+// pausesPerSecond returns the number of busy periods per second, in the last prefillWindow, that
+// make a stream pause.
+func (b *busyPeriods) pausesPerSecond(now time.Time, slowdown float64, m *pauseModel) float64 {
+	if m.harmless() {
+		return 0
+	}
+	sum := 0.0
+	for n := range min(b.count, maxBusyPeriods) {
+		p := &b.periods[n]
+		if now.Sub(p.startedAt) < prefillWindow {
+			sum += m.chance(p.prefillMS * slowdown)
+		}
+	}
+	return sum / prefillWindow.Seconds()
+}
+
+// recordBusy records a prompt of the given prefill time in the busy periods of an engine.
+func (s *service) recordBusy(now time.Time, e *endpoint, prefillMS float64) {
+	if !s.EngineSpeeds || prefillMS <= 0 {
+		return
+	}
+	pieceMS := s.pieceMS(e)
+	perMS := 1 + s.stepMS(e, e.running)/max(pieceMS, 1)
+	e.busy.add(now, prefillMS, prefillMS*e.slowdown*perMS)
+}
+
+// streamGroup is the number of open streams at an engine with one target.
+type streamGroup struct {
+	target time.Duration
+	count  int
+}
+
+// countStream adds n streams with a target to those of the engine.
+func (e *endpoint) countStream(target time.Duration, n int) {
+	if target <= 0 {
+		return
+	}
+	for k := range e.streams {
+		if e.streams[k].target == target {
+			e.streams[k].count += n
+			return
+		}
+	}
+	e.streams = append(e.streams, streamGroup{target, n})
+}
+
+// pauses returns the chance that the request's own stream pauses at an engine for longer than
+// its target, and the expected number of others that do because of it, with a prompt of the
+// given prefill time at this engine.
+func (q *query) pauses(e *endpoint, prefillMS float64) (own, others float64) {
+	s := q.service
+	pieceMS := s.pieceMS(e)
+	stepMS := s.stepMS(e, e.running)
+	grownMS := s.stepMS(e, e.running+1)
+	waitingMS := e.backlogMS(q.now)
+	for _, g := range e.streams {
+		if g.count == 0 {
+			continue
+		}
+		target := milliseconds(g.target)
+		after := newPauseModel(&q.spread, grownMS, pieceMS, s.EventTokens, target)
+		if after.harmless() {
+			continue
+		}
+		before := newPauseModel(&q.spread, stepMS, pieceMS, s.EventTokens, target)
+		remaining := q.streamSeconds(grownMS) / 2
+		more := after.chance(waitingMS+prefillMS) - before.chance(waitingMS) + after.always - before.always
+		more += remaining * (e.busy.pausesPerSecond(q.now, e.slowdown, &after) - e.busy.pausesPerSecond(q.now, e.slowdown, &before))
+		others += float64(g.count) * min(max(more, 0), 1)
+	}
+	if target := q.request.InterEventTarget; target > 0 {
+		m := newPauseModel(&q.spread, grownMS, pieceMS, s.EventTokens, milliseconds(target))
+		behindMS := waitingMS - e.waitMS(q.now, q.request.Priority)
+		expected := m.chance(behindMS) + m.always + q.streamSeconds(grownMS)*e.busy.pausesPerSecond(q.now, e.slowdown, &m)
+		own = 1 - math.Exp(-expected*q.calibration)
+	}
+	return own, others * q.calibration
+}
+
+// streamSeconds returns the expected time from the first to the last event of the request at an
+// engine with the given time of a step.
+func (q *query) streamSeconds(stepMS float64) float64 {
+	return stepMS * float64(q.request.Prompt.ExpectedOutput()) / 1000
+}
+
+// StreamEnded records whether a stream of this entry paused for longer than its target, for the
+// calibration of the chance foreseen when it was placed. It reports false for an attempt that
+// isn't a stream with a target that has begun, or whose service doesn't learn the speeds of its
+// engines. It must precede End.
+func (t *Table) StreamEnded(id AttemptID, chance float64) (missed, counted bool) {
+	e := t.byAttempt[id]
+	if e == nil || !e.Engine || !t.service(e.Service).EngineSpeeds {
+		return false, false
+	}
+	a := e.attempts[id]
+	if a.waiting() || a.request.InterEventTarget <= 0 {
+		return false, false
+	}
+	t.service(e.Service).steps.calibration.observe(chance, a.missed)
+	return a.missed, true
+}
--- a/coord/placement/snapshot.go
+++ b/coord/placement/snapshot.go
@@ -301,10 +301,12 @@
 		sentAt: now.Add(-time.Duration(a.SentMS) * time.Millisecond),
 	}
 	e.attempts[a.ID] = restored
+	e.countStream(a.Request.InterEventTarget, 1)
 	e.openTokens += a.Request.Prompt.Tokens + a.Request.Prompt.ExpectedOutput()
 	if a.FirstMS != noFirstEvent {
 		restored.firstAt = now.Add(-time.Duration(a.FirstMS) * time.Millisecond)
 		restored.lastAt = restored.firstAt
+		e.running++
 		return
 	}
 	if e.Engine {
--- /dev/null
+++ b/coord/placement/speed.go
@@ -0,0 +1,195 @@
+// Learns how fast each engine computes prompts and generates tokens.
+//
+// Rule: an engine's slowdown of prefill and its time per token are each the middle of its last
+// observations. Prefill is observed from the first events of prompts that hardly waited, of all
+// entries; decoding from the intervals between events of this entry's streams, with the growth
+// by the requests that run there taken out. An engine without observations of its decoding
+// differs from the others of its service as its prefill does. The growth and the time for a
+// piece of a prompt in one step are learned per service.
+// Inputs: times of first events and intervals, the requests that run, the prompts that wait.
+// Units: ms; slowdowns relative to the service's mean.
+// Never: one spell of slowness moves a speed; a speed outlives its engine's incarnation.
+// Load: engines that differ in speed by more than two and have slow spells.
+
+package placement
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// recentObservations is the number of observations whose middle counts. More than half of
+	// them must agree before a speed changes.
+	recentObservations = 9
+	// minObservations is the number of observations below which a speed isn't known.
+	minObservations = 3
+	// observationSpacing is the shortest time between two observations of an engine's speed, so
+	// that one spell doesn't fill the middle.
+	observationSpacing = 100 * time.Millisecond
+	// littleWaitShare is the share of the time of its own prefill that a prompt may have waited
+	// and still count for the speed.
+	littleWaitShare = 0.25
+	// minPrefillObservedMS is the shortest expected time to a first event, in ms, that counts for
+	// the speed. Shorter ones consist mostly of the network round trip.
+	minPrefillObservedMS = 25.0
+	// minSpeedSlowdown bounds a slowdown that is learned as a middle value.
+	minSpeedSlowdown = 0.2
+	// defaultPieceTokens are the tokens of prompts that an engine computes in one step, until
+	// intervals with prefill have been observed.
+	defaultPieceTokens = 2048
+	// priorRunning and priorGrowth are the prior of the growth of a step: with this many running
+	// requests it takes this multiple of its time with none.
+	priorRunning = 32.0
+	priorGrowth  = 1.3
+	// stepDecay is the weight of the newest observation in a service's times of steps.
+	stepDecay = 0.02
+)
+
+// recent holds the last observations of a value, as a ring. The zero value is empty.
+type recent struct {
+	values [recentObservations]float64
+	count  int // of all observations
+	lastAt time.Time
+}
+
+// observe adds a value, unless the last one is too fresh. It reports whether it did.
+func (r *recent) observe(now time.Time, v float64) bool {
+	if r.count > 0 && now.Sub(r.lastAt) < observationSpacing {
+		return false
+	}
+	r.values[r.count%recentObservations] = v
+	r.count++
+	r.lastAt = now
+	return true
+}
+
+// middle returns the median. It returns false while there are too few values.
+func (r *recent) middle() (float64, bool) {
+	if r.count < minObservations {
+		return 0, false
+	}
+	sorted := r.values
+	n := min(r.count, recentObservations)
+	slices.Sort(sorted[:n])
+	return sorted[n/2], true
+}
+
+// engineSpeed is what is learned of one engine. The zero value knows nothing.
+type engineSpeed struct {
+	prefill recent  // slowdowns
+	decode  recent  // ms of a step without prefill and with no other request
+	stepMS  float64 // middle of decode, 0 for unknown
+}
+
+// stepTimes is what is learned of the steps of a service's engines. The zero value is the prior.
+type stepTimes struct {
+	growth      prefillModel // relative time of a step by the requests that run
+	logStepMS   float64      // decayed mean of log(step / slowdown of prefill)
+	steps       int
+	pieceMS     float64 // decayed mean time of the prompt's piece in a step, at a slowdown of 1
+	pieces      int
+	spread      spread
+	calibration calibration
+}
+
+// growthPerRequest returns by what share of its time with none a step grows with each running
+// request.
+func (s *stepTimes) growthPerRequest() float64 {
+	s.initGrowth()
+	base, slope := s.growth.coefficients()
+	if base <= 0 {
+		return (priorGrowth - 1) / priorRunning
+	}
+	return slope / base
+}
+
+// initGrowth sets the prior of the growth.
+func (s *stepTimes) initGrowth() {
+	if s.growth.weight > 0 {
+		return
+	}
+	s.growth.add(priorWeight, 0, 1)
+	s.growth.add(priorWeight, priorRunning, priorGrowth)
+}
+
+// observeSlowdown records the slowdown of prefill that the first event of a prompt shows that
+// hardly waited.
+func (e *endpoint) observeSlowdown(now time.Time, a *attempt, observedMS float64) {
+	if a.plainMS < minPrefillObservedMS || a.waitedMS > littleWaitShare*a.plainMS {
+		return
+	}
+	ratio := max(observedMS-a.waitedMS, 0) / a.plainMS
+	e.speed.prefill.observe(now, min(max(ratio, minSpeedSlowdown), maxSlowdown))
+	if middle, known := e.speed.prefill.middle(); known {
+		e.slowdown = middle
+		e.logSlowdown = math.Log(middle)
+	}
+}
+
+// stepMS returns the expected time of a step of an engine that runs the given number of
+// requests, without prefill.
+func (s *service) stepMS(e *endpoint, running int) float64 {
+	base := e.speed.stepMS
+	if base <= 0 {
+		base = defaultDecodeStepMS * e.slowdown
+		if s.steps.steps > 0 {
+			base = math.Exp(s.steps.logStepMS) * e.slowdown
+		}
+	}
+	return base * (1 + s.steps.growthPerRequest()*float64(running))
+}
+
+// pieceMS returns the expected time of the prompt's piece in a step of an engine.
+func (s *service) pieceMS(e *endpoint) float64 {
+	if s.steps.pieces >= minIntervals {
+		return s.steps.pieceMS * e.slowdown
+	}
+	_, perTokenMS := s.prefill.coefficients()
+	return defaultPieceTokens * perTokenMS * e.slowdown
+}
+
+// observePlainInterval records an interval between events during which no prompt was computed.
+func (s *service) observePlainInterval(now time.Time, e *endpoint, intervalMS float64) {
+	if !s.EngineSpeeds {
+		return
+	}
+	stepMS := intervalMS / float64(max(s.EventTokens, 1))
+	running := e.running
+	s.steps.spread.observe(stepMS / s.stepMS(e, running))
+	s.steps.initGrowth()
+	grown := 1 + s.steps.growthPerRequest()*float64(running)
+	if e.speed.stepMS > 0 {
+		s.steps.growth.observe(running, min(stepMS/e.speed.stepMS, maxSlowdownRatio*grown))
+	}
+	if !e.speed.decode.observe(now, stepMS/grown) {
+		return
+	}
+	middle, known := e.speed.decode.middle()
+	if !known {
+		return
+	}
+	e.speed.stepMS = middle
+	s.steps.steps++
+	weight := max(stepDecay, 1/float64(s.steps.steps))
+	s.steps.logStepMS += weight * (math.Log(middle/e.slowdown) - s.steps.logStepMS)
+}
+
+// observeBusyInterval records an interval between events during which prompts were computed all
+// the time.
+func (s *service) observeBusyInterval(e *endpoint, intervalMS float64) {
+	if !s.EngineSpeeds {
+		return
+	}
+	stepMS := s.stepMS(e, e.running)
+	perStepMS := intervalMS / float64(max(s.EventTokens, 1))
+	s.steps.spread.observe(perStepMS / (stepMS + s.pieceMS(e)))
+	piece := max(perStepMS-stepMS, 0) / e.slowdown
+	s.steps.pieces++
+	weight := max(stepDecay, 1/float64(s.steps.pieces))
+	if s.steps.pieces > minIntervals {
+		piece = min(piece, maxSlowdownRatio*s.steps.pieceMS)
+	}
+	s.steps.pieceMS += weight * (piece - s.steps.pieceMS)
+}
--- a/coord/placement/table.go
+++ b/coord/placement/table.go
@@ -51,6 +51,7 @@
 	pool                    pool
 	overruns                overruns
 	arrivalRate             arrivalRate
+	steps                   stepTimes
 }
 
 // SetServices applies the settings of services.
--- a/internal/direct/gateway/attempts.go
+++ b/internal/direct/gateway/attempts.go
@@ -36,6 +36,8 @@
 	draining         string // value of the response's draining field, for the log
 	backoffRequested bool   // the response asked for a backoff
 	bytes            int    // relayed from the response's body
+	paused           bool   // it missed its inter-event target
+	pauseCounted     bool   // it counts in the metrics of pauses
 }
 
 // Outcomes of an attempt in the log, in addition to those of attemptResult.
@@ -263,6 +265,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	x.paused, x.pauseCounted = d.table.StreamEnded(x.id, x.choice.PauseChance)
 	d.table.End(steady.Now(), x.id, outcome)
 	d.broadcastLocked(peers.Event{Kind: peers.AttemptEnded, Number: x.id.Number, Outcome: outcome})
 }
--- a/internal/direct/gateway/gateway.go
+++ b/internal/direct/gateway/gateway.go
@@ -83,6 +83,7 @@
 	bodyMemory     bodyMemory
 	dispatcher     dispatcher
 	suspects       suspects
+	foreseenPauses pauseCounter
 }
 
 // New returns a gateway with its own directory.
--- a/internal/direct/gateway/report.go
+++ b/internal/direct/gateway/report.go
@@ -75,6 +75,7 @@
 	for _, a := range q.attempts {
 		scope.Counter("reread_tokens").Inc(int64(a.choice.RecomputedTokens))
 		g.countBytes(q, a)
+		g.countPause(a)
 		if a.choice.Fetch.Any() {
 			scope.Counter("fetches").Inc(1)
 			scope.Counter("fetched_tokens").Inc(int64(a.choice.Fetch.Tokens))
--- a/internal/direct/record/record.go
+++ b/internal/direct/record/record.go
@@ -65,6 +65,7 @@
 	Long             bool            `json:"long"`
 	PoolSize         int             `json:"pool"`
 	Slowdown         float64         `json:"factor"`
+	PauseChance      float64         `json:"pause_chance,omitempty"`
 	Outcome          string          `json:"outcome"`
 	Source           string          `json:"fetched_from,omitempty"`
 	FetchedTokens    int             `json:"fetched,omitempty"`
@@ -87,6 +88,7 @@
 		Long:             c.Long,
 		PoolSize:         c.PoolSize,
 		Slowdown:         round(c.Slowdown),
+		PauseChance:      round(c.PauseChance),
 		Outcome:          outcome,
 		Source:           c.Fetch.Source,
 		FetchedTokens:    c.Fetch.Tokens,
