--- a/coord/placement/attempts.go
+++ b/coord/placement/attempts.go
@@ -45,7 +45,6 @@
 		expectedMS:    baseMS + waitMS + prefillMS*e.slowdown,
 		idleEngine:    e.backlogMS(now) == 0,
 		plainMS:       baseMS + prefillMS,
-		waitedMS:      waitMS,
 	}
 	if a.own && e.ownStreams() == 0 {
 		e.lastEvent = now
@@ -162,7 +161,9 @@
 	switch {
 	case a.backlogMS >= intervalMS:
 		service.intervalsWithPrefill.observe(intervalMS / e.slowdown)
-		service.observeBusyInterval(e, intervalMS)
+		if backlogMS >= intervalMS {
+			service.observeBusyInterval(e, intervalMS)
+		}
 	case a.backlogMS == 0 && backlogMS == 0 && e.lastSent.Before(a.lastAt):
 		service.intervalsWithoutPrefill.observe(intervalMS / e.slowdown)
 		service.observePlainInterval(now, e, intervalMS)
--- a/coord/placement/endpoint.go
+++ b/coord/placement/endpoint.go
@@ -55,7 +55,6 @@
 	lastAt        time.Time // of the last event
 	backlogMS     float64   // of the endpoint at the last event
 	plainMS       float64   // until the first event, at a slowdown of 1 and without a wait
-	waitedMS      float64   // expected until the prefill started
 	missed        bool      // an inter-event target
 }
 
--- a/coord/placement/pause.go
+++ b/coord/placement/pause.go
@@ -33,11 +33,13 @@
 	spreadDecay = 0.999
 	// spreadBuckets is the number of classes of the spread, and spreadFirst the ratio at the
 	// centre of the first one. Each next centre is spreadStep times as high.
-	spreadBuckets = 6
-	spreadFirst   = 0.7
-	spreadStep    = 1.45
+	spreadBuckets = 8
+	spreadFirst   = 0.77
+	spreadStep    = 1.3
 	// spreadPriorWeight is the weight of the prior, which expects the exact time.
 	spreadPriorWeight = 20.0
+	// spellMS is the time, in ms, after which an engine's speed counts as drawn anew.
+	spellMS = 500.0
 	// calibrationDecay halves the weight of a stream after some 350.
 	calibrationDecay = 0.998
 	// calibrationPrior is the number of streams by which the calibration starts at 1.
@@ -136,6 +138,7 @@
 	shares  [spreadBuckets]float64
 	needMS  [spreadBuckets]float64 // at the engine's usual speed
 	eventMS float64                // prefill computed while one event is made
+	wallMS  float64                // time for a ms of prefill beside the steps
 	always  float64                // share of time in which events come late without prefill
 }
 
@@ -143,7 +146,7 @@
 // prompts are computed.
 func newPauseModel(shares *[spreadBuckets]float64, stepMS, pieceMS float64, eventTokens int, targetMS float64) pauseModel {
 	tokens := float64(max(eventTokens, 1))
-	m := pauseModel{eventMS: tokens * pieceMS}
+	m := pauseModel{eventMS: tokens * pieceMS, wallMS: 1 + stepMS/max(pieceMS, 1)}
 	for n, ratio := range spreadRatios {
 		needMS := targetMS/ratio - tokens*stepMS
 		switch {
@@ -159,9 +162,9 @@
 }
 
 // chance returns the chance that a busy period with the given ms of prefill makes a stream
-// pause for longer than its target.
-func (m *pauseModel) chance(busyMS float64) float64 {
-	if busyMS <= 0 {
+// pause for longer than its target, of which it sees at most the given time.
+func (m *pauseModel) chance(busyMS, seenMS float64) float64 {
+	if busyMS <= 0 || m.ratios == 0 {
 		return 0
 	}
 	sum := 0.0
@@ -171,7 +174,7 @@
 			sum += m.shares[n] * min(1-(2*need-busyMS)/m.eventMS, 1)
 		}
 	}
-	return sum
+	return min(sum*(1+min(busyMS*m.wallMS, seenMS)/spellMS), 1)
 }
 
 // harmless reports whether no pause is foreseen.
@@ -179,7 +182,7 @@
 
 // pausesPerSecond returns the number of busy periods per second, in the last prefillWindow, that
 // make a stream pause.
-func (b *busyPeriods) pausesPerSecond(now time.Time, slowdown float64, m *pauseModel) float64 {
+func (b *busyPeriods) pausesPerSecond(now time.Time, slowdown, seenMS float64, m *pauseModel) float64 {
 	if m.harmless() {
 		return 0
 	}
@@ -187,7 +190,7 @@
 	for n := range min(b.count, maxBusyPeriods) {
 		p := &b.periods[n]
 		if now.Sub(p.startedAt) < prefillWindow {
-			sum += m.chance(p.prefillMS * slowdown)
+			sum += m.chance(p.prefillMS*slowdown, seenMS)
 		}
 	}
 	return sum / prefillWindow.Seconds()
@@ -242,24 +245,26 @@
 			continue
 		}
 		before := newPauseModel(&q.spread, stepMS, pieceMS, s.EventTokens, target)
-		remaining := q.streamSeconds(grownMS) / 2
-		more := after.chance(waitingMS+prefillMS) - before.chance(waitingMS) + after.always - before.always
-		more += remaining * (e.busy.pausesPerSecond(q.now, e.slowdown, &after) - e.busy.pausesPerSecond(q.now, e.slowdown, &before))
+		remainingMS := q.streamMS(grownMS) / 2
+		more := after.chance(waitingMS+prefillMS, remainingMS) - before.chance(waitingMS, remainingMS) + after.always - before.always
+		rate := e.busy.pausesPerSecond(q.now, e.slowdown, remainingMS, &after) - e.busy.pausesPerSecond(q.now, e.slowdown, remainingMS, &before)
+		more += rate * remainingMS / 1000
 		others += float64(g.count) * min(max(more, 0), 1)
 	}
 	if target := q.request.InterEventTarget; target > 0 {
 		m := newPauseModel(&q.spread, grownMS, pieceMS, s.EventTokens, milliseconds(target))
 		behindMS := waitingMS - e.waitMS(q.now, q.request.Priority)
-		expected := m.chance(behindMS) + m.always + q.streamSeconds(grownMS)*e.busy.pausesPerSecond(q.now, e.slowdown, &m)
+		streamMS := q.streamMS(grownMS)
+		expected := m.chance(behindMS, streamMS) + m.always + streamMS/1000*e.busy.pausesPerSecond(q.now, e.slowdown, streamMS, &m)
 		own = 1 - math.Exp(-expected*q.calibration)
 	}
 	return own, others * q.calibration
 }
 
-// streamSeconds returns the expected time from the first to the last event of the request at an
-// engine with the given time of a step.
-func (q *query) streamSeconds(stepMS float64) float64 {
-	return stepMS * float64(q.request.Prompt.ExpectedOutput()) / 1000
+// streamMS returns the expected time from the first to the last event of the request at an engine
+// with the given time of a step.
+func (q *query) streamMS(stepMS float64) float64 {
+	return stepMS * float64(q.request.Prompt.ExpectedOutput())
 }
 
 // StreamEnded records whether a stream of this entry paused for longer than its target, for the
--- a/coord/placement/speed.go
+++ b/coord/placement/speed.go
@@ -1,8 +1,8 @@
 // Learns how fast each engine computes prompts and generates tokens.
 //
 // Rule: an engine's slowdown of prefill and its time per token are each the middle of its last
-// observations. Prefill is observed from the first events of prompts that hardly waited, of all
-// entries; decoding from the intervals between events of this entry's streams, with the growth
+// observations. Prefill is observed from the first events of prompts that were alone at an engine,
+// of all entries; decoding from the intervals between events of this entry's streams, with the growth
 // by the requests that run there taken out. An engine without observations of its decoding
 // differs from the others of its service as its prefill does. The growth and the time for a
 // piece of a prompt in one step are learned per service.
@@ -28,9 +28,6 @@
 	// observationSpacing is the shortest time between two observations of an engine's speed, so
 	// that one spell doesn't fill the middle.
 	observationSpacing = 100 * time.Millisecond
-	// littleWaitShare is the share of the time of its own prefill that a prompt may have waited
-	// and still count for the speed.
-	littleWaitShare = 0.25
 	// minPrefillObservedMS is the shortest expected time to a first event, in ms, that counts for
 	// the speed. Shorter ones consist mostly of the network round trip.
 	minPrefillObservedMS = 25.0
@@ -43,7 +40,8 @@
 	// requests it takes this multiple of its time with none.
 	priorRunning = 32.0
 	priorGrowth  = 1.3
-	// stepDecay is the weight of the newest observation in a service's times of steps.
+	// stepDecay is the weight of the newest observation in a service's times of steps, and the
+	// share by which it moves the time of a piece.
 	stepDecay = 0.02
 )
 
@@ -88,8 +86,7 @@
 	growth      prefillModel // relative time of a step by the requests that run
 	logStepMS   float64      // decayed mean of log(step / slowdown of prefill)
 	steps       int
-	pieceMS     float64 // decayed mean time of the prompt's piece in a step, at a slowdown of 1
-	pieces      int
+	pieceMS     float64 // middle time of the prompt's piece in a step, at a slowdown of 1, 0 for unknown
 	spread      spread
 	calibration calibration
 }
@@ -114,13 +111,13 @@
 	s.growth.add(priorWeight, priorRunning, priorGrowth)
 }
 
-// observeSlowdown records the slowdown of prefill that the first event of a prompt shows that
-// hardly waited.
+// observeSlowdown records the slowdown of prefill that the first event of a prompt shows that no
+// other prompt waited with.
 func (e *endpoint) observeSlowdown(now time.Time, a *attempt, observedMS float64) {
-	if a.plainMS < minPrefillObservedMS || a.waitedMS > littleWaitShare*a.plainMS {
+	if a.plainMS < minPrefillObservedMS || !a.idleEngine || !e.lastSent.Equal(a.sentAt) {
 		return
 	}
-	ratio := max(observedMS-a.waitedMS, 0) / a.plainMS
+	ratio := observedMS / a.plainMS
 	e.speed.prefill.observe(now, min(max(ratio, minSpeedSlowdown), maxSlowdown))
 	if middle, known := e.speed.prefill.middle(); known {
 		e.slowdown = middle
@@ -143,7 +140,7 @@
 
 // pieceMS returns the expected time of the prompt's piece in a step of an engine.
 func (s *service) pieceMS(e *endpoint) float64 {
-	if s.steps.pieces >= minIntervals {
+	if s.steps.pieceMS > 0 {
 		return s.steps.pieceMS * e.slowdown
 	}
 	_, perTokenMS := s.prefill.coefficients()
@@ -186,10 +183,10 @@
 	perStepMS := intervalMS / float64(max(s.EventTokens, 1))
 	s.steps.spread.observe(perStepMS / (stepMS + s.pieceMS(e)))
 	piece := max(perStepMS-stepMS, 0) / e.slowdown
-	s.steps.pieces++
-	weight := max(stepDecay, 1/float64(s.steps.pieces))
-	if s.steps.pieces > minIntervals {
-		piece = min(piece, maxSlowdownRatio*s.steps.pieceMS)
+	expected := s.pieceMS(e) / e.slowdown
+	if piece > expected {
+		s.steps.pieceMS = expected * (1 + stepDecay)
+	} else {
+		s.steps.pieceMS = expected / (1 + stepDecay)
 	}
-	s.steps.pieceMS += weight * (piece - s.steps.pieceMS)
 }
