--- a/coord/placement/pause.go
+++ b/coord/placement/pause.go
@@ -40,6 +40,9 @@
 	spreadPriorWeight = 20.0
 	// spellMS is the time, in ms, after which an engine's speed counts as drawn anew.
 	spellMS = 500.0
+	// commonDemandShare is the share of the prompts to come that is expected at every engine alike.
+	// The rest comes where prompts came lately.
+	commonDemandShare = 0.4
 	// calibrationDecay halves the weight of a stream after some 350.
 	calibrationDecay = 0.998
 	// calibrationPrior is the number of streams by which the calibration starts at 1.
@@ -203,9 +206,49 @@
 	}
 	pieceMS := s.pieceMS(e)
 	perMS := 1 + s.stepMS(e, e.running)/max(pieceMS, 1)
+	s.steps.demand.add(now, prefillMS)
 	e.busy.add(now, prefillMS, prefillMS*e.slowdown*perMS)
 }
 
+// demandClasses is the number of classes of promptDemand, and firstDemandMS the longest prefill of
+// the first one, in ms. Each next class goes to twice as long.
+const (
+	demandClasses = 8
+	firstDemandMS = 16.0
+)
+
+// promptDemand counts the prompts of a service by their prefill at a slowdown of 1, decayed over
+// prefillWindow. The zero value has none.
+type promptDemand struct {
+	counts    [demandClasses]float64
+	updatedAt time.Time
+}
+
+// add counts a prompt.
+func (d *promptDemand) add(now time.Time, prefillMS float64) {
+	if now.After(d.updatedAt) {
+		decay := math.Exp(-float64(now.Sub(d.updatedAt)) / float64(prefillWindow))
+		for n := range d.counts {
+			d.counts[n] *= decay
+		}
+		d.updatedAt = now
+	}
+	n := int(math.Ceil(math.Log2(max(prefillMS/firstDemandMS, 1))))
+	d.counts[min(n, demandClasses-1)]++
+}
+
+// pausesPerSecond returns the same as that of busyPeriods for an engine that gets an equal share of
+// the prompts of its service, each on its own.
+func (d *promptDemand) pausesPerSecond(engines int, slowdown, seenMS float64, m *pauseModel) float64 {
+	sum := 0.0
+	prefillMS := firstDemandMS * slowdown
+	for _, count := range d.counts {
+		sum += count * m.chance(prefillMS, seenMS)
+		prefillMS *= 2
+	}
+	return sum / prefillWindow.Seconds() / float64(max(engines, 1))
+}
+
 // streamGroup is the number of open streams at an engine with one target.
 type streamGroup struct {
 	target time.Duration
@@ -255,7 +298,9 @@
 		m := newPauseModel(&q.spread, grownMS, pieceMS, s.EventTokens, milliseconds(target))
 		behindMS := waitingMS - e.waitMS(q.now, q.request.Priority)
 		streamMS := q.streamMS(grownMS)
-		expected := m.chance(behindMS, streamMS) + m.always + streamMS/1000*e.busy.pausesPerSecond(q.now, e.slowdown, streamMS, &m)
+		rate := e.busy.pausesPerSecond(q.now, e.slowdown, streamMS, &m)
+		rate += commonDemandShare * (s.steps.demand.pausesPerSecond(len(s.endpoints), e.slowdown, streamMS, &m) - rate)
+		expected := m.chance(behindMS, streamMS) + m.always + streamMS/1000*rate
 		own = 1 - math.Exp(-expected*q.calibration)
 	}
 	return own, others * q.calibration
--- a/coord/placement/speed.go
+++ b/coord/placement/speed.go
@@ -88,6 +88,7 @@
 	steps       int
 	pieceMS     float64 // middle time of the prompt's piece in a step, at a slowdown of 1, 0 for unknown
 	spread      spread
+	demand      promptDemand
 	calibration calibration
 }
 
