--- a/coord/placement/attempts.go
+++ b/coord/placement/attempts.go
@@ -162,7 +162,7 @@
 	case a.backlogMS >= intervalMS:
 		service.intervalsWithPrefill.observe(intervalMS / e.slowdown)
 		if backlogMS >= intervalMS {
-			service.observeBusyInterval(e, intervalMS)
+			service.observeBusyInterval(now, e, intervalMS)
 		}
 	case a.backlogMS == 0 && backlogMS == 0 && e.lastSent.Before(a.lastAt):
 		service.intervalsWithoutPrefill.observe(intervalMS / e.slowdown)
--- a/coord/placement/speed.go
+++ b/coord/placement/speed.go
@@ -2,9 +2,9 @@
 //
 // Rule: an engine's slowdown of prefill and its time per token are each the middle of its last
 // observations. Prefill is observed from the first events of prompts that were alone at an engine,
-// of all entries; decoding from the intervals between events of this entry's streams, with the growth
-// by the requests that run there taken out. An engine without observations of its decoding
-// differs from the others of its service as its prefill does. The growth and the time for a
+// of all entries, and from intervals between events in which prompts were computed; decoding from the intervals between events of this entry's streams, with the growth
+// by the requests that run there taken out. An engine without observations of one of
+// the two differs from the others of its service as the other does. The growth and the time for a
 // piece of a prompt in one step are learned per service.
 // Inputs: times of first events and intervals, the requests that run, the prompts that wait.
 // Units: ms; slowdowns relative to the service's mean.
@@ -118,14 +118,23 @@
 	if a.plainMS < minPrefillObservedMS || !a.idleEngine || !e.lastSent.Equal(a.sentAt) {
 		return
 	}
-	ratio := observedMS / a.plainMS
-	e.speed.prefill.observe(now, min(max(ratio, minSpeedSlowdown), maxSlowdown))
+	e.addSlowdown(now, observedMS/a.plainMS)
+}
+
+// addSlowdown adds an observation of the slowdown of prefill.
+func (e *endpoint) addSlowdown(now time.Time, slowdown float64) {
+	e.speed.prefill.observe(now, min(max(slowdown, minSpeedSlowdown), maxSlowdown))
 	if middle, known := e.speed.prefill.middle(); known {
-		e.slowdown = middle
-		e.logSlowdown = math.Log(middle)
+		e.applySlowdown(middle)
 	}
 }
 
+// applySlowdown sets the slowdown to a middle value.
+func (e *endpoint) applySlowdown(slowdown float64) {
+	e.slowdown = slowdown
+	e.logSlowdown = math.Log(slowdown)
+}
+
 // stepMS returns the expected time of a step of an engine that runs the given number of
 // requests, without prefill.
 func (s *service) stepMS(e *endpoint, running int) float64 {
@@ -169,6 +178,12 @@
 		return
 	}
 	e.speed.stepMS = middle
+	if _, known := e.speed.prefill.middle(); !known {
+		if s.steps.steps >= minObservations {
+			e.applySlowdown(min(max(middle/math.Exp(s.steps.logStepMS), minSpeedSlowdown), maxSlowdown))
+		}
+		return
+	}
 	s.steps.steps++
 	weight := max(stepDecay, 1/float64(s.steps.steps))
 	s.steps.logStepMS += weight * (math.Log(middle/e.slowdown) - s.steps.logStepMS)
@@ -176,7 +191,7 @@
 
 // observeBusyInterval records an interval between events during which prompts were computed all
 // the time.
-func (s *service) observeBusyInterval(e *endpoint, intervalMS float64) {
+func (s *service) observeBusyInterval(now time.Time, e *endpoint, intervalMS float64) {
 	if !s.EngineSpeeds {
 		return
 	}
@@ -185,6 +200,7 @@
 	s.steps.spread.observe(perStepMS / (stepMS + s.pieceMS(e)))
 	piece := max(perStepMS-stepMS, 0) / e.slowdown
 	expected := s.pieceMS(e) / e.slowdown
+	e.addSlowdown(now, e.slowdown*piece/expected)
 	if piece > expected {
 		s.steps.pieceMS = expected * (1 + stepDecay)
 	} else {
