--- a/coord/placement/attempts.go
+++ b/coord/placement/attempts.go
@@ -44,7 +44,7 @@
 		prefillTokens: tokens,
 		expectedMS:    baseMS + waitMS + prefillMS*e.slowdown,
 		idleEngine:    e.backlogMS(now) == 0,
-		slowdown:      e.slowdown,
+		plainMS:       baseMS + prefillMS,
 	}
 	if a.own && e.ownStreams() == 0 {
 		e.lastEvent = now
@@ -162,7 +162,7 @@
 	case a.backlogMS >= intervalMS:
 		service.intervalsWithPrefill.observe(intervalMS / e.slowdown)
 		if backlogMS >= intervalMS {
-			service.observeBusyInterval(e, intervalMS)
+			service.observeBusyInterval(now, e, intervalMS)
 		}
 	case a.backlogMS == 0 && backlogMS == 0 && e.lastSent.Before(a.lastAt):
 		service.intervalsWithoutPrefill.observe(intervalMS / e.slowdown)
--- a/coord/placement/speed.go
+++ b/coord/placement/speed.go
@@ -2,10 +2,11 @@
 //
 // Rule: an engine's slowdown of prefill and its time per token are each the middle of its last
 // observations. Prefill is observed from the first events of prompts that were alone at an engine,
-// of all entries, and from intervals between events in which prompts were computed; decoding from the intervals between events of this entry's streams, with the growth
-// by the requests that run there taken out. An engine without observations of one of
-// the two differs from the others of its service as the other does. The growth and the time for a
-// piece of a prompt in one step are learned per service.
+// of all entries, and from the intervals between events of this entry's streams in which prompts
+// were computed; decoding from the other intervals, with the growth by the requests that run there
+// taken out. An engine without observations of one of the two differs from the others of its
+// service as the other does. The growth and the time for a piece of a prompt in one step are
+// learned per service.
 // Inputs: times of first events and intervals, the requests that run, the prompts that wait.
 // Units: ms; slowdowns relative to the service's mean.
 // Never: one spell of slowness moves a speed; a speed outlives its engine's incarnation.
@@ -116,12 +117,17 @@
 	s.growth.add(priorWeight, priorRunning, priorGrowth)
 }
 
-// observeSlowdown records the slowdown of prefill that a first event shows.
+// observeSlowdown records the slowdown of prefill that the first event of a prompt shows that no
+// other prompt waited with.
 func (e *endpoint) observeSlowdown(now time.Time, a *attempt, observedMS float64) {
-	if a.expectedMS < minPrefillObservedMS {
+	if a.plainMS < minPrefillObservedMS || !a.idleEngine || !e.lastSent.Equal(a.sentAt) {
 		return
 	}
-	slowdown := a.slowdown * observedMS / a.expectedMS
+	e.addSlowdown(now, observedMS/a.plainMS)
+}
+
+// addSlowdown adds an observation of the slowdown of prefill.
+func (e *endpoint) addSlowdown(now time.Time, slowdown float64) {
 	e.speed.prefill.observe(now, min(max(slowdown, minSpeedSlowdown), maxSlowdown))
 	if middle, known := e.speed.prefill.middle(); known {
 		e.applySlowdown(middle)
@@ -206,7 +212,7 @@
 
 // observeBusyInterval records an interval between events during which prompts were computed all
 // the time.
-func (s *service) observeBusyInterval(e *endpoint, intervalMS float64) {
+func (s *service) observeBusyInterval(now time.Time, e *endpoint, intervalMS float64) {
 	if !s.EngineSpeeds {
 		return
 	}
@@ -214,7 +220,9 @@
 	perStepMS := intervalMS / float64(max(s.EventTokens, 1))
 	s.steps.spread.observe(perStepMS / (stepMS + s.pieceMS(e)))
 	steps := s.pieceSteps()
-	if (perStepMS-stepMS)/s.baseStepMS(e) > steps {
+	pieceMS := max(perStepMS-stepMS, 0)
+	e.addSlowdown(now, pieceMS/(steps*s.steps.meanStepMS()))
+	if pieceMS/s.baseStepMS(e) > steps {
 		s.steps.pieceSteps = steps * (1 + stepDecay)
 	} else {
 		s.steps.pieceSteps = max(steps/(1+stepDecay), minPieceSteps)
