--- a/coord/placement/pause.go
+++ b/coord/placement/pause.go
@@ -29,8 +29,8 @@
 	// maxBusyPeriods bounds the busy periods kept per engine.
 	maxBusyPeriods = 12
 	// spreadDecay is the factor applied to the weight of an observation with each newer one. It
-	// halves the weight after some 700.
-	spreadDecay = 0.999
+	// halves the weight after some 1,400, which span many spells.
+	spreadDecay = 0.9995
 	// spreadBuckets is the number of classes of the spread, and spreadFirst the ratio at the
 	// centre of the first one. Each next centre is spreadStep times as high.
 	spreadBuckets = 8
@@ -177,7 +177,7 @@
 			sum += m.shares[n] * min(1-(2*need-busyMS)/m.eventMS, 1)
 		}
 	}
-	return min(sum*(1+min(busyMS*m.wallMS, seenMS)/spellMS), 1)
+	return min(sum*max(min(busyMS*m.wallMS, seenMS)/spellMS, 1), 1)
 }
 
 // harmless reports whether no pause is foreseen.
@@ -277,9 +277,7 @@
 	pieceMS := s.pieceMS(e)
 	stepMS := s.stepMS(e, e.running)
 	grownMS := s.stepMS(e, e.running+1)
-	slowdown := s.decodeSlowdown(e)
-	prefillMS *= slowdown / e.slowdown
-	waitingMS := e.backlogMS(q.now) * slowdown / e.slowdown
+	waitingMS := e.backlogMS(q.now)
 	for _, g := range e.streams {
 		if g.count == 0 {
 			continue
@@ -292,16 +290,16 @@
 		before := newPauseModel(&q.spread, stepMS, pieceMS, s.EventTokens, target)
 		remainingMS := q.streamMS(grownMS) / 2
 		more := after.chance(waitingMS+prefillMS, remainingMS) - before.chance(waitingMS, remainingMS) + after.always - before.always
-		rate := e.busy.pausesPerSecond(q.now, slowdown, remainingMS, &after) - e.busy.pausesPerSecond(q.now, slowdown, remainingMS, &before)
+		rate := e.busy.pausesPerSecond(q.now, e.slowdown, remainingMS, &after) - e.busy.pausesPerSecond(q.now, e.slowdown, remainingMS, &before)
 		more += rate * remainingMS / 1000
 		others += float64(g.count) * min(max(more, 0), 1)
 	}
 	if target := q.request.InterEventTarget; target > 0 {
 		m := newPauseModel(&q.spread, grownMS, pieceMS, s.EventTokens, milliseconds(target))
-		behindMS := waitingMS - e.waitMS(q.now, q.request.Priority)*slowdown/e.slowdown
+		behindMS := waitingMS - e.waitMS(q.now, q.request.Priority)
 		streamMS := q.streamMS(grownMS)
-		rate := e.busy.pausesPerSecond(q.now, slowdown, streamMS, &m)
-		rate += commonDemandShare * (s.steps.demand.pausesPerSecond(len(s.endpoints), slowdown, streamMS, &m) - rate)
+		rate := e.busy.pausesPerSecond(q.now, e.slowdown, streamMS, &m)
+		rate += commonDemandShare * (s.steps.demand.pausesPerSecond(len(s.endpoints), e.slowdown, streamMS, &m) - rate)
 		expected := m.chance(behindMS, streamMS) + m.always + streamMS/1000*rate
 		own = 1 - math.Exp(-expected*q.calibration)
 	}
--- a/coord/placement/snapshot.go
+++ b/coord/placement/snapshot.go
@@ -36,6 +36,8 @@
 	Warmups   []WarmupSnapshot   `cbor:"5,keyasint,omitempty"` // entries of earlier versions ignore this and the following fields
 	Limits    []LimitSnapshot    `cbor:"6,keyasint,omitempty"`
 	Drains    []DrainSnapshot    `cbor:"7,keyasint,omitempty"`
+	Speeds    []SpeedSnapshot    `cbor:"11,keyasint,omitempty"`
+	Steps     []StepSnapshot     `cbor:"12,keyasint,omitempty"`
 }
 
 // EndpointSnapshot is the state of one endpoint.
@@ -115,6 +117,7 @@
 		}
 	}
 	s.Drains = t.drainSnapshots(now)
+	s.Speeds, s.Steps = t.speedSnapshots()
 	for name, v := range t.services {
 		p := v.prefill
 		s.Services = append(s.Services, ServiceSnapshot{
@@ -195,6 +198,7 @@
 			t.restoreEndpoint(now, e, x, s.Parts)
 		}
 	}
+	t.restoreSpeeds(now, s)
 	for _, x := range s.Warmups {
 		if e := t.endpoints[x.ID]; e != nil {
 			e.warmup.Start(now, time.Duration(x.LeftMS)*time.Millisecond)
--- a/coord/placement/speed.go
+++ b/coord/placement/speed.go
@@ -4,9 +4,9 @@
 // observations. Prefill is observed from the first events of prompts that were alone at an engine,
 // of all entries, and from the intervals between events of this entry's streams in which prompts
 // were computed; decoding from the other intervals, with the growth by the requests that run there
-// taken out. An engine without observations of one of the two differs from the others of its
-// service as the other does. The growth and the time for a piece of a prompt in one step are
-// learned per service.
+// taken out. An engine whose prefill wasn't observed differs from the others of its service as its
+// decoding does, and one whose decoding wasn't, as its prefill does. The growth and the time for a
+// piece of a prompt in one step are learned per service.
 // Inputs: times of first events and intervals, the requests that run, the prompts that wait.
 // Units: ms; slowdowns relative to the service's mean.
 // Never: one spell of slowness moves a speed; a speed outlives its engine's incarnation.
@@ -34,10 +34,8 @@
 	minPrefillObservedMS = 25.0
 	// minSpeedSlowdown bounds a slowdown that is learned as a middle value.
 	minSpeedSlowdown = 0.2
-	// minStepMS and minPieceSteps are the shortest plausible times of a step, in ms, and of a
-	// prompt's piece in one, as a multiple of it.
-	minStepMS     = 0.05
-	minPieceSteps = 0.1
+	// minStepMS is the shortest plausible time of a step.
+	minStepMS = 0.05
 	// defaultPieceTokens are the tokens of prompts that an engine computes in one step, until
 	// intervals with prefill have been observed.
 	defaultPieceTokens = 2048
@@ -68,9 +66,21 @@
 	return true
 }
 
+// known reports whether there are enough values for a middle.
+func (r *recent) known() bool { return r.count >= minObservations }
+
+// fill sets the values to one that another table has learned, of the least number that counts.
+func (r *recent) fill(now time.Time, v float64) {
+	for n := range minObservations {
+		r.values[n] = v
+	}
+	r.count = minObservations
+	r.lastAt = now
+}
+
 // middle returns the median. It returns false while there are too few values.
 func (r *recent) middle() (float64, bool) {
-	if r.count < minObservations {
+	if !r.known() {
 		return 0, false
 	}
 	sorted := r.values
@@ -91,7 +101,7 @@
 	growth      prefillModel // relative time of a step by the requests that run
 	logStepMS   float64      // decayed mean of log(step / slowdown of prefill)
 	steps       int
-	pieceSteps  float64 // middle time of the prompt's piece in a step, as a multiple of a step without, 0 for unknown
+	pieceMS     float64 // middle time of the prompt's piece in a step, at a slowdown of 1, 0 for unknown
 	spread      spread
 	demand      promptDemand
 	calibration calibration
@@ -120,10 +130,9 @@
 // observeSlowdown records the slowdown of prefill that the first event of a prompt shows that no
 // other prompt waited with.
 func (e *endpoint) observeSlowdown(now time.Time, a *attempt, observedMS float64) {
-	if a.plainMS < minPrefillObservedMS || !a.idleEngine || !e.lastSent.Equal(a.sentAt) {
-		return
+	if a.plainMS >= minPrefillObservedMS && a.idleEngine && e.lastSent.Equal(a.sentAt) {
+		e.addSlowdown(now, observedMS/a.plainMS)
 	}
-	e.addSlowdown(now, observedMS/a.plainMS)
 }
 
 // addSlowdown adds an observation of the slowdown of prefill.
@@ -140,43 +149,26 @@
 	e.logSlowdown = math.Log(slowdown)
 }
 
-// meanStepMS returns the expected time of a step of an engine with a slowdown of 1, without
-// prefill and other requests.
-func (s *stepTimes) meanStepMS() float64 {
-	if s.steps == 0 {
-		return defaultDecodeStepMS
-	}
-	return math.Exp(s.logStepMS)
-}
-
-// baseStepMS returns the expected time of a step of an engine without prefill and other requests.
-func (s *service) baseStepMS(e *endpoint) float64 {
-	if e.speed.stepMS > 0 {
-		return e.speed.stepMS
-	}
-	return s.steps.meanStepMS() * e.slowdown
-}
-
-// decodeSlowdown returns the slowdown of an engine's steps.
-func (s *service) decodeSlowdown(e *endpoint) float64 { return s.baseStepMS(e) / s.steps.meanStepMS() }
-
 // stepMS returns the expected time of a step of an engine that runs the given number of
 // requests, without prefill.
 func (s *service) stepMS(e *endpoint, running int) float64 {
-	return s.baseStepMS(e) * (1 + s.steps.growthPerRequest()*float64(running))
+	base := e.speed.stepMS
+	if base <= 0 {
+		base = defaultDecodeStepMS * e.slowdown
+		if s.steps.steps > 0 {
+			base = math.Exp(s.steps.logStepMS) * e.slowdown
+		}
+	}
+	return base * (1 + s.steps.growthPerRequest()*float64(running))
 }
 
 // pieceMS returns the expected time of the prompt's piece in a step of an engine.
-func (s *service) pieceMS(e *endpoint) float64 { return s.baseStepMS(e) * s.pieceSteps() }
-
-// pieceSteps returns the time of the prompt's piece as a multiple of a step without prefill and
-// other requests.
-func (s *service) pieceSteps() float64 {
-	if s.steps.pieceSteps > 0 {
-		return s.steps.pieceSteps
+func (s *service) pieceMS(e *endpoint) float64 {
+	if s.steps.pieceMS > 0 {
+		return s.steps.pieceMS * e.slowdown
 	}
 	_, perTokenMS := s.prefill.coefficients()
-	return defaultPieceTokens * perTokenMS / s.steps.meanStepMS()
+	return defaultPieceTokens * perTokenMS * e.slowdown
 }
 
 // observePlainInterval records an interval between events during which no prompt was computed.
@@ -185,11 +177,12 @@
 		return
 	}
 	stepMS := intervalMS / float64(max(s.EventTokens, 1))
-	s.steps.spread.observe(stepMS / s.stepMS(e, e.running))
+	running := e.running
+	s.steps.spread.observe(stepMS / s.stepMS(e, running))
 	s.steps.initGrowth()
-	grown := 1 + s.steps.growthPerRequest()*float64(e.running)
+	grown := 1 + s.steps.growthPerRequest()*float64(running)
 	if e.speed.stepMS > 0 {
-		s.steps.growth.observe(e.running, min(stepMS/e.speed.stepMS, maxSlowdownRatio*grown))
+		s.steps.growth.observe(running, min(stepMS/e.speed.stepMS, maxSlowdownRatio*grown))
 	}
 	if !e.speed.decode.observe(now, stepMS/grown) {
 		return
@@ -199,9 +192,9 @@
 		return
 	}
 	e.speed.stepMS = max(middle, minStepMS)
-	if _, known := e.speed.prefill.middle(); !known {
+	if !e.speed.prefill.known() {
 		if s.steps.steps >= minObservations {
-			e.applySlowdown(min(max(s.decodeSlowdown(e), minSpeedSlowdown), maxSlowdown))
+			e.applySlowdown(min(max(e.speed.stepMS/math.Exp(s.steps.logStepMS), minSpeedSlowdown), maxSlowdown))
 		}
 		return
 	}
@@ -219,12 +212,12 @@
 	stepMS := s.stepMS(e, e.running)
 	perStepMS := intervalMS / float64(max(s.EventTokens, 1))
 	s.steps.spread.observe(perStepMS / (stepMS + s.pieceMS(e)))
-	steps := s.pieceSteps()
-	pieceMS := max(perStepMS-stepMS, 0)
-	e.addSlowdown(now, pieceMS/(steps*s.steps.meanStepMS()))
-	if pieceMS/s.baseStepMS(e) > steps {
-		s.steps.pieceSteps = steps * (1 + stepDecay)
+	piece := max(perStepMS-stepMS, 0) / e.slowdown
+	expected := s.pieceMS(e) / e.slowdown
+	e.addSlowdown(now, e.slowdown*piece/expected)
+	if piece > expected {
+		s.steps.pieceMS = expected * (1 + stepDecay)
 	} else {
-		s.steps.pieceSteps = max(steps/(1+stepDecay), minPieceSteps)
+		s.steps.pieceMS = expected / (1 + stepDecay)
 	}
 }
