--- a/internal/decisions_test.go
+++ b/internal/decisions_test.go
@@ -58,6 +58,8 @@
 	"coord/placement/endpoint.go",
 	"coord/placement/prefill.go",
 	"coord/placement/interval.go",
+	"coord/placement/speed.go",
+	"coord/placement/pause.go",
 	"coord/placement/table.go",
 	"coord/placement/snapshot.go",
 	"coord/fanout/fanout.go",
