--- a/coord/placement/attempts.go
+++ b/coord/placement/attempts.go
@@ -44,7 +44,6 @@
 		prefillTokens: tokens,
 		expectedMS:    baseMS + waitMS + prefillMS*e.slowdown,
 		idleEngine:    e.backlogMS(now) == 0,
-		plainMS:       baseMS + prefillMS,
 	}
 	if a.own && e.ownStreams() == 0 {
 		e.lastEvent = now
@@ -123,10 +122,6 @@
 		s := t.service(e.Service)
 		s.prefill.observe(a.prefillTokens, observedMS*s.meanSlowdown()/e.slowdown)
 	}
-	if t.service(e.Service).EngineSpeeds {
-		e.observeSlowdown(a.firstAt, a, observedMS)
-		return
-	}
 	e.updateSlowdown(a.expectedMS, observedMS)
 }
 
@@ -162,7 +157,7 @@
 	case a.backlogMS >= intervalMS:
 		service.intervalsWithPrefill.observe(intervalMS / e.slowdown)
 		if backlogMS >= intervalMS {
-			service.observeBusyInterval(now, e, intervalMS)
+			service.observeBusyInterval(e, intervalMS)
 		}
 	case a.backlogMS == 0 && backlogMS == 0 && e.lastSent.Before(a.lastAt):
 		service.intervalsWithoutPrefill.observe(intervalMS / e.slowdown)
--- a/coord/placement/endpoint.go
+++ b/coord/placement/endpoint.go
@@ -54,7 +54,6 @@
 	firstAt       time.Time // of the first event, zero before it
 	lastAt        time.Time // of the last event
 	backlogMS     float64   // of the endpoint at the last event
-	plainMS       float64   // until the first event, at a slowdown of 1 and without a wait
 	missed        bool      // an inter-event target
 }
 
--- a/coord/placement/pause.go
+++ b/coord/placement/pause.go
@@ -277,7 +277,9 @@
 	pieceMS := s.pieceMS(e)
 	stepMS := s.stepMS(e, e.running)
 	grownMS := s.stepMS(e, e.running+1)
-	waitingMS := e.backlogMS(q.now)
+	slowdown := s.decodeSlowdown(e)
+	prefillMS *= slowdown / e.slowdown
+	waitingMS := e.backlogMS(q.now) * slowdown / e.slowdown
 	for _, g := range e.streams {
 		if g.count == 0 {
 			continue
@@ -290,16 +292,16 @@
 		before := newPauseModel(&q.spread, stepMS, pieceMS, s.EventTokens, target)
 		remainingMS := q.streamMS(grownMS) / 2
 		more := after.chance(waitingMS+prefillMS, remainingMS) - before.chance(waitingMS, remainingMS) + after.always - before.always
-		rate := e.busy.pausesPerSecond(q.now, e.slowdown, remainingMS, &after) - e.busy.pausesPerSecond(q.now, e.slowdown, remainingMS, &before)
+		rate := e.busy.pausesPerSecond(q.now, slowdown, remainingMS, &after) - e.busy.pausesPerSecond(q.now, slowdown, remainingMS, &before)
 		more += rate * remainingMS / 1000
 		others += float64(g.count) * min(max(more, 0), 1)
 	}
 	if target := q.request.InterEventTarget; target > 0 {
 		m := newPauseModel(&q.spread, grownMS, pieceMS, s.EventTokens, milliseconds(target))
-		behindMS := waitingMS - e.waitMS(q.now, q.request.Priority)
+		behindMS := waitingMS - e.waitMS(q.now, q.request.Priority)*slowdown/e.slowdown
 		streamMS := q.streamMS(grownMS)
-		rate := e.busy.pausesPerSecond(q.now, e.slowdown, streamMS, &m)
-		rate += commonDemandShare * (s.steps.demand.pausesPerSecond(len(s.endpoints), e.slowdown, streamMS, &m) - rate)
+		rate := e.busy.pausesPerSecond(q.now, slowdown, streamMS, &m)
+		rate += commonDemandShare * (s.steps.demand.pausesPerSecond(len(s.endpoints), slowdown, streamMS, &m) - rate)
 		expected := m.chance(behindMS, streamMS) + m.always + streamMS/1000*rate
 		own = 1 - math.Exp(-expected*q.calibration)
 	}
--- a/coord/placement/speed.go
+++ b/coord/placement/speed.go
@@ -1,12 +1,11 @@
-// Learns how fast each engine computes prompts and generates tokens.
+// Learns how fast each engine generates tokens, apart from how fast it computes prompts.
 //
-// Rule: an engine's slowdown of prefill and its time per token are each the middle of its last
-// observations. Prefill is observed from the first events of prompts that were alone at an engine,
-// of all entries, and from the intervals between events of this entry's streams in which prompts
-// were computed; decoding from the other intervals, with the growth by the requests that run there
-// taken out. An engine whose prefill wasn't observed differs from the others of its service as its
-// decoding does, and one whose decoding wasn't, as its prefill does. The growth and the time for a
-// piece of a prompt in one step are learned per service.
+// Rule: an engine's time per token without prefill is the middle of its last observations, from the
+// intervals between events of this entry's streams, with the growth by the requests that run there
+// taken out. An engine without observations differs from the others of its service as its slowdown
+// of prefill does (health.go), which is learned from first events alone. The growth, the time for a
+// piece of a prompt in one step, as a multiple of the step, and the spread of the observed over the
+// expected intervals are learned per service.
 // Inputs: times of first events and intervals, the requests that run, the prompts that wait.
 // Units: ms; slowdowns relative to the service's mean.
 // Never: one spell of slowness moves a speed; a speed outlives its engine's incarnation.
@@ -29,13 +28,10 @@
 	// observationSpacing is the shortest time between two observations of an engine's speed, so
 	// that one spell doesn't fill the middle.
 	observationSpacing = 100 * time.Millisecond
-	// minPrefillObservedMS is the shortest expected time to a first event, in ms, that counts for
-	// the speed. Shorter ones consist mostly of the network round trip.
-	minPrefillObservedMS = 25.0
-	// minSpeedSlowdown bounds a slowdown that is learned as a middle value.
-	minSpeedSlowdown = 0.2
-	// minStepMS is the shortest plausible time of a step.
-	minStepMS = 0.05
+	// minStepMS and minPieceSteps are the shortest plausible times of a step, in ms, and of a
+	// prompt's piece in one, as a multiple of it.
+	minStepMS     = 0.05
+	minPieceSteps = 0.1
 	// defaultPieceTokens are the tokens of prompts that an engine computes in one step, until
 	// intervals with prefill have been observed.
 	defaultPieceTokens = 2048
@@ -91,9 +87,8 @@
 
 // engineSpeed is what is learned of one engine. The zero value knows nothing.
 type engineSpeed struct {
-	prefill recent  // slowdowns
-	decode  recent  // ms of a step without prefill and with no other request
-	stepMS  float64 // middle of decode, 0 for unknown
+	decode recent  // ms of a step without prefill and with no other request
+	stepMS float64 // middle of decode, 0 for unknown
 }
 
 // stepTimes is what is learned of the steps of a service's engines. The zero value is the prior.
@@ -101,7 +96,7 @@
 	growth      prefillModel // relative time of a step by the requests that run
 	logStepMS   float64      // decayed mean of log(step / slowdown of prefill)
 	steps       int
-	pieceMS     float64 // middle time of the prompt's piece in a step, at a slowdown of 1, 0 for unknown
+	pieceSteps  float64 // middle time of the prompt's piece in a step, as a multiple of a step without, 0 for unknown
 	spread      spread
 	demand      promptDemand
 	calibration calibration
@@ -127,48 +122,43 @@
 	s.growth.add(priorWeight, priorRunning, priorGrowth)
 }
 
-// observeSlowdown records the slowdown of prefill that the first event of a prompt shows that no
-// other prompt waited with.
-func (e *endpoint) observeSlowdown(now time.Time, a *attempt, observedMS float64) {
-	if a.plainMS >= minPrefillObservedMS && a.idleEngine && e.lastSent.Equal(a.sentAt) {
-		e.addSlowdown(now, observedMS/a.plainMS)
+// meanStepMS returns the expected time of a step of an engine with a slowdown of 1, without
+// prefill and other requests.
+func (s *stepTimes) meanStepMS() float64 {
+	if s.steps == 0 {
+		return defaultDecodeStepMS
 	}
+	return math.Exp(s.logStepMS)
 }
 
-// addSlowdown adds an observation of the slowdown of prefill.
-func (e *endpoint) addSlowdown(now time.Time, slowdown float64) {
-	e.speed.prefill.observe(now, min(max(slowdown, minSpeedSlowdown), maxSlowdown))
-	if middle, known := e.speed.prefill.middle(); known {
-		e.applySlowdown(middle)
+// baseStepMS returns the expected time of a step of an engine without prefill and other requests.
+func (s *service) baseStepMS(e *endpoint) float64 {
+	if e.speed.stepMS > 0 {
+		return e.speed.stepMS
 	}
+	return s.steps.meanStepMS() * e.slowdown
 }
 
-// applySlowdown sets the slowdown to a middle value.
-func (e *endpoint) applySlowdown(slowdown float64) {
-	e.slowdown = slowdown
-	e.logSlowdown = math.Log(slowdown)
-}
+// decodeSlowdown returns the slowdown of an engine's steps.
+func (s *service) decodeSlowdown(e *endpoint) float64 { return s.baseStepMS(e) / s.steps.meanStepMS() }
 
 // stepMS returns the expected time of a step of an engine that runs the given number of
 // requests, without prefill.
 func (s *service) stepMS(e *endpoint, running int) float64 {
-	base := e.speed.stepMS
-	if base <= 0 {
-		base = defaultDecodeStepMS * e.slowdown
-		if s.steps.steps > 0 {
-			base = math.Exp(s.steps.logStepMS) * e.slowdown
-		}
-	}
-	return base * (1 + s.steps.growthPerRequest()*float64(running))
+	return s.baseStepMS(e) * (1 + s.steps.growthPerRequest()*float64(running))
 }
 
 // pieceMS returns the expected time of the prompt's piece in a step of an engine.
-func (s *service) pieceMS(e *endpoint) float64 {
-	if s.steps.pieceMS > 0 {
-		return s.steps.pieceMS * e.slowdown
+func (s *service) pieceMS(e *endpoint) float64 { return s.baseStepMS(e) * s.pieceSteps() }
+
+// pieceSteps returns the time of the prompt's piece as a multiple of a step without prefill and
+// other requests.
+func (s *service) pieceSteps() float64 {
+	if s.steps.pieceSteps > 0 {
+		return s.steps.pieceSteps
 	}
 	_, perTokenMS := s.prefill.coefficients()
-	return defaultPieceTokens * perTokenMS * e.slowdown
+	return defaultPieceTokens * perTokenMS / s.steps.meanStepMS()
 }
 
 // observePlainInterval records an interval between events during which no prompt was computed.
@@ -177,12 +167,11 @@
 		return
 	}
 	stepMS := intervalMS / float64(max(s.EventTokens, 1))
-	running := e.running
-	s.steps.spread.observe(stepMS / s.stepMS(e, running))
+	s.steps.spread.observe(stepMS / s.stepMS(e, e.running))
 	s.steps.initGrowth()
-	grown := 1 + s.steps.growthPerRequest()*float64(running)
+	grown := 1 + s.steps.growthPerRequest()*float64(e.running)
 	if e.speed.stepMS > 0 {
-		s.steps.growth.observe(running, min(stepMS/e.speed.stepMS, maxSlowdownRatio*grown))
+		s.steps.growth.observe(e.running, min(stepMS/e.speed.stepMS, maxSlowdownRatio*grown))
 	}
 	if !e.speed.decode.observe(now, stepMS/grown) {
 		return
@@ -192,12 +181,6 @@
 		return
 	}
 	e.speed.stepMS = max(middle, minStepMS)
-	if !e.speed.prefill.known() {
-		if s.steps.steps >= minObservations {
-			e.applySlowdown(min(max(e.speed.stepMS/math.Exp(s.steps.logStepMS), minSpeedSlowdown), maxSlowdown))
-		}
-		return
-	}
 	s.steps.steps++
 	weight := max(stepDecay, 1/float64(s.steps.steps))
 	s.steps.logStepMS += weight * (math.Log(e.speed.stepMS/e.slowdown) - s.steps.logStepMS)
@@ -205,19 +188,17 @@
 
 // observeBusyInterval records an interval between events during which prompts were computed all
 // the time.
-func (s *service) observeBusyInterval(now time.Time, e *endpoint, intervalMS float64) {
+func (s *service) observeBusyInterval(e *endpoint, intervalMS float64) {
 	if !s.EngineSpeeds {
 		return
 	}
 	stepMS := s.stepMS(e, e.running)
 	perStepMS := intervalMS / float64(max(s.EventTokens, 1))
 	s.steps.spread.observe(perStepMS / (stepMS + s.pieceMS(e)))
-	piece := max(perStepMS-stepMS, 0) / e.slowdown
-	expected := s.pieceMS(e) / e.slowdown
-	e.addSlowdown(now, e.slowdown*piece/expected)
-	if piece > expected {
-		s.steps.pieceMS = expected * (1 + stepDecay)
+	steps := s.pieceSteps()
+	if (perStepMS-stepMS)/s.baseStepMS(e) > steps {
+		s.steps.pieceSteps = steps * (1 + stepDecay)
 	} else {
-		s.steps.pieceMS = expected / (1 + stepDecay)
+		s.steps.pieceSteps = max(steps/(1+stepDecay), minPieceSteps)
 	}
 }
--- a/coord/placement/speedsnapshot.go
+++ b/coord/placement/speedsnapshot.go
@@ -7,10 +7,9 @@
 
 // SpeedSnapshot is the learned speed of an engine whose service learns them.
 type SpeedSnapshot struct {
-	_        struct{} `cbor:",toarray"`
-	ID       string
-	Slowdown float64 // of prefill, 0 for unknown
-	StepMS   float64 // without prefill and other requests, 0 for unknown
+	_      struct{} `cbor:",toarray"`
+	ID     string
+	StepMS float64 // without prefill and other requests
 }
 
 // StepSnapshot is what is learned of the steps of a service's engines.
@@ -19,7 +18,7 @@
 	Name     string
 	Growth   [5]float64 // weight and sums of the fit
 	StepMS   float64    // at a slowdown of 1
-	PieceMS  float64
+	Piece    float64    // as a multiple of a step
 	Spread   []float64
 	Foreseen float64
 	Missed   float64
@@ -29,9 +28,8 @@
 func (t *Table) speedSnapshots() ([]SpeedSnapshot, []StepSnapshot) {
 	var speeds []SpeedSnapshot
 	for id, e := range t.endpoints {
-		slowdown, known := e.speed.prefill.middle()
-		if known || e.speed.stepMS > 0 {
-			speeds = append(speeds, SpeedSnapshot{ID: id, Slowdown: slowdown, StepMS: e.speed.stepMS})
+		if e.speed.stepMS > 0 {
+			speeds = append(speeds, SpeedSnapshot{ID: id, StepMS: e.speed.stepMS})
 		}
 	}
 	var steps []StepSnapshot
@@ -41,7 +39,7 @@
 		}
 		g := s.steps.growth
 		steps = append(steps, StepSnapshot{
-			Name: name, Growth: [5]float64{g.weight, g.sumX, g.sumY, g.sumXX, g.sumXY}, StepMS: math.Exp(s.steps.logStepMS), PieceMS: s.steps.pieceMS,
+			Name: name, Growth: [5]float64{g.weight, g.sumX, g.sumY, g.sumXX, g.sumXY}, StepMS: math.Exp(s.steps.logStepMS), Piece: s.steps.pieceSteps,
 			Spread: s.steps.spread.weights[:], Foreseen: s.steps.calibration.foreseen, Missed: s.steps.calibration.missed,
 		})
 	}
@@ -64,10 +62,6 @@
 			e.speed.stepMS = x.StepMS
 			e.speed.decode.fill(now, x.StepMS)
 		}
-		if x.Slowdown > 0 && !e.speed.prefill.known() {
-			e.applySlowdown(min(max(x.Slowdown, minSpeedSlowdown), maxSlowdown))
-			e.speed.prefill.fill(now, e.slowdown)
-		}
 	}
 }
 
@@ -79,7 +73,7 @@
 	s.steps = minObservations
 	s.logStepMS = math.Log(x.StepMS)
 	s.growth = prefillModel{weight: x.Growth[0], sumX: x.Growth[1], sumY: x.Growth[2], sumXX: x.Growth[3], sumXY: x.Growth[4]}
-	s.pieceMS = max(x.PieceMS, 0)
+	s.pieceSteps = max(x.Piece, 0)
 	s.calibration = calibration{foreseen: max(x.Foreseen, 0), missed: max(x.Missed, 0)}
 	s.spread = spread{}
 	for n, w := range x.Spread[:min(len(x.Spread), spreadBuckets)] {
