--- a/coord/placement/bench_test.go
+++ b/coord/placement/bench_test.go
@@ -17,7 +17,7 @@
 // if all engines are considered. With the logarithms of the slowdowns stored it takes 68 µs at
 // 1,600, against 105 without (medians of 7 pairs on a shared machine).
 func BenchmarkDecision(b *testing.B) {
-	for _, engines := range []int{160, 400, 1600} {
+	for _, engines := range []int{48, 160, 400, 1600} {
 		b.Run(fmt.Sprint(engines, " engines"), func(b *testing.B) { benchmarkDecision(b, engines, 0, memory.Rate{}) })
 	}
 }
@@ -38,17 +38,29 @@
 	}
 }
 
+// BenchmarkDecisionWithEngineSpeeds is the same with engines whose speeds are learned.
+func BenchmarkDecisionWithEngineSpeeds(b *testing.B) {
+	learn := func(s *placement.Service) { s.EngineSpeeds = true }
+	for _, engines := range []int{48, 160, 1600} {
+		b.Run(fmt.Sprint(engines, " engines"), func(b *testing.B) { benchmarkDecision(b, engines, 0, memory.Rate{}, learn) })
+	}
+}
+
 // benchmarkDecision measures decisions at engines that transfer memory at the rate. The first
 // limited endpoints advertise a limit.
-func benchmarkDecision(b *testing.B, endpoints, limited int, rate memory.Rate) {
+func benchmarkDecision(b *testing.B, endpoints, limited int, rate memory.Rate, options ...func(*placement.Service)) {
 	running := 10 * endpoints
 	now := time.Unix(1_000_000, 0)
 	var t placement.Table
 	t.Self = 1
 	t.ReuseWindow = 10 * time.Second
-	t.SetServices([]placement.Service{{
+	service := placement.Service{
 		Name: "pool", MemoryTokens: 500_000, EventTokens: 6, InterEventTarget: 150 * time.Millisecond, TransferRate: rate,
-	}})
+	}
+	for _, set := range options {
+		set(&service)
+	}
+	t.SetServices([]placement.Service{service})
 	list := make([]placement.Endpoint, endpoints)
 	for n := range list {
 		list[n] = placement.Endpoint{ID: fmt.Sprint("i-", n), Service: "pool", Slots: 48, Engine: true}
