--- a/coord/placement/pause.go
+++ b/coord/placement/pause.go
@@ -46,8 +46,9 @@
 	// calibrationDecay halves the weight of a stream after some 350.
 	calibrationDecay = 0.998
 	// calibrationPrior is the number of streams by which the calibration starts at 1.
-	calibrationPrior = 5.0
-	// maxCalibration bounds the factor that the calibration applies, in both directions.
+	calibrationPrior = 2.0
+	// minCalibration and maxCalibration bound the factor that the calibration applies.
+	minCalibration = 0.1
 	maxCalibration = 3.0
 )
 
@@ -91,9 +92,9 @@
 // of 1.
 type calibration struct{ foreseen, missed float64 }
 
-// observe adds an ended stream.
+// observe adds an ended stream with the chance to which the factor was applied.
 func (c *calibration) observe(chance float64, missed bool) {
-	c.foreseen = c.foreseen*calibrationDecay + chance
+	c.foreseen = c.foreseen*calibrationDecay + chance/c.factor()
 	c.missed *= calibrationDecay
 	if missed {
 		c.missed++
@@ -103,7 +104,7 @@
 // factor returns the factor to apply to a chance.
 func (c *calibration) factor() float64 {
 	ratio := (c.missed + calibrationPrior) / (c.foreseen + calibrationPrior)
-	return min(max(ratio, 1/maxCalibration), maxCalibration)
+	return min(max(ratio, minCalibration), maxCalibration)
 }
 
 // busyPeriod is a time in which an engine computes prompts without a gap.
--- a/coord/placement/pause_test.go
+++ b/coord/placement/pause_test.go
@@ -301,13 +301,17 @@
 }
 
 func TestCalibrationFollowsWhatIsSeenWithinBounds(t *testing.T) {
-	var few, many, right calibration
+	var few, many, right, half calibration
 	for n := range 1000 {
-		few.observe(0.5, false)
-		many.observe(0.01, true)
-		right.observe(0.25, n%4 == 0)
+		few.observe(0.5*few.factor(), false)
+		many.observe(0.01*many.factor(), true)
+		right.observe(0.25*right.factor(), n%4 == 0)
+		half.observe(0.5*half.factor(), n%4 == 0)
 	}
-	if few.factor() != 1/maxCalibration || many.factor() != maxCalibration {
+	if f := half.factor(); f < 0.45 || f > 0.55 {
+		t.Errorf("an estimate of twice the pauses has the factor %.2f", f)
+	}
+	if few.factor() != minCalibration || many.factor() != maxCalibration {
 		t.Errorf("factors %.2f and %.2f", few.factor(), many.factor())
 	}
 	if f := right.factor(); f < 0.9 || f > 1.1 {
