--- a/coord/placement/pause.go
+++ b/coord/placement/pause.go
@@ -5,7 +5,7 @@
 // between two events: the chance is 0 if it is too short, grows with its length, since it
 // begins at any point of an event, and is 1 once it covers the needed steps twice. At an engine
 // where even an event of nothing but such steps is within the target, no busy period makes a
-// stream pause. The engine's speed varies for spells; the chance is the mean over the spread of
+// stream pause, nor where the intervals seen during prefill stay far below the target. The engine's speed varies for spells; the chance is the mean over the spread of
 // the observed over the expected intervals. Placement adds the expected misses to the cost of an
 // engine: of the request's own stream, because of the prompts that wait behind it and of busy
 // periods as frequent as lately; of the streams there, because of the request's prompt and the
@@ -286,6 +286,9 @@
 			continue
 		}
 		target := milliseconds(g.target)
+		if s.prefillHarmless(e, target) {
+			continue
+		}
 		after := newPauseModel(&q.spread, grownMS, pieceMS, s.EventTokens, target)
 		if after.harmless() {
 			continue
@@ -297,7 +300,7 @@
 		more += rate * remainingMS / 1000
 		others += float64(g.count) * min(max(more, 0), 1)
 	}
-	if target := q.request.InterEventTarget; target > 0 {
+	if target := q.request.InterEventTarget; target > 0 && !s.prefillHarmless(e, milliseconds(target)) {
 		m := newPauseModel(&q.spread, grownMS, pieceMS, s.EventTokens, milliseconds(target))
 		behindMS := waitingMS - e.waitMS(q.now, q.request.Priority)*slowdown/e.slowdown
 		streamMS := q.streamMS(grownMS)
@@ -309,6 +312,13 @@
 	return own, others * q.calibration
 }
 
+// prefillHarmless reports whether the intervals seen during prefill stay so far below a target that
+// no stream with it is expected to pause.
+func (s *service) prefillHarmless(e *endpoint, targetMS float64) bool {
+	upper, known := s.intervalsWithPrefill.upperEstimate()
+	return known && upper*e.slowdown < harmlessIntervalShare*targetMS
+}
+
 // streamMS returns the expected time from the first to the last event of the request at an engine
 // with the given time of a step.
 func (q *query) streamMS(stepMS float64) float64 {
--- a/coord/placement/pause_test.go
+++ b/coord/placement/pause_test.go
@@ -272,6 +272,22 @@
 	}
 }
 
+func TestPausesAreDormantWhereIntervalsDuringPrefillAreShort(t *testing.T) {
+	table := pauseTable(2)
+	now := teachAll(table, pauseOrigin, func(int) float64 { return 1 })
+	s := table.service("pool")
+	for range 2 * minIntervals {
+		s.intervalsWithPrefill.observe(60)
+	}
+	for n := range uint64(20) {
+		table.Place(now, AttemptID{Owner: 2, Number: n}, table.endpointsInOrder()[n%2].Incarnation(), longPrompt(n), memory.Fetch{})
+	}
+	c, _ := table.Choose(now, strictStream(1), func(string) bool { return false }, rand.New(rand.NewPCG(1, 2)))
+	if c.PauseChance != 0 || c.Terms.Interference != 0 {
+		t.Errorf("a chance of %.3f and an interference of %.3f", c.PauseChance, c.Terms.Interference)
+	}
+}
+
 func TestManyShortPromptsCountAsOneBusyPeriod(t *testing.T) {
 	var b busyPeriods
 	now := pauseOrigin
