--- a/coord/placement/cost.go
+++ b/coord/placement/cost.go
@@ -169,7 +169,7 @@
 
 // estimateInterference adds the expected cost of missed inter-event targets.
 func (q *query) estimateInterference(e *endpoint, prefillMS float64, c *Choice) {
-	if !q.service.EngineSpeeds {
+	if !q.service.foreseesPauses() {
 		c.Terms.Interference = q.interferenceCost(e, prefillMS)
 		return
 	}
--- a/coord/placement/pause.go
+++ b/coord/placement/pause.go
@@ -5,9 +5,9 @@
 // between two events: the chance is 0 if it is too short, grows with its length, since it
 // begins at any point of an event, and is 1 once it covers the needed steps twice. At an engine
 // where even an event of nothing but such steps is within the target, no busy period makes a
-// stream pause, nor where the intervals seen during prefill stay far below the target. The engine's speed varies for spells; the chance is the mean over the spread of
-// the observed over the expected intervals. Placement adds the expected misses to the cost of an
-// engine: of the request's own stream, because of the prompts that wait behind it and of busy
+// stream pause. The engine's speed varies for spells; the chance is the mean over the spread of
+// the observed over the expected intervals. Where the engines of a service
+// are uneven, placement adds the expected misses to the cost of an engine: of the request's own stream, because of the prompts that wait behind it and of busy
 // periods as frequent as lately; of the streams there, because of the request's prompt and the
 // longer steps.
 // Inputs: the times of a step and of a piece, tokens per event, the target, busy periods.
@@ -286,9 +286,6 @@
 			continue
 		}
 		target := milliseconds(g.target)
-		if s.prefillHarmless(e, target) {
-			continue
-		}
 		after := newPauseModel(&q.spread, grownMS, pieceMS, s.EventTokens, target)
 		if after.harmless() {
 			continue
@@ -300,7 +297,7 @@
 		more += rate * remainingMS / 1000
 		others += float64(g.count) * min(max(more, 0), 1)
 	}
-	if target := q.request.InterEventTarget; target > 0 && !s.prefillHarmless(e, milliseconds(target)) {
+	if target := q.request.InterEventTarget; target > 0 {
 		m := newPauseModel(&q.spread, grownMS, pieceMS, s.EventTokens, milliseconds(target))
 		behindMS := waitingMS - e.waitMS(q.now, q.request.Priority)*slowdown/e.slowdown
 		streamMS := q.streamMS(grownMS)
@@ -312,12 +309,8 @@
 	return own, others * q.calibration
 }
 
-// prefillHarmless reports whether the intervals seen during prefill stay so far below a target that
-// no stream with it is expected to pause.
-func (s *service) prefillHarmless(e *endpoint, targetMS float64) bool {
-	upper, known := s.intervalsWithPrefill.upperEstimate()
-	return known && upper*e.slowdown < harmlessIntervalShare*targetMS
-}
+// foreseesPauses reports whether the speeds of the service's engines are learned and uneven.
+func (s *service) foreseesPauses() bool { return s.EngineSpeeds && s.steps.uneven }
 
 // streamMS returns the expected time from the first to the last event of the request at an engine
 // with the given time of a step.
@@ -327,11 +320,10 @@
 
 // StreamEnded records whether a stream of this entry paused for longer than its target, for the
 // calibration of the chance foreseen when it was placed. It reports false for an attempt that
-// isn't a stream with a target that has begun, or whose service doesn't learn the speeds of its
-// engines. It must precede End.
+// isn't a stream with a target that has begun, or whose service foresees no pauses. It must precede End.
 func (t *Table) StreamEnded(id AttemptID, chance float64) (missed, counted bool) {
 	e := t.byAttempt[id]
-	if e == nil || !e.Engine || !t.service(e.Service).EngineSpeeds {
+	if e == nil || !e.Engine || !t.service(e.Service).foreseesPauses() {
 		return false, false
 	}
 	a := e.attempts[id]
--- a/coord/placement/speed.go
+++ b/coord/placement/speed.go
@@ -28,6 +28,11 @@
 	// observationSpacing is the shortest time between two observations of an engine's speed, so
 	// that one spell doesn't fill the middle.
 	observationSpacing = 100 * time.Millisecond
+	// unevenFrom is the ratio of the times of steps of slow to fast engines from which pauses are
+	// foreseen by engine. With less, interference is that of prompts longer than an event allows.
+	unevenFrom = 1.7
+	// unevenInterval is the time between two looks at all engines of a service.
+	unevenInterval = 500 * time.Millisecond
 	// minStepMS and minPieceSteps are the shortest plausible times of a step, in ms, and of a
 	// prompt's piece in one, as a multiple of it.
 	minStepMS     = 0.05
@@ -100,6 +105,27 @@
 	spread      spread
 	demand      promptDemand
 	calibration calibration
+
+	uneven    bool // some engines decode clearly more slowly than others
+	checkedAt time.Time
+}
+
+// updateUneven updates whether the engines are uneven: the slow tenth of those known takes
+// unevenFrom times as long for a step as the fast tenth.
+func (s *service) updateUneven(now time.Time) {
+	if now.Sub(s.steps.checkedAt) < unevenInterval {
+		return
+	}
+	s.steps.checkedAt = now
+	var known []float64
+	for _, e := range s.endpoints {
+		if e.speed.stepMS > 0 {
+			known = append(known, e.speed.stepMS)
+		}
+	}
+	slices.Sort(known)
+	n := len(known)
+	s.steps.uneven = n > 1 && known[n-1-n/10] >= unevenFrom*known[n/10]
 }
 
 // growthPerRequest returns by what share of its time with none a step grows with each running
@@ -181,6 +207,7 @@
 		return
 	}
 	e.speed.stepMS = max(middle, minStepMS)
+	s.updateUneven(now)
 	s.steps.steps++
 	weight := max(stepDecay, 1/float64(s.steps.steps))
 	s.steps.logStepMS += weight * (math.Log(e.speed.stepMS/e.slowdown) - s.steps.logStepMS)
