--- a/coord/placement/endpoint.go
+++ b/coord/placement/endpoint.go
@@ -35,6 +35,11 @@
 	warmup      eligibility.Warmup
 	replicas    replicas // of runs of other engines
 	signals
+
+	speed   engineSpeed
+	busy    busyPeriods
+	streams []streamGroup // of the open attempts
+	running int           // attempts that have had an event
 }
 
 // attempt is one send of a request to an endpoint.
@@ -51,6 +56,7 @@
 	firstAt       time.Time // of the first event, zero before it
 	lastAt        time.Time // of the last event
 	backlogMS     float64   // of the endpoint at the last event
+	missed        bool      // an inter-event target
 }
 
 // waiting reports whether the attempt has had no event.
