--- a/coord/placement/speed.go
+++ b/coord/placement/speed.go
@@ -113,8 +113,8 @@
 	checkedAt time.Time
 }
 
-// updateUneven updates whether the engines are uneven: of those known, the slow fifth takes
-// unevenFrom times as long for a step as the fast fifth.
+// updateUneven updates whether the engines are uneven: of those with recentObservations, which last
+// longer than a spell, the slow fifth takes unevenFrom times as long for a step as the fast fifth.
 func (s *service) updateUneven(now time.Time) {
 	if now.Sub(s.steps.checkedAt) < unevenInterval {
 		return
@@ -122,7 +122,7 @@
 	s.steps.checkedAt = now
 	var known []float64
 	for _, e := range s.endpoints {
-		if e.speed.stepMS > 0 {
+		if e.speed.decode.count >= recentObservations {
 			known = append(known, e.speed.stepMS)
 		}
 	}
