Count crashes of the fleet's endpoints before their connections break

TestOtherEntriesReceiveHold failed at times beside load: 2 or 4 endpoints had crashed before a hold, 3 wanted. Traced on a scratch copy: - a goroutine raised the count after the endpoint's end, and the check read it at once; - ports of 127.0.0.1 came back within milliseconds. An entry of another test process answered at the address of a crashed endpoint, or the endpoint restarted on the same port: its crash did not count at the entry, or counted without one.

An endpoint now counts as ended from when it refuses connections, before those it has break, so that a caller with an answer reads every crash that led to it; a connection accepted in that moment isn't served. Test processes listen on a loopback address of their own and take no port twice. The check and its bounds are as before.

--- a/check.sh
+++ b/check.sh
@@ -49,7 +49,8 @@
 if [ -f KNOWN-RED.txt ]; then
 	red=$(sed 's/:.*//' KNOWN-RED.txt)
 fi
-go test -race -count=1 -timeout 20m -skip "^($(echo "$red" | paste -s -d '|' -))\$" $packages
+skip="^($(echo $red | tr ' ' '|'))\$"
+go test -race -count=1 -timeout 20m ${red:+-skip "$skip"} $packages
 
 echo "== known red"
 for test in $red; do
--- a/internal/testing/fleet/concurrent_crashes_test.go
+++ b/internal/testing/fleet/concurrent_crashes_test.go
@@ -20,9 +20,9 @@
 	f := newFleet(t, 4, 8)
 	f.requestConcurrently(crashingPath)
 	f.awaitAllHeld(crashingPath)
-	before := f.crashes.Load()
+	before := f.crashes()
 	f.requestConcurrently(crashingPath)
-	if n := f.crashes.Load() - before; n > 1 {
+	if n := f.crashes() - before; n > 1 {
 		t.Errorf("%d endpoints have crashed when the content was requested again", n)
 	}
 }
--- a/internal/testing/fleet/crashing_test.go
+++ b/internal/testing/fleet/crashing_test.go
@@ -39,7 +39,7 @@
 			return f.request(f.entries[(n+1)%entries], otherTarget, "another one").status == http.StatusOK
 		})
 	}
-	if n := f.crashes.Load(); n > maxCrashes {
+	if n := f.crashes(); n > maxCrashes {
 		t.Errorf("%d endpoints have crashed under one content, allowed are %d", n, maxCrashes)
 	}
 }
--- a/internal/testing/fleet/fleet_test.go
+++ b/internal/testing/fleet/fleet_test.go
@@ -5,10 +5,8 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -18,6 +16,7 @@
 	"foxcross.dev/foxcross/internal/direct/gateway"
 	"foxcross.dev/foxcross/internal/direct/peers"
 	"foxcross.dev/foxcross/internal/logs"
+	"foxcross.dev/foxcross/internal/testing/loopback"
 	"foxcross.dev/foxcross/internal/testing/standin/platformtest"
 
 	_ "foxcross.dev/foxcross/platform" // registers its driver
@@ -54,11 +53,10 @@
 	entries      []*entry
 	client       *http.Client
 	requestCount atomic.Int64
-	crashes      atomic.Int64 // of endpoints
 	stopped      chan struct{}
 
 	mu      sync.Mutex
-	serving []*platformtest.Runner
+	started []*platformtest.Runner // all endpoints, also those that have crashed
 }
 
 // entry is one gateway of the fleet.
@@ -125,7 +123,7 @@
 	})
 	r.StartedMS = startedMS
 	f.mu.Lock()
-	f.serving = append(f.serving, r)
+	f.started = append(f.started, r)
 	f.mu.Unlock()
 	f.store.PutEndpoint(r, "ready")
 	go func() {
@@ -133,10 +131,7 @@
 		case <-f.stopped:
 			r.Close()
 		case <-r.Ended():
-			f.crashes.Add(1)
-			f.mu.Lock()
-			f.serving = slices.DeleteFunc(f.serving, func(x *platformtest.Runner) bool { return x == r })
-			f.mu.Unlock()
+			r.Close() // all its connections break before it restarts
 			f.addEndpoint(id, startedMS+1)
 		}
 	}()
@@ -144,9 +139,29 @@
 
 // endpoints returns the endpoints that have not crashed.
 func (f *fleet) endpoints() []*platformtest.Runner {
+	serving, _ := f.endpointsAndCrashes()
+	return serving
+}
+
+// crashes returns the number of endpoints that have crashed. An endpoint counts before its
+// connections break, so that a response never arrives before the crashes that caused it count.
+func (f *fleet) crashes() int {
+	_, crashes := f.endpointsAndCrashes()
+	return crashes
+}
+
+func (f *fleet) endpointsAndCrashes() (serving []*platformtest.Runner, crashes int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.Clone(f.serving)
+	for _, r := range f.started {
+		select {
+		case <-r.Ended():
+			crashes++
+		default:
+			serving = append(serving, r)
+		}
+	}
+	return serving, crashes
 }
 
 // addEntry starts an entry. If joinGroup is false, it exchanges no events with the others.
@@ -216,12 +231,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }() // releases the address
-	return l.Addr().String()
+	return address
 }
 
 func (f *fleet) mustSucceed(err error) {
--- a/internal/testing/fleet/hold_test.go
+++ b/internal/testing/fleet/hold_test.go
@@ -17,22 +17,22 @@
 func TestOtherEntriesReceiveHold(t *testing.T) {
 	f := newFleet(t, 4, 4)
 	for _, target := range []string{crashingPath, crashingOncePath} {
-		before := f.crashes.Load()
+		before := f.crashes()
 		f.requestUntilHeld(f.entries[0], target)
-		if n := f.crashes.Load() - before; n != 3 {
+		if n := f.crashes() - before; n != 3 {
 			t.Errorf("%s: %d endpoints have crashed before the hold", target, n)
 		}
 	}
 	for _, e := range f.entries {
 		f.awaitHeld(e, 2)
 	}
-	before := f.crashes.Load()
+	before := f.crashes()
 	for _, e := range f.entries {
 		if a := f.request(e, crashingPath, "crashes what runs it"); !a.isHeld() {
 			t.Errorf("answered %d %v", a.status, a.header)
 		}
 	}
-	if n := f.crashes.Load() - before; n != 0 {
+	if n := f.crashes() - before; n != 0 {
 		t.Errorf("%d endpoints have crashed under a held content", n)
 	}
 	if a := f.request(f.entries[0], crashingPath, "another body"); a.isHeld() {
@@ -59,9 +59,9 @@
 	f.requestUntilHeld(f.entries[0], crashingPath)
 	f.awaitRecorded(1)
 	alone := f.addEntry(false)
-	before := f.crashes.Load()
+	before := f.crashes()
 	f.requestUntilHeld(alone, crashingPath)
-	if n := f.crashes.Load() - before; n != 1 {
+	if n := f.crashes() - before; n != 1 {
 		t.Errorf("%d endpoints have crashed under a content that the store records", n)
 	}
 }
@@ -90,7 +90,7 @@
 	f := newFleet(t, 3, 4)
 	f.expireHold(crashingPath)
 	f.requestConcurrently(crashingPath)
-	if n := f.crashes.Load(); n != 1 {
+	if n := f.crashes(); n != 1 {
 		t.Errorf("%d endpoints have crashed in the trial", n)
 	}
 	for _, e := range f.entries {
@@ -198,7 +198,7 @@
 			t.Errorf("answered %d %v", a.status, a.header)
 		}
 	}
-	if n := f.crashes.Load(); n != 0 {
+	if n := f.crashes(); n != 0 {
 		t.Errorf("%d endpoints have crashed", n)
 	}
 }
@@ -243,9 +243,9 @@
 func (f *fleet) checkHeldAt(e *entry) {
 	f.t.Helper()
 	f.awaitHeld(e, 1)
-	before := f.crashes.Load()
-	if a := f.request(e, crashingPath, "crashes what runs it"); !a.isHeld() || f.crashes.Load() != before {
-		f.t.Errorf("answered %d, %d endpoints crashed", a.status, f.crashes.Load()-before)
+	before := f.crashes()
+	if a := f.request(e, crashingPath, "crashes what runs it"); !a.isHeld() || f.crashes() != before {
+		f.t.Errorf("answered %d, %d endpoints crashed", a.status, f.crashes()-before)
 	}
 }
 
--- a/internal/testing/standin/platformtest/runner.go
+++ b/internal/testing/standin/platformtest/runner.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"foxcross.dev/foxcross/internal/testing/loopback"
 )
 
 // Header fields of the platform.
@@ -73,12 +75,12 @@
 	connectionCount int
 	abandoned       chan string // ids of requests whose caller closed the connection
 	endOnce         sync.Once
-	ended           chan struct{} // closed when the runner has ended
+	ended           chan struct{} // closed when the runner refuses connections
 }
 
-// NewRunner starts a runner on a free port of the loopback address.
+// NewRunner starts a runner on a free port of the loopback address of this process.
 func NewRunner(id, service string, defaultBehavior Behavior) *Runner {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := loopback.Listen()
 	if err != nil {
 		panic("platformtest: " + err.Error())
 	}
@@ -152,13 +154,14 @@
 // Address returns the address on which the runner listens.
 func (r *Runner) Address() string { return r.listener.Addr().String() }
 
-// Ended returns a channel that is closed when the runner has ended.
+// Ended returns a channel that is closed when the runner refuses connections, before those that it
+// has break.
 func (r *Runner) Ended() <-chan struct{} { return r.ended }
 
 // Close ends the runner and its connections.
 func (r *Runner) Close() {
-	defer r.endOnce.Do(func() { close(r.ended) })
 	_ = r.listener.Close() // the stand-in has ended
+	r.endOnce.Do(func() { close(r.ended) })
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c := range r.conns {
@@ -172,14 +175,29 @@
 		if err != nil {
 			return
 		}
-		r.mu.Lock()
-		r.conns[c] = true
-		r.connectionCount++
-		r.mu.Unlock()
+		if !r.addConnection(c) {
+			_ = c.Close() // the stand-in has ended
+			return
+		}
 		go r.serve(c)
 	}
 }
 
+// addConnection records an accepted connection. It reports whether the runner serves it: one that has
+// ended does not.
+func (r *Runner) addConnection(c net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	select {
+	case <-r.ended:
+		return false
+	default:
+	}
+	r.conns[c] = true
+	r.connectionCount++
+	return true
+}
+
 func (r *Runner) serve(c net.Conn) {
 	defer func() {
 		_ = c.Close() // the stand-in has ended
