Let teams contend, engines differ in speed and refused callers return in the soak

The soak knew one team, engines of one speed, and callers that never came back. Now three teams call, one of them at times from 24 callers at once; every other engine takes 2.4 times longer, and engines have spells in which they take 2.5 times longer still; a caller that is refused with a Retry-After returns once with the same content under another id, a quarter of them at once.

A new promise: no team that sends 30 requests or more is served less than a quarter of the share that all are. What may not be repeated runs at most once, before and after its caller returned.

--- a/internal/testing/soak/caller.go
+++ b/internal/testing/soak/caller.go
@@ -23,7 +23,10 @@
 	id               string
 	target           string
 	kind             requestKind
-	status           int // 0 for no response
+	team             team
+	returned         bool          // the caller was refused before with the same content
+	retryAfter       time.Duration // that a refusal names, 0 for none
+	status           int           // 0 for no response
 	seal             string
 	body             string
 	complete         bool        // the response ended as its framing announces
@@ -55,7 +58,7 @@
 		if c == nil {
 			c = &connection{entry: e}
 		}
-		d.requestOver(ctx, c, k)
+		d.callAndReturn(ctx, c, newObservation(k, teams[number%uint64(len(teams))]), random)
 		if keepAlive {
 			connections[e] = c
 		} else {
@@ -72,18 +75,23 @@
 func (d *deployment) request(ctx context.Context, e *entry, k requestKind) observation {
 	c := &connection{entry: e}
 	defer c.close()
-	return d.requestOver(ctx, c, k)
+	return d.requestOver(ctx, c, newObservation(k, teams[0]))
+}
+
+// newObservation returns the observation of a request that is still to be sent.
+func newObservation(k requestKind, t team) observation {
+	id := fmt.Sprintf("%016x", requestCount.Add(1))
+	return observation{id: id, target: k.path + id, kind: k, team: t}
 }
 
 // requestOver sends one request over a connection and records the observation of the caller.
-func (d *deployment) requestOver(ctx context.Context, c *connection, k requestKind) observation {
-	s := observation{id: fmt.Sprintf("%016x", requestCount.Add(1)), kind: k}
-	s.target = k.path + s.id
+func (d *deployment) requestOver(ctx context.Context, c *connection, s observation) observation {
+	k, content := s.kind, strings.TrimPrefix(s.target, s.kind.path)
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	var body io.Reader = http.NoBody
 	if k.method == http.MethodPost {
-		body = bytes.NewBufferString("body of " + s.id)
+		body = bytes.NewBufferString("body of " + content)
 	}
 	q, err := http.NewRequest(k.method, "http://"+host+s.target, body)
 	if err != nil {
@@ -91,12 +99,12 @@
 	}
 	q.Header.Set(platformtest.RequestIDField, s.id)
 	q.Header.Set(platformtest.DeadlineField, fmt.Sprint(requestTimeout.Milliseconds()))
-	q.Header.Set(platformtest.KeyField, teamKey)
+	q.Header.Set(platformtest.KeyField, s.team.key)
 	if k.stream {
 		// One prompt in 16 has the same first part. The second part makes the prefill long
 		// enough that requests queue, so that other engines fetch the shared part.
 		q.Header.Set(platformtest.TokensField, "9000,100")
-		q.Header.Set(platformtest.PartsField, fmt.Sprintf("a%s:4000,%s:5000", s.id[len(s.id)-1:], s.id))
+		q.Header.Set(platformtest.PartsField, fmt.Sprintf("a%s:4000,%s:5000", content[len(content)-1:], content))
 	}
 	s.servedBy, s.sentAt = c.entry.incarnation(), time.Now()
 	a, data, err := c.exchange(ctx, q)
@@ -109,6 +117,7 @@
 			s.drainingEndpoint = a.Header.Get(platformtest.InstanceField)
 		}
 		s.status = a.StatusCode
+		s.retryAfter = retryAfterOf(a)
 		s.seal = a.Header.Get(platformtest.SealField)
 		s.body = string(data)
 		s.complete = err == nil
--- a/internal/testing/soak/faults.go
+++ b/internal/testing/soak/faults.go
@@ -48,6 +48,8 @@
 	{"endpoint names a limit", []Promise{RateLimitHonoured, OwnCompleteAnswer}, true, advertiseLimits},
 	{"endpoint asks for a backoff", []Promise{BackoffHonoured, NotRun, AtMostOnce, OwnCompleteAnswer}, true, askForBackoff},
 	{"endpoint drains in its responses", []Promise{DrainingHonoured, OwnCompleteAnswer, InOrder}, true, drainInResponses},
+	{"a team sends many times its usual", []Promise{NoTeamStarves, NotRun, AtMostOnce}, true, contend},
+	{"an engine has a slow spell", []Promise{OwnCompleteAnswer, InOrder, NoTeamStarves}, true, slowDown},
 }
 
 // Durations and sizes of faults.
@@ -60,6 +62,8 @@
 	settingsChangePause  = 30 * time.Millisecond  // between two changes of the settings
 	minSettingsChanges   = 2                      // in succession
 	extraSettingsChanges = 8                      // in addition to the fewest
+	slowSpellFactor      = 2.5                    // times longer that a slow engine takes
+	extraSlowSpell       = 600 * time.Millisecond // in addition to the shortest fault
 	extraFaultyResponses = 6                      // consecutive faulty responses, in addition to the first
 	maxExtraRoutes       = 5000                   // about 0.9 MB of settings, close to the store's largest value
 )
@@ -156,6 +160,17 @@
 	d.configure()
 }
 
+// slowDown makes an endpoint slower for a time.
+func slowDown(d *deployment, amount float64) {
+	e := d.pickEndpoint(1)
+	if e == nil {
+		return
+	}
+	e.runner.SetSlowdown(slowSpellFactor * e.slowdown)
+	time.Sleep(faultDuration(amount, extraSlowSpell))
+	e.runner.SetSlowdown(e.slowdown)
+}
+
 // drainEndpoint marks an endpoint as draining in the store and ends it later.
 func drainEndpoint(d *deployment, _ float64) {
 	e := d.pickEndpoint(2)
--- a/internal/testing/soak/history.go
+++ b/internal/testing/soak/history.go
@@ -33,6 +33,7 @@
 	RateLimitHonoured      Promise = "an endpoint that names a limit gets no more than it bears"
 	BackoffHonoured        Promise = "an endpoint that asks an entry to back off gets at most two requests from it in that time"
 	DrainingHonoured       Promise = "an endpoint that says in a response that it drains gets nothing new from the entry that passed it on"
+	NoTeamStarves          Promise = "no team starves while another sends many times its usual"
 	inFlightSlack                  = 1500 * time.Millisecond // for a request in flight
 )
 
@@ -125,12 +126,17 @@
 	r := Report{Requests: len(h.observations), Answers: map[int]int{}}
 	for _, s := range h.observations {
 		r.Answers[s.status]++
+		if s.returned {
+			r.Returned++
+		}
 		h.checkAnswer(s)
 		h.checkRuns(s, h.runs[s.id])
 		if planned {
 			h.checkLost(s, h.runs[s.id])
 		}
 	}
+	h.checkReturned()
+	h.checkStarved()
 	h.checkUsage(reports)
 	r.Violations = h.violations
 	r.Reports = len(reports)
@@ -190,7 +196,7 @@
 		}
 	}
 	for _, r := range runs {
-		if r.Target != s.target || r.Method != s.kind.method || r.Header.Get(platformtest.TeamField) != "team-1" || r.Header.Get(platformtest.KeyField) != "" {
+		if r.Target != s.target || r.Method != s.kind.method || r.Header.Get(platformtest.TeamField) != s.team.name || r.Header.Get(platformtest.KeyField) != "" {
 			h.addViolation(RequestUnmodified, s.id, "%s %s ran for team %q", r.Method, r.Target, r.Header.Get(platformtest.TeamField))
 		}
 		if late := h.timePastLeaving(r.At, r.leavingSince); late > 0 {
--- a/internal/testing/soak/platform.go
+++ b/internal/testing/soak/platform.go
@@ -62,16 +62,23 @@
 	if extra {
 		routes = append(routes, route("/extra/", "idempotent", false))
 	}
+	tenants := []map[string]any{}
+	for _, t := range teams {
+		tenants = append(tenants, map[string]any{"name": t.name, "apiKeys": []string{t.key}, "priority": 1})
+	}
 	d.store.Configure(map[string]any{
 		"version": version, "routes": routes,
 		"backends": []map[string]any{{"name": service, "maxConns": 100, "warmupS": warmupDuration.Seconds(), "warmupPerS": warmupPerS, "engine": map[string]any{
 			"slots": 8, "kvCapacity": 400_000, "kvBytes": 163_840, "linkMbps": 260_000.0, "stride": 1,
 		}}},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "idleTimeoutMs": 15000},
-		"tenants": []map[string]any{{"name": "team-1", "apiKeys": []string{teamKey}, "priority": 1}},
+		"tenants": tenants,
 	})
 }
 
+// slowEndpointFactor is how many times longer every other endpoint takes.
+const slowEndpointFactor = 2.4
+
 func route(path, routeType string, resumable bool) map[string]any {
 	return map[string]any{
 		"name": "r" + path, "hostname": host, "pathPrefix": path, "routeType": routeType, "timeoutMs": 6000,
@@ -85,6 +92,7 @@
 	leavingSince time.Time // when the store accepted that it leaves, zero if it does not
 	removed      bool
 	startedAt    time.Time  // start of the warm-up
+	slowdown     float64    // of its streams, 1 for a fast one
 	limitMu      sync.Mutex // held while a limit is named
 	draining     bool       // announces in its responses that it drains
 }
@@ -106,6 +114,11 @@
 			},
 		},
 	})}
+	e.slowdown = 1
+	if len(d.endpoints)%2 == 1 {
+		e.slowdown = slowEndpointFactor
+	}
+	e.runner.SetSlowdown(e.slowdown)
 	e.runner.Engine = true
 	e.runner.DataCentre = d.dataCentreWithFewerEndpoints()
 	e.runner.WarmupLeftMS = int(warmupDuration.Milliseconds())
--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -41,6 +41,7 @@
 	Reports  int // of usage
 	Crashed  int // endpoints that crashed under a request
 	Refusals int // by endpoints, with a Retry-After
+	Returned int // requests of callers that had been refused
 	MemoryMB int // of the entry that had the most
 	// BodyBytes is the most bytes of request bodies that one entry held.
 	BodyBytes  int64
--- a/internal/testing/soak/soak_test.go
+++ b/internal/testing/soak/soak_test.go
@@ -77,6 +77,16 @@
 	}
 }
 
+// TestContendingTeams makes one team send many times its usual to engines of two speeds that have slow
+// spells and crash. Callers that are refused return.
+func TestContendingTeams(t *testing.T) {
+	const contends = "a team sends many times its usual"
+	r := runSoak(t, 8, []string{contends, "an engine has a slow spell", "endpoint crashes"})
+	if r.Faults[contends] == 0 || r.Returned == 0 {
+		t.Errorf("%d times a team contended, %d callers returned", r.Faults[contends], r.Returned)
+	}
+}
+
 func TestPlannedWork(t *testing.T) { runSoak(t, 2, Planned()) }
 
 // TestSlowCallers adds callers that do not read their responses or do not finish their bodies, during
@@ -108,7 +118,7 @@
 			covered[p] = true
 		}
 	}
-	for _, p := range []Promise{OwnCompleteAnswer, InOrder, AtMostOnce, NotRun, RequestUnmodified, NoRequestsAfterLeaving, ValidFetchSource, SettingsMonotonic, NoRequestLost, Recovers, UsageReportedOnce, EvacuationHonoured, InRegion, WarmupLimitHonoured, RateLimitHonoured, BackoffHonoured, DrainingHonoured} {
+	for _, p := range []Promise{OwnCompleteAnswer, InOrder, AtMostOnce, NotRun, RequestUnmodified, NoRequestsAfterLeaving, ValidFetchSource, SettingsMonotonic, NoRequestLost, Recovers, UsageReportedOnce, EvacuationHonoured, InRegion, WarmupLimitHonoured, RateLimitHonoured, BackoffHonoured, DrainingHonoured, NoTeamStarves} {
 		if !covered[p] {
 			t.Errorf("no fault can break %q", p)
 		}
@@ -135,7 +145,7 @@
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	page, book, chat, home := requestKinds[0], requestKinds[1], requestKinds[2], requestKinds[4]
 	of := func(k requestKind, s observation) observation {
-		s.id, s.kind, s.target = "a", k, k.path+"a"
+		s.id, s.kind, s.target, s.team = "a", k, k.path+"a", teams[0]
 		return s
 	}
 	ran := func(k requestKind) run {
@@ -253,3 +263,34 @@
 		}
 	}
 }
+
+// TestReturnedRunsTwice checks that a booking that ran before and after its caller returned is reported.
+func TestReturnedRunsTwice(t *testing.T) {
+	first := newObservation(requestKinds[1], teams[1])
+	second := first.returning()
+	h := history{observations: []observation{first, second}, runs: map[string][]run{first.id: {{}}, second.id: {{}}}}
+	h.checkReturned()
+	if len(h.violations) != 1 || h.violations[0].Promise != AtMostOnce {
+		t.Errorf("found %v", h.violations)
+	}
+}
+
+// TestStarvedTeam checks that a team is reported that is served far less than all.
+func TestStarvedTeam(t *testing.T) {
+	for served, broken := range map[int]bool{0: true, 4: true, 20: false} {
+		var h history
+		for n := range 40 {
+			for _, x := range teams {
+				s := observation{team: x, status: http.StatusServiceUnavailable}
+				if x != teams[2] && n < 30 || n < served {
+					s.status = http.StatusOK
+				}
+				h.observations = append(h.observations, s)
+			}
+		}
+		h.checkStarved()
+		if (len(h.violations) == 1) != broken {
+			t.Errorf("%d of 40 served: found %v", served, h.violations)
+		}
+	}
+}
--- a/internal/testing/standin/platformtest/runner.go
+++ b/internal/testing/standin/platformtest/runner.go
@@ -73,6 +73,7 @@
 	conns           map[net.Conn]bool
 	cache           promptCache
 	connectionCount int
+	slowdown        float64     // of streams, 0 for 1
 	abandoned       chan string // ids of requests whose caller closed the connection
 	endOnce         sync.Once
 	ended           chan struct{} // closed when the runner refuses connections
@@ -111,6 +112,23 @@
 	r.defaultBehavior = a
 }
 
+// SetSlowdown sets by what factor the next streams and the next events of those that run take longer.
+func (r *Runner) SetSlowdown(factor float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.slowdown = factor
+}
+
+// slowed returns how long something takes at the present speed.
+func (r *Runner) slowed(d time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.slowdown <= 0 {
+		return d
+	}
+	return time.Duration(float64(d) * r.slowdown)
+}
+
 // Drain sets the values by which the next responses announce that the runner drains, each in a field
 // of its own. Without a value they do not announce it.
 func (r *Runner) Drain(values ...string) {
@@ -354,9 +372,9 @@
 		from = last + 1
 	}
 	write(c, "%s", r.head(http.StatusOK, id, InstanceField+": "+r.ID+"\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"))
-	r.prefill(q.Header, a.Token)
+	r.prefill(q.Header, r.slowed(a.Token))
 	for n := from; n <= a.To; n++ {
-		time.Sleep(a.Pause)
+		time.Sleep(r.slowed(a.Pause))
 		chunk(c, fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, r.ID, n))
 		if n == from && a.Hold != nil {
 			<-a.Hold
