Crash engines whose runs have copies in the soak

A run at the engine with the copy counts as the same run. New promise: a copy continues a run once, after its endpoint has ended; that each event comes once was checked before.

--- a/internal/testing/soak/caller.go
+++ b/internal/testing/soak/caller.go
@@ -102,9 +102,15 @@
 	q.Header.Set(platformtest.KeyField, s.team.key)
 	if k.stream {
 		// One prompt in 16 has the same first part. The second part makes the prefill long
-		// enough that requests queue, so that other engines fetch the shared part.
-		q.Header.Set(platformtest.TokensField, "9000,100")
-		q.Header.Set(platformtest.PartsField, fmt.Sprintf("a%s:4000,%s:5000", content[len(content)-1:], content))
+		// enough that requests queue, so that other engines fetch the shared part, or short enough
+		// that the run is copied.
+		const sharedTokens = 4000
+		ownTokens := 5000
+		if k.nonIdempotent {
+			ownTokens = 500
+		}
+		q.Header.Set(platformtest.TokensField, fmt.Sprintf("%d,100", sharedTokens+ownTokens))
+		q.Header.Set(platformtest.PartsField, fmt.Sprintf("a%s:%d,%s:%d", content[len(content)-1:], sharedTokens, content, ownTokens))
 	}
 	s.servedBy, s.sentAt = c.entry.incarnation(), time.Now()
 	a, data, err := c.exchange(ctx, q)
--- a/internal/testing/soak/crashing.go
+++ b/internal/testing/soak/crashing.go
@@ -54,10 +54,11 @@
 	_, _, _ = c.exchange(ctx, q) // the response is not checked
 }
 
-// awaitCrash waits for the end of an endpoint and replaces it if it has crashed under a request.
+// awaitCrash waits for the end of an endpoint, records it, and replaces it if it has crashed under a request.
 func (d *deployment) awaitCrash(e *endpoint) {
 	<-e.runner.Ended()
 	d.mu.Lock()
+	e.endedAt = time.Now()
 	ignored := d.closed || e.removed
 	if !ignored {
 		e.removed = true
--- a/internal/testing/soak/faults.go
+++ b/internal/testing/soak/faults.go
@@ -38,7 +38,7 @@
 	{"settings change", []Promise{RequestUnmodified, SettingsMonotonic}, true, changeSettings},
 	{"settings change often", []Promise{RequestUnmodified, SettingsMonotonic, Recovers}, false, changeSettingsOften},
 	{"endpoint leaves", []Promise{OwnCompleteAnswer, NoRequestsAfterLeaving, ValidFetchSource}, true, drainEndpoint},
-	{"endpoint crashes", []Promise{OwnCompleteAnswer, InOrder, AtMostOnce, NotRun}, false, crashEndpoint},
+	{"endpoint crashes", []Promise{OwnCompleteAnswer, InOrder, AtMostOnce, NotRun, ContinuedAfterCrash}, false, crashEndpoint},
 	{"endpoint comes", []Promise{OwnCompleteAnswer, RequestUnmodified}, true,
 		func(d *deployment, _ float64) { d.addEndpoint() }},
 	{"answers go wrong", []Promise{OwnCompleteAnswer, InOrder, AtMostOnce, NotRun, RequestUnmodified}, false, injectFaultyBehaviors},
--- a/internal/testing/soak/platform.go
+++ b/internal/testing/soak/platform.go
@@ -69,7 +69,7 @@
 	d.store.Configure(map[string]any{
 		"version": version, "routes": routes,
 		"backends": []map[string]any{{"name": service, "maxConns": 100, "warmupS": warmupDuration.Seconds(), "warmupPerS": warmupPerS, "engine": map[string]any{
-			"slots": 8, "kvCapacity": 400_000, "kvBytes": 163_840, "linkMbps": 260_000.0, "stride": 1,
+			"slots": 8, "kvCapacity": 400_000, "kvBytes": 18_432, "linkMbps": 740_000.0, "stride": 1, "replicas": true,
 		}}},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "idleTimeoutMs": 15000},
 		"tenants": tenants,
@@ -92,6 +92,7 @@
 	leavingSince time.Time // when the store accepted that it leaves, zero if it does not
 	removed      bool
 	startedAt    time.Time  // start of the warm-up
+	endedAt      time.Time  // zero while it serves
 	slowdown     float64    // of its streams, 1 for a fast one
 	limitMu      sync.Mutex // held while a limit is named
 	draining     bool       // announces in its responses that it drains
--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -42,7 +42,9 @@
 	Crashed  int // endpoints that crashed under a request
 	Refusals int // by endpoints, with a Retry-After
 	Returned int // requests of callers that had been refused
-	MemoryMB int // of the entry that had the most
+	// Continued is the number of runs that a copy continued.
+	Continued int
+	MemoryMB  int // of the entry that had the most
 	// BodyBytes is the most bytes of request bodies that one entry held.
 	BodyBytes  int64
 	Violations []Violation
--- a/internal/testing/soak/teams.go
+++ b/internal/testing/soak/teams.go
@@ -92,7 +92,7 @@
 	runs := map[string]int{}
 	for _, s := range h.observations {
 		if s.kind.nonIdempotent {
-			runs[s.target] += len(h.runs[s.id])
+			runs[s.target] += countRuns(h.runs[s.id])
 		}
 	}
 	for _, s := range h.observations {
