Crash engines within copied streams in the soak

TestCopiesUnderCrashes ended with "no run was continued" in one of three runs: engines crashed at random moments, seldom while they ran a stream with a copy. A fault now ends an engine within its next stream that may not be repeated. The check is as before.

--- a/internal/testing/soak/faults.go
+++ b/internal/testing/soak/faults.go
@@ -50,6 +50,7 @@
 	{"endpoint drains in its responses", []Promise{DrainingHonoured, OwnCompleteAnswer, InOrder}, true, drainInResponses},
 	{"a team sends many times its usual", []Promise{NoTeamStarves, NotRun, AtMostOnce}, true, contend},
 	{"an engine has a slow spell", []Promise{OwnCompleteAnswer, InOrder, NoTeamStarves}, true, slowDown},
+	{"an engine crashes in a copied stream", []Promise{ContinuedAfterCrash, InOrder, AtMostOnce, NotRun}, false, crashInStream},
 }
 
 // Durations and sizes of faults.
@@ -205,6 +206,29 @@
 	d.addEndpoint()
 }
 
+// crashInStream ends an endpoint within the next stream that may not be repeated.
+func crashInStream(d *deployment, amount float64) {
+	e := d.pickEndpoint(2)
+	if e == nil {
+		return
+	}
+	d.mu.Lock()
+	e.removed = true
+	d.mu.Unlock()
+	e.runner.SetDefault(platformtest.ByPath{
+		Prefix: []string{"/plan/"},
+		Then:   platformtest.Events{To: eventsPerStream / 2, Crash: true},
+		Else:   usualBehavior,
+	})
+	select {
+	case <-e.runner.Ended():
+	case <-time.After(faultDuration(amount, maxListedAfterCrash)):
+	}
+	e.runner.Close()
+	d.store.RemoveEndpoint(e.runner)
+	d.addEndpoint()
+}
+
 // faultyBehaviors are the ways in which an endpoint may fail to respond to a request.
 var faultyBehaviors = []platformtest.Behavior{
 	platformtest.Refuse{Status: http.StatusServiceUnavailable},
--- a/internal/testing/soak/platform.go
+++ b/internal/testing/soak/platform.go
@@ -98,23 +98,26 @@
 	draining     bool       // announces in its responses that it drains
 }
 
+// usualBehavior is that of an endpoint without a fault.
+var usualBehavior = platformtest.ByPath{
+	Prefix: []string{crashingPath},
+	Then:   platformtest.Crash{},
+	Else: platformtest.ByPath{
+		Prefix: []string{"/chat/", "/plan/"},
+		Then:   platformtest.Events{To: eventsPerStream, Pause: 5 * time.Millisecond, Token: 20 * time.Microsecond},
+		Else: platformtest.ByPath{
+			Prefix: []string{largePath},
+			Then:   platformtest.Answer{Status: http.StatusOK, Body: largeResponseBody},
+			Else:   platformtest.Answer{Status: http.StatusOK, Body: responseBody},
+		},
+	},
+}
+
 // addEndpoint starts an endpoint and writes its record to the store.
 func (d *deployment) addEndpoint() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	e := &endpoint{startedAt: time.Now(), runner: platformtest.NewRunner(fmt.Sprint("i-", len(d.endpoints)+1), service, platformtest.ByPath{
-		Prefix: []string{crashingPath},
-		Then:   platformtest.Crash{},
-		Else: platformtest.ByPath{
-			Prefix: []string{"/chat/", "/plan/"},
-			Then:   platformtest.Events{To: eventsPerStream, Pause: 5 * time.Millisecond, Token: 20 * time.Microsecond},
-			Else: platformtest.ByPath{
-				Prefix: []string{largePath},
-				Then:   platformtest.Answer{Status: http.StatusOK, Body: largeResponseBody},
-				Else:   platformtest.Answer{Status: http.StatusOK, Body: responseBody},
-			},
-		},
-	})}
+	e := &endpoint{startedAt: time.Now(), runner: platformtest.NewRunner(fmt.Sprint("i-", len(d.endpoints)+1), service, usualBehavior)}
 	e.slowdown = 1
 	if len(d.endpoints)%2 == 1 {
 		e.slowdown = slowEndpointFactor
