--- a/internal/testing/soak/faults.go
+++ b/internal/testing/soak/faults.go
@@ -38,7 +38,7 @@
 	{"settings change", []Promise{RequestUnmodified, SettingsMonotonic}, true, changeSettings},
 	{"settings change often", []Promise{RequestUnmodified, SettingsMonotonic, Recovers}, false, changeSettingsOften},
 	{"endpoint leaves", []Promise{OwnCompleteAnswer, NoRequestsAfterLeaving, ValidFetchSource}, true, drainEndpoint},
-	{"endpoint crashes", []Promise{OwnCompleteAnswer, InOrder, AtMostOnce, NotRun}, false, crashEndpoint},
+	{"endpoint crashes", []Promise{OwnCompleteAnswer, InOrder, AtMostOnce, NotRun, ContinuedAfterCrash}, false, crashEndpoint},
 	{"endpoint comes", []Promise{OwnCompleteAnswer, RequestUnmodified}, true,
 		func(d *deployment, _ float64) { d.addEndpoint() }},
 	{"answers go wrong", []Promise{OwnCompleteAnswer, InOrder, AtMostOnce, NotRun, RequestUnmodified}, false, injectFaultyBehaviors},
@@ -48,6 +48,9 @@
 	{"endpoint names a limit", []Promise{RateLimitHonoured, OwnCompleteAnswer}, true, advertiseLimits},
 	{"endpoint asks for a backoff", []Promise{BackoffHonoured, NotRun, AtMostOnce, OwnCompleteAnswer}, true, askForBackoff},
 	{"endpoint drains in its responses", []Promise{DrainingHonoured, OwnCompleteAnswer, InOrder}, true, drainInResponses},
+	{"a team sends many times its usual", []Promise{NoTeamStarves, NotRun, AtMostOnce}, true, contend},
+	{"an engine has a slow spell", []Promise{OwnCompleteAnswer, InOrder, NoTeamStarves}, true, slowDown},
+	{"an engine crashes in a copied stream", []Promise{ContinuedAfterCrash, InOrder, AtMostOnce, NotRun}, false, crashInStream},
 }
 
 // Durations and sizes of faults.
@@ -60,6 +63,8 @@
 	settingsChangePause  = 30 * time.Millisecond  // between two changes of the settings
 	minSettingsChanges   = 2                      // in succession
 	extraSettingsChanges = 8                      // in addition to the fewest
+	slowSpellFactor      = 2.5                    // times longer that a slow engine takes
+	extraSlowSpell       = 600 * time.Millisecond // in addition to the shortest fault
 	extraFaultyResponses = 6                      // consecutive faulty responses, in addition to the first
 	maxExtraRoutes       = 5000                   // about 0.9 MB of settings, close to the store's largest value
 )
@@ -156,6 +161,17 @@
 	d.configure()
 }
 
+// slowDown makes an endpoint slower for a time.
+func slowDown(d *deployment, amount float64) {
+	e := d.pickEndpoint(1)
+	if e == nil {
+		return
+	}
+	e.runner.SetSlowdown(slowSpellFactor * e.slowdown)
+	time.Sleep(faultDuration(amount, extraSlowSpell))
+	e.runner.SetSlowdown(e.slowdown)
+}
+
 // drainEndpoint marks an endpoint as draining in the store and ends it later.
 func drainEndpoint(d *deployment, _ float64) {
 	e := d.pickEndpoint(2)
@@ -190,6 +206,29 @@
 	d.addEndpoint()
 }
 
+// crashInStream ends an endpoint within the next stream that may not be repeated.
+func crashInStream(d *deployment, amount float64) {
+	e := d.pickEndpoint(2)
+	if e == nil {
+		return
+	}
+	d.mu.Lock()
+	e.removed = true
+	d.mu.Unlock()
+	e.runner.SetDefault(platformtest.ByPath{
+		Prefix: []string{"/plan/"},
+		Then:   platformtest.Events{To: eventsPerStream / 2, Crash: true},
+		Else:   usualBehavior,
+	})
+	select {
+	case <-e.runner.Ended():
+	case <-time.After(faultDuration(amount, maxListedAfterCrash)):
+	}
+	e.runner.Close()
+	d.store.RemoveEndpoint(e.runner)
+	d.addEndpoint()
+}
+
 // faultyBehaviors are the ways in which an endpoint may fail to respond to a request.
 var faultyBehaviors = []platformtest.Behavior{
 	platformtest.Refuse{Status: http.StatusServiceUnavailable},
--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -41,7 +41,10 @@
 	Reports  int // of usage
 	Crashed  int // endpoints that crashed under a request
 	Refusals int // by endpoints, with a Retry-After
-	MemoryMB int // of the entry that had the most
+	Returned int // requests of callers that had been refused
+	// Continued is the number of runs that a copy continued.
+	Continued int
+	MemoryMB  int // of the entry that had the most
 	// BodyBytes is the most bytes of request bodies that one entry held.
 	BodyBytes  int64
 	Violations []Violation
--- a/internal/testing/soak/soak_test.go
+++ b/internal/testing/soak/soak_test.go
@@ -77,6 +77,16 @@
 	}
 }
 
+// TestContendingTeams makes one team send many times its usual to engines of two speeds that have slow
+// spells and crash. Callers that are refused return.
+func TestContendingTeams(t *testing.T) {
+	const contends = "a team sends many times its usual"
+	r := runSoak(t, 8, []string{contends, "an engine has a slow spell", "endpoint crashes"})
+	if r.Faults[contends] == 0 || r.Returned == 0 {
+		t.Errorf("%d times a team contended, %d callers returned", r.Faults[contends], r.Returned)
+	}
+}
+
 func TestPlannedWork(t *testing.T) { runSoak(t, 2, Planned()) }
 
 // TestSlowCallers adds callers that do not read their responses or do not finish their bodies, during
@@ -108,7 +118,7 @@
 			covered[p] = true
 		}
 	}
-	for _, p := range []Promise{OwnCompleteAnswer, InOrder, AtMostOnce, NotRun, RequestUnmodified, NoRequestsAfterLeaving, ValidFetchSource, SettingsMonotonic, NoRequestLost, Recovers, UsageReportedOnce, EvacuationHonoured, InRegion, WarmupLimitHonoured, RateLimitHonoured, BackoffHonoured, DrainingHonoured} {
+	for _, p := range []Promise{OwnCompleteAnswer, InOrder, AtMostOnce, NotRun, RequestUnmodified, NoRequestsAfterLeaving, ValidFetchSource, SettingsMonotonic, NoRequestLost, Recovers, UsageReportedOnce, EvacuationHonoured, InRegion, WarmupLimitHonoured, RateLimitHonoured, BackoffHonoured, DrainingHonoured, NoTeamStarves, ContinuedAfterCrash} {
 		if !covered[p] {
 			t.Errorf("no fault can break %q", p)
 		}
@@ -135,7 +145,7 @@
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	page, book, chat, home := requestKinds[0], requestKinds[1], requestKinds[2], requestKinds[4]
 	of := func(k requestKind, s observation) observation {
-		s.id, s.kind, s.target = "a", k, k.path+"a"
+		s.id, s.kind, s.target, s.team = "a", k, k.path+"a", teams[0]
 		return s
 	}
 	ran := func(k requestKind) run {
@@ -148,6 +158,11 @@
 	withKey.Header.Set(platformtest.TeamField, "team-1")
 	withKey.Header.Set(platformtest.KeyField, teamKey)
 	late.leavingSince = now.Add(-time.Minute)
+	continued := ran(book)
+	continued.Header = continued.Header.Clone()
+	continued.Header.Set(platformtest.ContinueField, "address/a")
+	crashed := ran(book)
+	crashed.endedAt = now.Add(-time.Second)
 	elsewhere, evacuated := ran(home), ran(page)
 	elsewhere.dataCentre, evacuated.dataCentre = "zone-2", "zone-2"
 	fetching := func(address string) run {
@@ -174,6 +189,8 @@
 		"an event twice":                   {InOrder, of(chat, observation{status: 200, seal: "seal-a", body: stream("1", "2", "2")}), nil},
 		"an event is missing":              {InOrder, of(chat, observation{status: 200, seal: "seal-a", body: stream("1", "3")}), nil},
 		"a booking runs twice":             {AtMostOnce, of(book, observation{}), []run{ran(book), ran(book)}},
+		"continued at two copies":          {ContinuedAfterCrash, of(book, observation{}), []run{crashed, continued, continued}},
+		"continued without a crash":        {ContinuedAfterCrash, of(book, observation{}), []run{ran(book), continued}},
 		"refused as not run":               {NotRun, of(book, observation{status: 503}), []run{ran(book)}},
 		"another path":                     {RequestUnmodified, of(book, observation{}), []run{ran(page)}},
 		"a key is forwarded":               {RequestUnmodified, of(page, observation{}), []run{withKey}},
@@ -253,3 +270,42 @@
 		}
 	}
 }
+
+// TestCopiesUnderCrashes crashes endpoints while many runs have copies and entries are killed.
+func TestCopiesUnderCrashes(t *testing.T) {
+	r := runSoak(t, 9, []string{"an engine crashes in a copied stream", "endpoint crashes", "a team sends many times its usual", "kill an entry"})
+	if r.Continued == 0 {
+		t.Error("no run was continued")
+	}
+}
+
+// TestReturnedRunsTwice checks that a booking that ran before and after its caller returned is reported.
+func TestReturnedRunsTwice(t *testing.T) {
+	first := newObservation(requestKinds[1], teams[1])
+	second := first.returning()
+	h := history{observations: []observation{first, second}, runs: map[string][]run{first.id: {{}}, second.id: {{}}}}
+	h.checkReturned()
+	if len(h.violations) != 1 || h.violations[0].Promise != AtMostOnce {
+		t.Errorf("found %v", h.violations)
+	}
+}
+
+// TestStarvedTeam checks that a team is reported that is served far less than all.
+func TestStarvedTeam(t *testing.T) {
+	for served, broken := range map[int]bool{0: true, 4: true, 20: false} {
+		var h history
+		for n := range 40 {
+			for _, x := range teams {
+				s := observation{team: x, status: http.StatusServiceUnavailable}
+				if x != teams[2] && n < 30 || n < served {
+					s.status = http.StatusOK
+				}
+				h.observations = append(h.observations, s)
+			}
+		}
+		h.checkStarved()
+		if (len(h.violations) == 1) != broken {
+			t.Errorf("%d of 40 served: found %v", served, h.violations)
+		}
+	}
+}
--- a/internal/testing/standin/platformtest/runner.go
+++ b/internal/testing/standin/platformtest/runner.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"foxcross.dev/foxcross/internal/testing/loopback"
 )
 
 // Header fields of the platform.
@@ -71,14 +73,15 @@
 	conns           map[net.Conn]bool
 	cache           promptCache
 	connectionCount int
+	slowdown        float64     // of streams, 0 for 1
 	abandoned       chan string // ids of requests whose caller closed the connection
 	endOnce         sync.Once
-	ended           chan struct{} // closed when the runner has ended
+	ended           chan struct{} // closed when the runner refuses connections
 }
 
-// NewRunner starts a runner on a free port of the loopback address.
+// NewRunner starts a runner on a free port of the loopback address of this process.
 func NewRunner(id, service string, defaultBehavior Behavior) *Runner {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := loopback.Listen()
 	if err != nil {
 		panic("platformtest: " + err.Error())
 	}
@@ -109,6 +112,23 @@
 	r.defaultBehavior = a
 }
 
+// SetSlowdown sets by what factor the next streams and the next events of those that run take longer.
+func (r *Runner) SetSlowdown(factor float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.slowdown = factor
+}
+
+// slowed returns how long something takes at the present speed.
+func (r *Runner) slowed(d time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.slowdown <= 0 {
+		return d
+	}
+	return time.Duration(float64(d) * r.slowdown)
+}
+
 // Drain sets the values by which the next responses announce that the runner drains, each in a field
 // of its own. Without a value they do not announce it.
 func (r *Runner) Drain(values ...string) {
@@ -152,13 +172,14 @@
 // Address returns the address on which the runner listens.
 func (r *Runner) Address() string { return r.listener.Addr().String() }
 
-// Ended returns a channel that is closed when the runner has ended.
+// Ended returns a channel that is closed when the runner refuses connections, before those that it
+// has break.
 func (r *Runner) Ended() <-chan struct{} { return r.ended }
 
 // Close ends the runner and its connections.
 func (r *Runner) Close() {
-	defer r.endOnce.Do(func() { close(r.ended) })
 	_ = r.listener.Close() // the stand-in has ended
+	r.endOnce.Do(func() { close(r.ended) })
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c := range r.conns {
@@ -172,14 +193,29 @@
 		if err != nil {
 			return
 		}
-		r.mu.Lock()
-		r.conns[c] = true
-		r.connectionCount++
-		r.mu.Unlock()
+		if !r.addConnection(c) {
+			_ = c.Close() // the stand-in has ended
+			return
+		}
 		go r.serve(c)
 	}
 }
 
+// addConnection records an accepted connection. It reports whether the runner serves it: one that has
+// ended does not.
+func (r *Runner) addConnection(c net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	select {
+	case <-r.ended:
+		return false
+	default:
+	}
+	r.conns[c] = true
+	r.connectionCount++
+	return true
+}
+
 func (r *Runner) serve(c net.Conn) {
 	defer func() {
 		_ = c.Close() // the stand-in has ended
@@ -339,9 +375,9 @@
 		from = last + 1 - a.Repeat
 	}
 	write(c, "%s", r.head(http.StatusOK, id, InstanceField+": "+r.ID+"\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"))
-	r.prefill(q.Header, a.Token)
+	r.prefill(q.Header, r.slowed(a.Token))
 	for n := from; n <= a.To; n++ {
-		time.Sleep(a.Pause)
+		time.Sleep(r.slowed(a.Pause))
 		chunk(c, fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, r.ID, n))
 		if n == from && a.Hold != nil {
 			<-a.Hold
