Refuse a team above its share before others

Cause: Input.Standing was read by nothing. Change: the limits of admission are divided by a standing above 1, down to a fifth. A standing of 0 or at most 1 changes nothing. Result: unit tests; no team has a standing yet.

--- a/coord/admission/admission.go
+++ b/coord/admission/admission.go
@@ -76,8 +76,9 @@
 		return Send{}
 	}
 	wait := correctedTime(c, c.WaitMS)
-	late := wait > targetMultiple(immediateStartTargets, r) && correctedTime(c, c.FirstMS) > targetMultiple(firstEventLimit(c), r)
-	interferes := c.BusyShare >= busyServiceShare && c.Terms.Interference > maxBusyInterference
+	factor := standingFactor(i.Standing)
+	late := wait > targetMultiple(immediateStartTargets*factor, r) && correctedTime(c, c.FirstMS) > targetMultiple(firstEventLimit(c)*factor, r)
+	interferes := c.BusyShare >= busyServiceShare && c.Terms.Interference > maxBusyInterference*factor
 	if late || interferes {
 		return Refuse{RetryAfter: min(max(wait, minRetryAfter), i.Left/retryAfterDivisor)}
 	}
