Refuse a team below its share only where its prompt would be late

Change: where its prompt harms no stream, its first event may be expected up to a quarter past the target. The limit on interference stays as it is for it.

--- a/coord/admission/admission.go
+++ b/coord/admission/admission.go
@@ -76,9 +76,9 @@
 		return Send{}
 	}
 	wait := correctedTime(c, c.WaitMS)
-	factor := standingFactor(i.Standing)
-	late := wait > targetMultiple(immediateStartTargets*factor, r) && correctedTime(c, c.FirstMS) > targetMultiple(firstEventLimit(c)*factor, r)
-	interferes := c.BusyShare >= busyServiceShare && c.Terms.Interference > maxBusyInterference*factor
+	factor := standingFactor(i.Standing, c)
+	late := wait > targetMultiple(immediateStartTargets*factor, r) && correctedTime(c, c.FirstMS) > targetMultiple(min(firstEventLimit(c)*factor, maxBelowShareFirstEventTargets), r)
+	interferes := c.BusyShare >= busyServiceShare && c.Terms.Interference > maxBusyInterference*min(factor, 1)
 	if late || interferes {
 		return Refuse{RetryAfter: min(max(wait, minRetryAfter), i.Left/retryAfterDivisor)}
 	}
