Share the engine time of contended services between teams

Cause: placement and admission of direct mode knew no teams, so that each was refused as often as one that sends many times its usual. Change: each entry keeps the engine time given and refused to each team of a service with team_shares, of all entries (coord/share), and its max-min share by weight while the service is contended. A team above its share is refused first and comes last in the least urgent tier of the engines' queues. If many teams ask for more than their share, all are treated alike.

--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -11,6 +11,8 @@
 //   - health.go: when an endpoint counts as slow, stalled, failing, or recovered;
 //   - eligible.go: which endpoints may take a request at all (package eligibility).
 //
+// Others read the table: work.go estimates the engine time of requests, for package share.
+//
 // Their inputs are maintained in attempts.go (events of attempts), backlog.go (prompts waiting
 // for prefill), prefill.go (time to the first event by prompt length) and interval.go (time
 // between events). Package memory models the engines' prompt caches and transfers between them.
@@ -71,6 +73,7 @@
 	InterEventTarget time.Duration // strictest inter-event target among the service's classes, 0 for none
 	TransferRate     memory.Rate   // of prompt parts between its engines
 	Warmup           eligibility.WarmupLimit
+	LowestPriority   int // the least urgent one among its classes
 
 	TeamShares      bool // see settings.ServiceInfo for this and the following fields
 	QueuedAdmission bool
--- a/coord/settings/snapshot.go
+++ b/coord/settings/snapshot.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"iter"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -65,6 +67,7 @@
 	limits    Limits
 	urgency   map[urgency]int        // rank among the urgencies that the tree can give
 	services  map[string]ServiceInfo // by name
+	least     map[int]int            // highest rank of any team, by the priority of the class
 	tree      Tree                   // from which the snapshot was compiled
 }
 
@@ -92,6 +95,9 @@
 	return t, ok
 }
 
+// Teams iterates over the teams, once for each key that a team has.
+func (s Snapshot) Teams() iter.Seq[TeamInfo] { return maps.Values(s.teams) }
+
 // ServesModel reports whether a class has the model.
 func (s Snapshot) ServesModel(model string) bool { return len(s.byModel[model]) > 0 }
 
--- a/coord/settings/urgency.go
+++ b/coord/settings/urgency.go
@@ -23,10 +23,13 @@
 func (s *Snapshot) rankUrgencies() {
 	s.urgency = map[urgency]int{}
 	teams := map[int]TeamInfo{} // one team for each own priority of a team
+	inheriting := false         // a team has no priority of its own
 	for _, t := range s.teams {
-		if t.Priority != nil {
-			teams[*t.Priority] = t
+		if t.Priority == nil {
+			inheriting = true
+			continue
 		}
+		teams[*t.Priority] = t
 	}
 	seen := map[int]bool{} // priorities of classes
 	for _, name := range s.names {
@@ -50,8 +53,24 @@
 	for rank, u := range all {
 		s.urgency[u] = rank
 	}
+	s.least = map[int]int{}
+	for u, rank := range s.urgency {
+		_, own := teams[u.team]
+		if own || inheriting && u.team == u.class {
+			s.least[u.class] = max(s.least[u.class], rank)
+		}
+	}
 }
 
 // Urgency returns the rank of a team's requests of a class, 0 for the most
 // urgent that the tree can give.
 func (s Snapshot) Urgency(t TeamInfo, c ClassInfo) int { return s.urgency[urgencyOf(t, c)] }
+
+// LeastUrgency returns the highest rank that requests of a class have: those of any team, or those
+// without a team where the class needs none.
+func (s Snapshot) LeastUrgency(c ClassInfo) int {
+	if c.Route.Public || !s.HasTeams() {
+		return s.Urgency(TeamInfo{}, c)
+	}
+	return s.least[c.Route.Priority]
+}
--- a/internal/direct/explain/explain.go
+++ b/internal/direct/explain/explain.go
@@ -73,6 +73,7 @@
 		fmt.Fprintf(w, ", first event after %d ms, longest pause %d ms", *f.FirstMS, f.PauseMS)
 	}
 	fmt.Fprintln(w)
+	writeStanding(w, f)
 	for n, a := range f.Attempts {
 		fmt.Fprintf(w, "  send %d to %s: %s\n", n+1, a.Endpoint, a.Outcome)
 		fmt.Fprintf(w, "    expected: %.0f ms of waiting, first event after %.0f ms, %d tokens to read, slowness %.2f\n",
@@ -94,3 +95,14 @@
 			a.Cost, t.Late, t.Interference, t.Recompute, t.Saturation, t.Pool, t.Unreliability, t.Distance)
 	}
 }
+
+// writeStanding writes what the team was given of the service's engine time, compared with its share.
+func writeStanding(w *strings.Builder, f record.Request) {
+	switch {
+	case f.Standing <= 0:
+	case f.Standing > 1:
+		fmt.Fprintf(w, "  engines were contended; the team had %.2f of its share: above it, so that it is refused first and queues behind\n", f.Standing)
+	default:
+		fmt.Fprintf(w, "  engines were contended; the team had %.2f of its share: not refused because of teams above theirs\n", f.Standing)
+	}
+}
--- a/internal/direct/explain/explain_test.go
+++ b/internal/direct/explain/explain_test.go
@@ -52,3 +52,25 @@
 		}
 	}
 }
+
+func TestReportComparesTheTeamWithItsShare(t *testing.T) {
+	const log = `{"fields":{"request":"a","team":"t","standing":2.5,"code":1201,"reason":"prompts wait too long, and the team is above its share"}}
+{"fields":{"request":"b","team":"u","standing":0.25,"code":1000}}
+{"fields":{"request":"c","team":"u","code":1000}}`
+	for id, want := range map[string]string{
+		"a": "the team had 2.50 of its share: above it",
+		"b": "the team had 0.25 of its share: not refused because of teams above theirs",
+	} {
+		var out bytes.Buffer
+		if _, err := explain.Report(&out, strings.NewReader(log), id); err != nil {
+			t.Fatal(err)
+		}
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is missing in %s", want, out.String())
+		}
+	}
+	var out bytes.Buffer
+	if _, err := explain.Report(&out, strings.NewReader(log), "c"); err != nil || strings.Contains(out.String(), "share") {
+		t.Errorf("a request without contention: %v, %s", err, out.String())
+	}
+}
--- a/internal/direct/gateway/accept.go
+++ b/internal/direct/gateway/accept.go
@@ -13,6 +13,7 @@
 	"foxcross.dev/coord/quarantine"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/coord/settings"
+	"foxcross.dev/coord/share"
 	"foxcross.dev/foxcross/internal/steady"
 )
 
@@ -28,6 +29,9 @@
 	body        []byte
 	reservation *reservation // of the body's memory, nil before the body is read
 
+	tierPriority int            // that of its class and team; spec.Priority also depends on standing
+	standing     share.Standing // of its team when it was last placed
+
 	cachedKey    *quarantine.Key // of its content, nil until contentKey is called
 	crashes      int             // counted against its content, as of the last check
 	runCounted   bool            // an endpoint began to run it, and that was counted
@@ -110,7 +114,9 @@
 		q.spec.Priority = s.Urgency(team, class)
 		q.spec.Regions = q.spec.Regions.Intersect(team.Regions)
 	}
+	q.tierPriority = q.spec.Priority
 	q.spec.Service = class.Route.Pick(g.dispatcher.randomFraction())
+	q.spec.Team = teamOf(s, q.spec.Service, q.team)
 	q.spec.FirstEventTarget = class.Terms.FirstToken
 	if class.Route.Streaming {
 		q.spec.InterEventTarget = class.Terms.BetweenTokens
--- a/internal/direct/gateway/attempts.go
+++ b/internal/direct/gateway/attempts.go
@@ -12,6 +12,7 @@
 	"foxcross.dev/coord/placement"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/coord/settings"
+	"foxcross.dev/coord/share"
 	"foxcross.dev/foxcross/internal/direct/directory"
 	"foxcross.dev/foxcross/internal/direct/driver"
 	"foxcross.dev/foxcross/internal/direct/peers"
@@ -57,6 +58,7 @@
 	mu         sync.Mutex
 	bounds     driver.Bounds // from the settings file; may change
 	table      placement.Table
+	shares     share.Table
 	budgets    map[string]*budget.Budget // by service
 	random     *rand.Rand
 	lastNumber uint64       // of the latest attempt
@@ -68,6 +70,7 @@
 	d.bounds = o.Process.Bounds
 	d.budgets = map[string]*budget.Budget{}
 	d.random = rand.New(rand.NewPCG(o.Seed, o.Owner))
+	d.shares.StartedAt = steady.Now()
 	d.table = placement.Table{
 		DataCentre:  o.Process.DataCentre,
 		Self:        o.Owner,
@@ -109,9 +112,11 @@
 
 func (d *dispatcher) setServices(active directory.ActiveSettings) {
 	services := placementServices(active.Snapshot)
+	weights := teamWeights(active.Snapshot)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.table.SetServices(services)
+	d.shares.SetWeights(weights)
 }
 
 func (d *dispatcher) setEndpoints(list []placement.Endpoint) {
@@ -130,9 +135,11 @@
 // between events among the classes routed to it.
 func placementServices(s settings.Snapshot) []placement.Service {
 	strictestTargets := map[string]time.Duration{}
+	lowestPriorities := map[string]int{}
 	for _, name := range s.Classes() {
 		c, _ := s.Class(name)
 		for _, share := range c.Route.Split {
+			lowestPriorities[share.Service] = max(lowestPriorities[share.Service], s.LeastUrgency(c))
 			target := c.Terms.BetweenTokens
 			if !c.Route.Streaming || target <= 0 {
 				strictestTargets[share.Service] += 0 // adds the service even if this class has no target
@@ -154,6 +161,7 @@
 			TransferRate:     memory.Rate{TokenBytes: info.TokenBytes, LinkMbps: float64(info.LinkMbps)},
 			InterEventTarget: target,
 			Warmup:           eligibility.WarmupLimit{PerSecond: info.WarmupRate, Duration: info.Warmup},
+			LowestPriority:   lowestPriorities[name],
 			TeamShares:       info.TeamShares,
 			QueuedAdmission:  info.QueuedAdmission,
 			ReplicateRuns:    info.ReplicateRuns,
@@ -177,6 +185,7 @@
 	now := steady.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.applyStanding(now, q)
 	q.spec.TimeLeft = q.timeLeft()
 	q.spec.NoFetch = q.crashes > 0 // data fetched from another engine may have caused the crash
 	choice, ok := d.table.Choose(now, q.spec, func(id string) bool { return excluded[id] }, d.random)
@@ -184,9 +193,9 @@
 		return nil, nil
 	}
 	if len(q.attempts) == 0 {
-		if refused, ok := admission.Decide(admission.Input{Choice: choice, Request: q.spec, Left: q.timeLeft()}).(admission.Refuse); ok {
+		if refused, ok := admission.Decide(admission.Input{Choice: choice, Request: q.spec, Left: q.timeLeft(), Standing: q.standing}).(admission.Refuse); ok {
 			d.recordRefusal(q, choice)
-			return nil, &result.Error{Code: result.QueueFull, Run: result.NotRun, RetryAfter: refused.RetryAfter, Reason: "prompts wait too long"}
+			return nil, &result.Error{Code: result.QueueFull, Run: result.NotRun, RetryAfter: refused.RetryAfter, Reason: refusalReason(q)}
 		}
 	}
 	d.lastNumber++
@@ -199,6 +208,7 @@
 	}
 	spec := q.spec // the event is encoded later, when q.spec may already be that of the next attempt
 	d.table.Place(now, x.id, choice.Endpoint.Incarnation(), spec, choice.Fetch)
+	d.recordGiven(now, x.id, spec)
 	sent := peers.Event{Kind: peers.AttemptSent, Number: x.id.Number, Endpoint: choice.Endpoint.Incarnation(), Request: &spec}
 	if choice.Fetch.Any() {
 		sent.Fetch = &choice.Fetch
@@ -217,6 +227,7 @@
 		return
 	}
 	spec := q.spec // the event is encoded later
+	d.recordRefused(steady.Now(), spec)
 	d.broadcastLocked(peers.Event{Kind: peers.RequestRefused, Request: &spec})
 }
 
--- a/internal/direct/gateway/dump.go
+++ b/internal/direct/gateway/dump.go
@@ -3,6 +3,7 @@
 import (
 	"foxcross.dev/coord/placement"
 	"foxcross.dev/coord/quarantine"
+	"foxcross.dev/coord/share"
 	"foxcross.dev/foxcross/internal/lifecycle"
 	"foxcross.dev/foxcross/internal/steady"
 )
@@ -26,6 +27,8 @@
 
 	Evacuated           []string `json:"evacuated"`            // data centres
 	EvacuationsRevision uint64   `json:"evacuations_revision"` // store revision up to which Evacuated is known
+
+	Shares []share.State `json:"shares,omitempty"` // of the services that share engine time between teams
 }
 
 // SettingsLag is how far the settings are behind those of other entries. It is zero if no other
@@ -54,6 +57,7 @@
 	d.OpenRequests = g.capacity.openRequests()
 	d.BodyBytes = g.bodyMemory.reserved()
 	d.LiveEntries, d.Endpoints = g.dispatcher.endpointStates()
+	d.Shares = g.dispatcher.shareStates()
 	d.SuspectContents, d.HeldContents = g.suspects.counts(steady.Now())
 	d.Contents = g.suspects.states(steady.Now())
 	return d
--- a/internal/direct/gateway/gateway.go
+++ b/internal/direct/gateway/gateway.go
@@ -12,6 +12,7 @@
 //	upload.go     reads its body
 //	forward.go    makes attempts until there is a response
 //	attempts.go   chooses an endpoint and records the attempt
+//	shares.go     the standing of its team under contention
 //	signals.go    applies the signals of endpoints in responses
 //	sharing.go    exchanges events with other entries
 //	header.go     makes the header for the endpoint
--- a/internal/direct/gateway/report.go
+++ b/internal/direct/gateway/report.go
@@ -41,6 +41,9 @@
 	if q.maxPause > 0 {
 		fields["pause_ms"] = q.maxPause.Milliseconds()
 	}
+	if q.standing > 0 {
+		fields["standing"] = record.StandingOf(q.standing)
+	}
 	if len(q.attempts) > 0 {
 		fields["sends"] = q.attemptRecords()
 	}
--- a/internal/direct/gateway/sharing.go
+++ b/internal/direct/gateway/sharing.go
@@ -72,6 +72,11 @@
 		case peers.AttemptSent:
 			if e.Request != nil {
 				d.table.Place(at, id, e.Endpoint, *e.Request, e.Fetched())
+				d.recordGiven(at, id, *e.Request)
+			}
+		case peers.RequestRefused:
+			if e.Request != nil {
+				d.recordRefused(at, *e.Request)
 			}
 		case peers.FirstEvent:
 			d.table.FirstEvent(at, id)
--- a/internal/direct/record/record.go
+++ b/internal/direct/record/record.go
@@ -10,6 +10,7 @@
 
 	"foxcross.dev/coord/placement"
 	"foxcross.dev/coord/result"
+	"foxcross.dev/coord/share"
 )
 
 // Line is a line of a log. Fields is set only in the line of a request.
@@ -33,6 +34,7 @@
 	TotalMS         int64       `json:"total_ms"`
 	FirstMS         *int64      `json:"first_ms"` // nil if there was no event
 	PauseMS         int64       `json:"pause_ms"`
+	Standing        float64     `json:"standing"`          // engine time given to the team over its share, 0 without contention
 	FirstTargetMS   int64       `json:"first_target_ms"`   // 0 in logs of earlier versions
 	BetweenTargetMS int64       `json:"between_target_ms"` // 0 for none
 	Attempts        []Attempt   `json:"sends"`
@@ -49,6 +51,9 @@
 	return l, err == nil
 }
 
+// StandingOf returns the record of a team's standing.
+func StandingOf(s share.Standing) float64 { return round(float64(s)) }
+
 // Total returns the duration of the request.
 func (r Request) Total() time.Duration { return time.Duration(r.TotalMS) * time.Millisecond }
 
--- a/internal/process/gauges.go
+++ b/internal/process/gauges.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"foxcross.dev/coord/placement"
+	"foxcross.dev/coord/share"
 	"foxcross.dev/foxcross/internal/direct/gateway"
 	"foxcross.dev/foxcross/internal/workers"
 
@@ -27,6 +28,7 @@
 		backoffs, draining := countSignalling(d.Endpoints)
 		scope.Gauge("endpoints_in_backoff").Update(float64(backoffs))
 		scope.Gauge("endpoints_draining").Update(float64(draining))
+		updateShareGauges(d.Shares, scope)
 		scope.Gauge("held_contents").Update(float64(d.HeldContents))
 		scope.Gauge("live_entries").Update(float64(d.LiveEntries))
 		scope.Gauge("settings_version").Update(float64(d.Version))
@@ -36,6 +38,25 @@
 	})
 }
 
+// updateShareGauges updates the gauges of the services that share engine time between teams.
+func updateShareGauges(states []share.State, scope tally.Scope) {
+	for _, s := range states {
+		tagged := scope.Tagged(map[string]string{"service": s.Service})
+		tagged.Gauge("contended").Update(gaugeOf(s.Contended))
+		tagged.Gauge("shortage_general").Update(gaugeOf(s.General))
+		tagged.Gauge("late_share").Update(s.LateShare)
+		tagged.Gauge("teams_above_share").Update(float64(s.Above))
+	}
+}
+
+// gaugeOf returns 1 for true.
+func gaugeOf(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // countSignalling returns the number of endpoints from which this entry backs off, and the number
 // of those that are draining.
 func countSignalling(endpoints []placement.EndpointState) (backoffs, draining int) {
--- a/internal/testing/standin/platformtest/runner.go
+++ b/internal/testing/standin/platformtest/runner.go
@@ -27,6 +27,7 @@
 	DrainingField  = "Server-Leaving"
 	LastEventField = "Last-Event-Id"
 	FetchField     = "Kv-Fetch"
+	PriorityField  = "X-Request-Priority"
 	TokensField    = "X-Token-Usage" // of the prompt and, at most, of the answer
 	PartsField     = "X-Prefix-Hash" // of the prompt, ID:TOKENS
 )
