--- a/coord/share/share.go
+++ b/coord/share/share.go
@@ -52,8 +52,8 @@
 )
 
 // Standing is the engine time that a team was given recently, as a multiple of its max-min fair
-// share: below 1 while the team is below its share. It is 0 while the service is not contended,
-// and for a team of which nothing is known.
+// share: below 1 while the team is below its share. It is 0 while the service is not contended or
+// the shortage is general, and for a team of which nothing is known.
 type Standing float64
 
 // Above reports whether the team was given more than its share.
@@ -302,7 +302,7 @@
 	General   bool    `json:"general"`     // many teams ask for more than their share: all are treated alike
 	LateShare float64 `json:"late_share"`  // of the engine time asked for, decayed
 	Teams     int     `json:"teams"`       // that have asked recently
-	Above     int     `json:"teams_above"` // their share
+	Above     int     `json:"teams_above"` // teams that were given more than their share
 }
 
 // States returns the state of each service, sorted by name.
