--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -12,6 +12,8 @@
 //   - replica.go: the engine that holds the copy of a run's memory;
 //   - eligible.go: which endpoints may take a request at all (package eligibility).
 //
+// Others read the table: work.go estimates the engine time of requests, for package share.
+//
 // Their inputs are maintained in attempts.go (events of attempts), backlog.go (prompts waiting
 // for prefill), prefill.go (time to the first event by prompt length) and interval.go (time
 // between events). Package memory models the engines' prompt caches and transfers between them.
@@ -72,6 +74,7 @@
 	InterEventTarget time.Duration // strictest inter-event target among the service's classes, 0 for none
 	TransferRate     memory.Rate   // of prompt parts between its engines
 	Warmup           eligibility.WarmupLimit
+	LowestPriority   int // the least urgent one among its classes
 
 	TeamShares      bool // see settings.ServiceInfo for this and the following fields
 	QueuedAdmission bool
