--- a/coord/admission/returns.go
+++ b/coord/admission/returns.go
@@ -81,7 +81,7 @@
 	if i.Early > 0 {
 		return min(i.Early, limit)
 	}
-	after := min(max(wait, minRetryAfter), limit)
+	after := min(max(wait, i.roomIn(), minRetryAfter), limit)
 	after = min(after, max(i.Left-i.runTime(), minRetryAfter))
 	return after - time.Duration(spreadShare*i.Random*float64(after))
 }
--- a/internal/direct/gateway/attempts.go
+++ b/internal/direct/gateway/attempts.go
@@ -114,6 +114,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.table.SetServices(services)
+	for _, s := range services {
+		_ = d.queue(s.Name) // the dump lists it from the start
+	}
 }
 
 func (d *dispatcher) setEndpoints(list []placement.Endpoint) {
--- a/internal/testing/fleet/fleet_test.go
+++ b/internal/testing/fleet/fleet_test.go
@@ -94,7 +94,10 @@
 }
 
 // configure writes the configuration.
-func (f *fleet) configure() {
+func (f *fleet) configure() { f.configureService(1, map[string]any{"name": service, "maxConns": 200}) }
+
+// configureService writes a version of the configuration, with these settings of the service.
+func (f *fleet) configureService(version int, settings map[string]any) {
 	route := func(prefix, kind string, resume bool) map[string]any {
 		return map[string]any{
 			"name": "r" + prefix, "hostname": host, "pathPrefix": prefix, "routeType": kind, "timeoutMs": 20000,
@@ -102,11 +105,11 @@
 		}
 	}
 	f.store.Configure(map[string]any{
-		"version": 1,
+		"version": version,
 		"routes": []map[string]any{
 			route("/chat/", "streaming", true), route("/page/", "idempotent", false), route("/book/", "non_idempotent", false),
 		},
-		"backends": []map[string]any{{"name": service, "maxConns": 200}},
+		"backends": []map[string]any{settings},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants":  []map[string]any{{"name": "studio-1", "apiKeys": []string{teamKey}, "priority": 1}},
 	})
@@ -259,6 +262,12 @@
 
 // requestWithContext is request by a caller that disconnects when ctx ends.
 func (f *fleet) requestWithContext(ctx context.Context, e *entry, target, body string) response {
+	f.t.Helper()
+	return f.do(f.newRequest(ctx, e, target, body))
+}
+
+// newRequest returns a request of a caller.
+func (f *fleet) newRequest(ctx context.Context, e *entry, target, body string) *http.Request {
 	f.t.Helper()
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.address+target, bytes.NewBufferString(body))
 	f.mustSucceed(err)
@@ -266,6 +275,11 @@
 	q.Header.Set(platformtest.RequestIDField, fmt.Sprintf("id-%d", f.requestCount.Add(1)))
 	q.Header.Set(platformtest.DeadlineField, "15000")
 	q.Header.Set(platformtest.KeyField, teamKey)
+	return q
+}
+
+// do sends a request over a new connection.
+func (f *fleet) do(q *http.Request) response {
 	a, err := f.client.Do(q)
 	if err != nil {
 		return response{}
