Let new callers not yield to those who return

Cause: new callers counted the returns that were due as if they waited, so that prompts in time were refused for prompts that could be late already. Change: a returning caller is held until there is room, and new ones have the limits that they had.

--- a/coord/admission/admission.go
+++ b/coord/admission/admission.go
@@ -61,11 +61,11 @@
 type Decision interface{ decision() }
 
 type (
-	// Send: the request is sent to the chosen endpoint.
+	// Send lets the request go to the chosen endpoint.
 	Send struct{}
-	// Hold: the request waits at the entry for a time, and is decided again.
+	// Hold lets the request wait at the entry for a time, after which it is decided again.
 	Hold struct{ For time.Duration }
-	// Refuse: the request is refused, and its caller may come back after RetryAfter.
+	// Refuse refuses the request; its caller may come back after RetryAfter.
 	Refuse struct{ RetryAfter time.Duration }
 )
 
@@ -81,8 +81,8 @@
 		return Send{}
 	}
 	factor := i.limitFactor()
-	wait := correctedTime(c, c.WaitMS) + dueWait(i)
-	first := correctedTime(c, c.FirstMS) + dueWait(i)
+	wait := correctedTime(c, c.WaitMS)
+	first := correctedTime(c, c.FirstMS)
 	late := wait > targetMultiple(immediateStartTargets*factor, r) && first > targetMultiple(firstEventLimit(c)*factor, r)
 	interferes := c.Terms.Interference > i.interferenceLimit()
 	if !late && !interferes && !i.awaitsPrefix() && !i.tooLate() {
--- a/coord/admission/line.go
+++ b/coord/admission/line.go
@@ -1,12 +1,10 @@
 // Keeps the places in line of refused callers, so that any entry recognizes a caller that comes
-// back and keeps room for it.
+// back.
 //
 // Rule: a refused caller gets a place with the time at which it may return. It keeps the place
 // when it is refused again, also if it ignored the time. The place ends when the caller's request
-// is sent, and at the caller's deadline. The work of places whose time has come, or comes within
-// a period, counts as if it waited, as far as the callers can still get their first event within
-// its target. A caller that has not returned by returnGrace after its time is not expected any
-// more, but still recognized.
+// is sent, and at the caller's deadline. A caller that has not returned by returnGrace after its
+// time is still recognized, but its work does not count any more.
 // Inputs: refusals and sends, of this entry and as announced by others.
 // Units: places; ms of prefill.
 // Never: a place is held for a caller beyond its deadline; more than maxPlaces are kept, and a
@@ -25,9 +23,6 @@
 	// earlySlack is how much before its time a caller may return. It covers the rounding of
 	// times on the way.
 	earlySlack = 50 * time.Millisecond
-	// duePeriod is the period ahead for which room is kept. Prompts that are sent now are computed
-	// within it.
-	duePeriod = 300 * time.Millisecond
 	// recountInterval is how long a sum over the line is used.
 	recountInterval = 20 * time.Millisecond
 	// tiers is the number of priorities that the line distinguishes.
@@ -53,8 +48,7 @@
 type Line struct {
 	places    map[Key]Place
 	countedAt time.Time
-	dueMS     [tiers]float64 // work that is due within the period and can be in time, by priority
-	workMS    float64        // work of all expected callers
+	workMS    [tiers]float64 // of the callers that are expected, by priority
 }
 
 // Len returns the number of places.
@@ -75,7 +69,7 @@
 		l.places = map[Key]Place{}
 	}
 	l.places[k] = p
-	l.add(now, p)
+	l.addWork(now, p)
 }
 
 // Remove ends the place of a caller.
@@ -92,45 +86,32 @@
 	}
 }
 
-// DueMS returns the work of the callers of a priority, and of more urgent ones, that return
-// within duePeriod and can be in time.
-func (l *Line) DueMS(now time.Time, priority int) float64 {
+// WorkMS returns the work of the expected callers of a priority and of more urgent ones.
+func (l *Line) WorkMS(now time.Time, priority int) float64 {
 	l.count(now)
 	sum := 0.0
 	for n := range clampTier(priority) + 1 {
-		sum += l.dueMS[n]
+		sum += l.workMS[n]
 	}
 	return sum
 }
 
-// WorkMS returns the work of all callers that are expected.
-func (l *Line) WorkMS(now time.Time) float64 {
-	l.count(now)
-	return l.workMS
-}
-
 // count sums up the work, if the last sum is too old.
 func (l *Line) count(now time.Time) {
 	if passed := now.Sub(l.countedAt); passed >= 0 && passed < recountInterval {
 		return
 	}
 	l.countedAt = now
-	l.dueMS = [tiers]float64{}
-	l.workMS = 0
+	l.workMS = [tiers]float64{}
 	for _, p := range l.places {
-		l.add(now, p)
+		l.addWork(now, p)
 	}
 }
 
-// add adds a place to the sums.
-func (l *Line) add(now time.Time, p Place) {
-	until := p.Due.Sub(now)
-	if until < -returnGrace || !now.Before(p.Deadline) {
-		return
-	}
-	l.workMS += p.WorkMS
-	if until <= duePeriod && p.Due.Before(p.Target) && now.Before(p.Target) {
-		l.dueMS[clampTier(p.Priority)] += p.WorkMS
+// addWork adds a place to the sums.
+func (l *Line) addWork(now time.Time, p Place) {
+	if now.Sub(p.Due) <= returnGrace && now.Before(p.Deadline) {
+		l.workMS[clampTier(p.Priority)] += p.WorkMS
 	}
 }
 
--- a/coord/admission/queue.go
+++ b/coord/admission/queue.go
@@ -19,8 +19,7 @@
 	Queued   bool
 	State    State
 	Load     placement.Load
-	DueMS    float64       // prefill of refused callers that return now and can be in time, of the request's tier and more urgent ones
-	LineMS   float64       // prefill of all refused callers that have not returned
+	LineMS   float64       // prefill of the refused callers of the request's tier and more urgent ones
 	Early    time.Duration // until the caller may return, 0 for a new caller and one that waited for its time
 	Returned bool          // the caller was refused before, and has waited for its time
 	Late     bool          // the caller was refused before, and its first event can't be in time any more
@@ -35,8 +34,7 @@
 		Queued: true,
 		State:  q.monitor.Update(now, l),
 		Load:   l,
-		DueMS:  q.line.DueMS(now, priority),
-		LineMS: q.line.WorkMS(now),
+		LineMS: q.line.WorkMS(now, priority),
 	}
 	if p, ok := q.line.Find(now, k); ok {
 		s.Returned = p.returned(now)
--- a/coord/admission/returns.go
+++ b/coord/admission/returns.go
@@ -1,15 +1,15 @@
 // Decides about a long prompt that would be late, at a service with queued admission.
 //
-// Rule: work of refused callers that return in time counts as if it waited before that of new
-// callers. A caller that was refused before is not refused again while it can still be served: its
-// prompt is held at the entry until an engine has room. If its first event can't be in time any
-// more, it takes only room that others leave: for the first half of its hold, its limits are
-// multiplied by lateFactor, and it is never sent where a stream would miss its target because of
-// it. A hold takes at most half of the time left. Then the prompt is sent if its first event is
-// expected within lastChanceShare of what is left. A new caller is held for at most newHoldTargets
-// while the service drains, and else refused with a time at which room is expected: the work in
-// line before it, over the room that the demand leaves. The time is spread over spreadShare of it,
-// and at most the third of its time that callers wait.
+// Rule: a caller that was refused before is not refused again while it can still be served: its
+// prompt is held at the entry until an engine has room for it. So it goes before new callers,
+// which are refused where it waits. If its first event can't be in time any more, it takes only
+// room that others leave: its limits are multiplied by lateFactor, and it is never sent where a
+// stream would miss its target because of it, or to an engine that would compute a prefix anew
+// that another has. A hold takes at most half of the time left, and ends when its run would not
+// fit into the rest. A new caller is held for at most newHoldTargets while the service drains, and
+// else refused with a time at which room is expected: the work in line before it, over the room
+// that the demand leaves. The time is spread over spreadShare of it, and at most the third of its
+// time that callers wait.
 // Inputs: the situation of the service, the estimates of a placement.Choice, the time left.
 // Units: times; first-event targets; shares of the time left.
 // Never: a held prompt takes a place at an engine, or is sent where it would be late while there
@@ -39,9 +39,6 @@
 	lateFactor = 0.5
 	// maxLateInterference is the most interference of such a caller, in requests.
 	maxLateInterference = 0.1
-	// lastChanceShare is the share of the time left within which the first event of a prompt has
-	// to be expected at the end of its hold.
-	lastChanceShare = 0.3
 	// holdInterval is the time between two decisions about a held prompt. Engines complete a
 	// long prompt in about that time.
 	holdInterval = 80 * time.Millisecond
@@ -137,14 +134,6 @@
 	}
 }
 
-// dueWait returns the time that engines need for the callers that return before this one.
-func dueWait(i Input) time.Duration {
-	if i.Returned || i.Load.Capacity <= 0 {
-		return 0
-	}
-	return time.Duration(i.DueMS / i.Load.Capacity * float64(time.Millisecond))
-}
-
 // Place returns the place of a caller that is refused with a decision.
 func (d Refuse) Place(now time.Time, r placement.Request, left time.Duration, workMS float64) Place {
 	return Place{Due: now.Add(d.RetryAfter), Target: now.Add(r.FirstEventTarget), Deadline: now.Add(left), WorkMS: workMS, Priority: r.Priority}
--- a/internal/direct/explain/explain_test.go
+++ b/internal/direct/explain/explain_test.go
@@ -52,3 +52,23 @@
 		}
 	}
 }
+
+func TestReportTellsWhyAdmissionHeldOrRefused(t *testing.T) {
+	const log = `{"fields":{"request":"a","code":1000,"admission":{"outcome":"deferred","state":"contended","returned":true,"held_ms":320,"line_ms":9000,"asked":31.4,"capacity":28.2}}}
+{"fields":{"request":"a","code":1201,"admission":{"outcome":"refused","state":"contended, draining","returned":false,"early_ms":400,"held_ms":0,"line_ms":600,"asked":9,"capacity":30,"return_ms":1250}}}`
+	var out bytes.Buffer
+	if _, err := explain.Report(&out, strings.NewReader(log), "a"); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{
+		"admission: deferred after 320 ms; state of the service: contended, 31.4 ms of prefill asked for per ms, 28.2 can be computed, 9000 ms in line",
+		"came back in time: it goes before new ones",
+		"admission: refused after 0 ms; state of the service: contended, draining",
+		"came back 400 ms early: it keeps its place",
+		"may return after 1250 ms",
+	} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is missing in %s", want, out.String())
+		}
+	}
+}
