Bound the place in line by half of a target, and describe the part

Cause: places in line went up to a third of the callers' time, so that callers that could have been in time came back late. Change: at most half of the first-event target; a hold takes at most two thirds of the time left.

--- a/coord/admission/returns.go
+++ b/coord/admission/returns.go
@@ -5,11 +5,12 @@
 // which are refused where it waits. If its first event can't be in time any more, it takes only
 // room that others leave: its limits are multiplied by lateFactor, and it is never sent where a
 // stream would miss its target because of it, or to an engine that would compute a prefix anew
-// that another has. A hold takes at most half of the time left, and ends when its run would not
-// fit into the rest. A new caller is held for at most newHoldTargets while the service drains, and
+// that another has. A hold takes at most maxHoldShare of the time left, and ends when its run
+// would not fit into the rest. A new caller is held for at most newHoldTargets while the service drains, and
 // else refused with a time at which room is expected: the work in line before it, over the room
-// that the demand leaves. The time is spread over spreadShare of it, and at most the third of its
-// time that callers wait.
+// that the demand leaves, or the wait at the chosen engine if that is longer. The place in line is
+// at most maxLineTargets, so that the caller can still be in time. The time is spread over
+// spreadShare of it, and at most the third of its time that callers wait.
 // Inputs: the situation of the service, the estimates of a placement.Choice, the time left.
 // Units: times; first-event targets; shares of the time left.
 // Never: a held prompt takes a place at an engine, or is sent where it would be late while there
@@ -33,12 +34,17 @@
 	spreadShare = 0.4
 	// minRoomShare is the least share of the capacity that is expected to become free.
 	minRoomShare = 0.1
+	// maxLineTargets is the longest place in line, in first-event targets. A caller that returns
+	// later is late in any case, and a prompt is held at an entry for as long.
+	maxLineTargets = 0.5
 	// newHoldTargets is the longest hold of a new caller, in first-event targets.
 	newHoldTargets = 0.25
 	// lateFactor is the factor of the limits of a caller that can't be in time any more.
 	lateFactor = 0.5
 	// maxLateInterference is the most interference of such a caller, in requests.
 	maxLateInterference = 0.1
+	// maxHoldShare is the longest hold, as a share of the time left when the caller returned.
+	maxHoldShare = 2.0 / 3
 	// holdInterval is the time between two decisions about a held prompt. Engines complete a
 	// long prompt in about that time.
 	holdInterval = 80 * time.Millisecond
@@ -60,7 +66,7 @@
 
 // decideReturned decides about a caller that was refused before.
 func decideReturned(i Input) Decision {
-	if i.Held < i.Left && i.Left-holdInterval > i.runTime() {
+	if i.Left > time.Duration((1-maxHoldShare)*float64(i.Held+i.Left)) && i.Left-holdInterval > i.runTime() {
 		return i.hold()
 	}
 	return Refuse{RetryAfter: i.retryAfter(0)}
@@ -78,7 +84,8 @@
 	if i.Early > 0 {
 		return min(i.Early, limit)
 	}
-	after := min(max(wait, i.roomIn(), minRetryAfter), limit)
+	line := min(i.roomIn(), targetMultiple(maxLineTargets, i.Request))
+	after := min(max(wait, line, minRetryAfter), limit)
 	after = min(after, max(i.Left-i.runTime(), minRetryAfter))
 	return after - time.Duration(spreadShare*i.Random*float64(after))
 }
