--- a/coord/admission/admission.go
+++ b/coord/admission/admission.go
@@ -61,11 +61,11 @@
 type Decision interface{ decision() }
 
 type (
-	// Send lets the request go to the chosen endpoint.
+	// Send is the decision to send the request to the chosen endpoint.
 	Send struct{}
-	// Hold lets the request wait at the entry for a time, after which it is decided again.
+	// Hold is the decision to let the request wait at the entry for a time, and decide again.
 	Hold struct{ For time.Duration }
-	// Refuse refuses the request; its caller may come back after RetryAfter.
+	// Refuse is the decision to refuse the request. Its caller may come back after RetryAfter.
 	Refuse struct{ RetryAfter time.Duration }
 )
 
--- a/internal/direct/gateway/sharing.go
+++ b/internal/direct/gateway/sharing.go
@@ -73,6 +73,7 @@
 			if e.Request != nil {
 				d.table.Place(at, id, e.Endpoint, *e.Request, e.Fetched())
 				d.applyReturn(e)
+				d.table.PlaceReplica(id, e.Replica)
 			}
 		case peers.FirstEvent:
 			d.table.FirstEvent(at, id)
--- a/internal/direct/peers/packet.go
+++ b/internal/direct/peers/packet.go
@@ -60,6 +60,7 @@
 
 	Content  []byte `cbor:"13,keyasint,omitempty"` // of RequestRefused, and of AttemptSent for a caller that was refused before
 	ReturnMS int64  `cbor:"14,keyasint,omitempty"` // of RequestRefused: until its caller may return, 0 if it has no place
+	Replica  string `cbor:"15,keyasint,omitempty"` // of AttemptSent: incarnation of the engine that holds the run's copy
 
 	occurredAt time.Time // on the sender's clock
 }
