Hold nobody where nothing drains

Change: above one and a half times the capacity a caller that came back is decided like a new one, and refused ones return by the whole line, up to a third of their time.

--- a/coord/admission/returns.go
+++ b/coord/admission/returns.go
@@ -6,10 +6,11 @@
 // room that others leave: its limits are multiplied by lateFactor, and it is never sent where a
 // stream would miss its target because of it, or to an engine that would compute a prefix anew
 // that another has. A hold takes at most maxHoldShare of the time left, and ends when its run
-// would not fit into the rest. A new caller is held for at most newHoldTargets while the service drains, and
+// would not fit into the rest. Nobody is held while the demand is above maxHoldDemand: then each
+// that is let in makes others late, and a caller that came back is decided like a new one. A new caller is held for at most newHoldTargets while the service drains, and
 // else refused with a time at which room is expected: the work in line before it, over the room
 // that the demand leaves, or the wait at the chosen engine if that is longer. The place in line is
-// at most maxLineTargets, so that the caller can still be in time. The time is spread over
+// at most maxLineTargets where returns are held, so that the caller can still be in time. The time is spread over
 // spreadShare of it, and at most the third of its time that callers wait.
 // Inputs: the situation of the service, the estimates of a placement.Choice, the time left.
 // Units: times; first-event targets; shares of the time left.
@@ -45,6 +46,9 @@
 	maxLateInterference = 0.1
 	// maxHoldShare is the longest hold, as a share of the time left when the caller returned.
 	maxHoldShare = 2.0 / 3
+	// maxHoldDemand is the demand, as a share of the capacity, above which nobody is held: room
+	// does not return within callers' time.
+	maxHoldDemand = 1.5
 	// holdInterval is the time between two decisions about a held prompt. Engines complete a
 	// long prompt in about that time.
 	holdInterval = 80 * time.Millisecond
@@ -55,7 +59,7 @@
 	if i.tooLate() {
 		return Refuse{RetryAfter: i.retryAfter(wait)}
 	}
-	if i.Returned {
+	if i.Returned && demandShare(i.Load) <= maxHoldDemand {
 		return decideReturned(i)
 	}
 	if i.Early == 0 && i.State == Draining && i.Held < targetMultiple(newHoldTargets, i.Request) {
@@ -84,7 +88,10 @@
 	if i.Early > 0 {
 		return min(i.Early, limit)
 	}
-	line := min(i.roomIn(), targetMultiple(maxLineTargets, i.Request))
+	line := i.roomIn()
+	if demandShare(i.Load) <= maxHoldDemand {
+		line = min(line, targetMultiple(maxLineTargets, i.Request))
+	}
 	after := min(max(wait, line, minRetryAfter), limit)
 	after = min(after, max(i.Left-i.runTime(), minRetryAfter))
 	return after - time.Duration(spreadShare*i.Random*float64(after))
