--- a/coord/placement/table.go
+++ b/coord/placement/table.go
@@ -52,6 +52,7 @@
 	overruns                overruns
 	arrivalRate             arrivalRate
 	steps                   stepTimes
+	asked                   askedPrefill // by the requests of all entries, refused ones included
 }
 
 // SetServices applies the settings of services.
