Recognise returns of long prompts only, and announce when a place ends

Cause: while anyone was in line, the body of each request was hashed under the dispatcher's lock; a second refusal ended a place at one entry only; a refusal announced late shortened the contention. Change: the key is made for long prompts; the second refusal's event carries the key without a time; the latest refusal counts. Result: tests of admission and gateway pass; the new test fails without the last change.

--- a/coord/admission/queue_test.go
+++ b/coord/admission/queue_test.go
@@ -53,6 +53,20 @@
 	}
 }
 
+func TestRefusalAnnouncedLateDoesNotShortenContention(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	var m admission.Monitor
+	m.RecordRefusal(now)
+	m.RecordRefusal(now.Add(-900 * time.Millisecond))
+	idle := placement.Load{Asked: 0.1, Capacity: 10}
+	if state := m.Update(now.Add(500*time.Millisecond), idle); state == admission.Room {
+		t.Error("contention ended half a second after a refusal")
+	}
+	if state := m.Update(now.Add(1100*time.Millisecond), idle); state != admission.Room {
+		t.Errorf("%v a second after the last refusal, want room", state)
+	}
+}
+
 func TestNoCapacityIsContended(t *testing.T) {
 	var q admission.Queue
 	q.RecordRefusal(at(0), key(0), placeAt(1000))
--- a/coord/admission/returns.go
+++ b/coord/admission/returns.go
@@ -7,10 +7,11 @@
 // stream would miss its target because of it, or to an engine that would compute a prefix anew
 // that another has. A hold takes at most maxHoldShare of the time left, and ends when its run
 // would not fit into the rest. Nobody is held while the demand is above maxHoldDemand: then each
-// that is let in makes others late, and a caller that came back is decided like a new one. A new caller is held for at most newHoldTargets while the service drains, and
-// else refused with a time at which room is expected: the work in line before it, over the room
-// that the demand leaves, or the wait at the chosen engine if that is longer. The place in line is
-// at most maxLineTargets where returns are held, so that the caller can still be in time. The time is spread over
+// that is let in makes others late, and a caller that came back is decided like a new one. A new
+// caller is held for at most newHoldTargets while the service drains, and else refused with a time
+// at which room is expected: the work in line before it, over the room that the demand leaves, or
+// the wait at the chosen engine if that is longer. The place in line is at most maxLineTargets
+// where returns are held, so that the caller can still be in time. The time is spread over
 // spreadShare of it, and at most the third of its time that callers wait.
 // Inputs: the situation of the service, the estimates of a placement.Choice, the time left.
 // Units: times; first-event targets; shares of the time left.
--- a/coord/admission/state.go
+++ b/coord/admission/state.go
@@ -58,7 +58,9 @@
 
 // RecordRefusal records that an entry refused a request.
 func (m *Monitor) RecordRefusal(now time.Time) {
-	m.refusedAt = now
+	if now.After(m.refusedAt) { // announced refusals lie in the past
+		m.refusedAt = now
+	}
 	if m.state == Room {
 		m.state = Overloaded
 	}
--- a/internal/direct/gateway/admission.go
+++ b/internal/direct/gateway/admission.go
@@ -61,7 +61,7 @@
 // admit decides whether a request is sent to the endpoint chosen for it. dispatcher.mu is held.
 func (d *dispatcher) admit(now time.Time, q *request, choice placement.Choice) admission.Decision {
 	i := admission.Input{Choice: choice, Request: q.spec, Left: q.timeLeft(), Standing: q.standing}
-	if s := d.queue(q.spec.Service); s != nil && (choice.Long || !s.Empty()) {
+	if s := d.queue(q.spec.Service); s != nil && choice.Long {
 		i.Situation = d.situation(now, q, s)
 		i.Held = q.heldFor(now)
 		i.Random = d.random.Float64()
--- a/internal/direct/gateway/attempts.go
+++ b/internal/direct/gateway/attempts.go
@@ -192,8 +192,8 @@
 }
 
 // place chooses an endpoint that is not excluded and records the attempt there. It returns neither
-// an attempt nor a refusal if the request is to be held, or there is no endpoint to try. A request that was already sent is not
-// refused.
+// an attempt nor a refusal if the request is to be held, or there is no endpoint to try. A request
+// that was already sent is not refused.
 func (d *dispatcher) place(q *request, excluded map[string]bool) (*attempt, *result.Error) {
 	now := steady.Now()
 	d.mu.Lock()
--- a/internal/direct/gateway/returns.go
+++ b/internal/direct/gateway/returns.go
@@ -33,6 +33,7 @@
 	k := q.contentKey()
 	if q.admission.situation.Returned {
 		s.RecordSend(admission.Key(k)) // the caller does not come back once more
+		event.Content = k[:]
 		return
 	}
 	s.RecordRefusal(now, admission.Key(k), refused.Place(now, q.spec, q.timeLeft(), d.table.LeastPrefillMS(q.spec)))
@@ -50,7 +51,10 @@
 	if s == nil {
 		return
 	}
-	k, _ := quarantine.KeyFromBytes(e.Content)
+	k, known := quarantine.KeyFromBytes(e.Content)
+	if known && e.ReturnMS == 0 {
+		s.RecordSend(admission.Key(k)) // refused again: the caller does not come back
+	}
 	left := e.Request.TimeLeft
 	if e.ReturnMS <= 0 || e.ReturnMS > maxReturnMS || left <= 0 {
 		k = quarantine.Key{}
