Split the foreseen pauses into busy periods, spread and pauses

Change: busy.go and spread.go are moved out unchanged; package comments, the cost's head and the design note name what stands now. No logic changed. Result: tests of placement and internal pass.

--- a/coord/placement/cost.go
+++ b/coord/placement/cost.go
@@ -4,7 +4,8 @@
 //
 //	Late           lateness of the request's own first event against its target
 //	Interference   missed inter-event targets: those of the running streams that the
-//	               prefill delays, and its own because of long prompts that arrive later
+//	               prefill delays, and its own because of long prompts that arrive later;
+//	               where the engines are uneven, as foreseen in pause.go
 //	Recompute      prompt tokens to compute, above all those of prefixes that another
 //	               endpoint caches, and tokens to fetch from one
 //	Saturation     exhaustion of slots and memory
--- a/coord/placement/pause.go
+++ b/coord/placement/pause.go
@@ -6,10 +6,10 @@
 // begins at any point of an event, and is 1 once it covers the needed steps twice. At an engine
 // where even an event of nothing but such steps is within the target, no busy period makes a
 // stream pause. The engine's speed varies for spells; the chance is the mean over the spread of
-// the observed over the expected intervals. Where the engines of a service
-// are uneven, placement adds the expected misses to the cost of an engine: of the request's own stream, because of the prompts that wait behind it and of busy
-// periods as frequent as lately; of the streams there, because of the request's prompt and the
-// longer steps.
+// the observed over the expected intervals (spread.go). Where the engines of a service are uneven,
+// placement adds the expected misses to the cost of an engine: of the request's own stream, because
+// of the prompts that wait behind it and of busy periods as frequent as lately (busy.go); of the
+// streams there, because of the request's prompt and the longer steps.
 // Inputs: the times of a step and of a piece, tokens per event, the target, busy periods.
 // Units: ms; chances from 0 to 1.
 // Never: the name of a class counts; a foreseen pause excludes no endpoint.
@@ -26,114 +26,13 @@
 	// pauseWeight is the cost of a stream that misses its inter-event target. It is that of a
 	// late first event, since both make the request late.
 	pauseWeight = latenessWeight
-	// maxBusyPeriods bounds the busy periods kept per engine.
-	maxBusyPeriods = 12
-	// spreadDecay is the factor applied to the weight of an observation with each newer one. It
-	// halves the weight after some 1,400, which span many spells.
-	spreadDecay = 0.9995
-	// spreadBuckets is the number of classes of the spread, and spreadFirst the ratio at the
-	// centre of the first one. Each next centre is spreadStep times as high.
-	spreadBuckets = 8
-	spreadFirst   = 0.77
-	spreadStep    = 1.3
-	// spreadPriorWeight is the weight of the prior, which expects the exact time.
-	spreadPriorWeight = 20.0
 	// spellMS is the time, in ms, after which an engine's speed counts as drawn anew.
 	spellMS = 500.0
 	// commonDemandShare is the share of the prompts to come that is expected at every engine alike.
 	// The rest comes where prompts came lately.
 	commonDemandShare = 0.4
-	// calibrationDecay halves the weight of a stream after some 350.
-	calibrationDecay = 0.998
-	// calibrationPrior is the number of streams by which the calibration starts at 1.
-	calibrationPrior = 2.0
-	// minCalibration and maxCalibration bound the factor that the calibration applies.
-	minCalibration = 0.1
-	maxCalibration = 3.0
 )
 
-// spreadRatios are the ratios at the centres of the classes of a spread.
-var spreadRatios = func() (all [spreadBuckets]float64) {
-	for n := range all {
-		all[n] = spreadFirst * math.Pow(spreadStep, float64(n))
-	}
-	return all
-}()
-
-// spread is the decayed distribution of observed over expected intervals, weighted by time. The
-// zero value is the prior.
-type spread struct {
-	weights [spreadBuckets]float64
-	total   float64
-}
-
-// observe adds a ratio.
-func (s *spread) observe(ratio float64) {
-	for n := range s.weights {
-		s.weights[n] *= spreadDecay
-	}
-	n := int(math.Round(math.Log(max(ratio, spreadFirst)/spreadFirst) / math.Log(spreadStep)))
-	n = min(n, spreadBuckets-1)
-	weight := min(ratio, spreadRatios[spreadBuckets-1])
-	s.total = s.total*spreadDecay + weight
-	s.weights[n] += weight
-}
-
-// shares returns the share of time spent at each of spreadRatios.
-func (s *spread) shares() (all [spreadBuckets]float64) {
-	for n, w := range s.weights {
-		all[n] = w / (s.total + spreadPriorWeight)
-	}
-	all[1] += spreadPriorWeight / (s.total + spreadPriorWeight) // the class of the exact time
-	return all
-}
-
-// calibration compares the chances foreseen with the pauses seen. The zero value has a factor
-// of 1.
-type calibration struct{ foreseen, missed float64 }
-
-// observe adds an ended stream with the chance to which the factor was applied.
-func (c *calibration) observe(chance float64, missed bool) {
-	c.foreseen = c.foreseen*calibrationDecay + chance/c.factor()
-	c.missed *= calibrationDecay
-	if missed {
-		c.missed++
-	}
-}
-
-// factor returns the factor to apply to a chance.
-func (c *calibration) factor() float64 {
-	ratio := (c.missed + calibrationPrior) / (c.foreseen + calibrationPrior)
-	return min(max(ratio, minCalibration), maxCalibration)
-}
-
-// busyPeriod is a time in which an engine computes prompts without a gap.
-type busyPeriod struct {
-	startedAt, endsAt time.Time
-	prefillMS         float64 // at a slowdown of 1
-}
-
-// busyPeriods are the last ones of an engine, as a ring. The zero value is empty.
-type busyPeriods struct {
-	periods [maxBusyPeriods]busyPeriod
-	count   int
-}
-
-// add records a prompt of the given prefill time that takes durationMS at the engine.
-func (b *busyPeriods) add(now time.Time, prefillMS, durationMS float64) {
-	duration := time.Duration(durationMS * float64(time.Millisecond))
-	if b.count > 0 {
-		last := &b.periods[(b.count-1)%maxBusyPeriods]
-		if !now.After(last.endsAt) {
-			last.prefillMS += prefillMS
-			last.endsAt = last.endsAt.Add(duration)
-			return
-		}
-	}
-	b.periods[b.count%maxBusyPeriods] = busyPeriod{startedAt: now, endsAt: now.Add(duration), prefillMS: prefillMS}
-	b.count++
-}
-
 // pauseModel estimates the pauses of the streams with one target at one engine. It holds, for
 // each ratio of the spread at which a busy period can make them pause, the ms of prefill that
 // it has to compute between two events, and those that it can.
@@ -184,72 +83,6 @@
 // harmless reports whether no pause is foreseen.
 func (m *pauseModel) harmless() bool { return m.ratios == 0 && m.always == 0 }
 
-// pausesPerSecond returns the number of busy periods per second, in the last prefillWindow, that
-// make a stream pause.
-func (b *busyPeriods) pausesPerSecond(now time.Time, slowdown, seenMS float64, m *pauseModel) float64 {
-	if m.harmless() {
-		return 0
-	}
-	sum := 0.0
-	for n := range min(b.count, maxBusyPeriods) {
-		p := &b.periods[n]
-		if now.Sub(p.startedAt) < prefillWindow {
-			sum += m.chance(p.prefillMS*slowdown, seenMS)
-		}
-	}
-	return sum / prefillWindow.Seconds()
-}
-
-// recordBusy records a prompt of the given prefill time in the busy periods of an engine.
-func (s *service) recordBusy(now time.Time, e *endpoint, prefillMS float64) {
-	if !s.EngineSpeeds || prefillMS <= 0 {
-		return
-	}
-	pieceMS := s.pieceMS(e)
-	perMS := 1 + s.stepMS(e, e.running)/max(pieceMS, 1)
-	s.steps.demand.add(now, prefillMS)
-	e.busy.add(now, prefillMS, prefillMS*e.slowdown*perMS)
-}
-
-// demandClasses is the number of classes of promptDemand, and firstDemandMS the longest prefill of
-// the first one, in ms. Each next class goes to twice as long.
-const (
-	demandClasses = 8
-	firstDemandMS = 16.0
-)
-
-// promptDemand counts the prompts of a service by their prefill at a slowdown of 1, decayed over
-// prefillWindow. The zero value has none.
-type promptDemand struct {
-	counts    [demandClasses]float64
-	updatedAt time.Time
-}
-
-// add counts a prompt.
-func (d *promptDemand) add(now time.Time, prefillMS float64) {
-	if now.After(d.updatedAt) {
-		decay := math.Exp(-float64(now.Sub(d.updatedAt)) / float64(prefillWindow))
-		for n := range d.counts {
-			d.counts[n] *= decay
-		}
-		d.updatedAt = now
-	}
-	n := int(math.Ceil(math.Log2(max(prefillMS/firstDemandMS, 1))))
-	d.counts[min(n, demandClasses-1)]++
-}
-
-// pausesPerSecond returns the same as that of busyPeriods for an engine that gets an equal share of
-// the prompts of its service, each on its own.
-func (d *promptDemand) pausesPerSecond(engines int, slowdown, seenMS float64, m *pauseModel) float64 {
-	sum := 0.0
-	prefillMS := firstDemandMS * slowdown
-	for _, count := range d.counts {
-		sum += count * m.chance(prefillMS, seenMS)
-		prefillMS *= 2
-	}
-	return sum / prefillWindow.Seconds() / float64(max(engines, 1))
-}
-
 // streamGroup is the number of open streams at an engine with one target.
 type streamGroup struct {
 	target time.Duration
--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -9,14 +9,17 @@
 //   - pool.go: the size of the pool for long prompts;
 //   - home.go: the preferred endpoint of a prompt prefix that none is known to cache;
 //   - health.go: when an endpoint counts as slow, stalled, failing, or recovered;
+//   - speed.go: how fast each engine generates tokens, and whether a service's engines are uneven;
+//   - pause.go: the chance that a stream pauses for longer than its target;
 //   - replica.go: the engine that holds the copy of a run's memory;
 //   - eligible.go: which endpoints may take a request at all (package eligibility).
 //
-// Others read the table: work.go estimates the engine time of requests, for package share.
+// Others read the table: work.go estimates the engine time of requests, for package share, and
+// load.go the demand and capacity of a service, for package admission.
 //
 // Their inputs are maintained in attempts.go (events of attempts), backlog.go (prompts waiting
-// for prefill), prefill.go (time to the first event by prompt length) and interval.go (time
-// between events). Package memory models the engines' prompt caches and transfers between them.
+// for prefill), busy.go (times in which engines compute prompts), prefill.go (time to the first
+// event by prompt length), interval.go (time between events) and spread.go (how far that varies). Package memory models the engines' prompt caches and transfers between them.
 //
 // The package does no I/O, starts no goroutine and reads no clock.
 package placement
--- a/internal/decisions_test.go
+++ b/internal/decisions_test.go
@@ -74,6 +74,8 @@
 	"coord/placement/interval.go",
 	"coord/placement/speed.go",
 	"coord/placement/pause.go",
+	"coord/placement/busy.go",
+	"coord/placement/spread.go",
 	"coord/placement/table.go",
 	"coord/placement/snapshot.go",
 	"coord/fanout/fanout.go",
--- a/internal/direct/gateway/gateway.go
+++ b/internal/direct/gateway/gateway.go
@@ -12,6 +12,8 @@
 //	upload.go     reads its body
 //	forward.go    makes attempts until there is a response
 //	attempts.go   chooses an endpoint and records the attempt
+//	admission.go  sends it, holds it for a while, or refuses it
+//	returns.go    places in line of refused callers
 //	shares.go     the standing of its team under contention
 //	signals.go    applies the signals of endpoints in responses
 //	sharing.go    exchanges events with other entries
@@ -25,6 +27,7 @@
 //	held.go       their records in the store
 //	response.go   relays a response
 //	stream.go     relays a stream, and resumes it after a break
+//	pauses.go     counts foreseen and seen pauses of streams
 //	report.go     writes the log line and the metrics of the request
 //
 // Others: server.go, idle.go and unread.go (callers' connections), stop.go (graceful shutdown),
