Open attempts in one place, and reword four comments

Cause: a continuation and a first send made the same attempt twice, and four comments used words of their own. Change: newAttempt and send; no logic changed. Result: tests of gateway, admission, placement and internal pass.

--- a/coord/admission/returns.go
+++ b/coord/admission/returns.go
@@ -4,7 +4,7 @@
 // prompt is held at the entry until an engine has room for it. So it goes before new callers,
 // which are refused where it waits. If its first event can't be in time any more, it takes only
 // room that others leave: its limits are multiplied by lateFactor, and it is never sent where a
-// stream would miss its target because of it, or to an engine that would compute a prefix anew
+// stream would miss its target because of it, or to an engine that would recompute a prefix
 // that another has. A hold takes at most maxHoldShare of the time left, and ends when its run
 // would not fit into the rest. Nobody is held while the demand is above maxHoldDemand: then each
 // that is let in makes others late, and a caller that came back is decided like a new one. A new
--- a/coord/placement/pause.go
+++ b/coord/placement/pause.go
@@ -26,7 +26,7 @@
 	// pauseWeight is the cost of a stream that misses its inter-event target. It is that of a
 	// late first event, since both make the request late.
 	pauseWeight = latenessWeight
-	// spellMS is the time, in ms, after which an engine's speed counts as drawn anew.
+	// spellMS is the time, in ms, after which an engine counts as in another spell or in none.
 	spellMS = 500.0
 	// commonDemandShare is the share of the prompts to come that is expected at every engine alike.
 	// The rest comes where prompts came lately.
--- a/coord/placement/replica.go
+++ b/coord/placement/replica.go
@@ -116,7 +116,7 @@
 	if a.replica == "" || holds == nil {
 		return
 	}
-	holds.replicas.count = max(holds.replicas.count-1, 0) // the engine may have been listed anew
+	holds.replicas.count = max(holds.replicas.count-1, 0) // the engine may have left the list and returned
 	holds.replicas.tokens = max(holds.replicas.tokens-replicaTokens(a.request), 0)
 }
 
--- a/internal/direct/gateway/attempts.go
+++ b/internal/direct/gateway/attempts.go
@@ -215,14 +215,12 @@
 			return nil, &result.Error{Code: result.QueueFull, Run: result.NotRun, RetryAfter: decision.RetryAfter, Reason: refusalReason(q)}
 		}
 	}
-	d.lastNumber++
-	x := &attempt{
-		id:      placement.AttemptID{Owner: d.owner, Number: d.lastNumber},
-		choice:  choice,
-		sentAt:  now,
-		crashes: q.crashes,
-		outcome: outcomeOpen,
-	}
+	return d.send(now, q, choice), nil
+}
+
+// send records the attempt at the chosen endpoint, and announces it. dispatcher.mu is held.
+func (d *dispatcher) send(now time.Time, q *request, choice placement.Choice) *attempt {
+	x := d.newAttempt(now, q, choice)
 	spec := q.spec // the event is encoded later, when q.spec may already be that of the next attempt
 	d.table.Place(now, x.id, choice.Endpoint.Incarnation(), spec, choice.Fetch)
 	d.recordGiven(now, x.id, spec)
@@ -234,7 +232,19 @@
 	d.placeReplica(now, q, x, &sent)
 	d.broadcastLocked(sent)
 	q.attempts = append(q.attempts, x)
-	return x, nil
+	return x
+}
+
+// newAttempt returns an open attempt with the next number. dispatcher.mu is held.
+func (d *dispatcher) newAttempt(now time.Time, q *request, choice placement.Choice) *attempt {
+	d.lastNumber++
+	return &attempt{
+		id:      placement.AttemptID{Owner: d.owner, Number: d.lastNumber},
+		choice:  choice,
+		sentAt:  now,
+		crashes: q.crashes,
+		outcome: outcomeOpen,
+	}
 }
 
 // recordRefusal records that admission refused a request, and announces it to the other entries where
--- a/internal/direct/gateway/replicas.go
+++ b/internal/direct/gateway/replicas.go
@@ -109,15 +109,8 @@
 	if !ok {
 		return nil
 	}
-	d.lastNumber++
-	x := &attempt{
-		id:        placement.AttemptID{Owner: d.owner, Number: d.lastNumber},
-		choice:    choice,
-		sentAt:    now,
-		crashes:   q.crashes,
-		outcome:   outcomeOpen,
-		continues: c,
-	}
+	x := d.newAttempt(now, q, choice)
+	x.continues = c
 	spec := q.spec // the event is encoded later
 	fetch := placement.Continued(spec)
 	d.table.Place(now, x.id, holder, spec, fetch)
--- a/internal/testing/soak/teams.go
+++ b/internal/testing/soak/teams.go
@@ -25,7 +25,7 @@
 	// starvedShare is the share of a team's requests that are served, as a part of that of all, below
 	// which it starves.
 	starvedShare = 0.25
-	// impatientShare of the callers return at once and not after the time that they are told.
+	// impatientShare of the callers return at once, whatever Retry-After says.
 	impatientShare = 0.25
 )
 
