Show the software version of endpoints, and which requests resume a stream

Change: an endpoint has the version of its record. Log lines of requests name it for each send, and for a request that takes up a stream (Resumes) which one and after which event; so does explain. Nothing is decided by any of it.

--- a/coord/placement/dump.go
+++ b/coord/placement/dump.go
@@ -12,6 +12,7 @@
 	ID             string  `json:"id"`
 	Service        string  `json:"service"`
 	DataCentre     string  `json:"data_centre"`
+	Version        string  `json:"version,omitempty"` // of its software
 	Leaving        bool    `json:"leaving,omitempty"`
 	Evacuated      bool    `json:"evacuated,omitempty"`
 	Warming        bool    `json:"warming_up,omitempty"`
@@ -36,6 +37,7 @@
 			ID:             e.ID,
 			Service:        e.Service,
 			DataCentre:     e.DataCentre,
+			Version:        e.Version,
 			Leaving:        e.Leaving,
 			Evacuated:      e.location.Evacuated,
 			Warming:        e.warmup.Warming(now),
--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -46,6 +46,10 @@
 
 	// WarmupLeft is the remaining warm-up time when the record was written, 0 for warm.
 	WarmupLeft time.Duration `cbor:"9,keyasint,omitempty"`
+
+	// Version is the version of the software that this incarnation runs, empty for unknown. It has
+	// no order, and is not that of the model's weights.
+	Version string `cbor:"10,keyasint,omitempty"`
 }
 
 // incarnationSeparator separates the endpoint's id from its start time in the name of an
--- a/internal/direct/directory/directory.go
+++ b/internal/direct/directory/directory.go
@@ -163,7 +163,7 @@
 	}
 	for _, e := range c.Changed {
 		if e.Leaving || others <= maxLoggedEndpoints {
-			log.With("endpoint", e.ID).With("service", e.Service).With("leaving", e.Leaving).With("revision", c.Revision).Info("An endpoint was added or changed.")
+			log.With("endpoint", e.ID).With("service", e.Service).With("version", e.Version).With("leaving", e.Leaving).With("revision", c.Revision).Info("An endpoint was added or changed.")
 		}
 	}
 	if others > maxLoggedEndpoints {
--- a/internal/direct/driver/driver.go
+++ b/internal/direct/driver/driver.go
@@ -133,6 +133,7 @@
 	SignalPrefix string
 	Priority     string   // 0 is the most urgent
 	LastEvent    string   // ID of the event after which a stream resumes
+	Resumes      string   // from callers that resume a stream: RequestID of the request that brought its first event
 	Fetch        string   // address of an engine from which cached parts of the prompt are fetched first
 	Replica      string   // address of the engine to which the memory of the run is copied
 	Continue     string   // address of the engine that holds the copy, "/", RequestID; to that engine, to continue the run
--- a/internal/direct/explain/explain.go
+++ b/internal/direct/explain/explain.go
@@ -75,8 +75,11 @@
 	fmt.Fprintln(w)
 	writeStanding(w, f)
 	writeAdmission(w, f.Admission)
+	if f.Resumes != "" {
+		fmt.Fprintf(w, "  resumes the stream that request %s began, after event %q\n", f.Resumes, f.ResumesAfter)
+	}
 	for n, a := range f.Attempts {
-		fmt.Fprintf(w, "  send %d to %s: %s\n", n+1, a.Endpoint, a.Outcome)
+		fmt.Fprintf(w, "  send %d to %s%s: %s\n", n+1, a.Endpoint, versionText(a.Version), a.Outcome)
 		fmt.Fprintf(w, "    expected: %.0f ms of waiting, first event after %.0f ms, %d tokens to read, slowness %.2f\n",
 			a.WaitMS, a.FirstMS, a.PrefillTokens, a.Slowdown)
 		if a.Limit != "" {
@@ -106,6 +109,15 @@
 	}
 }
 
+// versionText returns the version of an endpoint's software as it follows the endpoint, empty for
+// unknown.
+func versionText(version string) string {
+	if version == "" {
+		return ""
+	}
+	return " (version " + version + ")"
+}
+
 // writeStanding writes what the team was given of the service's engine time, compared with its share.
 func writeStanding(w *strings.Builder, f record.Request) {
 	switch {
--- a/internal/direct/gateway/stream.go
+++ b/internal/direct/gateway/stream.go
@@ -179,6 +179,7 @@
 			return nil, nil
 		}
 		tried[a.endpoint().ID] = true
+		s.gateway.countResumption(resumedByEntry, compareVersions(broken, a))
 		response, err := s.send(a, s.lastEventID)
 		if err != nil {
 			s.endAttempt(a, resultOfError(context.Cause(s.ctx), err))
--- a/internal/direct/record/record.go
+++ b/internal/direct/record/record.go
@@ -37,6 +37,8 @@
 	Standing        float64     `json:"standing"`          // engine time given to the team over its share, 0 without contention
 	FirstTargetMS   int64       `json:"first_target_ms"`   // 0 in logs of earlier versions
 	BetweenTargetMS int64       `json:"between_target_ms"` // 0 for none
+	Resumes         string      `json:"resumes"`           // request that brought the first event of the stream that this one resumes, empty for none
+	ResumesAfter    string      `json:"resumes_after"`     // ID of the last event that the caller has
 	Attempts        []Attempt   `json:"sends"`
 	Admission       *Admission  `json:"admission"` // nil where nothing waited, and in logs of earlier versions
 }
@@ -76,6 +78,7 @@
 // choice was based. Numbers are cut to three decimals.
 type Attempt struct {
 	Endpoint         string          `json:"endpoint"`
+	Version          string          `json:"version,omitempty"` // of the endpoint's software
 	Cost             float64         `json:"cost"`
 	Terms            placement.Terms `json:"terms"`
 	WaitMS           float64         `json:"expected_wait_ms"`  // until the prefill starts
@@ -103,6 +106,7 @@
 func AttemptOf(c placement.Choice, outcome string) Attempt {
 	return Attempt{
 		Endpoint:         c.Endpoint.ID,
+		Version:          c.Endpoint.Version,
 		Cost:             Round(c.Cost),
 		Terms:            roundTerms(c.Terms),
 		WaitMS:           Round(c.WaitMS),
