--- a/internal/testing/fleet/fleet_test.go
+++ b/internal/testing/fleet/fleet_test.go
@@ -77,7 +77,7 @@
 	t.Cleanup(func() { close(f.stopped) })
 	f.configure()
 	for n := range endpoints {
-		f.addEndpoint(fmt.Sprint("i-", n+1), 1)
+		f.addEndpoint(fmt.Sprint("i-", n+1), 1, "v1")
 	}
 	for range entries {
 		f.addEntry(true)
@@ -113,8 +113,9 @@
 	})
 }
 
-// addEndpoint starts an endpoint, which is restarted when it crashes.
-func (f *fleet) addEndpoint(id string, startedMS int64) {
+// addEndpoint starts an endpoint, which is restarted at the same version of its software when it
+// crashes.
+func (f *fleet) addEndpoint(id string, startedMS int64, version string) {
 	r := platformtest.NewRunner(id, service, platformtest.ByPath{
 		Prefix: []string{crashingPath, crashingOncePath},
 		Then:   platformtest.Crash{},
@@ -125,6 +126,7 @@
 		},
 	})
 	r.StartedMS = startedMS
+	r.Version = version
 	f.mu.Lock()
 	f.started = append(f.started, r)
 	f.mu.Unlock()
@@ -135,7 +137,7 @@
 			r.Close()
 		case <-r.Ended():
 			r.Close() // all its connections break before it restarts
-			f.addEndpoint(id, startedMS+1)
+			f.addEndpoint(id, startedMS+1, version)
 		}
 	}()
 }
--- /dev/null
+++ b/internal/testing/fleet/versions_test.go
@@ -0,0 +1,195 @@
+package fleet_test
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"foxcross.dev/foxcross/internal/testing/standin/platformtest"
+)
+
+const (
+	// longStream is the number of events of streams that break before their end.
+	longStream = 200
+	// eventPause is the pause before each of their events.
+	eventPause = 10 * time.Millisecond
+)
+
+// newMixedFleet starts entries and, of each version, as many engines. Their streams are long.
+func newMixedFleet(t *testing.T, entries, enginesPerVersion int, versions ...string) *fleet {
+	t.Helper()
+	f := newFleet(t, entries, 0)
+	f.configureService(2, map[string]any{
+		"name": service, "maxConns": 200,
+		"engine": map[string]any{"slots": 48, "kvCapacity": 500_000, "kvBytes": 18_432, "linkMbps": 740_000.0},
+	})
+	for _, version := range versions {
+		for n := range enginesPerVersion {
+			f.addEngine(fmt.Sprintf("i-%s-%d", version, n+1), version, platformtest.Events{To: longStream, Pause: eventPause})
+		}
+	}
+	f.awaitEndpoints(enginesPerVersion * len(versions))
+	return f
+}
+
+// addEngine starts an engine, which is not restarted when it crashes.
+func (f *fleet) addEngine(id, version string, behavior platformtest.Behavior) *platformtest.Runner {
+	r := platformtest.NewRunner(id, service, behavior)
+	r.Engine = true
+	r.Version = version
+	f.mu.Lock()
+	f.started = append(f.started, r)
+	f.mu.Unlock()
+	f.t.Cleanup(r.Close)
+	f.store.PutEndpoint(r, "ready")
+	return r
+}
+
+// awaitEndpoints waits until each entry lists a number of endpoints, and the settings of the engines.
+func (f *fleet) awaitEndpoints(count int) {
+	f.t.Helper()
+	for _, e := range f.entries {
+		f.eventually("all endpoints and settings are known", func() bool {
+			d := e.gateway.Dump()
+			return len(d.Endpoints) == count && d.Version == 2
+		})
+	}
+}
+
+// brokenStream is the first part of a stream that a caller has.
+type brokenStream struct {
+	id          string // of the request
+	target      string
+	lastEventID string
+	version     string // of the engine that began it
+}
+
+// beginStreams begins streams at an entry, and returns them when each has had some events. They stay
+// open until their connections break.
+func (f *fleet) beginStreams(e *entry, count, events int) []*brokenStream {
+	f.t.Helper()
+	var streams []*brokenStream
+	for n := range count {
+		q := f.newRequest(f.t.Context(), e, fmt.Sprintf("/chat/%d", n), "")
+		s := &brokenStream{id: q.Header.Get(platformtest.RequestIDField), target: q.URL.Path}
+		a, err := f.client.Do(q)
+		f.mustSucceed(err)
+		f.t.Cleanup(func() { _ = a.Body.Close() }) // the test is over
+		s.readEvents(f.t, bufio.NewScanner(a.Body), events)
+		streams = append(streams, s)
+	}
+	return streams
+}
+
+// readEvents reads a number of events.
+func (s *brokenStream) readEvents(t *testing.T, lines *bufio.Scanner, events int) {
+	t.Helper()
+	for events > 0 && lines.Scan() {
+		if id, found := strings.CutPrefix(lines.Text(), "id: "); found {
+			s.lastEventID = id
+			events--
+		}
+		if data, found := strings.CutPrefix(lines.Text(), "data: "); found {
+			s.version = versionOf(data)
+		}
+	}
+	if events > 0 {
+		t.Fatalf("the stream %s ended early: %v", s.id, lines.Err())
+	}
+}
+
+// versionOf returns the version of the engine that sent the data of an event, or that has the id.
+func versionOf(data string) string {
+	_, rest, _ := strings.Cut(data, "-")
+	version, _, _ := strings.Cut(rest, "-")
+	return version
+}
+
+// takeUp has a caller take up a broken stream at an entry.
+func (f *fleet) takeUp(e *entry, s *brokenStream) response {
+	f.t.Helper()
+	q := f.newRequest(f.t.Context(), e, s.target, "")
+	q.Header.Set(platformtest.ResumesField, s.id)
+	q.Header.Set(platformtest.LastEventField, s.lastEventID)
+	return f.do(q)
+}
+
+// versionsIn returns the versions of the engines that sent the events of a stream, in order.
+func versionsIn(body string) []string {
+	var versions []string
+	for line := range strings.Lines(body) {
+		data, found := strings.CutPrefix(line, "data: ")
+		if v := versionOf(data); found && (len(versions) == 0 || versions[len(versions)-1] != v) {
+			versions = append(versions, v)
+		}
+	}
+	return versions
+}
+
+// TestCallersResumeStreamsAtVersionThatBeganThem guards against streams of which a caller gets events
+// of two versions, when it resumes them at entries that did not begin them.
+func TestCallersResumeStreamsAtVersionThatBeganThem(t *testing.T) {
+	f := newMixedFleet(t, 3, 2, "v1", "v2")
+	streams := f.beginStreams(f.entries[0], 24, 2)
+	f.entries[0].stop()
+	began := map[string]int{}
+	var callers sync.WaitGroup
+	for n, s := range streams {
+		began[s.version]++
+		callers.Go(func() { checkResumed(t, s, f.takeUp(f.entries[1+n%2], s)) })
+	}
+	callers.Wait()
+	t.Logf("begun by version: %v", began)
+}
+
+// checkResumed checks that a stream went on at the version that began it.
+func checkResumed(t *testing.T, s *brokenStream, a response) {
+	t.Helper()
+	if a.status != http.StatusOK {
+		t.Errorf("%s, begun at %s: status %d", s.id, s.version, a.status)
+		return
+	}
+	if got := versionsIn(a.body); len(got) != 1 || got[0] != s.version {
+		t.Errorf("%s, begun at %s, was resumed at %v", s.id, s.version, got)
+	}
+}
+
+// TestEntriesResumeStreamsAtVersionThatBeganThem guards against answers with events of two versions,
+// when their engine crashes.
+func TestEntriesResumeStreamsAtVersionThatBeganThem(t *testing.T) {
+	f := newMixedFleet(t, 1, 2, "v1", "v2")
+	responses := make(chan response, 24)
+	for n := range cap(responses) {
+		q := f.newRequest(t.Context(), f.entries[0], fmt.Sprintf("/chat/%d", n), "")
+		go func() { responses <- f.do(q) }()
+	}
+	f.eventually("all streams have begun", func() bool { return f.running() == cap(responses) })
+	for _, r := range f.endpoints() {
+		if strings.HasSuffix(r.ID, "-1") {
+			r.Close()
+		}
+	}
+	for range cap(responses) {
+		a := <-responses
+		if got := versionsIn(a.body); a.status != http.StatusOK || len(got) != 1 {
+			t.Errorf("status %d, events of %v", a.status, got)
+		}
+	}
+}
+
+// running returns the number of streams that have had events for a while at engines.
+func (f *fleet) running() int {
+	n := 0
+	for _, r := range f.endpoints() {
+		for _, run := range r.Runs() {
+			if time.Since(run.At) > 5*eventPause {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/testing/standin/platformtest/runner.go
+++ b/internal/testing/standin/platformtest/runner.go
@@ -28,6 +28,7 @@
 	LimitField     = "Server-Limit" // requests a second from all callers together
 	DrainingField  = "Server-Leaving"
 	LastEventField = "Last-Event-Id"
+	ResumesField   = "Resumes" // id of the request that brought the first event of the stream
 	FetchField     = "Kv-Fetch"
 	PriorityField  = "X-Request-Priority"
 	TokensField    = "X-Token-Usage" // of the prompt and, at most, of the answer
@@ -55,9 +56,10 @@
 	Engine    bool  // its record names a model; set before the record is written
 	StartedMS int64 // start in ms since 1970, 0 to omit it; set before the record is written
 
-	// DataCentre is empty for "zone-1". WarmupLeftMS is the remaining time of its warm-up. Both
-	// are set before the record is written.
+	// DataCentre is empty for "zone-1", Version of its software for "v1". WarmupLeftMS is the remaining
+	// time of its warm-up. All are set before the record is written.
 	DataCentre   string
+	Version      string
 	WarmupLeftMS int
 
 	listener net.Listener
@@ -159,7 +161,7 @@
 func (r *Runner) Record(state string) map[string]any {
 	record := map[string]any{
 		"backend": r.Service, "address": r.Address(), "zone": cmp.Or(r.DataCentre, "zone-1"),
-		"version": "v1", "slots": 8, "state": state, "seq": 1, "warmupLeftMs": r.WarmupLeftMS,
+		"version": cmp.Or(r.Version, "v1"), "slots": 8, "state": state, "seq": 1, "warmupLeftMs": r.WarmupLeftMS,
 	}
 	if r.StartedMS > 0 {
 		record["born"] = r.StartedMS
