Resume a broken stream at the version that began it

Cause: an entry placed the rest of a stream like a new request. No type had a field for the version, so that no rule could ask for it. Why this works: the request that resumes has the version of the broken attempt's endpoint, and placement finds other endpoints unavailable, on every path of a choice; a large service is sampled among the endpoints of that version. Where none may take it the answer breaks off as before, and the log line says why.

--- a/coord/placement/candidates.go
+++ b/coord/placement/candidates.go
@@ -4,7 +4,8 @@
 // engines known to cache the prompt's last shared part, its home, and random samples of three
 // groups: the side of the pool that fits the prompt, the endpoints of that side in the own data
 // centre, and the other side. If all of these are unreachable, draining or unavailable, all
-// endpoints are considered.
+// endpoints are considered. For a request that resumes a stream, a sample of the endpoints that run
+// the version that began it.
 // Inputs: the table, the request, a source of randomness.
 // Units: endpoints.
 // Never: the number of candidates grows with the service. This bounds the time of a choice. It
@@ -31,6 +32,9 @@
 	preferredSample = 6
 	localSample     = 3
 	otherSample     = 3
+	// resumingSample is the number of endpoints drawn for a request that resumes a stream, from
+	// those of its version. They may be few, or all.
+	resumingSample = 24
 	// maxCachingEngines bounds the engines recorded per shared part. Parts in use are cached by
 	// few engines.
 	maxCachingEngines = 6
@@ -48,6 +52,9 @@
 	if len(s.endpoints) <= maxScanned {
 		return q.allCandidates()
 	}
+	if q.request.Resumes {
+		return q.resumingCandidates(random)
+	}
 	var found []candidate
 	add := func(e *endpoint) {
 		if !slices.ContainsFunc(found, func(c candidate) bool { return c.endpoint == e }) {
@@ -75,6 +82,18 @@
 	return found
 }
 
+// resumingCandidates returns a sample of the endpoints at which the request's stream may be resumed.
+func (q *query) resumingCandidates(random *rand.Rand) []candidate {
+	var found []candidate
+	for _, e := range q.service.endpoints {
+		if q.request.accepts(e.Version) {
+			found = append(found, candidate{e, e.rank < q.poolSize})
+		}
+	}
+	random.Shuffle(len(found), func(a, b int) { found[a], found[b] = found[b], found[a] })
+	return found[:min(len(found), resumingSample)]
+}
+
 // allCandidates returns all endpoints of the service.
 func (q *query) allCandidates() []candidate {
 	found := make([]candidate, 0, len(q.service.endpoints))
--- a/coord/placement/choose.go
+++ b/coord/placement/choose.go
@@ -3,7 +3,8 @@
 // Rule: among the candidates of the request's service (candidates.go) that are available, the
 // one with the lowest cost; ties are broken at random. An endpoint is unavailable while it is
 // leaving, when the caller of Choose excludes it because it was already tried, when it has as
-// many open requests as the service allows, or when it is not eligible for the request
+// many open requests as the service allows, when it runs another version of its software than the
+// one that began the stream that the request resumes, or when it is not eligible for the request
 // (eligible.go). An endpoint that was unreachable recently, or whose responses say that it is
 // draining, remains available at a cost so high that all others are preferred.
 // Inputs: the table, the request, the time, a source of randomness.
@@ -129,7 +130,7 @@
 func (q *query) available(e *endpoint) bool {
 	most := q.service.MaxRequests
 	full := most > 0 && len(e.attempts) >= most
-	return !e.Leaving && !full && q.eligibility(e) == eligibility.Eligible
+	return !e.Leaving && !full && q.request.accepts(e.Version) && q.eligibility(e) == eligibility.Eligible
 }
 
 // busyShare returns the share of the service's slots that are in use, or 0 if the number of
--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -66,10 +66,15 @@
 	return e.ID + incarnationSeparator + strconv.FormatInt(e.StartedMS, 10)
 }
 
+// EndpointID returns the ID of the endpoint that has an incarnation.
+func EndpointID(incarnation string) string {
+	id, _, _ := strings.Cut(incarnation, incarnationSeparator)
+	return id
+}
+
 // Replaces reports whether this is a different incarnation of the same endpoint.
 func (e Endpoint) Replaces(incarnation string) bool {
-	id, _, _ := strings.Cut(incarnation, incarnationSeparator)
-	return id == e.ID && incarnation != e.Incarnation()
+	return EndpointID(incarnation) == e.ID && incarnation != e.Incarnation()
 }
 
 // Service holds the settings for the endpoints of a service.
@@ -104,12 +109,17 @@
 	Priority         int           `cbor:"5,keyasint,omitempty"` // 0 is the most urgent
 	TimeLeft         time.Duration `cbor:"6,keyasint,omitempty"` // until its deadline, 0 for unknown
 	NoFetch          bool          `cbor:"-"`                    // disables fetches for it; not sent to other entries
+	Resumes          bool          `cbor:"-"`                    // it resumes a stream, which Version began; not sent to other entries
+	Version          string        `cbor:"-"`                    // of the endpoint's software, of a request that resumes a stream
 
 	Team uint32 `cbor:"7,keyasint,omitempty"` // hash of the team's name, 0 where its service does not share engine time
 
 	Regions eligibility.Regions `cbor:"-"` // in which it may be served; not sent to other entries
 }
 
+// accepts reports whether the request may be sent to an endpoint with a version of its software.
+func (r Request) accepts(version string) bool { return !r.Resumes || r.Version == version }
+
 // firstEventTargetMS returns the target for the first event in ms, at least 1.
 func (r Request) firstEventTargetMS() float64 { return max(milliseconds(r.FirstEventTarget), 1) }
 
--- a/coord/placement/unavailability.go
+++ b/coord/placement/unavailability.go
@@ -40,7 +40,7 @@
 	q := query{table: t, service: t.service(r.Service), request: r, now: now}
 	var soonest Unavailability
 	for _, e := range q.service.endpoints {
-		if e.Leaving {
+		if e.Leaving || !r.accepts(e.Version) {
 			continue
 		}
 		o := q.unavailability(e)
--- a/internal/direct/explain/explain.go
+++ b/internal/direct/explain/explain.go
@@ -94,6 +94,9 @@
 		if a.Replica != "" {
 			fmt.Fprintf(w, "    the run's memory is copied to %s\n", a.Replica)
 		}
+		if a.NotResumed != "" {
+			fmt.Fprintf(w, "    its stream was not resumed: %s\n", a.NotResumed)
+		}
 		if a.NotContinued != "" {
 			fmt.Fprintf(w, "    not continued from the copy: %s\n", a.NotContinued)
 		}
--- a/internal/direct/gateway/attempts.go
+++ b/internal/direct/gateway/attempts.go
@@ -31,6 +31,7 @@
 	sentAt        time.Time
 	replica       replication.Replica // of the run's memory
 	continues     *continuation       // nil unless it continues the run of another attempt
+	notResumed    string              // why its stream was not resumed, for the log
 	notContinued  string              // why its run was not continued from its copy, for the log
 	crashes       int                 // counted against the request's content when it was sent
 	gotFirstEvent bool                // the first event of the response was received
--- a/internal/direct/gateway/report.go
+++ b/internal/direct/gateway/report.go
@@ -70,6 +70,7 @@
 		r.Limit = a.limit
 		r.RetryAfter = a.retryAfter
 		r.Draining = a.draining
+		r.NotResumed = a.notResumed
 		a.recordReplica(&r)
 		records = append(records, r)
 	}
--- a/internal/direct/gateway/stream.go
+++ b/internal/direct/gateway/stream.go
@@ -166,16 +166,21 @@
 	return state
 }
 
-// resume resumes the stream at another endpoint after the last relayed event. It returns nil if the
-// route's attempts, the retry budget or the endpoints are used up, or if the request's content is
-// held.
+// resume resumes the stream after the last relayed event, at another endpoint of the same version.
+// It returns nil if the route's attempts, the retry budget or the endpoints are used up, or if the
+// request's content is held.
 func (s *stream) resume(broken *attempt) (*attempt, *upstream.Response) {
 	q := s.request
+	q.spec.Resumes, q.spec.Version = true, broken.endpoint().Version
 	dispatcher := &s.gateway.dispatcher
 	tried := map[string]bool{broken.endpoint().ID: true}
-	for len(q.attempts) < q.class.Route.MaxAttempts && s.checkContent() == nil && dispatcher.allowRetry(q.spec.Service) {
+	for {
+		if broken.notResumed = s.resumptionRefusal(); broken.notResumed != "" {
+			return nil, nil
+		}
 		a, refusal := dispatcher.place(q, tried)
 		if refusal != nil || a == nil {
+			broken.notResumed = "no endpoint of version " + q.spec.Version + " may take it"
 			return nil, nil
 		}
 		tried[a.endpoint().ID] = true
@@ -192,5 +197,19 @@
 		}
 		return a, response
 	}
-	return nil, nil
+}
+
+// resumptionRefusal returns why the stream may not be sent to a further endpoint, empty if it may.
+func (s *stream) resumptionRefusal() string {
+	q := s.request
+	switch {
+	case len(q.attempts) >= q.class.Route.MaxAttempts:
+		return "the attempts of its route are used up"
+	case s.checkContent() != nil:
+		return "its content is held"
+	case !s.gateway.dispatcher.allowRetry(q.spec.Service):
+		return "the service's budget of repeats is used up"
+	default:
+		return ""
+	}
 }
--- a/internal/direct/record/record.go
+++ b/internal/direct/record/record.go
@@ -97,6 +97,7 @@
 	RetryAfter       string          `json:"retry_after,omitempty"`   // as received
 	Draining         string          `json:"draining,omitempty"`      // as received
 	Replica          string          `json:"replica,omitempty"`       // engine that holds the copy of the run's memory
+	NotResumed       string          `json:"not_resumed,omitempty"`   // why its stream was not resumed
 	NotContinued     string          `json:"not_continued,omitempty"` // why its run was not continued from the copy
 	ContinuedFrom    string          `json:"continued_from,omitempty"`
 	ContinuedAfter   string          `json:"continued_after,omitempty"` // ID of the last event of the engine before, empty for none
