Copy runs to engines of their version only

What callers could see: an answer that its engine's copy continues after a crash, with what another version of the software wrote joined to it. Evidence: on the code before, TestCopyIsHeldAtTheVersionOfItsRun finds copies at the other version, and the gateway's test a run that goes on there. Why this works: only an engine of the run's version holds its copy, and a continuation asks again, since the record of the holder may have changed. Few engines may be of that version, so they are drawn up to three times. Result: both tests pass; those of copies pass as before.

--- a/coord/placement/replica.go
+++ b/coord/placement/replica.go
@@ -2,9 +2,10 @@
 //
 // Rule: among replicaSample engines drawn from the own data centre and as many from the whole
 // service, the one with the fewest copies; an engine in another data centre than the run counts
-// crossCentreCopies times as many, since the copy takes as much longer. An engine holds no copy if it
-// may not take the request (eligible.go), drains, fails, is unreachable or overdue, is the run's
-// own, has no slot left for the runs that it has and would continue, or has no memory for it.
+// crossCentreCopies times as many, since the copy takes as much longer. They are drawn again while none
+// may hold it, replicaRounds times in all. An engine holds no copy if it runs another version of its
+// software, may not take the request (eligible.go), drains, fails, is unreachable or overdue, is the
+// run's own, has no slot left for the runs that it has and would continue, or has no memory for it.
 // Inputs: the table, the request, the engine that runs it, a source of randomness.
 // Units: copies, slots, tokens.
 // Never: an engine holds more than maxReplicaShare of its memory in copies, or more than
@@ -23,6 +24,9 @@
 const (
 	// replicaSample is the number of engines drawn from each of the two groups.
 	replicaSample = 4
+	// replicaRounds bounds how often they are drawn while none of them may hold the copy, as where
+	// few engines run the version of the run's.
+	replicaRounds = 3
 	// maxReplicas bounds the copies at one engine.
 	maxReplicas = 64
 	// maxReplicaShare bounds the memory of the copies at one engine, as a share of its memory.
@@ -54,12 +58,17 @@
 			cost *= crossCentreCopies
 		}
 		fewer := best == nil || cost < lowest
-		if e != runs && fewer && q.canHoldReplica(e) {
+		if e != runs && e.Version == runs.Version && fewer && q.canHoldReplica(e) {
 			best, lowest = e, cost
 		}
 	}
-	sample(random, q.service.local, replicaSample, consider)
-	sample(random, q.service.endpoints, replicaSample, consider)
+	for range replicaRounds {
+		sample(random, q.service.local, replicaSample, consider)
+		sample(random, q.service.endpoints, replicaSample, consider)
+		if best != nil {
+			break
+		}
+	}
 	if best == nil {
 		return Endpoint{}, false
 	}
@@ -121,14 +130,15 @@
 }
 
 // Continuation returns the choice of the engine that holds a copy, to continue the request's run
-// there. It returns false if the engine is no longer listed or may not take the request now.
+// there. It returns false if the engine is no longer listed, runs another version than the request
+// resumes, or may not take it now.
 func (t *Table) Continuation(now time.Time, r Request, endpointID string) (Choice, bool) {
 	e := t.endpoints[endpointID]
 	if e == nil {
 		return Choice{}, false
 	}
 	q := query{table: t, service: t.service(r.Service), request: r, now: now}
-	if e.Leaving || q.eligibility(e) != eligibility.Eligible {
+	if e.Leaving || !r.accepts(e.Version) || q.eligibility(e) != eligibility.Eligible {
 		return Choice{}, false
 	}
 	return Choice{Endpoint: e.Endpoint, Slowdown: e.slowdown}, true
--- a/coord/placement/version_test.go
+++ b/coord/placement/version_test.go
@@ -54,3 +54,18 @@
 		t.Errorf("chose %+v", c.Endpoint)
 	}
 }
+
+// TestCopyIsHeldAtTheVersionOfItsRun guards against runs that continue from the memory that another
+// version wrote.
+func TestCopyIsHeldAtTheVersionOfItsRun(t *testing.T) {
+	table := versionTable(6, 3) // i-0 and i-3 at v1
+	random := rand.New(rand.NewPCG(1, 2))
+	for n := range 40 {
+		running := fmt.Sprint("i-", n%6)
+		holder, _ := placeCopied(table, n, running, shortRequest(uint64(1000+n)), random)
+		ofV1 := holder == "i-0" || holder == "i-3"
+		if holder == "" || ofV1 != (running == "i-0" || running == "i-3") {
+			t.Errorf("the run at %s has its copy at %q", running, holder)
+		}
+	}
+}
--- a/internal/direct/gateway/replicas.go
+++ b/internal/direct/gateway/replicas.go
@@ -6,7 +6,7 @@
 // with the copy may take the request. The route's number of attempts does not count it: the first
 // engine has ended. If that engine has no copy, the request ends as without one.
 // Inputs: results of attempts, crashes that this entry or others observed.
-// Never: an event is relayed that does not follow the last one; a request is continued after part
+// Never: a run is continued at another version of the engine's software; an event is relayed that does not follow the last one; a request is continued after part
 // of a response without events was relayed.
 
 package gateway
@@ -167,6 +167,7 @@
 func (f *forwarding) beginContinuation(broken *attempt, lastEvent string) (next *attempt, reason string) {
 	d := &f.gateway.dispatcher
 	q := f.request
+	q.spec.Resumes, q.spec.Version = true, broken.endpoint().Version
 	switch {
 	case f.ctx.Err() != nil:
 		return nil, "the caller has left or the deadline has passed"
--- a/internal/direct/gateway/replicas_test.go
+++ b/internal/direct/gateway/replicas_test.go
@@ -269,4 +269,16 @@
 		Expect(first.Runs()[0].Header).NotTo(HaveKey(http.CanonicalHeaderKey(platformtest.ReplicaField)))
 		Expect(first.Runs()[0].Header).NotTo(HaveKey(http.CanonicalHeaderKey(platformtest.ContinueField)))
 	})
+
+	It("have no copy at an engine that runs another version of its software, nor go on there", func() {
+		h := newHarness(whole, whole)
+		h.runners[1].Version = "v2"
+		h.engines(engine(true))
+		platformtest.ShareScript(h.runners, crash, whole)
+		a := h.do(plan(h, small))
+		a.expectTruncated()
+		Expect(h.runs()).To(Equal(1))
+		first, _ := order(h)
+		Expect(first.Runs()[0].Header).NotTo(HaveKey(http.CanonicalHeaderKey(platformtest.ReplicaField)))
+	})
 })
