Fetch memory between engines of one version only

What callers could see: an answer of which the prompt was read in part from the memory that another version of the engine's software wrote. Cause: sources of fetches were chosen without regard to versions. Evidence: TestMemoryIsFetchedWithinAVersionOnly fails on the code before (an engine of v2 fetches 5,000 tokens from one of v1). Why this works: a source of another version than the engine that fetches is passed over, and each version has its own four sources, so that those of the other one don't displace them.

--- a/coord/memory/fetch.go
+++ b/coord/memory/fetch.go
@@ -7,7 +7,8 @@
 // Inputs: the estimated cache of each engine, the transfers in progress at both ends, the
 // time to compute a token, the results of earlier fetches from the source.
 // Units: tokens, milliseconds.
-// Never: a source is draining, failing, unreachable, overdue or slow; the caller leaves those out.
+// Never: a source runs another version of its software than the engine that fetches, since what two
+// versions write doesn't fit together; a source is draining, failing, unreachable, overdue or slow; the caller leaves those out.
 
 package memory
 
@@ -21,7 +22,8 @@
 type Source struct {
 	ID           string
 	Address      string
-	CachedTokens int // length of the cached prefix of the prompt, in tokens, as estimated
+	Version      string // of its software
+	CachedTokens int    // length of the cached prefix of the prompt, in tokens, as estimated
 	DataCentre   string
 	Link         *Link
 	MissRate     *MissRate
@@ -30,6 +32,7 @@
 // Target is an engine that a prompt may be sent to.
 type Target struct {
 	ID           string
+	Version      string // of its software
 	DataCentre   string
 	CachedTokens int // length of the cached prefix of the prompt, in tokens, as estimated
 	Link         *Link
@@ -63,7 +66,7 @@
 	bestGain := 0.0
 	for _, s := range sources {
 		tokens := s.CachedTokens - to.CachedTokens
-		if tokens < minFetchTokens || s.ID == to.ID {
+		if tokens < minFetchTokens || s.ID == to.ID || s.Version != to.Version {
 			continue
 		}
 		f := Fetch{
--- a/coord/placement/source.go
+++ b/coord/placement/source.go
@@ -1,8 +1,8 @@
 // Selects the engines from which a prompt's parts can be fetched.
 //
-// Rule: the maxSources engines of the service that are estimated to cache the most of the
-// prompt; in a large service, among those that used its last shared part recently. An engine
-// that is draining, failing, unreachable, overdue or slow is no source, nor is one that is
+// Rule: of each version of the software, the maxSources engines of the service that are estimated
+// to cache the most of the prompt; in a large service, among those that used its last shared part
+// recently. An engine that is draining, failing, unreachable, overdue or slow is no source, nor is one that is
 // evacuated or outside the request's regions.
 // Inputs: the cached parts of each engine and its health.
 // Never: an engine of another service is a source, nor one whose service transfers no memory.
@@ -18,8 +18,8 @@
 )
 
 const (
-	// maxSources bounds the sources considered for a request. Each one adds time to the
-	// estimate of every endpoint.
+	// maxSources bounds the sources of one version that are considered for a request. Each one adds
+	// time to the estimate of every endpoint.
 	maxSources = 4
 	// maxSourceFailures is the largest decayed share of failures of a source. One failure among
 	// successes counts 0.2.
@@ -45,11 +45,20 @@
 			continue
 		}
 		found = append(found, memory.Source{
-			ID: e.Incarnation(), Address: e.Address, DataCentre: e.DataCentre, CachedTokens: cachedTokens, Link: &e.link, MissRate: &e.missRate,
+			ID: e.Incarnation(), Address: e.Address, Version: e.Version, DataCentre: e.DataCentre, CachedTokens: cachedTokens, Link: &e.link, MissRate: &e.missRate,
 		})
 	}
 	slices.SortStableFunc(found, func(a, b memory.Source) int { return cmp.Compare(b.CachedTokens, a.CachedTokens) })
-	return found[:min(len(found), maxSources)]
+	return firstOfEachVersion(found)
+}
+
+// firstOfEachVersion returns the first maxSources sources of each version.
+func firstOfEachVersion(all []memory.Source) []memory.Source {
+	counts := map[string]int{}
+	return slices.DeleteFunc(all, func(s memory.Source) bool {
+		counts[s.Version]++
+		return counts[s.Version] > maxSources
+	})
 }
 
 // canBeSource reports whether parts may be fetched from an engine.
@@ -64,6 +73,6 @@
 	if len(q.sources) == 0 || !e.Engine {
 		return memory.Fetch{}
 	}
-	to := memory.Target{ID: e.Incarnation(), DataCentre: e.DataCentre, CachedTokens: cachedTokens, Link: &e.link, ComputeMS: perTokenMS * e.slowdown}
+	to := memory.Target{ID: e.Incarnation(), Version: e.Version, DataCentre: e.DataCentre, CachedTokens: cachedTokens, Link: &e.link, ComputeMS: perTokenMS * e.slowdown}
 	return memory.Best(q.now, q.service.TransferRate, q.sources, to)
 }
--- a/coord/placement/version_test.go
+++ b/coord/placement/version_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
+	"foxcross.dev/coord/memory"
 	"foxcross.dev/coord/placement"
 )
 
@@ -69,3 +71,23 @@
 		}
 	}
 }
+
+// TestMemoryIsFetchedWithinAVersionOnly guards against prompts that are read in part from the memory
+// that another version wrote.
+func TestMemoryIsFetchedWithinAVersionOnly(t *testing.T) {
+	for _, version := range []string{"v1", "v2"} {
+		table := transferTable(2)
+		list := engines(2)
+		list[0].Version, list[1].Version = "v1", version
+		table.SetEndpoints(origin, list)
+		id := placement.AttemptID{Owner: other, Number: 1}
+		table.Place(origin, id, "e-0", longRequest(100, 1), memory.Fetch{})
+		table.FirstEvent(origin.Add(150*time.Millisecond), id)
+		table.End(origin.Add(time.Second), id, placement.Succeeded)
+		exceptFirst := func(id string) bool { return id == "e-0" }
+		c, ok := table.Choose(origin.Add(2*time.Second), longRequest(100, 2), exceptFirst, rand.New(rand.NewPCG(1, 2)))
+		if !ok || c.Fetch.Any() != (version == "v1") {
+			t.Errorf("an engine of %s fetches %+v from one of v1", version, c.Fetch)
+		}
+	}
+}
