Resume the streams that callers take up at the version that began them

Cause: nothing read Resumes. An entry that a caller comes to did not know where the stream had begun, and placed the rest like a new request. Evidence: TestCallersResumeStreamsAtVersionThatBeganThem failed on the code before (9 of 24 streams). Why this works: the event of an attempt, which reaches all entries before the engine can have responded, names the stream by a key of 8 bytes; with the first event an entry records where it began, until the deadline of its caller. An entry that did not hear it asks three others. Without an answer a stream goes on only where the service has run one version for longer than an attempt lasts, by a list that is 2 s old at most; elsewhere it is refused as not run, with a code that says to begin anew and without a Retry-After, since none helps. Requests that resume a recorded stream pass admission, as resumptions within an answer do.

--- a/coord/eligibility/eligibility.go
+++ b/coord/eligibility/eligibility.go
@@ -36,6 +36,7 @@
 	Draining              // the endpoint drains, and the grace period is over
 	Evacuated             // the endpoint's data centre is evacuated
 	OutsideRegions        // the request may not be served in the endpoint's region
+	OtherVersion          // the endpoint runs another version than the one that began the request's stream
 )
 
 // String returns a readable form of the reason.
@@ -55,6 +56,8 @@
 		return "evacuated"
 	case OutsideRegions:
 		return "outside the allowed regions"
+	case OtherVersion:
+		return "at another version of their software"
 	default:
 		return "unknown"
 	}
--- a/coord/placement/unavailability.go
+++ b/coord/placement/unavailability.go
@@ -40,7 +40,7 @@
 	q := query{table: t, service: t.service(r.Service), request: r, now: now}
 	var soonest Unavailability
 	for _, e := range q.service.endpoints {
-		if e.Leaving || !r.accepts(e.Version) {
+		if e.Leaving {
 			continue
 		}
 		o := q.unavailability(e)
@@ -58,6 +58,9 @@
 // unavailable even while it has capacity, since only a share of the requests may choose it.
 func (q *query) unavailability(e *endpoint) Unavailability {
 	reason := q.eligibility(e)
+	if !q.request.accepts(e.Version) {
+		reason = eligibility.OtherVersion
+	}
 	if reason == eligibility.Eligible && e.limit.Limited() {
 		reason = eligibility.Limited
 	}
--- a/coord/result/code.go
+++ b/coord/result/code.go
@@ -50,6 +50,8 @@
 	Unresumable    Code = 1306
 	Quarantined    Code = 1307
 	Unread         Code = 1308
+	StreamUnknown  Code = 1309
+	VersionGone    Code = 1310
 
 	AgentLeaving  Code = 1401
 	AgentFull     Code = 1402
--- a/coord/result/table.go
+++ b/coord/result/table.go
@@ -35,6 +35,8 @@
 	{Unresumable, "unresumable", 502, "the attempt broke off and the answer so far cannot be continued"},
 	{Quarantined, "quarantined", 503, "endpoints that ran this very request have crashed; it is held for a while"},
 	{Unread, "unread", 499, "the caller read nothing of its answer for too long"},
+	{StreamUnknown, "stream_unknown", 503, "it is not known which software version began the stream, so it can't be resumed; begin it anew"},
+	{VersionGone, "version_gone", 503, "no endpoint runs the software version that began the stream, so it can't be resumed; begin it anew"},
 	{AgentLeaving, "agent_leaving", 503, "the agent takes no new work"},
 	{AgentFull, "agent_full", 503, "the agent's queue holds only work of this tier or above"},
 	{Evicted, "evicted", 503, "a higher tier took the place in the agent's queue"},
--- /dev/null
+++ b/coord/resumption/rule_test.go
@@ -0,0 +1,70 @@
+package resumption_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"foxcross.dev/coord/resumption"
+)
+
+// describe returns a readable form of a decision.
+func describe(d resumption.Decision) string {
+	switch d := d.(type) {
+	case resumption.Resume:
+		certainty := "the only version"
+		if d.Recorded {
+			certainty = "recorded"
+		}
+		return fmt.Sprintf("resume at %s of %s (%s)", d.Version, d.Service, certainty)
+	case resumption.AskPeers:
+		return "ask peers"
+	case resumption.Refuse:
+		return "refuse: " + d.Reason.String()
+	default:
+		return "none"
+	}
+}
+
+// TestDecisions compares the decisions in each case with the table.
+func TestDecisions(t *testing.T) {
+	begun := resumption.Origin{Endpoint: "i-1", Software: resumption.Software{Service: "pool", Version: "v1"}}
+	const fresh, stale = time.Second, 5 * time.Second
+	cases := []struct {
+		name  string
+		input resumption.Input
+		want  string
+	}{
+		{"recorded", resumption.Input{Origin: begun, Known: true, Services: []string{"pool"}}, "resume at v1 of pool (recorded)"},
+		{"recorded, list stale", resumption.Input{Origin: begun, Known: true, Services: []string{"pool"}, ListAge: stale}, "resume at v1 of pool (recorded)"},
+		{"recorded, another version serves alone", resumption.Input{Origin: begun, Known: true, Services: []string{"pool"}, Only: true, Version: "v2"}, "resume at v1 of pool (recorded)"},
+		{"recorded, one of two services", resumption.Input{Origin: begun, Known: true, Services: []string{"other", "pool"}}, "resume at v1 of pool (recorded)"},
+		{"recorded, route moved", resumption.Input{Origin: begun, Known: true, Services: []string{"other"}, Only: true, Version: "v1"}, "refuse: the stream began at another service"},
+		{"unknown, one version", resumption.Input{Services: []string{"pool"}, Only: true, Version: "v1", ListAge: fresh}, "resume at v1 of pool (the only version)"},
+		{"unknown, one version, list stale", resumption.Input{Services: []string{"pool"}, Only: true, Version: "v1", ListAge: stale}, "ask peers"},
+		{"unknown, one version, two services", resumption.Input{Services: []string{"pool", "other"}, Only: true, Version: "v1", ListAge: fresh}, "ask peers"},
+		{"unknown, two versions", resumption.Input{Services: []string{"pool"}, ListAge: fresh}, "ask peers"},
+		{"unknown to peers", resumption.Input{Services: []string{"pool"}, ListAge: fresh, PeersAsked: true}, "refuse: it is not known which version began the stream"},
+		{"unknown to peers, one version, list stale", resumption.Input{Services: []string{"pool"}, Only: true, Version: "v1", ListAge: stale, PeersAsked: true}, "refuse: it is not known which version began the stream"},
+		{"unknown to peers, no service", resumption.Input{PeersAsked: true}, "refuse: it is not known which version began the stream"},
+	}
+	for _, c := range cases {
+		if got := describe(resumption.Decide(c.input)); got != c.want {
+			t.Errorf("%s: %s, want %s", c.name, got, c.want)
+		}
+	}
+}
+
+// TestKeysTellStreamsOfTeamsApart guards against streams of one team that another one names.
+func TestKeysTellStreamsOfTeamsApart(t *testing.T) {
+	keys := map[resumption.Key]string{}
+	for _, names := range [][2]string{{"", "ab"}, {"a", "b"}, {"ab", ""}, {"b", "a"}, {"1:a", "b"}, {"1", ":ab"}} {
+		name := strings.Join(names[:], "/")
+		k := resumption.KeyOf(names[0], names[1])
+		if other, taken := keys[k]; taken {
+			t.Errorf("%s and %s have the same key", name, other)
+		}
+		keys[k] = name
+	}
+}
--- /dev/null
+++ b/coord/resumption/versions_test.go
@@ -0,0 +1,135 @@
+package resumption_test
+
+import (
+	"testing"
+	"time"
+
+	"foxcross.dev/coord/placement"
+	"foxcross.dev/coord/resumption"
+)
+
+var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// list returns a list of endpoints of one service, as ID and version by turns.
+func list(idsAndVersions ...string) []placement.Endpoint {
+	var all []placement.Endpoint
+	for n := 0; n < len(idsAndVersions); n += 2 {
+		all = append(all, placement.Endpoint{ID: idsAndVersions[n], Service: "pool", Version: idsAndVersions[n+1]})
+	}
+	return all
+}
+
+func at(d time.Duration) time.Time { return origin.Add(d) }
+
+const streamLife = 20 * time.Second
+
+func expectOnly(t *testing.T, v *resumption.Versions, now time.Time, want string) {
+	t.Helper()
+	got, only := v.Only(now, "pool", streamLife)
+	if got != want || only != (want != "") {
+		t.Errorf("after %v the only version is %q, %v, want %q", now.Sub(origin), got, only, want)
+	}
+}
+
+func TestOnlyVersionIsOneThatServedAloneForAStreamsLife(t *testing.T) {
+	var v resumption.Versions
+	expectOnly(t, &v, at(0), "")
+	v.Observe(at(0), list("a", "v1", "b", "v1"))
+	expectOnly(t, &v, at(0), "v1")
+	v.Observe(at(30*time.Second), list("a", "v1", "b", "v1", "c", "v2"))
+	expectOnly(t, &v, at(30*time.Second), "")
+	v.Observe(at(60*time.Second), list("c", "v2"))
+	expectOnly(t, &v, at(60*time.Second), "")
+	expectOnly(t, &v, at(80*time.Second), "")
+	expectOnly(t, &v, at(81*time.Second), "v2")
+}
+
+func TestOnlyVersionIsUnknownUntilObservedForAStreamsLife(t *testing.T) {
+	var v resumption.Versions
+	v.StartAt(at(0))
+	v.Observe(at(time.Second), list("a", "v1"))
+	expectOnly(t, &v, at(19*time.Second), "")
+	expectOnly(t, &v, at(20*time.Second), "v1")
+}
+
+func TestRestoredVersionsCountAsObserved(t *testing.T) {
+	var peer, v resumption.Versions
+	peer.Observe(at(0), list("a", "v1"))
+	v.StartAt(at(30 * time.Second))
+	v.Observe(at(31*time.Second), list("a", "v1"))
+	v.Restore(at(31*time.Second), peer.Snapshot(at(31*time.Second)))
+	expectOnly(t, &v, at(31*time.Second), "v1")
+}
+
+// TestVersionThatLeftBeforeTheStartIsKnown guards against an entry that takes the version that it sees
+// for the only one, while streams of another one are resumed.
+func TestVersionThatLeftBeforeTheStartIsKnown(t *testing.T) {
+	var peer, v resumption.Versions
+	peer.Observe(at(0), list("a", "v1", "b", "v2"))
+	peer.Observe(at(25*time.Second), list("b", "v2"))
+	v.StartAt(at(30 * time.Second))
+	v.Observe(at(31*time.Second), list("b", "v2"))
+	v.Restore(at(31*time.Second), peer.Snapshot(at(31*time.Second)))
+	expectOnly(t, &v, at(31*time.Second), "")
+	expectOnly(t, &v, at(46*time.Second), "v2")
+}
+
+func TestSnapshotOfOlderEntryRestoresNothing(t *testing.T) {
+	var v resumption.Versions
+	v.StartAt(at(0))
+	v.Observe(at(0), list("a", "v1"))
+	v.Restore(at(0), resumption.VersionsSnapshot{})
+	expectOnly(t, &v, at(time.Second), "")
+}
+
+func TestSoftwareOfEndpointThatLeftIsKept(t *testing.T) {
+	var v resumption.Versions
+	v.Observe(at(0), list("a", "v1"))
+	v.Observe(at(time.Second), nil)
+	if s, known := v.SoftwareOf("a", at(0)); !known || s.Version != "v1" {
+		t.Errorf("got %+v, %v", s, known)
+	}
+	v.Observe(at(10*time.Minute), nil)
+	if s, known := v.SoftwareOf("a", at(0)); known {
+		t.Errorf("kept after 10 minutes: %+v", s)
+	}
+}
+
+// TestStreamsAroundARestartAtAnotherVersionAreUnknown guards against a stale record: the process that
+// began the stream may already have been the next one under that ID.
+func TestStreamsAroundARestartAtAnotherVersionAreUnknown(t *testing.T) {
+	var v resumption.Versions
+	before := placement.Endpoint{ID: "a", Service: "pool", Version: "v1", StartedMS: 1}
+	after := placement.Endpoint{ID: "a", Service: "pool", Version: "v2", StartedMS: 2}
+	v.Observe(at(0), []placement.Endpoint{before})
+	v.Observe(at(time.Minute), []placement.Endpoint{after})
+	if s, known := v.SoftwareOf(before.Incarnation(), at(30*time.Second)); !known || s.Version != "v1" {
+		t.Errorf("a stream long before the restart: %+v, %v", s, known)
+	}
+	if s, known := v.SoftwareOf(before.Incarnation(), at(58*time.Second)); known {
+		t.Errorf("a stream just before the restart was known: %+v", s)
+	}
+	if s, known := v.SoftwareOf(after.Incarnation(), at(58*time.Second)); !known || s.Version != "v2" {
+		t.Errorf("a stream at the new process: %+v, %v", s, known)
+	}
+}
+
+func TestStreamsOfAnEndpointWhoseRecordChangesItsVersionAreUnknown(t *testing.T) {
+	var v resumption.Versions
+	v.Observe(at(0), list("a", "v1"))
+	v.Observe(at(time.Minute), list("a", "v2"))
+	if s, known := v.SoftwareOf("a", at(10*time.Second)); known {
+		t.Errorf("known: %+v", s)
+	}
+}
+
+func TestStreamsAroundARestartAtTheSameVersionStayKnown(t *testing.T) {
+	var v resumption.Versions
+	before := placement.Endpoint{ID: "a", Service: "pool", Version: "v1", StartedMS: 1}
+	after := placement.Endpoint{ID: "a", Service: "pool", Version: "v1", StartedMS: 2}
+	v.Observe(at(0), []placement.Endpoint{before})
+	v.Observe(at(time.Minute), []placement.Endpoint{after})
+	if s, known := v.SoftwareOf(before.Incarnation(), at(58*time.Second)); !known || s.Version != "v1" {
+		t.Errorf("got %+v, %v", s, known)
+	}
+}
--- a/internal/direct/directory/directory.go
+++ b/internal/direct/directory/directory.go
@@ -43,7 +43,8 @@
 	confirmed         time.Time // when the active settings were last known to be the newest
 	confirmedRevision uint64    // store revision at which they were the newest
 	lag               lag
-	revision          uint64 // of the endpoint list
+	revision          uint64    // of the endpoint list
+	listConfirmed     time.Time // when the endpoint list was last known to be the newest
 	listed            bool
 	endpoints         map[string]placement.Endpoint
 	endpointHistory   endpointHistory
@@ -189,6 +190,22 @@
 	return driver.Endpoints{Revision: d.revision, List: d.list()}
 }
 
+// EndpointsConfirmed returns when the endpoint list was last known to be the newest.
+func (d *Directory) EndpointsConfirmed() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listConfirmed
+}
+
+// ConfirmEndpoints records that the endpoint list of a revision was the newest at the given time.
+func (d *Directory) ConfirmEndpoints(revision uint64, at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.listed && d.revision >= revision && at.After(d.listConfirmed) {
+		d.listConfirmed = at
+	}
+}
+
 // HasEndpoints reports whether an endpoint list has been received.
 func (d *Directory) HasEndpoints() bool {
 	d.mu.Lock()
--- a/internal/direct/directory/follow.go
+++ b/internal/direct/directory/follow.go
@@ -122,6 +122,7 @@
 	d := p.directory
 	d.storeResponded()
 	d.ReplaceEndpoints(list, "store")
+	d.ConfirmEndpoints(list.Revision, sentAt)
 	d.setLastContact(sentAt)
 	p.fullyRead = true
 	p.revision = list.Revision
@@ -138,6 +139,7 @@
 	}
 	d.storeResponded()
 	d.Apply(c)
+	d.ConfirmEndpoints(c.Revision, sentAt)
 	d.setLastContact(sentAt)
 	p.revision = c.Revision
 	return len(c.Changed) > 0 || len(c.Gone) > 0, nil
--- a/internal/direct/explain/explain.go
+++ b/internal/direct/explain/explain.go
@@ -75,9 +75,7 @@
 	fmt.Fprintln(w)
 	writeStanding(w, f)
 	writeAdmission(w, f.Admission)
-	if f.Resumes != "" {
-		fmt.Fprintf(w, "  resumes the stream that request %s began, after event %q\n", f.Resumes, f.ResumesAfter)
-	}
+	writeResumption(w, f.Resumes)
 	for n, a := range f.Attempts {
 		fmt.Fprintf(w, "  send %d to %s%s: %s\n", n+1, a.Endpoint, versionText(a.Version), a.Outcome)
 		fmt.Fprintf(w, "    expected: %.0f ms of waiting, first event after %.0f ms, %d tokens to read, slowness %.2f\n",
@@ -112,6 +110,22 @@
 	}
 }
 
+// writeResumption writes which stream the request takes up, and what was known about it.
+func writeResumption(w *strings.Builder, r *record.Resumption) {
+	if r == nil {
+		return
+	}
+	fmt.Fprintf(w, "  resumes the stream that request %s began, after event %q\n", r.Request, r.After)
+	switch {
+	case r.Version == "":
+		fmt.Fprintln(w, "    which version began it is not known")
+	case r.Endpoint == "":
+		fmt.Fprintf(w, "    begun at version %s: %s\n", r.Version, r.Source)
+	default:
+		fmt.Fprintf(w, "    begun at version %s by %s, %d ms before; known from: %s\n", r.Version, r.Endpoint, r.AgeMS, r.Source)
+	}
+}
+
 // versionText returns the version of an endpoint's software as it follows the endpoint, empty for
 // unknown.
 func versionText(version string) string {
--- a/internal/direct/gateway/accept.go
+++ b/internal/direct/gateway/accept.go
@@ -12,6 +12,7 @@
 	"foxcross.dev/coord/placement"
 	"foxcross.dev/coord/quarantine"
 	"foxcross.dev/coord/result"
+	"foxcross.dev/coord/resumption"
 	"foxcross.dev/coord/settings"
 	"foxcross.dev/coord/share"
 	"foxcross.dev/foxcross/internal/steady"
@@ -26,6 +27,8 @@
 	class       settings.ClassInfo
 	team        string
 	spec        placement.Request // input to placement
+	stream      resumption.Key    // that it begins or takes up; 0 if it can't be resumed, or its caller names none
+	takenUp     *takenUp          // nil for a request that takes up no stream
 	body        []byte
 	reservation *reservation // of the body's memory, nil before the body is read
 
@@ -54,6 +57,9 @@
 	return *q.cachedKey
 }
 
+// resumesRecorded reports whether the request resumes a stream whose origin is recorded.
+func (q *request) resumesRecorded() bool { return q.takenUp != nil && q.takenUp.recorded }
+
 // timeLeft returns the time until the deadline.
 func (q *request) timeLeft() time.Duration { return steady.Until(q.deadline) }
 
@@ -124,6 +130,7 @@
 	if class.Route.Streaming {
 		q.spec.InterEventTarget = class.Terms.BetweenTokens
 	}
+	g.setStream(q)
 	return nil
 }
 
--- a/internal/direct/gateway/attempts.go
+++ b/internal/direct/gateway/attempts.go
@@ -12,6 +12,7 @@
 	"foxcross.dev/coord/placement"
 	"foxcross.dev/coord/replication"
 	"foxcross.dev/coord/result"
+	"foxcross.dev/coord/resumption"
 	"foxcross.dev/coord/settings"
 	"foxcross.dev/coord/share"
 	"foxcross.dev/foxcross/internal/direct/directory"
@@ -72,6 +73,8 @@
 	lastNumber uint64                          // of the latest attempt
 	crashes    map[string]*replication.Crashes // by service
 	group      *peers.Group                    // nil before Join
+	origins    resumption.Origins
+	versions   resumption.Versions
 }
 
 func (d *dispatcher) init(o Options) {
@@ -82,6 +85,9 @@
 	d.crashes = map[string]*replication.Crashes{}
 	d.random = rand.New(rand.NewPCG(o.Seed, o.Owner))
 	d.shares.StartedAt = steady.Now()
+	if !o.Process.FirstStart {
+		d.versions.StartAt(steady.Now())
+	}
 	d.table = placement.Table{
 		DataCentre:  o.Process.DataCentre,
 		Self:        o.Owner,
@@ -136,7 +142,9 @@
 func (d *dispatcher) setEndpoints(list []placement.Endpoint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.table.SetEndpoints(steady.Now(), list)
+	now := steady.Now()
+	d.table.SetEndpoints(now, list)
+	d.versions.Observe(now, list)
 }
 
 func (d *dispatcher) setEvacuated(dataCentres []string) {
@@ -194,7 +202,7 @@
 
 // place chooses an endpoint that is not excluded and records the attempt there. It returns neither
 // an attempt nor a refusal if the request is to be held, or there is no endpoint to try. A request
-// that was already sent is not refused.
+// that was already sent is not refused, nor one that resumes a stream whose origin is recorded.
 func (d *dispatcher) place(q *request, excluded map[string]bool) (*attempt, *result.Error) {
 	now := steady.Now()
 	d.mu.Lock()
@@ -206,7 +214,7 @@
 	if !ok {
 		return nil, nil
 	}
-	if len(q.attempts) == 0 {
+	if len(q.attempts) == 0 && !q.resumesRecorded() {
 		switch decision := d.admit(now, q, choice).(type) {
 		case admission.Hold:
 			q.holdFor = decision.For
@@ -231,6 +239,7 @@
 	}
 	d.announceSend(q, &sent)
 	d.placeReplica(now, q, x, &sent)
+	d.recordStream(now, q, x, &sent)
 	d.broadcastLocked(sent)
 	q.attempts = append(q.attempts, x)
 	return x
@@ -284,6 +293,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.table.FirstEvent(now, x.id)
+	d.origins.FirstEvent(now, x.id)
 	d.broadcastLocked(peers.Event{Kind: peers.FirstEvent, Number: x.id.Number})
 }
 
@@ -308,6 +318,7 @@
 	defer d.mu.Unlock()
 	x.paused, x.pauseCounted = d.table.StreamEnded(x.id, x.choice.PauseChance)
 	d.table.End(steady.Now(), x.id, outcome)
+	d.origins.Ended(x.id)
 	d.broadcastLocked(peers.Event{Kind: peers.AttemptEnded, Number: x.id.Number, Outcome: outcome})
 }
 
@@ -342,6 +353,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.table.Expire(now)
+	d.origins.Expire(now)
 	d.expirePlaces(now)
 	d.table.Group = d.groupCounts()
 }
--- a/internal/direct/gateway/dump.go
+++ b/internal/direct/gateway/dump.go
@@ -25,6 +25,9 @@
 	HeldContents    int                       `json:"held_contents"`    // number of suspect contents that are held in quarantine
 	Contents        []quarantine.State        `json:"contents"`         // the most suspect ones
 
+	RecordedStreams   int `json:"recorded_streams"`   // that callers may resume, of all entries
+	UnrecordedStreams int `json:"unrecorded_streams"` // since the start, beyond the bound on RecordedStreams
+
 	Queues map[string]QueueState `json:"queues,omitempty"` // by service, of those with queued admission
 
 	Evacuated           []string `json:"evacuated"`            // data centres
@@ -59,6 +62,7 @@
 	d.OpenRequests = g.capacity.openRequests()
 	d.BodyBytes = g.bodyMemory.reserved()
 	d.LiveEntries, d.Endpoints = g.dispatcher.endpointStates()
+	d.RecordedStreams, d.UnrecordedStreams = g.dispatcher.streamCounts()
 	d.Shares = g.dispatcher.shareStates()
 	d.Queues = g.dispatcher.queueStates()
 	d.SuspectContents, d.HeldContents = g.suspects.counts(steady.Now())
--- a/internal/direct/gateway/forward.go
+++ b/internal/direct/gateway/forward.go
@@ -42,6 +42,9 @@
 // run makes attempts until the request is answered or refused.
 func (f *forwarding) run() *result.Error {
 	dispatcher := &f.gateway.dispatcher
+	if refusal := f.resolveOrigin(); refusal != nil {
+		return refusal
+	}
 	for {
 		if refusal := f.checkContent(); refusal != nil {
 			return refusal
--- a/internal/direct/gateway/gateway.go
+++ b/internal/direct/gateway/gateway.go
@@ -27,7 +27,7 @@
 //	held.go       their records in the store
 //	response.go   relays a response
 //	stream.go     relays a stream, and resumes it after a break
-//	resumption.go counts resumed streams by the versions of their endpoints' software
+//	resumption.go resumes streams that callers take up
 //	pauses.go     counts foreseen and seen pauses of streams
 //	report.go     writes the log line and the metrics of the request
 //
--- a/internal/direct/gateway/outcome.go
+++ b/internal/direct/gateway/outcome.go
@@ -187,6 +187,9 @@
 		reason = fmt.Sprintf("%s asked for %v without requests, %v ago", unavailability.Endpoint, unavailability.Delay, unavailability.Since.Round(time.Millisecond))
 	case eligibility.Draining:
 		return newFailure(result.NoEndpoint, "all endpoints drain", mayHaveRun)
+	case eligibility.OtherVersion:
+		code = result.VersionGone
+		after = 0 // the same stream can't go on later either
 	default:
 		return newFailure(result.NoEndpoint, "", mayHaveRun)
 	}
--- a/internal/direct/gateway/report.go
+++ b/internal/direct/gateway/report.go
@@ -44,10 +44,9 @@
 	if q.standing > 0 {
 		fields["standing"] = record.StandingOf(q.standing)
 	}
-	if resumes := q.incoming.Header.Get(g.fields.Resumes); resumes != "" {
-		fields["resumes"] = resumes
-		fields["resumes_after"] = q.incoming.Header.Get(g.fields.LastEvent)
-		g.countResumption(resumedByCaller, versionUnknown)
+	if q.takenUp != nil {
+		fields["resumes"] = q.takenUp.record()
+		g.countTakenUp(q)
 	}
 	if len(q.attempts) > 0 {
 		fields["sends"] = q.attemptRecords()
--- a/internal/direct/gateway/resumption.go
+++ b/internal/direct/gateway/resumption.go
@@ -1,29 +1,232 @@
+// Resumes streams that callers take up after a broken connection.
+//
+// Rule: coord/resumption decides at which version of its engine's software a stream goes on. Each
+// entry knows where the streams of all entries began, from their events; for a stream that it does
+// not know it asks other entries. Such a request passes admission, as a resumption within an answer
+// does, if its origin is recorded. It is sent to endpoints of that version only, and refused as not
+// run if there is none.
+// Inputs: the header of the request, events of other entries, the list of endpoints.
+// Never: a stream is resumed at a version that may not have begun it; a request that is refused
+// for that is told when to come back with the same stream.
+
 package gateway
 
-// Tags of the metric of resumed streams: who resumes the stream, and whether the endpoint runs the
-// version of the software that began it.
-const (
-	resumedByEntry  = "entry"
-	resumedByCaller = "caller"
+import (
+	"time"
 
-	versionSame    = "same"
-	versionOther   = "other"
-	versionUnknown = "unknown"
+	"foxcross.dev/coord/placement"
+	"foxcross.dev/coord/result"
+	"foxcross.dev/coord/resumption"
+	"foxcross.dev/foxcross/internal/direct/peers"
+	"foxcross.dev/foxcross/internal/direct/record"
+	"foxcross.dev/foxcross/internal/steady"
+)
+
+// attemptLifeSlack is the time after the end of an attempt in which its caller resumes the stream.
+const attemptLifeSlack = 5 * time.Second
+
+// Sources of the origin of a stream, in logs and metrics.
+const (
+	originFromEvents  = "events"       // of this entry or others
+	originFromPeer    = "peer"         // which was asked
+	originOnlyVersion = "only version" // the service has run no other
+	originUnknown     = "unknown"
 )
 
-// countResumption counts an attempt that resumes a stream.
-func (g *Gateway) countResumption(by, version string) {
-	g.options.Metrics.Tagged(map[string]string{"by": by, "version": version}).Counter("resumptions").Inc(1)
+// takenUp is a stream that a caller resumes.
+type takenUp struct {
+	request string // that brought its first event, empty if the caller names none
+	after   string // ID of the last event that the caller has
+
+	source   string // of the origin, empty before it was looked up
+	origin   resumption.Origin
+	age      time.Duration // since it began, 0 for unknown
+	recorded bool          // its origin is known, and not only its version
+}
+
+// takenUpOf returns the stream that a request takes up, nil if it begins one.
+func (g *Gateway) takenUpOf(q *request) *takenUp {
+	if !q.class.Route.Streaming || !q.class.Route.Resumable {
+		return nil
+	}
+	h := q.incoming.Header
+	t := &takenUp{request: h.Get(g.fields.Resumes), after: h.Get(g.fields.LastEvent)}
+	if t.request == "" && t.after == "" {
+		return nil
+	}
+	return t
+}
+
+// setStream sets the stream that the request begins or takes up.
+func (g *Gateway) setStream(q *request) {
+	if !q.class.Route.Streaming || !q.class.Route.Resumable {
+		return
+	}
+	q.stream = resumption.KeyOf(q.team, q.id)
+	if q.takenUp = g.takenUpOf(q); q.takenUp == nil {
+		return
+	}
+	q.stream = 0
+	if q.takenUp.request != "" {
+		q.stream = resumption.KeyOf(q.team, q.takenUp.request)
+	}
+}
+
+// resolveOrigin decides where the stream that the request takes up is resumed. It returns a failure
+// if that is nowhere.
+func (f *forwarding) resolveOrigin() *result.Error {
+	q := f.request
+	t := q.takenUp
+	if t == nil {
+		return nil
+	}
+	i := f.gateway.resumptionInput(q)
+	decision := resumption.Decide(i)
+	if _, asks := decision.(resumption.AskPeers); asks {
+		f.askPeers(&i)
+		decision = resumption.Decide(i)
+	}
+	switch d := decision.(type) {
+	case resumption.Resume:
+		if !d.Recorded {
+			t.source = originOnlyVersion
+			t.origin = resumption.Origin{Software: d.Software}
+		}
+		t.recorded = d.Recorded
+		q.spec.Resumes, q.spec.Version, q.spec.Service = true, d.Version, d.Service
+		return nil
+	case resumption.Refuse:
+		return &result.Error{Code: result.StreamUnknown, Run: result.NotRun, Reason: d.Reason.String()}
+	default:
+		return &result.Error{Code: result.StreamUnknown, Run: result.NotRun}
+	}
+}
+
+// resumptionInput returns what this entry knows about the stream that the request takes up.
+func (g *Gateway) resumptionInput(q *request) resumption.Input {
+	now := steady.Now()
+	t := q.takenUp
+	i := resumption.Input{PeersAsked: q.stream == 0, ListAge: now.Sub(g.directory.EndpointsConfirmed())}
+	for _, s := range q.class.Route.Split {
+		i.Services = append(i.Services, s.Service)
+	}
+	d := &g.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(i.Services) == 1 {
+		i.Version, i.Only = d.versions.Only(now, i.Services[0], q.class.GiveUp+attemptLifeSlack)
+	}
+	t.source = originUnknown
+	if o, age, known := d.origin(now, q.stream); known {
+		i.Origin, i.Known = o, true
+		t.source, t.origin, t.age = originFromEvents, o, age
+	}
+	return i
+}
+
+// origin returns the origin of a stream, and the time since it began. It returns false if this entry
+// does not know it. dispatcher.mu is held.
+func (d *dispatcher) origin(now time.Time, stream resumption.Key) (resumption.Origin, time.Duration, bool) {
+	endpoint, begunAt, known := d.origins.Endpoint(stream)
+	if !known {
+		return resumption.Origin{}, 0, false
+	}
+	software, known := d.versions.SoftwareOf(endpoint, begunAt)
+	return resumption.Origin{Endpoint: endpoint, Software: software}, now.Sub(begunAt), known
+}
+
+// askPeers asks other entries about the stream that the request takes up.
+func (f *forwarding) askPeers(i *resumption.Input) {
+	i.PeersAsked = true
+	group := f.gateway.dispatcher.peerGroup()
+	if group == nil {
+		return
+	}
+	t := f.request.takenUp
+	o, known := group.FindOrigin(f.ctx, uint64(f.request.stream))
+	if !known {
+		return
+	}
+	i.Known = true
+	i.Origin = resumption.Origin{Endpoint: o.Endpoint, Software: resumption.Software{Service: o.Service, Version: o.Version}}
+	t.source, t.origin, t.age = originFromPeer, i.Origin, time.Duration(o.AgeMS)*time.Millisecond
 }
 
-// compareVersions compares the versions of the endpoints of two attempts.
-func compareVersions(a, b *attempt) string {
+// Origin returns the origin of a stream, for other entries.
+func (g *Gateway) Origin(stream uint64) (peers.Origin, bool) {
+	now := steady.Now()
+	d := &g.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	o, age, known := d.origin(now, resumption.Key(stream))
+	if !known {
+		return peers.Origin{}, false
+	}
+	return peers.Origin{Endpoint: o.Endpoint, Service: o.Service, Version: o.Version, AgeMS: age.Milliseconds()}, true
+}
+
+// recordStream records where an attempt begins or resumes a stream, and adds that to its event.
+// dispatcher.mu is held.
+func (d *dispatcher) recordStream(now time.Time, q *request, x *attempt, sent *peers.Event) {
+	if q.stream == 0 {
+		return
+	}
+	sent.Stream, sent.Resumes = uint64(q.stream), q.spec.Resumes
+	d.applyStream(now, x.id, *sent)
+}
+
+// applyStream applies the stream in the event of an attempt that was sent. dispatcher.mu is held.
+func (d *dispatcher) applyStream(at time.Time, id placement.AttemptID, sent peers.Event) {
+	key := resumption.Key(sent.Stream)
 	switch {
-	case a.endpoint().Version == "" || b.endpoint().Version == "":
-		return versionUnknown
-	case a.endpoint().Version == b.endpoint().Version:
-		return versionSame
+	case key == 0 || sent.Request == nil:
+	case sent.Resumes:
+		d.origins.Resumed(at, key, sent.Endpoint, sent.Request.TimeLeft)
 	default:
-		return versionOther
+		d.origins.Sent(at, id, key, sent.Endpoint, sent.Request.TimeLeft)
+	}
+}
+
+// streamCounts returns the number of recorded streams, and of those beyond the bound.
+func (d *dispatcher) streamCounts() (recorded, unrecorded int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.origins.Counts()
+}
+
+// record returns the stream that a request takes up, for the log.
+func (t *takenUp) record() *record.Resumption {
+	return &record.Resumption{
+		Request: t.request, After: t.after, Source: t.source,
+		Endpoint: t.origin.Endpoint, Version: t.origin.Version, AgeMS: t.age.Milliseconds(),
+	}
+}
+
+// Outcomes of resumptions, in metrics.
+const (
+	resumptionSent    = "sent"    // to an endpoint
+	resumptionRefused = "refused" // since its version is not known, or no endpoint of it may take it
+)
+
+// countResumption counts a stream that this entry or a caller resumes, by where its version is known
+// from.
+func (g *Gateway) countResumption(by, source, outcome string) {
+	g.options.Metrics.Tagged(map[string]string{"by": by, "origin": source, "outcome": outcome}).Counter("resumptions").Inc(1)
+}
+
+// Tags of countResumption: who resumes a stream.
+const (
+	resumedByEntry  = "entry"
+	resumedByCaller = "caller"
+)
+
+// countTakenUp counts a stream that a caller takes up.
+func (g *Gateway) countTakenUp(q *request) {
+	outcome := resumptionRefused
+	for _, a := range q.attempts {
+		if a.outcome != outcomeRefused && a.outcome != outcomeWithdrawn {
+			outcome = resumptionSent
+		}
 	}
+	g.countResumption(resumedByCaller, q.takenUp.source, outcome)
 }
--- a/internal/direct/gateway/sharing.go
+++ b/internal/direct/gateway/sharing.go
@@ -17,6 +17,13 @@
 	return d.group.Live()
 }
 
+// peerGroup returns the group of entries, nil before Join.
+func (d *dispatcher) peerGroup() *peers.Group {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.group
+}
+
 // groupCounts returns how many entries are known and live. dispatcher.mu is held.
 func (d *dispatcher) groupCounts() eligibility.Group {
 	if d.group == nil {
@@ -75,6 +82,7 @@
 				d.applyReturn(e)
 				d.table.PlaceReplica(id, e.Replica)
 				d.recordGiven(at, id, *e.Request)
+				d.applyStream(at, id, e)
 			}
 		case peers.RequestRefused:
 			if e.Request != nil {
@@ -83,8 +91,10 @@
 			}
 		case peers.FirstEvent:
 			d.table.FirstEvent(at, id)
+			d.origins.FirstEvent(at, id)
 		case peers.AttemptEnded:
 			d.table.End(at, id, e.Outcome)
+			d.origins.Ended(id)
 		case peers.PartsCached:
 			d.table.AddCached(at, e.Endpoint, e.Parts)
 		case peers.LimitAnnounced:
--- a/internal/direct/gateway/snapshot.go
+++ b/internal/direct/gateway/snapshot.go
@@ -11,6 +11,7 @@
 	"foxcross.dev/coord/memory"
 	"foxcross.dev/coord/placement"
 	"foxcross.dev/coord/quarantine"
+	"foxcross.dev/coord/resumption"
 	"foxcross.dev/foxcross/internal/direct/peers"
 	"foxcross.dev/foxcross/internal/steady"
 
@@ -21,7 +22,8 @@
 // versions ignore fields that placement does not have.
 type snapshot struct {
 	placement.Snapshot
-	Contents quarantine.Snapshot `cbor:"10,keyasint,omitempty"`
+	Contents quarantine.Snapshot         `cbor:"10,keyasint,omitempty"`
+	Versions resumption.VersionsSnapshot `cbor:"13,keyasint,omitempty"`
 }
 
 // Snapshot returns the state that an entry needs when it starts: the attempts of all entries, the
@@ -32,6 +34,7 @@
 	s := snapshot{Contents: g.suspects.snapshot(now, d.owner)}
 	d.mu.Lock()
 	s.Snapshot = d.table.Snapshot(now)
+	s.Versions = d.versions.Snapshot(now)
 	d.mu.Unlock()
 	data, err := cbor.Marshal(s)
 	if err != nil {
@@ -51,6 +54,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.table.Restore(steady.Now(), s.Snapshot)
+	d.versions.Restore(steady.Now(), s.Versions)
 	open := d.table.Open()
 	log.With("endpoints", len(s.Endpoints)).With("parts", len(s.Parts)).With("attempts", open).With("bytes", len(data)).
 		Info("The snapshot of another entry was applied.")
--- a/internal/direct/gateway/stream.go
+++ b/internal/direct/gateway/stream.go
@@ -175,16 +175,15 @@
 	dispatcher := &s.gateway.dispatcher
 	tried := map[string]bool{broken.endpoint().ID: true}
 	for {
-		if broken.notResumed = s.resumptionRefusal(); broken.notResumed != "" {
-			return nil, nil
+		if reason := s.resumptionRefusal(); reason != "" {
+			return s.notResumed(broken, reason)
 		}
 		a, refusal := dispatcher.place(q, tried)
 		if refusal != nil || a == nil {
-			broken.notResumed = "no endpoint of version " + q.spec.Version + " may take it"
-			return nil, nil
+			return s.notResumed(broken, "no endpoint of version "+q.spec.Version+" may take it")
 		}
 		tried[a.endpoint().ID] = true
-		s.gateway.countResumption(resumedByEntry, compareVersions(broken, a))
+		s.gateway.countResumption(resumedByEntry, originFromEvents, resumptionSent)
 		response, err := s.send(a, s.lastEventID)
 		if err != nil {
 			s.endAttempt(a, resultOfError(context.Cause(s.ctx), err))
@@ -199,6 +198,13 @@
 	}
 }
 
+// notResumed records why the stream of a broken attempt is not resumed.
+func (s *stream) notResumed(broken *attempt, reason string) (*attempt, *upstream.Response) {
+	broken.notResumed = reason
+	s.gateway.countResumption(resumedByEntry, originFromEvents, resumptionRefused)
+	return nil, nil
+}
+
 // resumptionRefusal returns why the stream may not be sent to a further endpoint, empty if it may.
 func (s *stream) resumptionRefusal() string {
 	q := s.request
--- a/internal/direct/peers/golden_test.go
+++ b/internal/direct/peers/golden_test.go
@@ -64,6 +64,9 @@
 		{"evacuations", packet{Owner: 7, Heartbeat: &heartbeat{Name: "entry-1", ConfirmedAgeMS: -1, StoreResponseAgeMS: -1, Evacuated: []string{"z"}, EvacuationsRevision: 12, Presence: true}}},
 		{"presence", packet{Owner: 7, Hop: hopRemote, Presence: &presence{DataCentre: "z", Members: []byte{0, 0, 0, 8, 30}}}},
 		{"placed with a copy", packet{Owner: 7, Events: []Event{{Kind: AttemptSent, Number: 5, Endpoint: "i-1", Request: &placement.Request{Service: "app"}, Replica: "i-2@5"}}}},
+		{"begins a stream", packet{Owner: 7, Events: []Event{{Kind: AttemptSent, Number: 5, Endpoint: "i-1", Request: &placement.Request{Service: "app"}, Stream: 0xab}}}},
+		{"resumes a stream", packet{Owner: 7, Events: []Event{{Kind: AttemptSent, Number: 5, Endpoint: "i-1", Request: &placement.Request{Service: "app"}, Stream: 0xab, Resumes: true}}}},
+		{"heartbeat with the age of the list", packet{Owner: 7, Revision: 9, Heartbeat: &heartbeat{Name: "entry-1", ConfirmedAgeMS: -1, StoreResponseAgeMS: -1, EndpointsAgeMS: 13}}},
 		{"first heartbeat", packet{Owner: 7, Heartbeat: &heartbeat{Name: "entry-1", ConfirmedAgeMS: -1, StoreResponseAgeMS: -1}}},
 	} {
 		data, err := cbor.Marshal(s.packet)
--- a/internal/direct/peers/group.go
+++ b/internal/direct/peers/group.go
@@ -42,6 +42,8 @@
 	Versions() (version, revision uint64)
 	Confirmed() time.Time
 	Confirm(version uint64, at time.Time)
+	EndpointsConfirmed() time.Time
+	ConfirmEndpoints(revision uint64, at time.Time)
 	LastStoreContact() time.Time
 	StoreResponds() bool
 	ReadsStore() bool
--- a/internal/direct/peers/heartbeat.go
+++ b/internal/direct/peers/heartbeat.go
@@ -68,6 +68,9 @@
 		ClockMS:            steady.Wall().UnixMilli(),
 		Presence:           true,
 	}
+	if at := d.EndpointsConfirmed(); !at.IsZero() {
+		h.EndpointsAgeMS = steady.Since(at).Milliseconds() + 1
+	}
 	h.StoreCallFailed = h.Reading && !d.StoreResponds()
 	evacuations := d.Evacuations()
 	h.Evacuated, h.EvacuationsRevision = evacuations.DataCentres, evacuations.Revision
--- a/internal/direct/peers/packet.go
+++ b/internal/direct/peers/packet.go
@@ -61,6 +61,8 @@
 	Content  []byte `cbor:"13,keyasint,omitempty"` // of RequestRefused, and of AttemptSent for a caller that was refused before
 	ReturnMS int64  `cbor:"14,keyasint,omitempty"` // of RequestRefused: until its caller may return, 0 if it has no place
 	Replica  string `cbor:"15,keyasint,omitempty"` // of AttemptSent: incarnation of the engine that holds the run's copy
+	Stream   uint64 `cbor:"16,keyasint,omitempty"` // of AttemptSent: key of the stream that may be resumed, 0 for none
+	Resumes  bool   `cbor:"17,keyasint,omitempty"` // of AttemptSent: the attempt resumes Stream; else it begins it
 
 	occurredAt time.Time // on the sender's clock
 }
@@ -153,6 +155,7 @@
 	Evacuated           []string `cbor:"15,keyasint,omitempty"` // data centres, at EvacuationsRevision
 	EvacuationsRevision uint64   `cbor:"16,keyasint,omitempty"` // revision of the store, 0 if unknown
 	Presence            bool     `cbor:"17,keyasint,omitempty"` // the sender supports packets with a presence
+	EndpointsAgeMS      int64    `cbor:"18,keyasint,omitempty"` // time since the list of endpoints was confirmed as the newest, plus 1; 0 for never
 }
 
 // evacuations returns the evacuated data centres known to the sender.
--- a/internal/direct/peers/receive.go
+++ b/internal/direct/peers/receive.go
@@ -69,6 +69,9 @@
 	if h := p.Heartbeat; h != nil && h.ConfirmedAgeMS >= 0 && p.Version == version {
 		g.options.Directory.Confirm(version, timeAtAge(now, h.ConfirmedAgeMS))
 	}
+	if h := p.Heartbeat; h != nil && h.EndpointsAgeMS > 0 {
+		g.options.Directory.ConfirmEndpoints(p.Revision, timeAtAge(now, h.EndpointsAgeMS-1))
+	}
 	if p.Usage != nil && g.options.HandleUsage != nil {
 		g.options.HandleUsage(p.Usage.statement(p.Owner))
 	}
--- a/internal/direct/record/record.go
+++ b/internal/direct/record/record.go
@@ -37,8 +37,7 @@
 	Standing        float64     `json:"standing"`          // engine time given to the team over its share, 0 without contention
 	FirstTargetMS   int64       `json:"first_target_ms"`   // 0 in logs of earlier versions
 	BetweenTargetMS int64       `json:"between_target_ms"` // 0 for none
-	Resumes         string      `json:"resumes"`           // request that brought the first event of the stream that this one resumes, empty for none
-	ResumesAfter    string      `json:"resumes_after"`     // ID of the last event that the caller has
+	Resumes         *Resumption `json:"resumes"`           // nil if it takes up no stream
 	Attempts        []Attempt   `json:"sends"`
 	Admission       *Admission  `json:"admission"` // nil where nothing waited, and in logs of earlier versions
 }
@@ -57,6 +56,16 @@
 	ReturnMS int64   `json:"return_ms,omitempty"` // until the refused caller may return
 }
 
+// Resumption is a stream that a request takes up.
+type Resumption struct {
+	Request  string `json:"request"`                // that brought its first event, as the caller says; empty if it names none
+	After    string `json:"after"`                  // ID of the last event that the caller has
+	Source   string `json:"origin"`                 // where the version that began it is known from, or "unknown"
+	Endpoint string `json:"begun_at,omitempty"`     // incarnation
+	Version  string `json:"version,omitempty"`      // that began it
+	AgeMS    int64  `json:"begun_ms_ago,omitempty"` // 0 for unknown
+}
+
 // Parse parses a line. Text before its JSON is ignored. It reports whether the JSON is valid.
 func Parse(text string) (Line, bool) {
 	start := strings.IndexByte(text, '{')
--- a/internal/process/gauges.go
+++ b/internal/process/gauges.go
@@ -28,6 +28,8 @@
 		backoffs, draining := countSignalling(d.Endpoints)
 		scope.Gauge("endpoints_in_backoff").Update(float64(backoffs))
 		scope.Gauge("endpoints_draining").Update(float64(draining))
+		scope.Gauge("recorded_streams").Update(float64(d.RecordedStreams))
+		scope.Gauge("unrecorded_streams").Update(float64(d.UnrecordedStreams))
 		updateShareGauges(d.Shares, scope)
 		scope.Gauge("held_contents").Update(float64(d.HeldContents))
 		scope.Gauge("live_entries").Update(float64(d.LiveEntries))
--- a/internal/testing/fleet/versions_test.go
+++ b/internal/testing/fleet/versions_test.go
@@ -193,3 +193,113 @@
 	}
 	return n
 }
+
+// TestStreamsOfManyEntriesGoOnWhileTheirVersionServes guards against refusals of streams whose version
+// still serves, at few engines of many.
+func TestStreamsOfManyEntriesGoOnWhileTheirVersionServes(t *testing.T) {
+	f := newMixedFleet(t, 4, 2, "v1")
+	streams := f.beginStreams(f.entries[0], 12, 2)
+	for n := range 18 {
+		f.addEngine(fmt.Sprintf("i-v2-%d", n+1), "v2", platformtest.Events{To: longStream, Pause: eventPause})
+	}
+	f.awaitEndpoints(20)
+	streams = append(streams, f.beginStreams(f.entries[0], 12, 2)...)
+	f.entries[0].stop()
+	f.checkAllResumed(streams, f.entries[1:])
+}
+
+// checkAllResumed has callers resume streams at entries by turns, and checks that each goes on.
+func (f *fleet) checkAllResumed(streams []*brokenStream, at []*entry) {
+	f.t.Helper()
+	var callers sync.WaitGroup
+	for n, s := range streams {
+		callers.Go(func() { checkResumed(f.t, s, f.takeUp(at[n%len(at)], s)) })
+	}
+	callers.Wait()
+}
+
+// TestEntryThatStartedLaterResumesStreams guards against an entry that guesses, or refuses, since it
+// has seen no event of the streams.
+func TestEntryThatStartedLaterResumesStreams(t *testing.T) {
+	f := newMixedFleet(t, 2, 2, "v1", "v2")
+	streams := f.beginStreams(f.entries[0], 12, 2)
+	started := f.addEntry(true)
+	f.eventually("the entry knows the others", func() bool { return started.gateway.Dump().LiveEntries == 3 })
+	f.entries[0].stop()
+	f.checkAllResumed(streams, []*entry{started})
+}
+
+// TestStreamIsTakenUpTwiceOverThreeEntries guards against a chain of requests whose origin is known
+// only where its first part was received.
+func TestStreamIsTakenUpTwiceOverThreeEntries(t *testing.T) {
+	f := newMixedFleet(t, 3, 2, "v1", "v2")
+	streams := f.beginStreams(f.entries[0], 12, 2)
+	f.entries[0].stop()
+	for _, s := range streams {
+		f.continueBriefly(f.entries[1], s, 2)
+	}
+	f.entries[1].stop()
+	f.checkAllResumed(streams, f.entries[2:])
+}
+
+// continueBriefly has a caller take up a stream at an entry and get some events, which must be of
+// its version. The connection stays open.
+func (f *fleet) continueBriefly(e *entry, s *brokenStream, events int) {
+	f.t.Helper()
+	q := f.newRequest(f.t.Context(), e, s.target, "")
+	q.Header.Set(platformtest.ResumesField, s.id)
+	q.Header.Set(platformtest.LastEventField, s.lastEventID)
+	a, err := f.client.Do(q)
+	f.mustSucceed(err)
+	f.t.Cleanup(func() { _ = a.Body.Close() }) // the test is over
+	began := s.version
+	s.readEvents(f.t, bufio.NewScanner(a.Body), events)
+	if s.version != began {
+		f.t.Errorf("%s, begun at %s, went on at %s", s.id, began, s.version)
+	}
+}
+
+// TestStreamOfUnknownOriginIsRefused guards against a guess, for a stream that no entry knows and for
+// one of another team's or without a name.
+func TestStreamOfUnknownOriginIsRefused(t *testing.T) {
+	f := newMixedFleet(t, 2, 2, "v1", "v2")
+	for name, s := range map[string]*brokenStream{
+		"never begun": {id: "of-nobody", target: "/chat/x", lastEventID: "3"},
+		"not named":   {target: "/chat/x", lastEventID: "3"},
+	} {
+		a := f.takeUp(f.entries[1], s)
+		if a.status != http.StatusServiceUnavailable || a.header.Get("X-Foxcross-Code") != "1309" || a.header.Get("X-Foxcross-Run") != "not run" || a.header.Get("Retry-After") != "" {
+			t.Errorf("%s: status %d, header %v", name, a.status, a.header)
+		}
+	}
+	for _, r := range f.endpoints() {
+		if len(r.Arrivals()) > 0 {
+			t.Errorf("%s got a request", r.ID)
+		}
+	}
+}
+
+// TestStreamOfGoneVersionIsRefused guards against a stream that goes on at what is left, and tells its
+// caller at once that no wait helps.
+func TestStreamOfGoneVersionIsRefused(t *testing.T) {
+	f := newMixedFleet(t, 2, 1, "v1", "v2")
+	streams := f.beginStreams(f.entries[0], 6, 2)
+	f.entries[0].stop()
+	for _, r := range f.endpoints() {
+		if r.Version == "v1" {
+			f.store.RemoveEndpoint(r)
+		}
+	}
+	e := f.entries[1]
+	f.eventually("the engine has left the list", func() bool { return len(e.gateway.Dump().Endpoints) == 1 })
+	for _, s := range streams {
+		a := f.takeUp(e, s)
+		if s.version == "v2" {
+			checkResumed(t, s, a)
+			continue
+		}
+		if a.status != http.StatusServiceUnavailable || a.header.Get("X-Foxcross-Code") != "1310" || a.header.Get("X-Foxcross-Run") != "not run" || a.header.Get("Retry-After") != "" {
+			t.Errorf("status %d, header %v", a.status, a.header)
+		}
+	}
+}
