--- a/coord/resumption/rule.go
+++ b/coord/resumption/rule.go
@@ -5,12 +5,14 @@
 //   - else, if it isn't known, at the only version that the service has run for longer than a
 //     stream lasts, by a list of endpoints that was the newest at most maxListAge ago: that
 //     version has begun it, whoever did;
+//   - for a caller that does not name the stream, at the only version that is known, since nobody can
+//     ever know the origin;
 //   - else other entries are asked, once;
 //   - else nowhere.
 //
 // Inputs: the origin, the versions of the service, the age of the list.
 // Units: times.
-// Never: a version is guessed; the newest version is preferred to another.
+// Never: a version is guessed while several are known; the newest version is preferred to another.
 
 package resumption
 
@@ -29,8 +31,10 @@
 	Origin     Origin
 	Known      bool          // the origin is known
 	Services   []string      // to which the request may go
-	Version    string        // the only one that its service has run for longer than a stream lasts
+	Named      bool          // the caller names the stream
+	Version    string        // the only one that its service has run, as far as is known
 	Only       bool          // there is such a version
+	Observed   bool          // the service has been observed for longer than a stream lasts
 	ListAge    time.Duration // since the list of endpoints was known to be the newest
 	PeersAsked bool
 }
@@ -82,11 +86,15 @@
 		return Refuse{OtherService}
 	case i.Known:
 		return Resume{Software: i.Origin.Software, Recorded: true}
-	case i.Only && len(i.Services) == 1 && i.ListAge <= maxListAge:
+	case i.Only && len(i.Services) == 1 && i.certain():
 		return Resume{Software: Software{Service: i.Services[0], Version: i.Version}}
-	case !i.PeersAsked:
+	case i.Named && !i.PeersAsked:
 		return AskPeers{}
 	default:
 		return Refuse{OriginUnknown}
 	}
 }
+
+// certain reports whether the only version that is known has begun the stream, as far as can be
+// known about it.
+func (i Input) certain() bool { return !i.Named || i.Observed && i.ListAge <= maxListAge }
--- a/coord/resumption/versions.go
+++ b/coord/resumption/versions.go
@@ -115,13 +115,14 @@
 	return s.Software, true
 }
 
-// Only returns the only version that a service has run for a time. It returns false if there were
-// several, or if the endpoints have not been observed for that long.
-func (v *Versions) Only(now time.Time, service string, within time.Duration) (string, bool) {
-	if !v.since.IsZero() && now.Sub(v.since) < within {
-		return "", false
-	}
-	version, found := "", false
+// Observed reports whether the endpoints have been observed for a time.
+func (v *Versions) Observed(now time.Time, within time.Duration) bool {
+	return v.since.IsZero() || now.Sub(v.since) >= within
+}
+
+// Only returns the only version that a service has run within a time, as far as it was observed. It
+// returns false if there were several or none.
+func (v *Versions) Only(now time.Time, service string, within time.Duration) (version string, found bool) {
 	for _, s := range v.endpoints {
 		if s.Service != service || !s.listed && now.Sub(s.lastListed) > within {
 			continue
--- a/coord/resumption/versions_test.go
+++ b/coord/resumption/versions_test.go
@@ -26,6 +26,9 @@
 func expectOnly(t *testing.T, v *resumption.Versions, now time.Time, want string) {
 	t.Helper()
 	got, only := v.Only(now, "pool", streamLife)
+	if !v.Observed(now, streamLife) {
+		got, only = "", false
+	}
 	if got != want || only != (want != "") {
 		t.Errorf("after %v the only version is %q, %v, want %q", now.Sub(origin), got, only, want)
 	}
--- a/internal/direct/gateway/resumption.go
+++ b/internal/direct/gateway/resumption.go
@@ -106,15 +106,17 @@
 func (g *Gateway) resumptionInput(q *request) resumption.Input {
 	now := steady.Now()
 	t := q.takenUp
-	i := resumption.Input{PeersAsked: q.stream == 0, ListAge: now.Sub(g.directory.EndpointsConfirmed())}
+	i := resumption.Input{Named: t.request != "", ListAge: now.Sub(g.directory.EndpointsConfirmed())}
 	for _, s := range q.class.Route.Split {
 		i.Services = append(i.Services, s.Service)
 	}
 	d := &g.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	life := q.class.GiveUp + attemptLifeSlack
+	i.Observed = d.versions.Observed(now, life)
 	if len(i.Services) == 1 {
-		i.Version, i.Only = d.versions.Only(now, i.Services[0], q.class.GiveUp+attemptLifeSlack)
+		i.Version, i.Only = d.versions.Only(now, i.Services[0], life)
 	}
 	t.source = originUnknown
 	if o, age, known := d.origin(now, q.stream); known {
