Resume streams at leaving engines while none else has their version

Cause: a leaving engine is never a place for anything, and since streams keep to their version there may be no other. Evidence: TestStreamIsResumedAtLeavingEngineOnlyWhileNoneElseHasItsVersion fails on the code before. Why this works: if no endpoint may take the stream, one whose record says that it leaves may, for a third of the time in which the platform allows requests there; a third, since the record is older than the entry's copy (a watch may hear nothing for a second). Its own sign in a response binds as before. Result: the test passes; a new request gets no leaving engine.

--- a/coord/placement/choose.go
+++ b/coord/placement/choose.go
@@ -5,7 +5,8 @@
 // leaving, when the caller of Choose excludes it because it was already tried, when it has as
 // many open requests as the service allows, when it runs another version of its software than the
 // one that began the stream that the request resumes, or when it is not eligible for the request
-// (eligible.go). An endpoint that was unreachable recently, or whose responses say that it is
+// (eligible.go). If no endpoint may resume a stream, one that has been leaving for less than
+// leavingGraceShare of the grace period may, since no other has its version. An endpoint that was unreachable recently, or whose responses say that it is
 // draining, remains available at a cost so high that all others are preferred.
 // Inputs: the table, the request, the time, a source of randomness.
 // Never: it changes nothing in the table except the size of the pool; it rejects no request
@@ -22,6 +23,10 @@
 	"foxcross.dev/coord/memory"
 )
 
+// leavingGraceShare is the share of the grace period for draining in which a stream may be resumed at
+// an endpoint that is leaving according to its record. The record is older than this entry's copy.
+const leavingGraceShare = 1.0 / 3
+
 // Choice is the endpoint chosen for a request, with the estimates behind it.
 type Choice struct {
 	Endpoint          Endpoint
@@ -53,6 +58,7 @@
 	cachingEngines []*endpoint     // cache the prompt's last shared part that any engine caches
 	home           *endpoint       // nil if the prompt has no shared part
 	sources        []memory.Source // of the prompt's parts
+	leavingToo     bool            // endpoints whose record says that they leave may take it
 	spread         [spreadBuckets]float64
 	calibration    float64
 }
@@ -90,6 +96,10 @@
 	if !found || best.Cost >= unreachableCost {
 		best, found = q.lowestCost(q.allCandidates(), exclude, random)
 	}
+	if !found && r.Resumes {
+		q.leavingToo = true
+		best, found = q.lowestCost(q.allCandidates(), exclude, random)
+	}
 	best.PoolSize = q.poolSize
 	best.PrefillInterferes = q.service.prefillInterferes()
 	best.Overrun = q.service.overruns.factor(r.Priority)
@@ -130,7 +140,15 @@
 func (q *query) available(e *endpoint) bool {
 	most := q.service.MaxRequests
 	full := most > 0 && len(e.attempts) >= most
-	return !e.Leaving && !full && q.request.accepts(e.Version) && q.eligibility(e) == eligibility.Eligible
+	leaves := e.Leaving && !q.mayResumeAtLeaving(e)
+	return !leaves && !full && q.request.accepts(e.Version) && q.eligibility(e) == eligibility.Eligible
+}
+
+// mayResumeAtLeaving reports whether a stream may be resumed at an endpoint that is leaving according
+// to its record.
+func (q *query) mayResumeAtLeaving(e *endpoint) bool {
+	grace := time.Duration(leavingGraceShare * float64(q.table.DrainGrace))
+	return q.leavingToo && e.drain.Allows(q.now, grace)
 }
 
 // busyShare returns the share of the service's slots that are in use, or 0 if the number of
--- a/coord/placement/version_test.go
+++ b/coord/placement/version_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -91,3 +92,40 @@
 		}
 	}
 }
+
+// TestStreamIsResumedAtLeavingEngineOnlyWhileNoneElseHasItsVersion guards against refusals of streams
+// whose version still serves, and against requests to engines that have been leaving for long.
+func TestStreamIsResumedAtLeavingEngineOnlyWhileNoneElseHasItsVersion(t *testing.T) {
+	table := versionTable(6, 3)
+	table.DrainGrace = 1900 * time.Millisecond
+	leave := func(now time.Time, ids ...string) {
+		var list []placement.Endpoint
+		for n := range 6 {
+			e := placement.Endpoint{ID: fmt.Sprint("i-", n), Service: "pool", Slots: 48, Engine: true, DataCentre: "zone-1", Version: "v2"}
+			if n%3 == 0 {
+				e.Version = "v1"
+			}
+			e.Leaving = slices.Contains(ids, e.ID)
+			list = append(list, e)
+		}
+		table.SetEndpoints(now, list)
+	}
+	resumedAt := func(now time.Time, resumes bool) string {
+		r := placement.Request{Service: "pool", Resumes: resumes, Version: "v1"}
+		c, _ := table.Choose(now, r, func(id string) bool { return !resumes && id != "i-0" && id != "i-3" }, rand.New(rand.NewPCG(1, 2)))
+		return c.Endpoint.ID
+	}
+	leave(origin, "i-0")
+	if got := resumedAt(origin, true); got != "i-3" {
+		t.Errorf("with one engine left it is resumed at %q", got)
+	}
+	leave(origin.Add(time.Second), "i-0", "i-3")
+	for after, want := range map[time.Duration]string{1100 * time.Millisecond: "i-3", 1700 * time.Millisecond: ""} {
+		if got := resumedAt(origin.Add(after), true); got != want {
+			t.Errorf("after %v it is resumed at %q, want %q", after, got, want)
+		}
+	}
+	if got := resumedAt(origin.Add(1100*time.Millisecond), false); got != "" {
+		t.Errorf("a new request is sent to %q", got)
+	}
+}
