Wait for engines of a stream's version that can't take it for now

Cause: streams keep to their version, and its engines may be few and just have started: at their limit, warming up or backing off. A new request has others to go to; such a stream has not. Why this works: a resumption, by a caller or within an answer, looks again every 50 ms for up to a second, half of the gap after which callers give a stream up. Nothing is sent meanwhile, and the retry budget is asked once.

--- a/internal/direct/gateway/accept.go
+++ b/internal/direct/gateway/accept.go
@@ -20,17 +20,20 @@
 
 // request is one request of a caller.
 type request struct {
-	incoming    *http.Request
-	id          string
-	received    time.Time
-	deadline    time.Time // the earlier of the caller's and the route's
-	class       settings.ClassInfo
-	team        string
-	spec        placement.Request // input to placement
-	stream      resumption.Key    // that it begins or takes up; 0 if it can't be resumed, or its caller names none
-	takenUp     *takenUp          // nil for a request that takes up no stream
-	body        []byte
-	reservation *reservation // of the body's memory, nil before the body is read
+	incoming *http.Request
+	id       string
+	received time.Time
+	deadline time.Time // the earlier of the caller's and the route's
+	class    settings.ClassInfo
+	team     string
+	spec     placement.Request // input to placement
+	stream   resumption.Key    // that it begins or takes up; 0 if it can't be resumed, or its caller names none
+	takenUp  *takenUp          // nil for a request that takes up no stream
+	// resumptionUntil is when a resumption of its stream stops waiting for an endpoint, zero before it
+	// waits.
+	resumptionUntil time.Time
+	body            []byte
+	reservation     *reservation // of the body's memory, nil before the body is read
 
 	tierPriority int            // that of its class and team; spec.Priority also depends on standing
 	standing     share.Standing // of its team when it was last placed
--- a/internal/direct/gateway/forward.go
+++ b/internal/direct/gateway/forward.go
@@ -52,7 +52,7 @@
 		if f.sent > 0 && !dispatcher.allowRetry(f.request.spec.Service) {
 			return newFailure(result.RetriesUsed, "the service's budget of repeats is used up", f.mayHaveRun)
 		}
-		a, refusal := dispatcher.place(f.request, f.tried)
+		a, refusal := f.place(f.tried)
 		if refusal != nil {
 			return refusal
 		}
--- a/internal/direct/gateway/resumption.go
+++ b/internal/direct/gateway/resumption.go
@@ -4,7 +4,8 @@
 // entry knows where the streams of all entries began, from their events; for a stream that it does
 // not know it asks other entries. Such a request passes admission, as a resumption within an answer
 // does, if its origin is recorded. It is sent to endpoints of that version only, and refused as not
-// run if there is none.
+// run if there is none. If those of its version can't take it for now (rate limit, warm-up, backoff),
+// it waits for them for maxResumptionWait: there are no others.
 // Inputs: the header of the request, events of other entries, the list of endpoints.
 // Never: a stream is resumed at a version that may not have begun it; a request that is refused
 // for that is told when to come back with the same stream.
@@ -14,17 +15,27 @@
 import (
 	"time"
 
+	"foxcross.dev/coord/eligibility"
 	"foxcross.dev/coord/placement"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/coord/resumption"
 	"foxcross.dev/foxcross/internal/direct/peers"
 	"foxcross.dev/foxcross/internal/direct/record"
 	"foxcross.dev/foxcross/internal/steady"
+	"foxcross.dev/foxcross/internal/workers"
 )
 
 // attemptLifeSlack is the time after the end of an attempt in which its caller resumes the stream.
 const attemptLifeSlack = 5 * time.Second
 
+const (
+	// maxResumptionWait is the longest time for which the resumption of a stream waits for an
+	// endpoint. Callers give a stream up after a gap of 2 s.
+	maxResumptionWait = time.Second
+	// resumptionInterval is the time between two looks for an endpoint.
+	resumptionInterval = 50 * time.Millisecond
+)
+
 // Sources of the origin of a stream, in logs and metrics.
 const (
 	originFromEvents  = "events"       // of this entry or others
@@ -154,6 +165,39 @@
 	t.source, t.origin, t.age = originFromPeer, i.Origin, time.Duration(o.AgeMS)*time.Millisecond
 }
 
+// place chooses an endpoint as dispatcher.place does, and waits a while for those of the version of the
+// request's stream.
+func (f *forwarding) place(excluded map[string]bool) (*attempt, *result.Error) {
+	for {
+		a, refusal := f.gateway.dispatcher.place(f.request, excluded)
+		if a != nil || refusal != nil || !f.awaitVersion() {
+			return a, refusal
+		}
+	}
+}
+
+// awaitVersion waits a while if the endpoints that run the version of the request's stream can't take
+// it for now. It returns false if there are none, or if it has waited for long enough.
+func (f *forwarding) awaitVersion() bool {
+	q := f.request
+	if !q.spec.Resumes {
+		return false
+	}
+	now := steady.Now()
+	if q.resumptionUntil.IsZero() {
+		q.resumptionUntil = now.Add(maxResumptionWait)
+	}
+	if !now.Before(q.resumptionUntil) || f.gateway.refusing.Load() {
+		return false
+	}
+	switch f.gateway.dispatcher.unavailability(q).Reason {
+	case eligibility.Limited, eligibility.WarmingUp, eligibility.BackedOff:
+		return workers.Sleep(f.ctx, resumptionInterval)
+	default:
+		return false
+	}
+}
+
 // Origin returns the origin of a stream, for other entries.
 func (g *Gateway) Origin(stream uint64) (peers.Origin, bool) {
 	now := steady.Now()
--- a/internal/direct/gateway/stream.go
+++ b/internal/direct/gateway/stream.go
@@ -178,7 +178,7 @@
 		if reason := s.resumptionRefusal(); reason != "" {
 			return s.notResumed(broken, reason)
 		}
-		a, refusal := dispatcher.place(q, tried)
+		a, refusal := s.place(tried)
 		if refusal != nil || a == nil {
 			return s.notResumed(broken, "no endpoint of version "+q.spec.Version+" may take it")
 		}
--- a/internal/testing/fleet/versions_test.go
+++ b/internal/testing/fleet/versions_test.go
@@ -19,12 +19,15 @@
 	eventPause = 10 * time.Millisecond
 )
 
+// warmupLimit is the number of requests a second that an engine accepts while it warms up.
+const warmupLimit = 16
+
 // newMixedFleet starts entries and, of each version, as many engines. Their streams are long.
 func newMixedFleet(t *testing.T, entries, enginesPerVersion int, versions ...string) *fleet {
 	t.Helper()
 	f := newFleet(t, entries, 0)
 	f.configureService(2, map[string]any{
-		"name": service, "maxConns": 200,
+		"name": service, "maxConns": 200, "warmupS": 10, "warmupPerS": warmupLimit,
 		"engine": map[string]any{"slots": 48, "kvCapacity": 500_000, "kvBytes": 18_432, "linkMbps": 740_000.0},
 	})
 	for _, version := range versions {
@@ -308,3 +311,22 @@
 		}
 	}
 }
+
+// TestStreamsWaitForAnEngineOfTheirVersionThatWarmsUp guards against refusals of streams whose only
+// engine accepts few requests a second for now.
+func TestStreamsWaitForAnEngineOfTheirVersionThatWarmsUp(t *testing.T) {
+	f := newMixedFleet(t, 2, 1, "v1", "v2")
+	streams := f.beginStreams(f.entries[0], warmupLimit, 2)
+	e := f.entries[1]
+	for _, r := range f.endpoints() {
+		r.WarmupLeftMS = 10_000
+		f.store.PutEndpoint(r, "ready")
+	}
+	f.eventually("the engines warm up", func() bool {
+		endpoints := e.gateway.Dump().Endpoints
+		return endpoints[0].Warming && endpoints[1].Warming
+	})
+	f.entries[0].stop()
+	f.eventually("the other entry is lost", func() bool { return e.gateway.Dump().LiveEntries == 1 })
+	f.checkAllResumed(streams, []*entry{e})
+}
