Soak releases of engines, and callers that resume their streams

Engines run one of three versions and are released from one to another, both ways, while entries and engines crash. Callers resume a stream that breaks off, up to twice, at entries of their choice, and name its first request. Two promises are checked from what callers hold: no stream has events of two versions, and the share of resumed streams that go on is half of the share of new ones that begin at least, at entries in touch while two engines of the version serve. The pause between events is an option, so that streams last long enough to break.

--- a/examples/soak/main.go
+++ b/examples/soak/main.go
@@ -34,6 +34,7 @@
 	Only      []string      `long:"only" description:"name of a fault that may strike, may be given often (default: all)"`
 	Planned   bool          `long:"planned" description:"only planned work strikes"`
 	Crashing  bool          `long:"crashing" description:"a caller comes back with a request that crashes each endpoint that runs it"`
+	Pause     time.Duration `long:"pause" description:"pause before each event of a stream (default: 5 ms)"`
 	Slow      int           `long:"slow" description:"callers that do not read their answers, or whose bodies do not end"`
 	Folder    string        `long:"folder" description:"where logs are kept (default: a temporary folder)"`
 }
@@ -100,7 +101,7 @@
 		return soak.Report{}, fmt.Errorf("soak: %w", err)
 	}
 	r, err := soak.Run(context.Background(), soak.Options{
-		Seed: seed, Duration: o.Duration, Entries: o.Entries, Endpoints: o.Endpoints, Callers: o.Callers, Dir: seedFolder, Only: only, Crashing: o.Crashing, SlowCallers: o.Slow,
+		Seed: seed, Duration: o.Duration, Entries: o.Entries, Endpoints: o.Endpoints, Callers: o.Callers, Dir: seedFolder, Only: only, Crashing: o.Crashing, SlowCallers: o.Slow, EventPause: o.Pause,
 		Command: func(settings string) *exec.Cmd {
 			c := exec.Command(o.entryProgram(settings, program), "serve", "--platform", "fleet")
 			c.Env = append(os.Environ(), "FOXCROSS_CONFIG="+settings)
@@ -114,7 +115,7 @@
 	for _, n := range r.Faults {
 		faults += n
 	}
-	fmt.Printf("seed %d: %d requests, %d fetches, %d reports of usage, %d faults, %d crashes under a request, %d returned, %d continued, %d MB, %d promises broken;", seed, r.Requests, r.Fetches, r.Reports, faults, r.Crashed, r.Returned, r.Continued, r.MemoryMB, len(r.Violations))
+	fmt.Printf("seed %d: %d requests, %d fetches, %d reports of usage, %d faults, %d crashes under a request, %d returned, %d continued, %d of %d resumed, %d MB, %d promises broken;", seed, r.Requests, r.Fetches, r.Reports, faults, r.Crashed, r.Returned, r.Continued, r.Resumed, r.Resumed+r.Refused, r.MemoryMB, len(r.Violations))
 	for _, status := range slices.Sorted(maps.Keys(r.Answers)) {
 		fmt.Printf(" %d: %d", status, r.Answers[status])
 	}
--- a/internal/testing/soak/caller.go
+++ b/internal/testing/soak/caller.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -34,6 +35,8 @@
 	servedBy         incarnation // of the entry that received the request, zero if unknown
 	sentAt           time.Time
 	answeredAt       time.Time // when the response had been read
+	resumes          string    // id of the request that brought the first event of the stream that it resumes, empty for none
+	resumesAfter     int       // number of the last event that the caller has, of one that resumes a stream
 	drainingEndpoint string    // id of the endpoint that announced in its response that it drains, empty for none
 }
 
@@ -58,7 +61,8 @@
 		if c == nil {
 			c = &connection{entry: e}
 		}
-		d.callAndReturn(ctx, c, newObservation(k, teams[number%uint64(len(teams))]), random)
+		s := d.callAndReturn(ctx, c, newObservation(k, teams[number%uint64(len(teams))]), random)
+		d.resumeBroken(ctx, s, random)
 		if keepAlive {
 			connections[e] = c
 		} else {
@@ -112,6 +116,10 @@
 		q.Header.Set(platformtest.TokensField, fmt.Sprintf("%d,100", sharedTokens+ownTokens))
 		q.Header.Set(platformtest.PartsField, fmt.Sprintf("a%s:%d,%s:%d", content[len(content)-1:], sharedTokens, content, ownTokens))
 	}
+	if s.resumes != "" {
+		q.Header.Set(platformtest.ResumesField, s.resumes)
+		q.Header.Set(platformtest.LastEventField, strconv.Itoa(s.resumesAfter))
+	}
 	s.servedBy, s.sentAt = c.entry.incarnation(), time.Now()
 	a, data, err := c.exchange(ctx, q)
 	s.answeredAt = time.Now()
--- a/internal/testing/soak/entry.go
+++ b/internal/testing/soak/entry.go
@@ -222,6 +222,18 @@
 	}
 }
 
+// servingFor returns the time since the start of the process, 0 if it has ended.
+func (e *entry) servingFor() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	select {
+	case <-e.ended:
+		return 0
+	default:
+		return time.Since(e.startedAt)
+	}
+}
+
 // incarnation identifies the process between two starts of an entry. The zero value stands for none.
 type incarnation struct {
 	entry  string
--- a/internal/testing/soak/faults.go
+++ b/internal/testing/soak/faults.go
@@ -51,6 +51,7 @@
 	{"a team sends many times its usual", []Promise{NoTeamStarves, NotRun, AtMostOnce}, true, contend},
 	{"an engine has a slow spell", []Promise{OwnCompleteAnswer, InOrder, NoTeamStarves}, true, slowDown},
 	{"an engine crashes in a copied stream", []Promise{ContinuedAfterCrash, InOrder, AtMostOnce, NotRun}, false, crashInStream},
+	{"engines are released", []Promise{OneVersion, StreamsGoOn, OwnCompleteAnswer, InOrder}, true, release},
 }
 
 // Durations and sizes of faults.
@@ -218,7 +219,7 @@
 	e.runner.SetDefault(platformtest.ByPath{
 		Prefix: []string{"/plan/"},
 		Then:   platformtest.Events{To: eventsPerStream / 2, Crash: true},
-		Else:   usualBehavior,
+		Else:   d.options.usualBehavior(),
 	})
 	select {
 	case <-e.runner.Ended():
--- a/internal/testing/soak/history.go
+++ b/internal/testing/soak/history.go
@@ -34,6 +34,8 @@
 	BackoffHonoured        Promise = "an endpoint that asks an entry to back off gets at most two requests from it in that time"
 	DrainingHonoured       Promise = "an endpoint that says in a response that it drains gets nothing new from the entry that passed it on"
 	ContinuedAfterCrash    Promise = "a copy continues a run once, after its endpoint has ended"
+	OneVersion             Promise = "a stream has events of one software version, in one answer and over its caller's requests"
+	StreamsGoOn            Promise = "streams that callers resume go on while their version serves"
 	NoTeamStarves          Promise = "no team starves while another sends many times its usual"
 	inFlightSlack                  = 1500 * time.Millisecond // for a request in flight
 )
@@ -68,7 +70,9 @@
 
 	evacuations []interval
 	namedLimits []namedLimit
-	refusals    int // with a Retry-After
+	resumptions []resumption
+	versionOf   map[string]string // of the software, by endpoint
+	refusals    int               // with a Retry-After
 	violations  []Violation
 }
 
@@ -116,6 +120,10 @@
 		h.addresses = map[string]*endpoint{}
 	}
 	h.addresses[e.runner.Address()] = e
+	if h.versionOf == nil {
+		h.versionOf = map[string]string{}
+	}
+	h.versionOf[e.runner.ID] = e.runner.Version
 	for _, r := range e.runner.Runs() {
 		h.runs[r.ID] = append(h.runs[r.ID], run{Run: r, endpoint: e.runner.ID, leavingSince: e.leavingSince, endedAt: e.endedAt, dataCentre: e.runner.DataCentre})
 	}
@@ -139,6 +147,7 @@
 		}
 	}
 	h.checkReturned()
+	h.checkVersions(&r)
 	h.checkStarved()
 	h.checkUsage(reports)
 	r.Violations = h.violations
@@ -170,12 +179,12 @@
 	}
 	ids := eventIDs(s.body)
 	for n, id := range ids {
-		if id != strconv.Itoa(n+1) {
-			h.addViolation(InOrder, s.id, "event %d has id %s", n+1, id)
+		if id != strconv.Itoa(s.resumesAfter+n+1) {
+			h.addViolation(InOrder, s.id, "event %d after %d has id %s", n+1, s.resumesAfter, id)
 			return
 		}
 	}
-	if s.complete && len(ids) != eventsPerStream {
+	if s.complete && s.resumesAfter+len(ids) != eventsPerStream {
 		h.addViolation(OwnCompleteAnswer, s.id, "a stream of %d events ended as if complete", len(ids))
 	}
 }
--- a/internal/testing/soak/platform.go
+++ b/internal/testing/soak/platform.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"strings"
@@ -98,32 +99,38 @@
 	draining     bool       // announces in its responses that it drains
 }
 
-// usualBehavior is that of an endpoint without a fault.
-var usualBehavior = platformtest.ByPath{
-	Prefix: []string{crashingPath},
-	Then:   platformtest.Crash{},
-	Else: platformtest.ByPath{
-		Prefix: []string{"/chat/", "/plan/"},
-		Then:   platformtest.Events{To: eventsPerStream, Pause: 5 * time.Millisecond, Token: 20 * time.Microsecond},
+// defaultEventPause is the pause before each event of a stream.
+const defaultEventPause = 5 * time.Millisecond
+
+// usualBehavior returns that of an endpoint without a fault.
+func (o Options) usualBehavior() platformtest.Behavior {
+	return platformtest.ByPath{
+		Prefix: []string{crashingPath},
+		Then:   platformtest.Crash{},
 		Else: platformtest.ByPath{
-			Prefix: []string{largePath},
-			Then:   platformtest.Answer{Status: http.StatusOK, Body: largeResponseBody},
-			Else:   platformtest.Answer{Status: http.StatusOK, Body: responseBody},
+			Prefix: []string{"/chat/", "/plan/"},
+			Then:   platformtest.Events{To: eventsPerStream, Pause: cmp.Or(o.EventPause, defaultEventPause), Token: 20 * time.Microsecond},
+			Else: platformtest.ByPath{
+				Prefix: []string{largePath},
+				Then:   platformtest.Answer{Status: http.StatusOK, Body: largeResponseBody},
+				Else:   platformtest.Answer{Status: http.StatusOK, Body: responseBody},
+			},
 		},
-	},
+	}
 }
 
 // addEndpoint starts an endpoint and writes its record to the store.
 func (d *deployment) addEndpoint() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	e := &endpoint{startedAt: time.Now(), runner: platformtest.NewRunner(fmt.Sprint("i-", len(d.endpoints)+1), service, usualBehavior)}
+	e := &endpoint{startedAt: time.Now(), runner: platformtest.NewRunner(fmt.Sprint("i-", len(d.endpoints)+1), service, d.options.usualBehavior())}
 	e.slowdown = 1
 	if len(d.endpoints)%2 == 1 {
 		e.slowdown = slowEndpointFactor
 	}
 	e.runner.SetSlowdown(e.slowdown)
 	e.runner.Engine = true
+	e.runner.Version = d.software
 	e.runner.DataCentre = d.dataCentreWithFewerEndpoints()
 	e.runner.WarmupLeftMS = int(warmupDuration.Milliseconds())
 	d.endpoints = append(d.endpoints, e)
--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -22,9 +22,10 @@
 	Entries     int
 	Endpoints   int
 	Callers     int
-	Only        []string // names of the faults to inject, empty for all
-	Crashing    bool     // a caller repeats a request that crashes each endpoint that runs it
-	SlowCallers int      // callers that do not read their responses or do not finish their bodies
+	Only        []string      // names of the faults to inject, empty for all
+	Crashing    bool          // a caller repeats a request that crashes each endpoint that runs it
+	EventPause  time.Duration // before each event of a stream, 0 for the shortest
+	SlowCallers int           // callers that do not read their responses or do not finish their bodies
 	// Command returns a command that runs an entry with the settings file. Run ends its
 	// process.
 	Command func(settings string) *exec.Cmd
@@ -44,6 +45,8 @@
 	Returned int // requests of callers that had been refused
 	// Continued is the number of runs that a copy continued.
 	Continued int
+	Resumed   int // streams that callers resumed, and that went on
+	Refused   int // streams that callers wanted to resume, and that did not go on
 	MemoryMB  int // of the entry that had the most
 	// BodyBytes is the most bytes of request bodies that one entry held.
 	BodyBytes  int64
@@ -67,10 +70,11 @@
 	extraRoute  bool // the extra route is configured
 	moreRoutes  int  // in addition to those that callers use
 	faultCounts map[string]int
-	crashed     int   // endpoints that crashed under a request
-	memoryMB    int   // of the entry that had the most
-	bodyBytes   int64 // most that one entry held
-	closed      bool  // the run is over
+	software    string // version of the software of endpoints that start
+	crashed     int    // endpoints that crashed under a request
+	memoryMB    int    // of the entry that had the most
+	bodyBytes   int64  // most that one entry held
+	closed      bool   // the run is over
 }
 
 // recoveryTimeout is the time after the faults in which the deployment has to recover.
@@ -87,6 +91,7 @@
 		store:       platformtest.NewStore(),
 		reports:     platformtest.NewReports(o.Seed%2 == 0),
 		random:      rand.New(rand.NewPCG(o.Seed, 1)),
+		software:    softwareVersions[0],
 		faultCounts: map[string]int{},
 	}
 	defer d.close()
--- a/internal/testing/soak/teams.go
+++ b/internal/testing/soak/teams.go
@@ -54,20 +54,20 @@
 }
 
 // callAndReturn sends a request. If it is refused with a Retry-After, it is sent once more, as callers
-// do, under another id and with the same content.
-func (d *deployment) callAndReturn(ctx context.Context, c *connection, s observation, random *rand.Rand) {
+// do, under another id and with the same content. It returns the last observation.
+func (d *deployment) callAndReturn(ctx context.Context, c *connection, s observation, random *rand.Rand) observation {
 	s = d.requestOver(ctx, c, s)
 	if s.retryAfter <= 0 {
-		return
+		return s
 	}
 	if random.Float64() >= impatientShare {
 		select {
 		case <-ctx.Done():
-			return
+			return s
 		case <-time.After(min(s.retryAfter, requestTimeout/3)):
 		}
 	}
-	d.requestOver(ctx, c, s.returning())
+	return d.requestOver(ctx, c, s.returning())
 }
 
 // returning returns the next request for the same content.
