Resume only streams of which the version is certain

What callers could see: a stream that goes on at another version, where an endpoint restarts under its ID at another version before its record is known, or where an entry that has seen one version only takes a stream for one of it whose first event it lost. Cause: the version of a record was taken for that of the process, and a list of up to 2 s of age for the newest. Why this works: where endpoints keep their IDs a stream is certain only if the list was the newest after it began; peers are asked before the only version is believed; that takes a list that was the newest after the caller came, and an observation without gaps. None of it applies to endpoints with a new ID for each start and a stream that is recorded, which is the rule on the platform.

--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -66,6 +66,9 @@
 	return e.ID + incarnationSeparator + strconv.FormatInt(e.StartedMS, 10)
 }
 
+// KeepsID reports whether the endpoint that has an incarnation keeps its ID when it restarts.
+func KeepsID(incarnation string) bool { return strings.Contains(incarnation, incarnationSeparator) }
+
 // EndpointID returns the ID of the endpoint that has an incarnation.
 func EndpointID(incarnation string) string {
 	id, _, _ := strings.Cut(incarnation, incarnationSeparator)
--- a/coord/resumption/origins.go
+++ b/coord/resumption/origins.go
@@ -29,6 +29,8 @@
 	// groupLength is the time within which streams expire together, so that they are removed at
 	// once. A stream is looked up in each group.
 	groupLength = time.Second
+	// timeUnit is the unit of recorded times.
+	timeUnit = 100 * time.Millisecond
 	// epochMargin is above the age of the first announcements.
 	epochMargin = time.Minute
 )
@@ -59,7 +61,7 @@
 // begun is where and when a stream began.
 type begun struct {
 	endpoint uint32 // index into the group's endpoints
-	at       uint32 // seconds since the epoch
+	at       uint32 // since the epoch, in units of timeUnit
 }
 
 // Sent records an attempt that begins a stream with its first event. timeLeft is the time to its
@@ -122,13 +124,13 @@
 		g = &group{}
 		o.groups[end] = g
 	}
-	if g.add(key, endpoint, o.seconds(begunAt)) {
+	if g.add(key, endpoint, o.units(begunAt)) {
 		o.recorded++
 	}
 }
 
-// seconds returns a time in seconds since the epoch.
-func (o *Origins) seconds(at time.Time) uint32 { return uint32(max(at.Sub(o.epoch), 0) / time.Second) }
+// units returns a time in units of timeUnit since the epoch.
+func (o *Origins) units(at time.Time) uint32 { return uint32(max(at.Sub(o.epoch), 0) / timeUnit) }
 
 // groupEnd returns the end of the group in which streams expire at a time.
 func (o *Origins) groupEnd(at time.Time) uint32 {
@@ -139,7 +141,7 @@
 const conflicting = ^uint32(0)
 
 // add records a stream, and reports whether there was none with its key.
-func (g *group) add(key Key, endpoint string, second uint32) bool {
+func (g *group) add(key Key, endpoint string, at uint32) bool {
 	if g.streams == nil {
 		g.streams = map[Key]begun{}
 		g.numbers = map[string]uint32{}
@@ -153,7 +155,7 @@
 	b, known := g.streams[key]
 	switch {
 	case !known:
-		g.streams[key] = begun{endpoint: n, at: second}
+		g.streams[key] = begun{endpoint: n, at: at}
 	case b.endpoint != n:
 		b.endpoint = conflicting
 		g.streams[key] = b
@@ -161,7 +163,7 @@
 	return !known
 }
 
-// Endpoint returns the incarnation of the endpoint that began a stream, and when, in seconds. It
+// Endpoint returns the incarnation of the endpoint that began a stream, and when, cut to timeUnit. It
 // returns false if that is not known.
 func (o *Origins) Endpoint(key Key) (endpoint string, begunAt time.Time, known bool) {
 	for _, g := range o.groups {
@@ -172,7 +174,7 @@
 		if b.endpoint == conflicting || known && g.endpoints[b.endpoint] != endpoint {
 			return "", time.Time{}, false
 		}
-		endpoint, begunAt, known = g.endpoints[b.endpoint], o.epoch.Add(time.Duration(b.at)*time.Second), true
+		endpoint, begunAt, known = g.endpoints[b.endpoint], o.epoch.Add(time.Duration(b.at)*timeUnit), true
 	}
 	return endpoint, begunAt, known
 }
--- a/coord/resumption/rule.go
+++ b/coord/resumption/rule.go
@@ -2,12 +2,12 @@
 //
 // Rule:
 //   - at the version that began it, if that is known and the request still goes to its service;
-//   - else, if it isn't known, at the only version that the service has run for longer than a
-//     stream lasts, by a list of endpoints that was the newest at most maxListAge ago: that
-//     version has begun it, whoever did;
 //   - for a caller that does not name the stream, at the only version that is known, since nobody can
 //     ever know the origin;
 //   - else other entries are asked, once;
+//   - else at the only version that the service has run for longer than an attempt lasts, by a list of
+//     endpoints that was the newest after the caller came: that version has begun it, whoever did. Such
+//     a list is awaited if the present one was the newest at most maxListAge ago;
 //   - else nowhere.
 //
 // Inputs: the origin, the versions of the service, the age of the list.
@@ -21,9 +21,7 @@
 	"time"
 )
 
-// maxListAge is the greatest age of a list of endpoints from which the only version of a service is
-// derived. It is below the time in which an endpoint of a new version starts, begins a stream and
-// breaks it off.
+// maxListAge is the age of a list of endpoints beyond which no newer one is expected soon.
 const maxListAge = 2 * time.Second
 
 // Input holds what the decision about one stream depends on.
@@ -36,7 +34,9 @@
 	Only       bool          // there is such a version
 	Observed   bool          // the service has been observed for longer than a stream lasts
 	ListAge    time.Duration // since the list of endpoints was known to be the newest
+	ListNewest bool          // the list was the newest after the caller came
 	PeersAsked bool
+	Waited     bool // for a list that was the newest after the caller came
 }
 
 // Decision is whether and where a stream is resumed.
@@ -50,13 +50,16 @@
 	}
 	// AskPeers asks other entries, which may know the origin.
 	AskPeers struct{}
+	// AwaitList waits until the list is known to be the newest.
+	AwaitList struct{}
 	// Refuse means that the stream can't be resumed.
 	Refuse struct{ Reason Reason }
 )
 
-func (Resume) decision()   {}
-func (AskPeers) decision() {}
-func (Refuse) decision()   {}
+func (Resume) decision()    {}
+func (AskPeers) decision()  {}
+func (AwaitList) decision() {}
+func (Refuse) decision()    {}
 
 // Reason is why a stream can't be resumed.
 type Reason uint8
@@ -86,15 +89,18 @@
 		return Refuse{OtherService}
 	case i.Known:
 		return Resume{Software: i.Origin.Software, Recorded: true}
-	case i.Only && len(i.Services) == 1 && i.certain():
+	case !i.Named && i.onlyVersion():
 		return Resume{Software: Software{Service: i.Services[0], Version: i.Version}}
 	case i.Named && !i.PeersAsked:
 		return AskPeers{}
+	case i.Named && i.onlyVersion() && i.Observed && i.ListNewest:
+		return Resume{Software: Software{Service: i.Services[0], Version: i.Version}}
+	case i.Named && i.onlyVersion() && i.Observed && i.ListAge <= maxListAge && !i.Waited:
+		return AwaitList{}
 	default:
 		return Refuse{OriginUnknown}
 	}
 }
 
-// certain reports whether the only version that is known has begun the stream, as far as can be
-// known about it.
-func (i Input) certain() bool { return !i.Named || i.Observed && i.ListAge <= maxListAge }
+// onlyVersion reports whether one version is known of the only service to which the request may go.
+func (i Input) onlyVersion() bool { return i.Only && len(i.Services) == 1 }
--- a/coord/resumption/rule_test.go
+++ b/coord/resumption/rule_test.go
@@ -20,6 +20,8 @@
 		return fmt.Sprintf("resume at %s of %s (%s)", d.Version, d.Service, certainty)
 	case resumption.AskPeers:
 		return "ask peers"
+	case resumption.AwaitList:
+		return "await a newer list"
 	case resumption.Refuse:
 		return "refuse: " + d.Reason.String()
 	default:
@@ -41,13 +43,15 @@
 		{"recorded, another version serves alone", resumption.Input{Origin: begun, Known: true, Services: []string{"pool"}, Only: true, Version: "v2"}, "resume at v1 of pool (recorded)"},
 		{"recorded, one of two services", resumption.Input{Origin: begun, Known: true, Services: []string{"other", "pool"}}, "resume at v1 of pool (recorded)"},
 		{"recorded, route moved", resumption.Input{Origin: begun, Known: true, Services: []string{"other"}, Only: true, Version: "v1"}, "refuse: the stream began at another service"},
-		{"unknown, one version", resumption.Input{Services: []string{"pool"}, Named: true, Only: true, Observed: true, Version: "v1", ListAge: fresh}, "resume at v1 of pool (the only version)"},
-		{"unknown, one version, list stale", resumption.Input{Services: []string{"pool"}, Named: true, Only: true, Observed: true, Version: "v1", ListAge: stale}, "ask peers"},
-		{"unknown, one version, observed for too short", resumption.Input{Services: []string{"pool"}, Named: true, Only: true, Version: "v1", ListAge: fresh}, "ask peers"},
-		{"unknown, one version, two services", resumption.Input{Named: true, Observed: true, Services: []string{"pool", "other"}, Only: true, Version: "v1", ListAge: fresh}, "ask peers"},
-		{"unknown, two versions", resumption.Input{Named: true, Observed: true, Services: []string{"pool"}, ListAge: fresh}, "ask peers"},
-		{"unknown to peers", resumption.Input{Named: true, Observed: true, Services: []string{"pool"}, ListAge: fresh, PeersAsked: true}, "refuse: it is not known which version began the stream"},
-		{"unknown to peers, one version, list stale", resumption.Input{Named: true, Observed: true, Services: []string{"pool"}, Only: true, Version: "v1", ListAge: stale, PeersAsked: true}, "refuse: it is not known which version began the stream"},
+		{"unknown, one version", resumption.Input{Services: []string{"pool"}, Named: true, Only: true, Observed: true, Version: "v1", ListNewest: true}, "ask peers"},
+		{"unknown, two versions", resumption.Input{Services: []string{"pool"}, Named: true, Observed: true, ListNewest: true}, "ask peers"},
+		{"unknown to peers, two versions", resumption.Input{Services: []string{"pool"}, Named: true, Observed: true, ListNewest: true, PeersAsked: true}, "refuse: it is not known which version began the stream"},
+		{"unknown to peers, one version", resumption.Input{Services: []string{"pool"}, Named: true, Only: true, Observed: true, Version: "v1", ListNewest: true, PeersAsked: true}, "resume at v1 of pool (the only version)"},
+		{"unknown to peers, one version, list older than the request", resumption.Input{Services: []string{"pool"}, Named: true, Only: true, Observed: true, Version: "v1", ListAge: fresh, PeersAsked: true}, "await a newer list"},
+		{"unknown to peers, one version, no newer list in time", resumption.Input{Services: []string{"pool"}, Named: true, Only: true, Observed: true, Version: "v1", ListAge: fresh, PeersAsked: true, Waited: true}, "refuse: it is not known which version began the stream"},
+		{"unknown to peers, one version, list stale", resumption.Input{Services: []string{"pool"}, Named: true, Only: true, Observed: true, Version: "v1", ListAge: stale, PeersAsked: true}, "refuse: it is not known which version began the stream"},
+		{"unknown to peers, one version, observed for too short", resumption.Input{Services: []string{"pool"}, Named: true, Only: true, Version: "v1", ListNewest: true, PeersAsked: true}, "refuse: it is not known which version began the stream"},
+		{"unknown to peers, one version, two services", resumption.Input{Services: []string{"pool", "other"}, Named: true, Only: true, Observed: true, Version: "v1", ListNewest: true, PeersAsked: true}, "refuse: it is not known which version began the stream"},
 		{"unknown to peers, no service", resumption.Input{Named: true, PeersAsked: true}, "refuse: it is not known which version began the stream"},
 		{"not named, one version", resumption.Input{Services: []string{"pool"}, Only: true, Version: "v1", ListAge: stale}, "resume at v1 of pool (the only version)"},
 		{"not named, two versions", resumption.Input{Services: []string{"pool"}, Observed: true, ListAge: fresh}, "refuse: it is not known which version began the stream"},
--- a/coord/resumption/versions.go
+++ b/coord/resumption/versions.go
@@ -1,9 +1,11 @@
 // Keeps which versions the endpoints of each service run, and ran until lately.
 //
 // Rule: an incarnation of an endpoint runs one version, that of its record. It is kept for
-// versionRetention after it has left the list. If an endpoint is replaced by an incarnation of
-// another version under its ID, or its record names another version, then streams that began up to
-// recordLag before that was known may have begun at either, and count as unknown.
+// versionRetention after it has left the list. Where endpoints keep their IDs when they restart, as those
+// with a start time do, a request may reach the next process before its record is known: a stream
+// counts as unknown if it began less than registrationTime before the list was last known to be the
+// newest, or was so before the endpoint left it. Other endpoints have a new ID for each start, and
+// requests name the ID that they are for.
 // Inputs: the list of endpoints, the time.
 // Units: times.
 // Never: a version counts as gone because an endpoint is cut off or leaving.
@@ -20,14 +22,18 @@
 	// versionRetention is how long the version of an endpoint is kept after it has left the list.
 	// It is longer than streams are recorded.
 	versionRetention = 3 * time.Minute
-	// recordLag is how old the record of an endpoint may be when a request is sent there.
-	recordLag = 5 * time.Second
+	// maxObservationGap is the longest time between two lists in which no endpoint comes and leaves.
+	// The record of one that crashes stays for three heartbeats.
+	maxObservationGap = 3 * time.Second
+	// registrationTime is the time within which a process that has started is on the list.
+	registrationTime = time.Second
 )
 
 // Versions holds the versions of endpoints. The zero value has observed the endpoints since before
 // the first stream. It is not safe for concurrent use.
 type Versions struct {
 	since     time.Time // of the observation; zero for since before the first stream
+	confirmed time.Time // when the list was last known to be the newest, zero for never
 	endpoints map[string]*softwareOf
 	earlier   map[Software]time.Time // when a peer last knew it listed, of those that no endpoint here has run
 }
@@ -37,61 +43,68 @@
 	Software
 	listed       bool
 	lastListed   time.Time // of one that is no longer listed
-	doubtedSince time.Time // streams that began later may have begun at another version; zero for none
+	doubted      bool
+	doubtedSince time.Time // of one that is doubted: streams that began later may have begun at another process
 }
 
 // StartAt records that endpoints are observed from a time on.
 func (v *Versions) StartAt(now time.Time) { v.since = now }
 
+// Confirm records that the list was the newest at a time. After a gap the observation starts anew, since
+// an endpoint may have come and left in it.
+func (v *Versions) Confirm(at time.Time) {
+	if !at.After(v.confirmed) {
+		return
+	}
+	if !v.confirmed.IsZero() && at.Sub(v.confirmed) > maxObservationGap {
+		v.since = at
+	}
+	v.confirmed = at
+}
+
 // Observe applies the list of endpoints.
 func (v *Versions) Observe(now time.Time, list []placement.Endpoint) {
 	if v.endpoints == nil {
 		v.endpoints = map[string]*softwareOf{}
 	}
-	before := v.listedByID()
-	for _, s := range v.endpoints {
-		if s.listed {
-			s.listed = false
-			s.lastListed = now
-		}
-	}
+	listed := make(map[string]bool, len(list))
 	for _, e := range list {
-		v.observeEndpoint(now, e, before[e.ID])
+		listed[e.Incarnation()] = true
+		v.observeEndpoint(e)
 	}
-	v.expire(now)
-}
-
-// listedByID returns the incarnations that are listed, by the IDs of their endpoints.
-func (v *Versions) listedByID() map[string]string {
-	all := make(map[string]string, len(v.endpoints))
 	for incarnation, s := range v.endpoints {
-		if s.listed {
-			all[placement.EndpointID(incarnation)] = incarnation
+		if s.listed && !listed[incarnation] {
+			v.removeEndpoint(now, incarnation, s)
 		}
 	}
-	return all
+	v.expire(now)
 }
 
-// observeEndpoint applies the record of an endpoint. before is its incarnation on the list before,
-// empty for none.
-func (v *Versions) observeEndpoint(now time.Time, e placement.Endpoint, before string) {
+// observeEndpoint applies the record of an endpoint. If it names another version than before, either
+// record may have been wrong all the time.
+func (v *Versions) observeEndpoint(e placement.Endpoint) {
 	software := Software{Service: e.Service, Version: e.Version}
-	incarnation := e.Incarnation()
-	if previous := v.endpoints[before]; previous != nil && previous.Software != software {
-		previous.doubtedSince = now.Add(-recordLag)
-		if before == incarnation { // either of the two records may have been wrong all the time
-			previous.doubtedSince = now.Add(-versionRetention)
-		}
-	}
-	s := v.endpoints[incarnation]
+	s := v.endpoints[e.Incarnation()]
 	if s == nil {
-		s = &softwareOf{}
-		v.endpoints[incarnation] = s
+		s = &softwareOf{Software: software}
+		v.endpoints[e.Incarnation()] = s
+	}
+	if s.Software != software {
+		s.Software = software
+		s.doubted, s.doubtedSince = true, time.Time{}
 	}
-	s.Software = software
 	s.listed = true
 }
 
+// removeEndpoint records that an incarnation has left the list.
+func (v *Versions) removeEndpoint(now time.Time, incarnation string, s *softwareOf) {
+	s.listed = false
+	s.lastListed = now
+	if placement.KeepsID(incarnation) && !s.doubted {
+		s.doubted, s.doubtedSince = true, v.confirmed.Add(-registrationTime)
+	}
+}
+
 func (v *Versions) expire(now time.Time) {
 	for incarnation, s := range v.endpoints {
 		if !s.listed && now.Sub(s.lastListed) > versionRetention {
@@ -109,10 +122,16 @@
 // if that is not known for certain.
 func (v *Versions) SoftwareOf(incarnation string, begun time.Time) (Software, bool) {
 	s := v.endpoints[incarnation]
-	if s == nil || !s.doubtedSince.IsZero() && begun.After(s.doubtedSince) {
+	switch {
+	case s == nil:
+		return Software{}, false
+	case s.doubted && begun.After(s.doubtedSince):
+		return Software{}, false
+	case placement.KeepsID(incarnation) && v.confirmed.Before(begun.Add(registrationTime)):
 		return Software{}, false
+	default:
+		return s.Software, true
 	}
-	return s.Software, true
 }
 
 // Observed reports whether the endpoints have been observed for a time.
--- a/coord/resumption/versions_test.go
+++ b/coord/resumption/versions_test.go
@@ -77,6 +77,19 @@
 	expectOnly(t, &v, at(46*time.Second), "v2")
 }
 
+// TestVersionThatCameAndLeftInAGapIsNotRuledOut guards against an entry that was out of touch and takes the
+// version that it sees for the only one.
+func TestVersionThatCameAndLeftInAGapIsNotRuledOut(t *testing.T) {
+	var v resumption.Versions
+	v.Observe(at(0), list("a", "v1"))
+	v.Confirm(at(0))
+	v.Confirm(at(2 * time.Second))
+	expectOnly(t, &v, at(2*time.Second), "v1")
+	v.Confirm(at(10 * time.Second))
+	expectOnly(t, &v, at(12*time.Second), "")
+	expectOnly(t, &v, at(30*time.Second), "v1")
+}
+
 func TestSnapshotOfOlderEntryRestoresNothing(t *testing.T) {
 	var v resumption.Versions
 	v.StartAt(at(0))
@@ -98,41 +111,54 @@
 	}
 }
 
-// TestStreamsAroundARestartAtAnotherVersionAreUnknown guards against a stale record: the process that
-// began the stream may already have been the next one under that ID.
-func TestStreamsAroundARestartAtAnotherVersionAreUnknown(t *testing.T) {
-	var v resumption.Versions
-	before := placement.Endpoint{ID: "a", Service: "pool", Version: "v1", StartedMS: 1}
-	after := placement.Endpoint{ID: "a", Service: "pool", Version: "v2", StartedMS: 2}
-	v.Observe(at(0), []placement.Endpoint{before})
-	v.Observe(at(time.Minute), []placement.Endpoint{after})
-	if s, known := v.SoftwareOf(before.Incarnation(), at(30*time.Second)); !known || s.Version != "v1" {
-		t.Errorf("a stream long before the restart: %+v, %v", s, known)
-	}
-	if s, known := v.SoftwareOf(before.Incarnation(), at(58*time.Second)); known {
-		t.Errorf("a stream just before the restart was known: %+v", s)
-	}
-	if s, known := v.SoftwareOf(after.Incarnation(), at(58*time.Second)); !known || s.Version != "v2" {
-		t.Errorf("a stream at the new process: %+v, %v", s, known)
+// TestStreamsAroundARestartAreUnknown guards against a stale record: the process that began the stream
+// may already have been the next one under that ID, of any version.
+func TestStreamsAroundARestartAreUnknown(t *testing.T) {
+	for _, version := range []string{"v1", "v2"} {
+		var v resumption.Versions
+		before := placement.Endpoint{ID: "a", Service: "pool", Version: "v1", StartedMS: 1}
+		after := placement.Endpoint{ID: "a", Service: "pool", Version: version, StartedMS: 2}
+		v.Observe(at(0), []placement.Endpoint{before})
+		v.Confirm(at(50 * time.Second))
+		v.Observe(at(time.Minute), []placement.Endpoint{after})
+		v.Confirm(at(70 * time.Second))
+		if s, known := v.SoftwareOf(before.Incarnation(), at(48*time.Second)); !known || s.Version != "v1" {
+			t.Errorf("a stream before the list was last the newest: %+v, %v", s, known)
+		}
+		if s, known := v.SoftwareOf(before.Incarnation(), at(51*time.Second)); known {
+			t.Errorf("a stream after that was known: %+v", s)
+		}
+		if s, known := v.SoftwareOf(after.Incarnation(), at(61*time.Second)); !known || s.Version != version {
+			t.Errorf("a stream at the new process: %+v, %v", s, known)
+		}
 	}
 }
 
 func TestStreamsOfAnEndpointWhoseRecordChangesItsVersionAreUnknown(t *testing.T) {
 	var v resumption.Versions
 	v.Observe(at(0), list("a", "v1"))
+	v.Confirm(at(50 * time.Second))
 	v.Observe(at(time.Minute), list("a", "v2"))
 	if s, known := v.SoftwareOf("a", at(10*time.Second)); known {
 		t.Errorf("known: %+v", s)
 	}
 }
 
-func TestStreamsAroundARestartAtTheSameVersionStayKnown(t *testing.T) {
+// TestStreamsThatBeganAfterTheListWasReadAreUnknown guards against a restart under the same ID that
+// the entry can't know of yet.
+func TestStreamsThatBeganAfterTheListWasReadAreUnknown(t *testing.T) {
 	var v resumption.Versions
-	before := placement.Endpoint{ID: "a", Service: "pool", Version: "v1", StartedMS: 1}
-	after := placement.Endpoint{ID: "a", Service: "pool", Version: "v1", StartedMS: 2}
-	v.Observe(at(0), []placement.Endpoint{before})
-	v.Observe(at(time.Minute), []placement.Endpoint{after})
-	if s, known := v.SoftwareOf(before.Incarnation(), at(58*time.Second)); !known || s.Version != "v1" {
-		t.Errorf("got %+v, %v", s, known)
+	restarted := placement.Endpoint{ID: "a", Service: "pool", Version: "v1", StartedMS: 1}
+	unique := placement.Endpoint{ID: "b", Service: "pool", Version: "v1"}
+	v.Observe(at(0), []placement.Endpoint{restarted, unique})
+	v.Confirm(at(time.Minute))
+	if s, known := v.SoftwareOf(restarted.Incarnation(), at(time.Minute)); known {
+		t.Errorf("known: %+v", s)
+	}
+	if _, known := v.SoftwareOf(restarted.Incarnation(), at(59*time.Second)); !known {
+		t.Error("unknown although the list is newer than the stream")
+	}
+	if _, known := v.SoftwareOf(unique.Incarnation(), at(time.Hour)); !known {
+		t.Error("unknown although the ID is that of one process")
 	}
 }
--- a/internal/direct/gateway/attempts.go
+++ b/internal/direct/gateway/attempts.go
@@ -348,12 +348,13 @@
 }
 
 // removeExpired removes attempts of other entries whose deadline has passed, and updates the counts
-// of known and live entries.
-func (d *dispatcher) removeExpired(now time.Time) {
+// of known and live entries. listed is when the list of endpoints was last known to be the newest.
+func (d *dispatcher) removeExpired(now, listed time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.table.Expire(now)
 	d.origins.Expire(now)
+	d.versions.Confirm(listed)
 	d.expirePlaces(now)
 	d.table.Group = d.groupCounts()
 }
--- a/internal/direct/gateway/fuzz_test.go
+++ b/internal/direct/gateway/fuzz_test.go
@@ -56,7 +56,7 @@
 		if _, err := g.Snapshot(); err != nil {
 			t.Error(err)
 		}
-		g.dispatcher.removeExpired(time.Now().Add(time.Hour))
+		g.dispatcher.removeExpired(time.Now().Add(time.Hour), time.Time{})
 		g.suspects.removeExpired(time.Now().Add(time.Hour))
 		g.EventReceiver().MemberGone(2)
 	})
--- a/internal/direct/gateway/gateway.go
+++ b/internal/direct/gateway/gateway.go
@@ -158,7 +158,7 @@
 // done.
 func (g *Gateway) Run(ctx context.Context) {
 	go workers.Every(ctx, expireInterval, func(now time.Time) {
-		g.dispatcher.removeExpired(now)
+		g.dispatcher.removeExpired(now, g.directory.EndpointsConfirmed())
 		g.suspects.removeExpired(now)
 	})
 	g.pool.Run(ctx)
--- a/internal/direct/gateway/resumption.go
+++ b/internal/direct/gateway/resumption.go
@@ -32,7 +32,10 @@
 	// maxResumptionWait is the longest time for which the resumption of a stream waits for an
 	// endpoint. Callers give a stream up after a gap of 2 s.
 	maxResumptionWait = time.Second
-	// resumptionInterval is the time between two looks for an endpoint.
+	// maxListWait is the longest time for which a resumption waits for the list of endpoints. Two
+	// watches of the store and a heartbeat of another entry take less.
+	maxListWait = 1800 * time.Millisecond
+	// resumptionInterval is the time between two looks for an endpoint, or at the list.
 	resumptionInterval = 50 * time.Millisecond
 )
 
@@ -97,6 +100,12 @@
 		f.askPeers(&i)
 		decision = resumption.Decide(i)
 	}
+	if _, waits := decision.(resumption.AwaitList); waits {
+		f.awaitList()
+		i = f.gateway.resumptionInput(q)
+		i.PeersAsked, i.Waited = true, true
+		decision = resumption.Decide(i)
+	}
 	switch d := decision.(type) {
 	case resumption.Resume:
 		if !d.Recorded {
@@ -117,13 +126,15 @@
 func (g *Gateway) resumptionInput(q *request) resumption.Input {
 	now := steady.Now()
 	t := q.takenUp
-	i := resumption.Input{Named: t.request != "", ListAge: now.Sub(g.directory.EndpointsConfirmed())}
+	listed := g.directory.EndpointsConfirmed()
+	i := resumption.Input{Named: t.request != "", ListAge: now.Sub(listed), ListNewest: listed.After(q.received)}
 	for _, s := range q.class.Route.Split {
 		i.Services = append(i.Services, s.Service)
 	}
 	d := &g.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.versions.Confirm(listed)
 	life := q.class.GiveUp + attemptLifeSlack
 	i.Observed = d.versions.Observed(now, life)
 	if len(i.Services) == 1 {
@@ -148,6 +159,16 @@
 	return resumption.Origin{Endpoint: endpoint, Software: software}, now.Sub(begunAt), known
 }
 
+// awaitList waits a while until the list of endpoints was the newest after the caller came.
+func (f *forwarding) awaitList() {
+	until := steady.Now().Add(maxListWait)
+	for steady.Now().Before(until) && !f.gateway.directory.EndpointsConfirmed().After(f.request.received) {
+		if !workers.Sleep(f.ctx, resumptionInterval) {
+			return
+		}
+	}
+}
+
 // askPeers asks other entries about the stream that the request takes up.
 func (f *forwarding) askPeers(i *resumption.Input) {
 	i.PeersAsked = true
@@ -198,12 +219,29 @@
 	}
 }
 
+// versionKnown reports whether the endpoint of an attempt ran the version of its record when it began
+// the request's stream, or no other version is known.
+func (g *Gateway) versionKnown(q *request, a *attempt) bool {
+	listed := g.directory.EndpointsConfirmed()
+	d := &g.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.versions.Confirm(listed)
+	if _, known := d.versions.SoftwareOf(a.endpoint().Incarnation(), a.sentAt); known {
+		return true
+	}
+	only, found := d.versions.Only(steady.Now(), q.spec.Service, q.class.GiveUp+attemptLifeSlack)
+	return found && only == a.endpoint().Version
+}
+
 // Origin returns the origin of a stream, for other entries.
 func (g *Gateway) Origin(stream uint64) (peers.Origin, bool) {
 	now := steady.Now()
+	listed := g.directory.EndpointsConfirmed()
 	d := &g.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.versions.Confirm(listed)
 	o, age, known := d.origin(now, resumption.Key(stream))
 	if !known {
 		return peers.Origin{}, false
--- a/internal/direct/gateway/stream.go
+++ b/internal/direct/gateway/stream.go
@@ -175,7 +175,7 @@
 	dispatcher := &s.gateway.dispatcher
 	tried := map[string]bool{broken.endpoint().ID: true}
 	for {
-		if reason := s.resumptionRefusal(); reason != "" {
+		if reason := s.resumptionRefusal(broken); reason != "" {
 			return s.notResumed(broken, reason)
 		}
 		a, refusal := s.place(tried)
@@ -206,9 +206,11 @@
 }
 
 // resumptionRefusal returns why the stream may not be sent to a further endpoint, empty if it may.
-func (s *stream) resumptionRefusal() string {
+func (s *stream) resumptionRefusal(broken *attempt) string {
 	q := s.request
 	switch {
+	case !s.gateway.versionKnown(q, broken):
+		return "it is not known which version ran it"
 	case len(q.attempts) >= q.class.Route.MaxAttempts:
 		return "the attempts of its route are used up"
 	case s.checkContent() != nil:
