Pass the origins of streams to entries that start

What callers saw: 1309 for most streams that they resumed in the soak, at three entries each of which is killed every half second (11 of 23 and 19 of 30 refused), while their version served. Cause: an entry records the streams whose events it receives. Once each of those has been restarted, in turn as a rolling restart does, nobody knows a stream that still runs, although entries that know and entries that have just started were up beside each other all the time. Evidence: TestStreamsOutliveTheRestartOfAllEntriesInTurn fails on the code before; the soak's log lines. The soak has one release at a time: they overlapped so often that no engine served.

--- a/internal/direct/gateway/snapshot.go
+++ b/internal/direct/gateway/snapshot.go
@@ -22,8 +22,9 @@
 // versions ignore fields that placement does not have.
 type snapshot struct {
 	placement.Snapshot
-	Contents quarantine.Snapshot         `cbor:"10,keyasint,omitempty"`
-	Versions resumption.VersionsSnapshot `cbor:"13,keyasint,omitempty"`
+	Contents quarantine.Snapshot          `cbor:"10,keyasint,omitempty"`
+	Versions resumption.VersionsSnapshot  `cbor:"13,keyasint,omitempty"`
+	Origins  []resumption.OriginsSnapshot `cbor:"14,keyasint,omitempty"`
 }
 
 // Snapshot returns the state that an entry needs when it starts: the attempts of all entries, the
@@ -35,6 +36,7 @@
 	d.mu.Lock()
 	s.Snapshot = d.table.Snapshot(now)
 	s.Versions = d.versions.Snapshot(now)
+	s.Origins = d.origins.Snapshot(now)
 	d.mu.Unlock()
 	data, err := cbor.Marshal(s)
 	if err != nil {
@@ -55,6 +57,7 @@
 	defer d.mu.Unlock()
 	d.table.Restore(steady.Now(), s.Snapshot)
 	d.versions.Restore(steady.Now(), s.Versions)
+	d.origins.Restore(steady.Now(), s.Origins)
 	open := d.table.Open()
 	log.With("endpoints", len(s.Endpoints)).With("parts", len(s.Parts)).With("attempts", open).With("bytes", len(data)).
 		Info("The snapshot of another entry was applied.")
--- a/internal/testing/fleet/versions_test.go
+++ b/internal/testing/fleet/versions_test.go
@@ -330,3 +330,18 @@
 	f.eventually("the other entry is lost", func() bool { return e.gateway.Dump().LiveEntries == 1 })
 	f.checkAllResumed(streams, []*entry{e})
 }
+
+// TestStreamsOutliveTheRestartOfAllEntriesInTurn guards against streams that nobody knows once each entry
+// that received their events has ended.
+func TestStreamsOutliveTheRestartOfAllEntriesInTurn(t *testing.T) {
+	f := newMixedFleet(t, 2, 2, "v1", "v2")
+	streams := f.beginStreams(f.entries[0], 12, 2)
+	f.entries[0].stop()
+	started := f.addEntry(true)
+	f.eventually("the started entry has the snapshot of another", func() bool {
+		restored := started.group.RestoreSnapshot(t.Context(), started.gateway.Directory(), started.gateway.Restore)
+		return restored && started.gateway.Dump().RecordedStreams > 0
+	})
+	f.entries[1].stop()
+	f.checkAllResumed(streams, []*entry{started})
+}
--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -62,6 +62,7 @@
 	history history
 
 	evacuationMu sync.Mutex // held during an evacuation
+	releaseMu    sync.Mutex // held during a release of engines
 
 	mu          sync.Mutex
 	random      *rand.Rand
--- a/internal/testing/soak/versions.go
+++ b/internal/testing/soak/versions.go
@@ -36,8 +36,13 @@
 	expected bool   // its version served at two engines, and the entry was in touch
 }
 
-// release replaces part of the engines by engines of another version, one after the other.
+// release replaces part of the engines by engines of another version, one after the other. It does
+// nothing while another release is under way.
 func release(d *deployment, amount float64) {
+	if !d.releaseMu.TryLock() {
+		return
+	}
+	defer d.releaseMu.Unlock()
 	d.mu.Lock()
 	for before := d.software; d.software == before; {
 		d.software = softwareVersions[d.random.IntN(len(softwareVersions))]
