--- a/coord/resumption/rule.go
+++ b/coord/resumption/rule.go
@@ -32,7 +32,7 @@
 	Named      bool          // the caller names the stream
 	Version    string        // the only one that its service has run, as far as is known
 	Only       bool          // there is such a version
-	Observed   bool          // the service has been observed for longer than a stream lasts
+	Observed   bool          // the service has been observed for longer than an attempt lasts
 	ListAge    time.Duration // since the list of endpoints was known to be the newest
 	ListNewest bool          // the list was the newest after the caller came
 	PeersAsked bool
--- a/coord/resumption/versions.go
+++ b/coord/resumption/versions.go
@@ -105,6 +105,7 @@
 	}
 }
 
+// expire removes what was last listed longer than versionRetention ago.
 func (v *Versions) expire(now time.Time) {
 	for incarnation, s := range v.endpoints {
 		if !s.listed && now.Sub(s.lastListed) > versionRetention {
--- a/internal/direct/gateway/resumption.go
+++ b/internal/direct/gateway/resumption.go
@@ -58,11 +58,8 @@
 	recorded bool          // its origin is known, and not only its version
 }
 
-// takenUpOf returns the stream that a request takes up, nil if it begins one.
+// takenUpOf returns the stream that a request takes up according to its header, nil if it begins one.
 func (g *Gateway) takenUpOf(q *request) *takenUp {
-	if !q.class.Route.Streaming || !q.class.Route.Resumable {
-		return nil
-	}
 	h := q.incoming.Header
 	t := &takenUp{request: h.Get(g.fields.Resumes), after: h.Get(g.fields.LastEvent)}
 	if t.request == "" && t.after == "" {
@@ -71,7 +68,7 @@
 	return t
 }
 
-// setStream sets the stream that the request begins or takes up.
+// setStream sets the stream that the request begins or takes up, if its class allows resumptions.
 func (g *Gateway) setStream(q *request) {
 	if !q.class.Route.Streaming || !q.class.Route.Resumable {
 		return
@@ -94,19 +91,7 @@
 	if t == nil {
 		return nil
 	}
-	i := f.gateway.resumptionInput(q)
-	decision := resumption.Decide(i)
-	if _, asks := decision.(resumption.AskPeers); asks {
-		f.askPeers(&i)
-		decision = resumption.Decide(i)
-	}
-	if _, waits := decision.(resumption.AwaitList); waits {
-		f.awaitList()
-		i = f.gateway.resumptionInput(q)
-		i.PeersAsked, i.Waited = true, true
-		decision = resumption.Decide(i)
-	}
-	switch d := decision.(type) {
+	switch d := f.decideResumption().(type) {
 	case resumption.Resume:
 		if !d.Recorded {
 			t.source = originOnlyVersion
@@ -122,6 +107,24 @@
 	}
 }
 
+// decideResumption decides where the stream is resumed, with what other entries and a newer list of
+// endpoints add to what is known here.
+func (f *forwarding) decideResumption() resumption.Decision {
+	i := f.gateway.resumptionInput(f.request)
+	decision := resumption.Decide(i)
+	if _, asks := decision.(resumption.AskPeers); asks {
+		f.askPeers(&i)
+		decision = resumption.Decide(i)
+	}
+	if _, waits := decision.(resumption.AwaitList); waits {
+		f.awaitList()
+		i = f.gateway.resumptionInput(f.request)
+		i.PeersAsked, i.Waited = true, true
+		decision = resumption.Decide(i)
+	}
+	return decision
+}
+
 // resumptionInput returns what this entry knows about the stream that the request takes up.
 func (g *Gateway) resumptionInput(q *request) resumption.Input {
 	now := steady.Now()
