Keep what a starting entry has recorded when it restores origins

What callers could see: 1309 for a stream that is resumed while the entry that it comes to is starting. Evidence: TestRestoreKeepsWhatWasRecordedSinceTheStart fails on the code before. Found by reading. Why this works: a key that is recorded is passed over; both endpoints run the same version.

--- a/coord/resumption/origins_test.go
+++ b/coord/resumption/origins_test.go
@@ -147,6 +147,14 @@
 					o.Expire(at(time.Duration(second) * time.Second))
 					expiring = time.Since(from)
 				}
+				from := time.Now()
+				parts := o.Snapshot(at(seconds * time.Second))
+				snapshotting := time.Since(from)
+				var started resumption.Origins
+				from = time.Now()
+				restore(&started, at(seconds*time.Second), parts)
+				b.ReportMetric(float64(snapshotting.Microseconds()), "µs/snapshot")
+				b.ReportMetric(float64(time.Since(from).Microseconds())/float64(len(parts)), "µs/part")
 				recorded, dropped := o.Counts()
 				b.ReportMetric(float64(heapBytes()-before)/1e6, "MB")
 				b.ReportMetric(float64(recorded), "streams")
--- a/coord/resumption/snapshot.go
+++ b/coord/resumption/snapshot.go
@@ -18,12 +18,14 @@
 const (
 	// maxSnapshotStreams bounds the streams of a snapshot. They have 12 bytes each.
 	maxSnapshotStreams = 100_000
+	// maxPartStreams bounds the streams of one part of a snapshot.
+	maxPartStreams = 1000
 	// snapshotStreamBytes is the size of a stream in a snapshot: its key, age and time left.
 	snapshotStreamBytes = 8 + 2 + 2
 )
 
-// OriginsSnapshot holds the streams that began at one endpoint. Its encoding is part of the protocol
-// between entries.
+// OriginsSnapshot holds up to maxPartStreams streams that began at one endpoint. Its encoding is part of
+// the protocol between entries.
 type OriginsSnapshot struct {
 	_        struct{} `cbor:",toarray"`
 	Endpoint string   // incarnation
@@ -44,7 +46,9 @@
 	}
 	all := make([]OriginsSnapshot, 0, len(streams))
 	for endpoint, data := range streams {
-		all = append(all, OriginsSnapshot{Endpoint: endpoint, Streams: data})
+		for part := range slices.Chunk(data, maxPartStreams*snapshotStreamBytes) {
+			all = append(all, OriginsSnapshot{Endpoint: endpoint, Streams: part})
+		}
 	}
 	return all
 }
@@ -75,14 +79,16 @@
 	return n
 }
 
-// Restore records the streams of a snapshot of another entry.
-func (o *Origins) Restore(now time.Time, all []OriginsSnapshot) {
-	for _, s := range all {
-		for data := s.Streams; len(data) >= snapshotStreamBytes; data = data[snapshotStreamBytes:] {
-			key := Key(binary.BigEndian.Uint64(data))
-			age := time.Duration(binary.BigEndian.Uint16(data[8:])) * timeUnit
-			left := time.Duration(binary.BigEndian.Uint16(data[10:])) * timeUnit
-			o.add(key, s.Endpoint, now.Add(-age), now.Add(left))
+// Restore records the streams of part of a snapshot of another entry. The parts are small enough to
+// restore each under a lock that requests wait for.
+func (o *Origins) Restore(now time.Time, s OriginsSnapshot) {
+	for data := s.Streams; len(data) >= snapshotStreamBytes; data = data[snapshotStreamBytes:] {
+		key := Key(binary.BigEndian.Uint64(data))
+		if _, _, known := o.Endpoint(key); known {
+			continue
 		}
+		age := time.Duration(binary.BigEndian.Uint16(data[8:])) * timeUnit
+		left := time.Duration(binary.BigEndian.Uint16(data[10:])) * timeUnit
+		o.add(key, s.Endpoint, now.Add(-age), now.Add(left))
 	}
 }
--- a/coord/resumption/snapshot_test.go
+++ b/coord/resumption/snapshot_test.go
@@ -14,7 +14,7 @@
 		o.FirstEvent(at(time.Second), attempt(n))
 	}
 	started.Resumed(at(3*time.Second), 4, "c", time.Minute)
-	started.Restore(at(3*time.Second), o.Snapshot(at(3*time.Second)))
+	restore(&started, at(3*time.Second), o.Snapshot(at(3*time.Second)))
 	for key, want := range map[resumption.Key]string{1: "a", 2: "b", 3: "a", 4: "c"} {
 		expectEndpoint(t, &started, key, want)
 	}
@@ -34,10 +34,26 @@
 		o.Resumed(at(0), resumption.Key(n+1), "a", time.Duration(1+n/60_000)*time.Minute)
 	}
 	snapshot := o.Snapshot(at(0))
-	started.Restore(at(0), snapshot)
+	restore(&started, at(0), snapshot)
 	if recorded, _ := started.Counts(); recorded != 100_000 {
 		t.Errorf("%d streams were restored", recorded)
 	}
 	expectEndpoint(t, &started, 120_000, "a") // one of those that expire last
-	started.Restore(at(0), []resumption.OriginsSnapshot{{Endpoint: "b", Streams: snapshot[0].Streams[:13]}, {Streams: []byte{1}}})
+	restore(&started, at(0), []resumption.OriginsSnapshot{{Endpoint: "b", Streams: snapshot[0].Streams[:13]}, {Streams: []byte{1}}})
+}
+
+// restore restores all parts of a snapshot.
+func restore(o *resumption.Origins, now time.Time, all []resumption.OriginsSnapshot) {
+	for _, s := range all {
+		o.Restore(now, s)
+	}
+}
+
+// TestRestoreKeepsWhatWasRecordedSinceTheStart guards against a conflict with the resumption of the same stream.
+func TestRestoreKeepsWhatWasRecordedSinceTheStart(t *testing.T) {
+	var o, started resumption.Origins
+	o.Resumed(at(0), 7, "a", time.Minute)
+	started.Resumed(at(time.Second), 7, "b", 20*time.Second)
+	restore(&started, at(2*time.Second), o.Snapshot(at(2*time.Second)))
+	expectEndpoint(t, &started, 7, "b")
 }
--- a/internal/direct/gateway/snapshot.go
+++ b/internal/direct/gateway/snapshot.go
@@ -53,17 +53,26 @@
 	}
 	g.suspects.restore(steady.Now(), s.Contents)
 	d := &g.dispatcher
+	for _, part := range s.Origins {
+		d.restoreOrigins(part)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.table.Restore(steady.Now(), s.Snapshot)
 	d.versions.Restore(steady.Now(), s.Versions)
-	d.origins.Restore(steady.Now(), s.Origins)
 	open := d.table.Open()
 	log.With("endpoints", len(s.Endpoints)).With("parts", len(s.Parts)).With("attempts", open).With("bytes", len(data)).
 		Info("The snapshot of another entry was applied.")
 	return nil
 }
 
+// restoreOrigins applies part of the origins of streams in a snapshot.
+func (d *dispatcher) restoreOrigins(part resumption.OriginsSnapshot) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.origins.Restore(steady.Now(), part)
+}
+
 // EndRestore records that no further snapshot will arrive.
 func (g *Gateway) EndRestore() {
 	d := &g.dispatcher
