Drop the streams that expire soonest at the bound

What callers could see: 1309 for all new streams at a deployment with deadlines of a minute and 22,000 streams a second, or of 20 s at twice that. Cause: at maxStreams the newest streams were not recorded, while most of those that were had ended. Evidence: TestNewStreamsAreRecordedAtTheBound fails on the code before. Found by reading. Why this works: the group that expires soonest makes room; the bound is the same. Result: the test passes; the bound now holds the last 48 s at 22,000 a second, worked out.

--- a/coord/resumption/origins.go
+++ b/coord/resumption/origins.go
@@ -7,7 +7,7 @@
 // nothing.
 // Inputs: the attempts of all entries, as announced; announcements may be lost.
 // Units: streams, times.
-// Never: more than maxStreams are recorded; beyond that, further ones count as unknown.
+// Never: more than maxStreams are recorded; beyond that, those that expire soonest count as unknown.
 
 package resumption
 
@@ -111,8 +111,7 @@
 // add records that a stream began at an endpoint.
 func (o *Origins) add(key Key, endpoint string, begunAt, expires time.Time) {
 	if o.recorded >= maxStreams {
-		o.dropped++
-		return
+		o.dropSoonest()
 	}
 	if o.groups == nil {
 		o.groups = map[uint32]*group{}
@@ -129,6 +128,23 @@
 	}
 }
 
+// dropSoonest removes the streams that expire soonest, most of which have ended.
+func (o *Origins) dropSoonest() {
+	soonest := ^uint32(0)
+	for end := range o.groups {
+		soonest = min(soonest, end)
+	}
+	o.dropped += o.remove(soonest)
+}
+
+// remove removes a group and returns the number of its streams.
+func (o *Origins) remove(end uint32) int {
+	n := len(o.groups[end].streams)
+	o.recorded -= n
+	delete(o.groups, end)
+	return n
+}
+
 // units returns a time in units of timeUnit since the epoch.
 func (o *Origins) units(at time.Time) uint32 { return uint32(max(at.Sub(o.epoch), 0) / timeUnit) }
 
@@ -186,14 +202,13 @@
 			delete(o.pending, id)
 		}
 	}
-	for end, g := range o.groups {
+	for end := range o.groups {
 		if end < o.groupEnd(now) {
-			o.recorded -= len(g.streams)
-			delete(o.groups, end)
+			o.remove(end)
 		}
 	}
 }
 
-// Counts returns the number of recorded streams, and of those that were not recorded since there
-// were too many.
+// Counts returns the number of recorded streams, and of those that were dropped since there were too
+// many.
 func (o *Origins) Counts() (recorded, dropped int) { return o.recorded, o.dropped }
--- a/coord/resumption/origins_test.go
+++ b/coord/resumption/origins_test.go
@@ -73,6 +73,20 @@
 	expectEndpoint(t, &o, 8, "")
 }
 
+// TestNewStreamsAreRecordedAtTheBound guards against a full table that knows only streams that have ended.
+func TestNewStreamsAreRecordedAtTheBound(t *testing.T) {
+	const bound = 1 << 20
+	var o resumption.Origins
+	for n := range bound + 100_000 {
+		o.Resumed(at(time.Duration(n)*time.Millisecond/50), resumption.Key(n+1), "a", time.Minute)
+	}
+	expectEndpoint(t, &o, bound+100_000, "a")
+	expectEndpoint(t, &o, 1, "")
+	if recorded, dropped := o.Counts(); recorded > bound || recorded+dropped != bound+100_000 {
+		t.Errorf("%d streams are recorded, %d dropped", recorded, dropped)
+	}
+}
+
 // TestOriginIsNeverWrong has streams begin, end and be resumed in random order while announcements are
 // lost, and compares what an entry believes with what happened.
 func TestOriginIsNeverWrong(t *testing.T) {
--- a/internal/direct/gateway/dump.go
+++ b/internal/direct/gateway/dump.go
@@ -26,7 +26,7 @@
 	Contents        []quarantine.State        `json:"contents"`         // the most suspect ones
 
 	RecordedStreams   int `json:"recorded_streams"`   // that callers may resume, of all entries
-	UnrecordedStreams int `json:"unrecorded_streams"` // since the start, beyond the bound on RecordedStreams
+	UnrecordedStreams int `json:"unrecorded_streams"` // since the start, dropped at the bound on RecordedStreams
 
 	Queues map[string]QueueState `json:"queues,omitempty"` // by service, of those with queued admission
 
