Continue a run from its copy only if its version is certain

What callers could see: an answer of two versions, where an engine restarts under its ID at another version before its record is known, runs a request and crashes. Cause: the version of the record was taken for that of the process; streams that an entry resumes were held to what is certain, continuations from a copy were not. Evidence: the gateway's new test goes on at the second engine on the code before. Found by reading. Why this works: both ask the same question.

--- a/internal/direct/gateway/replicas.go
+++ b/internal/direct/gateway/replicas.go
@@ -6,8 +6,9 @@
 // with the copy may take the request. The route's number of attempts does not count it: the first
 // engine has ended. If that engine has no copy, the request ends as without one.
 // Inputs: results of attempts, crashes that this entry or others observed.
-// Never: a run is continued at another version of the engine's software; an event is relayed that does not follow the last one; a request is continued after part
-// of a response without events was relayed.
+// Never: a run is continued at another version of the engine's software; an event is relayed that
+// does not follow the last one; a request is continued after part of a response without events was
+// relayed.
 
 package gateway
 
@@ -171,6 +172,8 @@
 	switch {
 	case f.ctx.Err() != nil:
 		return nil, "the caller has left or the deadline has passed"
+	case !f.gateway.versionKnown(q, broken):
+		return nil, "it is not known which version ran it"
 	case f.checkContent() != nil:
 		return nil, "its content is held"
 	case q.crashes > 1: // with this crash
--- a/internal/direct/gateway/replicas_test.go
+++ b/internal/direct/gateway/replicas_test.go
@@ -281,4 +281,17 @@
 		first, _ := order(h)
 		Expect(first.Runs()[0].Header).NotTo(HaveKey(http.CanonicalHeaderKey(platformtest.ReplicaField)))
 	})
+
+	It("don't go on if their engine may have been another version that restarted under its ID", func() {
+		h := newHarness(whole, whole, whole)
+		for _, r := range h.runners {
+			r.StartedMS = 7
+		}
+		h.runners[2].Version, h.runners[2].DataCentre = "v2", "zone-2" // chosen last
+		h.engines(engine(true))
+		platformtest.ShareScript(h.runners, crash, whole)
+		a := h.do(plan(h, small))
+		a.expectTruncated()
+		Expect(h.runs()).To(Equal(1))
+	})
 })
