Get the versions of endpoints that a peer of an older build left out

What callers could see: after a rolling upgrade of entries, streams that go on at any version, for as long as the records of the engines don't change. Cause: an older build drops the version from the list that it passes on. An entry of this build that got its list from one took all versions for the same, and did not ask again, since the revision was the newest. Evidence: the new test of peers stays without versions on the code before. Found by reading. Why this works: an empty version is unknown and no stream is certain there; a record that names none has a version of its own. An entry whose list lacks versions fetches the whole list, at the same revision, from a peer whose heartbeat says that it has them, or takes it from the store. Result: the tests of peers, directory and platform pass.

--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -47,11 +47,15 @@
 	// WarmupLeft is the remaining warm-up time when the record was written, 0 for warm.
 	WarmupLeft time.Duration `cbor:"9,keyasint,omitempty"`
 
-	// Version is the version of the software that this incarnation runs, empty for unknown. It has
-	// no order, and is not that of the model's weights.
+	// Version is the version of the software that this incarnation runs, NoVersion if its record names
+	// none, empty if the record came through an entry of an older build. It has no order, and is not
+	// that of the model's weights.
 	Version string `cbor:"10,keyasint,omitempty"`
 }
 
+// NoVersion is the version of endpoints whose records name none.
+const NoVersion = "none"
+
 // incarnationSeparator separates the endpoint's id from its start time in the name of an
 // incarnation.
 const incarnationSeparator = "@"
--- a/coord/resumption/rule.go
+++ b/coord/resumption/rule.go
@@ -30,7 +30,7 @@
 	Known      bool          // the origin is known
 	Services   []string      // to which the request may go
 	Named      bool          // the caller names the stream
-	Version    string        // the only one that its service has run, as far as is known
+	Version    string        // the only one that its service has run, as far as is known; may be empty
 	Only       bool          // there is such a version
 	Observed   bool          // the service has been observed for longer than an attempt lasts
 	ListAge    time.Duration // since the list of endpoints was known to be the newest
@@ -93,9 +93,11 @@
 		return Resume{Software: Software{Service: i.Services[0], Version: i.Version}}
 	case i.Named && !i.PeersAsked:
 		return AskPeers{}
-	case i.Named && i.onlyVersion() && i.Observed && i.ListNewest:
+	case !i.Observed || !i.onlyVersion() || i.Version == "":
+		return Refuse{OriginUnknown}
+	case i.ListNewest:
 		return Resume{Software: Software{Service: i.Services[0], Version: i.Version}}
-	case i.Named && i.onlyVersion() && i.Observed && i.ListAge <= maxListAge && !i.Waited:
+	case i.ListAge <= maxListAge && !i.Waited:
 		return AwaitList{}
 	default:
 		return Refuse{OriginUnknown}
--- a/coord/resumption/versions.go
+++ b/coord/resumption/versions.go
@@ -124,7 +124,7 @@
 func (v *Versions) SoftwareOf(incarnation string, begun time.Time) (Software, bool) {
 	s := v.endpoints[incarnation]
 	switch {
-	case s == nil:
+	case s == nil || s.Version == "":
 		return Software{}, false
 	case s.doubted && begun.After(s.doubtedSince):
 		return Software{}, false
--- a/internal/direct/directory/directory.go
+++ b/internal/direct/directory/directory.go
@@ -46,6 +46,7 @@
 	revision          uint64    // of the endpoint list
 	listConfirmed     time.Time // when the endpoint list was last known to be the newest
 	listed            bool
+	unversioned       bool // the version of an endpoint's software is not known
 	endpoints         map[string]placement.Endpoint
 	endpointHistory   endpointHistory
 
@@ -85,10 +86,12 @@
 	d.replaceEndpoints(list, "peer", peerRetention(retained))
 }
 
-// replaceEndpoints replaces the endpoint list. retention returns how long an endpoint that
+// replaceEndpoints replaces the endpoint list, also by one of the same revision that has the versions
+// that it lacks. retention returns how long an endpoint that
 // is not on the new list stays in use. d.mu is held.
 func (d *Directory) replaceEndpoints(list driver.Endpoints, source string, retention retentionFunc) {
-	if d.listed && list.Revision <= d.revision {
+	completes := list.Revision == d.revision && d.unversioned && versioned(list.List)
+	if d.listed && list.Revision <= d.revision && !completes {
 		return
 	}
 	d.revision = list.Revision
@@ -106,6 +109,7 @@
 	}
 	d.endpointHistory.reset(list.Revision)
 	log.With("revision", d.revision).With("endpoints", len(d.endpoints)).With("from", source).Info("The list of endpoints was read.")
+	d.unversioned = !versioned(d.list())
 	d.onEndpoints(d.usable())
 }
 
@@ -147,6 +151,7 @@
 		d.remove(e, retention(now, e))
 		log.With("endpoint", id).With("revision", c.Revision).Info("An endpoint left the list.")
 	}
+	d.unversioned = !versioned(d.list())
 	d.onEndpoints(d.usable())
 }
 
@@ -190,6 +195,19 @@
 	return driver.Endpoints{Revision: d.revision, List: d.list()}
 }
 
+// Versioned reports whether the list has the versions of all endpoints' software. Lists from peers of
+// older builds have none.
+func (d *Directory) Versioned() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.unversioned
+}
+
+// versioned reports whether all endpoints have versions.
+func versioned(list []placement.Endpoint) bool {
+	return !slices.ContainsFunc(list, func(e placement.Endpoint) bool { return e.Version == "" })
+}
+
 // EndpointsConfirmed returns when the endpoint list was last known to be the newest.
 func (d *Directory) EndpointsConfirmed() time.Time {
 	d.mu.Lock()
--- a/internal/direct/gateway/resumption.go
+++ b/internal/direct/gateway/resumption.go
@@ -234,7 +234,7 @@
 		return true
 	}
 	only, found := d.versions.Only(steady.Now(), q.spec.Service, q.class.GiveUp+attemptLifeSlack)
-	return found && only == a.endpoint().Version
+	return found && only != "" && only == a.endpoint().Version
 }
 
 // Origin returns the origin of a stream, for other entries.
--- a/internal/direct/peers/catchup.go
+++ b/internal/direct/peers/catchup.go
@@ -57,10 +57,11 @@
 	requestedAt time.Time
 }
 
-// isAhead reports whether the peer has a newer version of a part.
-func (m *member) isAhead(p Part, version, revision uint64) bool {
+// isAhead reports whether the peer has a newer version of a part, or the versions of endpoints that
+// this process lacks at the same revision.
+func (m *member) isAhead(p Part, version, revision uint64, versioned bool) bool {
 	if p == EndpointsPart {
-		return m.revision > revision
+		return m.revision > revision || !versioned && m.heartbeat.Versioned && m.revision == revision
 	}
 	return m.version > version
 }
@@ -70,10 +71,11 @@
 func (g *Group) updateVersions(m *member, p packet, version, revision uint64, now time.Time) {
 	m.version = p.Version
 	m.revision = p.Revision
+	versioned := g.options.Directory.Versioned()
 	for part := range partCount {
 		l := &m.aheadStates[part]
 		switch {
-		case !m.isAhead(part, version, revision):
+		case !m.isAhead(part, version, revision, versioned):
 			l.since = time.Time{}
 		case l.since.IsZero():
 			l.since = now
@@ -109,6 +111,7 @@
 // fetchSource returns the peer to fetch a part from, nil for none. g.mu must be held.
 func (g *Group) fetchSource(p Part, delay time.Duration, version, revision uint64, now time.Time) *member {
 	isRelay := g.currentPlan(now).isRelay
+	versioned := g.options.Directory.Versioned()
 	known := version > 0
 	if p == EndpointsPart {
 		known = revision > 0
@@ -123,7 +126,7 @@
 		case m.remote && !isRelay:
 			wait += remoteFetchDelay
 		}
-		if !m.alive(now) || !m.isAhead(p, version, revision) || l.since.IsZero() || now.Sub(l.since) < wait {
+		if !m.alive(now) || !m.isAhead(p, version, revision, versioned) || l.since.IsZero() || now.Sub(l.since) < wait {
 			continue
 		}
 		if best == nil || m.fetchOrder(p).Before(best.fetchOrder(p)) {
--- a/internal/direct/peers/fetch.go
+++ b/internal/direct/peers/fetch.go
@@ -53,7 +53,7 @@
 func fetch(ctx context.Context, d *directory.Directory, address string, p Part, version, revision uint64) error {
 	f := transfer.Begin(ctx, p.firstByteTimeout(), stallTimeout)
 	defer f.End()
-	response, err := sendRequest(f, address, p, version, revision)
+	response, err := sendRequest(f, address, p, version, revision, d.Versioned())
 	if err != nil {
 		return err
 	}
@@ -84,13 +84,17 @@
 	return settingsTimeout
 }
 
-// sendRequest requests a part of the state of a peer.
-func sendRequest(f *transfer.Transfer, address string, p Part, version, revision uint64) (*http.Response, error) {
+// sendRequest requests a part of the state of a peer. versioned is whether this process has the versions
+// of all endpoints.
+func sendRequest(f *transfer.Transfer, address string, p Part, version, revision uint64, versioned bool) (*http.Response, error) {
 	query := url.Values{
 		versionField:  {strconv.FormatUint(version, 10)},
 		revisionField: {strconv.FormatUint(revision, 10)},
 		partField:     {p.String()},
 	}
+	if p == EndpointsPart && !versioned {
+		query.Set(unversionedField, "1")
+	}
 	from := url.URL{Scheme: "http", Host: address, Path: statePath, RawQuery: query.Encode()}
 	request, err := http.NewRequestWithContext(f.Context(), http.MethodGet, from.String(), http.NoBody)
 	if err != nil {
--- a/internal/direct/peers/group.go
+++ b/internal/direct/peers/group.go
@@ -42,6 +42,7 @@
 	Versions() (version, revision uint64)
 	Confirmed() time.Time
 	Confirm(version uint64, at time.Time)
+	Versioned() bool
 	EndpointsConfirmed() time.Time
 	ConfirmEndpoints(revision uint64, at time.Time)
 	LastStoreContact() time.Time
--- a/internal/direct/peers/heartbeat.go
+++ b/internal/direct/peers/heartbeat.go
@@ -67,6 +67,7 @@
 		Informed:           g.snapshotRestored.Load() || steady.Since(g.startedAt) > discoveryPeriod,
 		ClockMS:            steady.Wall().UnixMilli(),
 		Presence:           true,
+		Versioned:          d.Versioned(),
 	}
 	if at := d.EndpointsConfirmed(); !at.IsZero() {
 		h.EndpointsAgeMS = steady.Since(at).Milliseconds() + 1
--- a/internal/direct/peers/origin_test.go
+++ b/internal/direct/peers/origin_test.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"foxcross.dev/coord/placement"
+	"foxcross.dev/foxcross/internal/direct/driver"
 	"foxcross.dev/foxcross/internal/direct/peers"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -52,3 +54,18 @@
 		Expect(time.Since(from)).To(BeNumerically("<", 10*time.Second))
 	})
 })
+
+var _ = Describe("a list of endpoints that came through a peer of an older build", func() {
+	It("gets the versions of endpoints from a peer that has them at the same revision", func() {
+		list := func(version string) driver.Endpoints {
+			return driver.Endpoints{Revision: 5, List: []placement.Endpoint{{ID: "i-1", Service: "pool", Address: "10.0.0.1:80", Version: version}}}
+		}
+		a := startPeerIn("x", "a", "", 1)
+		a.directory.ReplaceEndpoints(list(""), "peer")
+		b := startPeerIn("x", "b", "", 2, a.group.Address())
+		b.directory.ReplaceEndpoints(list("v1"), "store")
+		Eventually(a.directory.Versioned).WithTimeout(10 * time.Second).Should(BeTrue())
+		Expect(a.directory.Endpoints()).To(Equal(list("v1")))
+		Expect(b.directory.Endpoints()).To(Equal(list("v1")))
+	})
+})
--- a/internal/direct/peers/packet.go
+++ b/internal/direct/peers/packet.go
@@ -156,6 +156,7 @@
 	EvacuationsRevision uint64   `cbor:"16,keyasint,omitempty"` // revision of the store, 0 if unknown
 	Presence            bool     `cbor:"17,keyasint,omitempty"` // the sender supports packets with a presence
 	EndpointsAgeMS      int64    `cbor:"18,keyasint,omitempty"` // time since the list of endpoints was confirmed as the newest, plus 1; 0 for never
+	Versioned           bool     `cbor:"19,keyasint,omitempty"` // the sender's list has the versions of the endpoints' software
 }
 
 // evacuations returns the evacuated data centres known to the sender.
--- a/internal/direct/peers/state.go
+++ b/internal/direct/peers/state.go
@@ -38,6 +38,8 @@
 	versionField  = "version"
 	revisionField = "revision"
 	partField     = "part" // none for both parts, as older versions request them
+	// unversionedField is set by a client that lacks the versions of some endpoints.
+	unversionedField = "unversioned"
 )
 
 // maxTransfers is how many settings responses a peer sends at the same time. More would share
@@ -65,6 +67,9 @@
 	version, revision := parseNumber(query.Get(versionField)), parseNumber(query.Get(revisionField))
 	switch query.Get(partField) {
 	case EndpointsPart.String():
+		if query.Has(unversionedField) && h.directory.Versioned() {
+			revision = 0
+		}
 		s := h.endpointsState(revision)
 		s.ActiveVersion, s.Revision = h.directory.ConfirmedRevision()
 		h.writeState(w, r, s)
