Log what decided where a stream is resumed, and how old it was

Cause: the line of a request that is refused with 1309 said that the version is not known, and not by which list of endpoints, how old that was, whether the service had run several versions, and whether other entries were asked. The same for a stream that the entry does not resume itself. Change: the record of a resumption has these, explain prints them, and the reason of a send that was not resumed names the age of the list.

--- a/internal/direct/explain/explain.go
+++ b/internal/direct/explain/explain.go
@@ -124,6 +124,17 @@
 	default:
 		fmt.Fprintf(w, "    begun at version %s by %s, %d ms before; known from: %s\n", r.Version, r.Endpoint, r.AgeMS, r.Source)
 	}
+	only, observed, asked := "several versions", "not observed for long enough", "no other entries were asked"
+	if r.OnlyVersion != "" {
+		only = "only version " + r.OnlyVersion
+	}
+	if r.Observed {
+		observed = "observed for long enough"
+	}
+	if r.PeersAsked {
+		asked = "other entries were asked"
+	}
+	fmt.Fprintf(w, "    known of the service: %s, %s, by a list that was the newest %d ms before; %s\n", only, observed, r.ListAgeMS, asked)
 }
 
 // versionText returns the version of an endpoint's software as it follows the endpoint, empty for
--- a/internal/direct/gateway/replicas.go
+++ b/internal/direct/gateway/replicas.go
@@ -169,11 +169,12 @@
 	d := &f.gateway.dispatcher
 	q := f.request
 	q.spec.Resumes, q.spec.Version = true, broken.endpoint().Version
+	doubt := f.gateway.versionDoubt(q, broken)
 	switch {
 	case f.ctx.Err() != nil:
 		return nil, "the caller has left or the deadline has passed"
-	case !f.gateway.versionKnown(q, broken):
-		return nil, "it is not known which version ran it"
+	case doubt != "":
+		return nil, doubt
 	case f.checkContent() != nil:
 		return nil, "its content is held"
 	case q.crashes > 1: // with this crash
--- a/internal/direct/gateway/resumption.go
+++ b/internal/direct/gateway/resumption.go
@@ -13,6 +13,7 @@
 package gateway
 
 import (
+	"fmt"
 	"time"
 
 	"foxcross.dev/coord/eligibility"
@@ -56,6 +57,8 @@
 	origin   resumption.Origin
 	age      time.Duration // since it began, 0 for unknown
 	recorded bool          // its origin is known, and not only its version
+
+	input resumption.Input // of the last decision, for the log
 }
 
 // takenUpOf returns the stream that a request takes up according to its header, nil if it begins one.
@@ -122,6 +125,7 @@
 		i.PeersAsked, i.Waited = true, true
 		decision = resumption.Decide(i)
 	}
+	f.request.takenUp.input = i
 	return decision
 }
 
@@ -222,11 +226,20 @@
 	}
 }
 
-// versionKnown reports whether the endpoint of an attempt ran the version of its record when it began
-// the request's stream, or no other version is known.
-func (g *Gateway) versionKnown(q *request, a *attempt) bool {
+// versionDoubt returns why it is not certain that the endpoint of an attempt ran the version of its
+// record when it began the request's stream. It is empty if that is certain, or no other version is
+// known.
+func (g *Gateway) versionDoubt(q *request, a *attempt) string {
 	listed := g.directory.EndpointsConfirmed()
-	d := &g.dispatcher
+	if g.dispatcher.versionKnown(q, a, listed) {
+		return ""
+	}
+	return fmt.Sprintf("it is not known which version ran it: the list of endpoints was the newest %d ms ago", steady.Since(listed).Milliseconds())
+}
+
+// versionKnown reports whether the endpoint of an attempt ran the version of its record, or no other
+// version is known. listed is when the list of endpoints was last known to be the newest.
+func (d *dispatcher) versionKnown(q *request, a *attempt, listed time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.versions.Confirm(listed)
@@ -286,6 +299,7 @@
 	return &record.Resumption{
 		Request: t.request, After: t.after, Source: t.source,
 		Endpoint: t.origin.Endpoint, Version: t.origin.Version, AgeMS: t.age.Milliseconds(),
+		ListAgeMS: t.input.ListAge.Milliseconds(), OnlyVersion: t.input.Version, Observed: t.input.Observed, PeersAsked: t.input.PeersAsked,
 	}
 }
 
--- a/internal/direct/gateway/stream.go
+++ b/internal/direct/gateway/stream.go
@@ -208,9 +208,10 @@
 // resumptionRefusal returns why the stream may not be sent to a further endpoint, empty if it may.
 func (s *stream) resumptionRefusal(broken *attempt) string {
 	q := s.request
+	doubt := s.gateway.versionDoubt(q, broken)
 	switch {
-	case !s.gateway.versionKnown(q, broken):
-		return "it is not known which version ran it"
+	case doubt != "":
+		return doubt
 	case len(q.attempts) >= q.class.Route.MaxAttempts:
 		return "the attempts of its route are used up"
 	case s.checkContent() != nil:
--- a/internal/direct/record/record.go
+++ b/internal/direct/record/record.go
@@ -56,7 +56,7 @@
 	ReturnMS int64   `json:"return_ms,omitempty"` // until the refused caller may return
 }
 
-// Resumption is a stream that a request takes up.
+// Resumption is a stream that a request takes up, with what decided where it is resumed.
 type Resumption struct {
 	Request  string `json:"request"`                // that brought its first event, as the caller says; empty if it names none
 	After    string `json:"after"`                  // ID of the last event that the caller has
@@ -64,6 +64,11 @@
 	Endpoint string `json:"begun_at,omitempty"`     // incarnation
 	Version  string `json:"version,omitempty"`      // that began it
 	AgeMS    int64  `json:"begun_ms_ago,omitempty"` // 0 for unknown
+
+	ListAgeMS   int64  `json:"list_ms_ago"`            // since the list of endpoints was known to be the newest
+	OnlyVersion string `json:"only_version,omitempty"` // that the service has run lately, as far as is known; empty for several
+	Observed    bool   `json:"observed"`               // for as long as an attempt lasts, without a gap
+	PeersAsked  bool   `json:"peers_asked"`
 }
 
 // Parse parses a line. Text before its JSON is ignored. It reports whether the JSON is valid.
