Count a resumed stream for its team at the service where it goes on

Cause: on a route that is split between services the team's share was that of the service that was drawn first, while the stream goes on where it began. Found by reading; no test, since no deployment shares engine time at one service of a split route and not at the other. Change: the team is set with the service. Result: the tests of resumed streams pass.

--- a/internal/direct/gateway/resumption.go
+++ b/internal/direct/gateway/resumption.go
@@ -102,6 +102,7 @@
 		}
 		t.recorded = d.Recorded
 		q.spec.Resumes, q.spec.Version, q.spec.Service = true, d.Version, d.Service
+		q.spec.Team = teamOf(f.gateway.directory.Settings().Snapshot, d.Service, q.team)
 		return nil
 	case resumption.Refuse:
 		return &result.Error{Code: result.StreamUnknown, Run: result.NotRun, Reason: d.Reason.String()}
