--- a/internal/testing/fleet/versions_test.go
+++ b/internal/testing/fleet/versions_test.go
@@ -345,3 +345,37 @@
 	f.entries[1].stop()
 	f.checkAllResumed(streams, []*entry{started})
 }
+
+// TestStreamIsNotResumedAtRestartedEngineOfAnotherVersion guards against a restart under an ID that entries can't know of.
+func TestStreamIsNotResumedAtRestartedEngineOfAnotherVersion(t *testing.T) {
+	f := newMixedFleet(t, 2, 0)
+	var engines []*platformtest.Runner
+	for n, version := range []string{"v1", "v1", "v2"} {
+		engines = append(engines, f.addEngineThatKeepsID(fmt.Sprintf("i-%s-%d", version, n), version))
+	}
+	f.awaitEndpoints(len(engines))
+	streams := f.beginStreams(f.entries[0], 12, 2)
+	f.eventually("an entry is certain where the streams began", func() bool {
+		return f.takeUp(f.entries[1], streams[0]).status == http.StatusOK
+	})
+	f.store.SetFault(platformtest.Silent)
+	f.entries[0].stop()
+	engines[0].Close()
+	restarted := engines[1].Restart("v2")
+	t.Cleanup(restarted.Close)
+	for _, s := range streams {
+		f.takeUp(f.entries[1], s)
+	}
+	if got := len(restarted.Runs()); got > 0 {
+		t.Errorf("the engine that restarted at v2 got %d streams of v1", got)
+	}
+}
+
+// addEngineThatKeepsID starts an engine whose record has a start time.
+func (f *fleet) addEngineThatKeepsID(id, version string) *platformtest.Runner {
+	r := platformtest.NewRunner(id, service, platformtest.Events{To: 20, Pause: eventPause})
+	r.Engine, r.Version, r.StartedMS = true, version, 1
+	f.t.Cleanup(r.Close)
+	f.store.PutEndpoint(r, "ready")
+	return r
+}
--- /dev/null
+++ b/internal/testing/standin/platformtest/respond.go
@@ -0,0 +1,94 @@
+package platformtest
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// resetDelay is the time in which bytes arrive before a reset, which would drop them.
+const resetDelay = 50 * time.Millisecond
+
+// awaitClose waits until the caller closes the connection.
+func (r *Runner) awaitClose(reader *bufio.Reader, id string) {
+	if _, err := reader.Peek(1); err != nil {
+		r.abandoned <- id
+	}
+}
+
+// stream sends the events after the last one that the caller has received.
+func (r *Runner) stream(c net.Conn, reader *bufio.Reader, q *http.Request, a Events) bool {
+	id := q.Header.Get(RequestIDField)
+	from := 1
+	if last, err := strconv.Atoi(q.Header.Get(LastEventField)); err == nil {
+		from = last + 1 - a.Repeat
+	}
+	write(c, "%s", r.head(http.StatusOK, id, InstanceField+": "+r.ID+"\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"))
+	r.prefill(q.Header, r.slowed(a.Token))
+	for n := from; n <= a.To; n++ {
+		time.Sleep(r.slowed(a.Pause))
+		chunk(c, fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, r.ID, n))
+		if n == from && a.Hold != nil {
+			<-a.Hold
+		}
+	}
+	if a.Crash {
+		chunk(c, fmt.Sprintf("id: %d\nda", a.To+1))
+		time.Sleep(resetDelay)
+		r.Close()
+		return false
+	}
+	if a.Broken {
+		chunk(c, fmt.Sprintf("id: %d\nda", a.To+1))
+		time.Sleep(resetDelay)
+		return reset(c)
+	}
+	write(c, "0\r\n\r\n")
+	return true
+}
+
+func (r *Runner) head(status int, id, more string) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: seal-%s\r\n%s%s\r\n",
+		status, http.StatusText(status), RequestIDField, id, SealField, id, r.signalFields(), more)
+}
+
+// signalFields returns the header lines that name the limit and announce the draining of the runner.
+func (r *Runner) signalFields() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	lines := headerLines(LimitField, r.limitValues) + headerLines(DrainingField, r.drainingValues)
+	if len(r.drainingValues) > 0 {
+		lines += headerLines(InstanceField, []string{r.ID})
+	}
+	return lines
+}
+
+// headerLines returns the header lines of a field, one for each value.
+func headerLines(name string, values []string) string {
+	var lines strings.Builder
+	for _, v := range values {
+		fmt.Fprintf(&lines, "%s: %s\r\n", name, v)
+	}
+	return lines.String()
+}
+
+func length(body string) string { return fmt.Sprintf("Content-Length: %d\r\n", len(body)) }
+
+func chunk(c net.Conn, data string) { write(c, "%x\r\n%s\r\n", len(data), data) }
+
+func write(c net.Conn, format string, values ...any) {
+	_, _ = fmt.Fprintf(c, format, values...) // the caller may have disconnected
+}
+
+// reset makes the close of a connection send a reset. It returns false, so that the connection is
+// closed.
+func reset(c net.Conn) bool {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // a close then sends a reset
+	}
+	return false
+}
