Say in plain words what a dozen comments said in riddles

Comments of resumption, its tests and the gateway's part of it; a regression test has one line of them. Overlong lines are wrapped. No code changes but a variable's name in a test.

--- a/coord/memory/fetch.go
+++ b/coord/memory/fetch.go
@@ -8,7 +8,8 @@
 // time to compute a token, the results of earlier fetches from the source.
 // Units: tokens, milliseconds.
 // Never: a source runs another version of its software than the engine that fetches, since what two
-// versions write doesn't fit together; a source is draining, failing, unreachable, overdue or slow; the caller leaves those out.
+// versions write doesn't fit together; a source is draining, failing, unreachable, overdue or slow; the
+// caller leaves those out.
 
 package memory
 
--- a/coord/placement/choose.go
+++ b/coord/placement/choose.go
@@ -6,8 +6,9 @@
 // many open requests as the service allows, when it runs another version of its software than the
 // one that began the stream that the request resumes, or when it is not eligible for the request
 // (eligible.go). If no endpoint may resume a stream, one that has been leaving for less than
-// leavingGraceShare of the grace period may, since no other has its version. An endpoint that was unreachable recently, or whose responses say that it is
-// draining, remains available at a cost so high that all others are preferred.
+// leavingGraceShare of the grace period may, since no other has its version. An endpoint that was
+// unreachable recently, or whose responses say that it is draining, remains available at a cost so high
+// that all others are preferred.
 // Inputs: the table, the request, the time, a source of randomness.
 // Never: it changes nothing in the table except the size of the pool; it rejects no request
 // (see package admission).
--- a/coord/placement/replica.go
+++ b/coord/placement/replica.go
@@ -25,7 +25,7 @@
 	// replicaSample is the number of engines drawn from each of the two groups.
 	replicaSample = 4
 	// replicaRounds bounds how often they are drawn while none of them may hold the copy, as where
-	// few engines run the version of the run's.
+	// few engines run its version.
 	replicaRounds = 3
 	// maxReplicas bounds the copies at one engine.
 	maxReplicas = 64
--- a/coord/placement/version_test.go
+++ b/coord/placement/version_test.go
@@ -28,8 +28,7 @@
 	return t
 }
 
-// TestStreamIsResumedAtItsVersionOnly guards against streams that go on at another version of their
-// engine's software, in services that are scanned and in those that are sampled.
+// TestStreamIsResumedAtItsVersionOnly guards against resumptions at other versions, in small and in sampled services.
 func TestStreamIsResumedAtItsVersionOnly(t *testing.T) {
 	for _, engines := range []int{6, 200} {
 		table := versionTable(engines, 3)
@@ -58,8 +57,7 @@
 	}
 }
 
-// TestCopyIsHeldAtTheVersionOfItsRun guards against runs that continue from the memory that another
-// version wrote.
+// TestCopyIsHeldAtTheVersionOfItsRun guards against runs that continue from the memory of another version.
 func TestCopyIsHeldAtTheVersionOfItsRun(t *testing.T) {
 	table := versionTable(6, 3) // i-0 and i-3 at v1
 	random := rand.New(rand.NewPCG(1, 2))
@@ -73,8 +71,7 @@
 	}
 }
 
-// TestMemoryIsFetchedWithinAVersionOnly guards against prompts that are read in part from the memory
-// that another version wrote.
+// TestMemoryIsFetchedWithinAVersionOnly guards against prompts that use the memory of another version.
 func TestMemoryIsFetchedWithinAVersionOnly(t *testing.T) {
 	for _, version := range []string{"v1", "v2"} {
 		table := transferTable(2)
@@ -93,8 +90,7 @@
 	}
 }
 
-// TestStreamIsResumedAtLeavingEngineOnlyWhileNoneElseHasItsVersion guards against refusals of streams
-// whose version still serves, and against requests to engines that have been leaving for long.
+// TestStreamIsResumedAtLeavingEngineOnlyWhileNoneElseHasItsVersion guards against refusals while the version still serves.
 func TestStreamIsResumedAtLeavingEngineOnlyWhileNoneElseHasItsVersion(t *testing.T) {
 	table := versionTable(6, 3)
 	table.DrainGrace = 1900 * time.Millisecond
--- a/coord/resumption/model_test.go
+++ b/coord/resumption/model_test.go
@@ -92,8 +92,8 @@
 	w.engines[n].StartedMS++
 }
 
-// beginStream has an entry send a request to an engine on its list, which the process that now has that
-// ID runs. Others hear of it unless the announcement is lost.
+// beginStream sends a request from an entry to an engine on its list. The current process of that ID
+// runs it. Other entries receive the events that are not lost.
 func (w *world) beginStream() {
 	owner := w.random.IntN(len(w.entries))
 	e := w.entries[owner]
@@ -106,11 +106,11 @@
 		w.streams = append(w.streams, s)
 		id := placement.AttemptID{Owner: uint64(owner), Number: uint64(s.key)}
 		for n, other := range w.entries {
-			heard := n == owner || !e.cut(w.now) && !other.cut(w.now)
-			if heard && (n == owner || w.random.IntN(8) > 0) {
+			reachable := n == owner || !e.cut(w.now) && !other.cut(w.now)
+			if reachable && (n == owner || w.random.IntN(8) > 0) {
 				other.origins.Sent(w.now, id, s.key, listed.Incarnation(), 10*time.Second)
 			}
-			if heard && (n == owner || w.random.IntN(8) > 0) {
+			if reachable && (n == owner || w.random.IntN(8) > 0) {
 				other.origins.FirstEvent(w.now, id)
 			}
 		}
@@ -179,8 +179,7 @@
 	return ""
 }
 
-// TestNoStreamGoesOnAtAnotherVersion has engines be replaced, under new IDs and the same, while
-// announcements are lost, entries are cut off and started anew, and lists are late.
+// TestNoStreamGoesOnAtAnotherVersion guards against guesses while engines, entries, events and lists are replaced, lost or late.
 func TestNoStreamGoesOnAtAnotherVersion(t *testing.T) {
 	total := map[string]int{}
 	for seed := range uint64(100) {
--- a/coord/resumption/origins.go
+++ b/coord/resumption/origins.go
@@ -3,8 +3,8 @@
 // Rule: a stream begins at the endpoint of the attempt that brought its first event. One that is
 // resumed counts as begun where it is recorded, else at the endpoint of that attempt, which runs the
 // version that began it. A stream is recorded until the deadline of its last attempt and retryTime
-// beyond, for callers that resume it then. A key under which streams began at two endpoints tells
-// nothing.
+// beyond, for callers that resume it then. A key under which streams began at two endpoints has no
+// origin.
 // Inputs: the attempts of all entries, as announced; announcements may be lost.
 // Units: streams, times.
 // Never: more than maxStreams are recorded; beyond that, those that expire soonest count as unknown.
--- a/coord/resumption/origins_test.go
+++ b/coord/resumption/origins_test.go
@@ -45,8 +45,7 @@
 	expectEndpoint(t, &o, 7, "a")
 }
 
-// TestRequestIDThatIsUsedTwiceTellsNothing guards against a stream that goes on at the version of
-// another one with its ID.
+// TestRequestIDThatIsUsedTwiceTellsNothing guards against resumption at the version of another stream.
 func TestRequestIDThatIsUsedTwiceTellsNothing(t *testing.T) {
 	var o resumption.Origins
 	for n, endpoint := range []string{"a", "b", "b"} {
@@ -87,8 +86,7 @@
 	}
 }
 
-// TestOriginIsNeverWrong has streams begin, end and be resumed in random order while announcements are
-// lost, and compares what an entry believes with what happened.
+// TestOriginIsNeverWrong guards against wrong origins when announcements of attempts are lost.
 func TestOriginIsNeverWrong(t *testing.T) {
 	for seed := range uint64(200) {
 		random := rand.New(rand.NewPCG(seed, 1))
--- a/coord/resumption/rule.go
+++ b/coord/resumption/rule.go
@@ -5,9 +5,9 @@
 //   - for a caller that does not name the stream, at the only version that is known, since nobody can
 //     ever know the origin;
 //   - else other entries are asked, once;
-//   - else at the only version that the service has run for longer than an attempt lasts, by a list of
-//     endpoints that was the newest after the caller came: that version has begun it, whoever did. Such
-//     a list is awaited if the present one was the newest at most maxListAge ago;
+//   - else at the only version that the service has run for longer than an attempt lasts, if the list
+//     of endpoints was the newest at a time after the request arrived. The rule waits for such a list if
+//     the present one is at most maxListAge old;
 //   - else nowhere.
 //
 // Inputs: the origin, the versions of the service, the age of the list.
@@ -34,9 +34,9 @@
 	Only       bool          // there is such a version
 	Observed   bool          // the service has been observed for longer than an attempt lasts
 	ListAge    time.Duration // since the list of endpoints was known to be the newest
-	ListNewest bool          // the list was the newest after the caller came
+	ListNewest bool          // the list was the newest at a time after the request arrived
 	PeersAsked bool
-	Waited     bool // for a list that was the newest after the caller came
+	Waited     bool // for a list that was the newest at a time after the request arrived
 }
 
 // Decision is whether and where a stream is resumed.
--- a/coord/resumption/versions.go
+++ b/coord/resumption/versions.go
@@ -50,8 +50,8 @@
 // StartAt records that endpoints are observed from a time on.
 func (v *Versions) StartAt(now time.Time) { v.since = now }
 
-// Confirm records that the list was the newest at a time. After a gap the observation starts anew, since
-// an endpoint may have come and left in it.
+// Confirm records that the list was the newest at a time. A gap of more than maxObservationGap restarts
+// the observation, since an endpoint may have come and left in it.
 func (v *Versions) Confirm(at time.Time) {
 	if !at.After(v.confirmed) {
 		return
--- a/coord/resumption/versions_test.go
+++ b/coord/resumption/versions_test.go
@@ -65,8 +65,7 @@
 	expectOnly(t, &v, at(31*time.Second), "v1")
 }
 
-// TestVersionThatLeftBeforeTheStartIsKnown guards against an entry that takes the version that it sees
-// for the only one, while streams of another one are resumed.
+// TestVersionThatLeftBeforeTheStartIsKnown guards against a started entry that knows the present version only.
 func TestVersionThatLeftBeforeTheStartIsKnown(t *testing.T) {
 	var peer, v resumption.Versions
 	peer.Observe(at(0), list("a", "v1", "b", "v2"))
@@ -79,8 +78,7 @@
 	expectOnly(t, &v, at(46*time.Second), "v2")
 }
 
-// TestVersionThatCameAndLeftInAGapIsNotRuledOut guards against an entry that was out of touch and takes the
-// version that it sees for the only one.
+// TestVersionThatCameAndLeftInAGapIsNotRuledOut guards against an entry that was out of touch for a while.
 func TestVersionThatCameAndLeftInAGapIsNotRuledOut(t *testing.T) {
 	var v resumption.Versions
 	v.Observe(at(0), list("a", "v1"))
@@ -125,8 +123,7 @@
 	}
 }
 
-// TestStreamsAroundARestartAreUnknown guards against a stale record: the process that began the stream
-// may already have been the next one under that ID, of any version.
+// TestStreamsAroundARestartAreUnknown guards against a record that is older than the process that began the stream.
 func TestStreamsAroundARestartAreUnknown(t *testing.T) {
 	for _, version := range []string{"v1", "v2"} {
 		var v resumption.Versions
@@ -158,8 +155,7 @@
 	}
 }
 
-// TestStreamsThatBeganAfterTheListWasReadAreUnknown guards against a restart under the same ID that
-// the entry can't know of yet.
+// TestStreamsThatBeganAfterTheListWasReadAreUnknown guards against a restart that is not on the list yet.
 func TestStreamsThatBeganAfterTheListWasReadAreUnknown(t *testing.T) {
 	var v resumption.Versions
 	restarted := placement.Endpoint{ID: "a", Service: "pool", Version: "v1", StartedMS: 1}
--- a/internal/direct/gateway/resumption.go
+++ b/internal/direct/gateway/resumption.go
@@ -7,8 +7,8 @@
 // run if there is none. If those of its version can't take it for now (rate limit, warm-up, backoff),
 // it waits for them for maxResumptionWait: there are no others.
 // Inputs: the header of the request, events of other entries, the list of endpoints.
-// Never: a stream is resumed at a version that may not have begun it; a request that is refused
-// for that is told when to come back with the same stream.
+// Never: a stream is resumed at a version that may not have begun it; the refusal of a stream that can't
+// be resumed has a Retry-After.
 
 package gateway
 
@@ -167,7 +167,7 @@
 	return resumption.Origin{Endpoint: endpoint, Software: software}, now.Sub(begunAt), known
 }
 
-// awaitList waits a while until the list of endpoints was the newest after the caller came.
+// awaitList waits up to maxListWait for a list of endpoints that was the newest after the request arrived.
 func (f *forwarding) awaitList() {
 	until := steady.Now().Add(maxListWait)
 	for steady.Now().Before(until) && !f.gateway.directory.EndpointsConfirmed().After(f.request.received) {
--- a/internal/direct/peers/origin.go
+++ b/internal/direct/peers/origin.go
@@ -1,7 +1,7 @@
 // Questions to other peers about the origin of a stream that a caller resumes here.
 //
-// Rule: askedPeers live peers are asked at once, those of the local data centre before others, and
-// the first that knows is believed. One that has just started, or runs an older version, knows
+// Rule: askedPeers live peers are asked in parallel, those of the local data centre before others, and
+// the first origin received is used. One that has just started, or runs an older version, knows
 // nothing.
 // Inputs: the members, the time.
 // Units: peers, times.
@@ -25,7 +25,7 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// OriginPath is the path at which a peer tells the origin of a stream.
+// OriginPath is the path at which a peer serves the origins of streams.
 const OriginPath = "/origin"
 
 // streamField is the query parameter with the key of the stream.
--- a/internal/testing/fleet/versions_test.go
+++ b/internal/testing/fleet/versions_test.go
@@ -138,8 +138,7 @@
 	return versions
 }
 
-// TestCallersResumeStreamsAtVersionThatBeganThem guards against streams of which a caller gets events
-// of two versions, when it resumes them at entries that did not begin them.
+// TestCallersResumeStreamsAtVersionThatBeganThem guards against resumptions by callers at other versions.
 func TestCallersResumeStreamsAtVersionThatBeganThem(t *testing.T) {
 	f := newMixedFleet(t, 3, 2, "v1", "v2")
 	streams := f.beginStreams(f.entries[0], 24, 2)
@@ -166,8 +165,7 @@
 	}
 }
 
-// TestEntriesResumeStreamsAtVersionThatBeganThem guards against answers with events of two versions,
-// when their engine crashes.
+// TestEntriesResumeStreamsAtVersionThatBeganThem guards against answers with events of two versions after a crash.
 func TestEntriesResumeStreamsAtVersionThatBeganThem(t *testing.T) {
 	f := newMixedFleet(t, 1, 2, "v1", "v2")
 	responses := make(chan response, 24)
@@ -202,8 +200,7 @@
 	return n
 }
 
-// TestStreamsOfManyEntriesGoOnWhileTheirVersionServes guards against refusals of streams whose version
-// still serves, at few engines of many.
+// TestStreamsOfManyEntriesGoOnWhileTheirVersionServes guards against refusals while few engines run the version.
 func TestStreamsOfManyEntriesGoOnWhileTheirVersionServes(t *testing.T) {
 	f := newMixedFleet(t, 4, 2, "v1")
 	streams := f.beginStreams(f.entries[0], 12, 2)
@@ -226,8 +223,7 @@
 	callers.Wait()
 }
 
-// TestEntryThatStartedLaterResumesStreams guards against an entry that guesses, or refuses, since it
-// has seen no event of the streams.
+// TestEntryThatStartedLaterResumesStreams guards against an entry that guesses or refuses since it received no events.
 func TestEntryThatStartedLaterResumesStreams(t *testing.T) {
 	f := newMixedFleet(t, 2, 2, "v1", "v2")
 	streams := f.beginStreams(f.entries[0], 12, 2)
@@ -237,8 +233,7 @@
 	f.checkAllResumed(streams, []*entry{started})
 }
 
-// TestStreamIsTakenUpTwiceOverThreeEntries guards against a chain of requests whose origin is known
-// only where its first part was received.
+// TestStreamIsTakenUpTwiceOverThreeEntries guards against a chain whose origin only its first entry knows.
 func TestStreamIsTakenUpTwiceOverThreeEntries(t *testing.T) {
 	f := newMixedFleet(t, 3, 2, "v1", "v2")
 	streams := f.beginStreams(f.entries[0], 12, 2)
@@ -267,8 +262,7 @@
 	}
 }
 
-// TestStreamOfUnknownOriginIsRefused guards against a guess, for a stream that no entry knows and for
-// one of another team's or without a name.
+// TestStreamOfUnknownOriginIsRefused guards against a guess for streams that no entry knows, or without a name.
 func TestStreamOfUnknownOriginIsRefused(t *testing.T) {
 	f := newMixedFleet(t, 2, 2, "v1", "v2")
 	for name, s := range map[string]*brokenStream{
@@ -287,8 +281,7 @@
 	}
 }
 
-// TestStreamOfGoneVersionIsRefused guards against a stream that goes on at what is left, and tells its
-// caller at once that no wait helps.
+// TestStreamOfGoneVersionIsRefused guards against resumption at another version when no engine of its own is left.
 func TestStreamOfGoneVersionIsRefused(t *testing.T) {
 	f := newMixedFleet(t, 2, 1, "v1", "v2")
 	streams := f.beginStreams(f.entries[0], 6, 2)
@@ -312,8 +305,7 @@
 	}
 }
 
-// TestStreamsWaitForAnEngineOfTheirVersionThatWarmsUp guards against refusals of streams whose only
-// engine accepts few requests a second for now.
+// TestStreamsWaitForAnEngineOfTheirVersionThatWarmsUp guards against refusals while the only engine accepts few requests.
 func TestStreamsWaitForAnEngineOfTheirVersionThatWarmsUp(t *testing.T) {
 	f := newMixedFleet(t, 2, 1, "v1", "v2")
 	streams := f.beginStreams(f.entries[0], warmupLimit, 2)
@@ -331,8 +323,7 @@
 	f.checkAllResumed(streams, []*entry{e})
 }
 
-// TestStreamsOutliveTheRestartOfAllEntriesInTurn guards against streams that nobody knows once each entry
-// that received their events has ended.
+// TestStreamsOutliveTheRestartOfAllEntriesInTurn guards against origins that are lost in a rolling restart.
 func TestStreamsOutliveTheRestartOfAllEntriesInTurn(t *testing.T) {
 	f := newMixedFleet(t, 2, 2, "v1", "v2")
 	streams := f.beginStreams(f.entries[0], 12, 2)
@@ -346,7 +337,7 @@
 	f.checkAllResumed(streams, []*entry{started})
 }
 
-// TestStreamIsNotResumedAtRestartedEngineOfAnotherVersion guards against a restart under an ID that entries can't know of.
+// TestStreamIsNotResumedAtRestartedEngineOfAnotherVersion guards against a restart that the list does not show yet.
 func TestStreamIsNotResumedAtRestartedEngineOfAnotherVersion(t *testing.T) {
 	f := newMixedFleet(t, 2, 0)
 	var engines []*platformtest.Runner
