Take the directory's lock before that of the group of peers

What callers saw: an entry that answers nothing until it is restarted (no request, no state, no readiness). Cause: a deadlock of three locks. The directory calls back with its lock held and takes the dispatcher's, the dispatcher broadcasts with its lock held and takes the group's, and since the group asked the directory whether its list has the versions of endpoints while it held its own. Why this works: what this process has of each part is read before the group's lock is taken, as the versions were before; the order of docs/ARCHITECTURE.md holds again. The directory of all tests of peers now takes the group's lock in each of its methods. The soak names the last condition that was not met, and keeps the logs of a failed test.

--- a/internal/direct/peers/catchup.go
+++ b/internal/direct/peers/catchup.go
@@ -57,25 +57,38 @@
 	requestedAt time.Time
 }
 
+// localParts is what this process has of each part.
+type localParts struct {
+	version   uint64 // of the settings
+	revision  uint64 // of the list of endpoints
+	versioned bool   // the list has the versions of the endpoints' software
+}
+
+// localParts returns what this process has. The directory calls back with its lock held, so that it
+// must not be called with g.mu held.
+func (g *Group) localParts() localParts {
+	version, revision := g.options.Directory.Versions()
+	return localParts{version: version, revision: revision, versioned: g.options.Directory.Versioned()}
+}
+
 // isAhead reports whether the peer has a newer version of a part, or the versions of endpoints that
 // this process lacks at the same revision.
-func (m *member) isAhead(p Part, version, revision uint64, versioned bool) bool {
+func (m *member) isAhead(p Part, l localParts) bool {
 	if p == EndpointsPart {
-		return m.revision > revision || !versioned && m.heartbeat.Versioned && m.revision == revision
+		return m.revision > l.revision || !l.versioned && m.heartbeat.Versioned && m.revision == l.revision
 	}
-	return m.version > version
+	return m.version > l.version
 }
 
 // updateVersions records a peer's versions and whether they are newer than those of this
 // process. g.mu must be held.
-func (g *Group) updateVersions(m *member, p packet, version, revision uint64, now time.Time) {
+func (g *Group) updateVersions(m *member, p packet, local localParts, now time.Time) {
 	m.version = p.Version
 	m.revision = p.Revision
-	versioned := g.options.Directory.Versioned()
 	for part := range partCount {
 		l := &m.aheadStates[part]
 		switch {
-		case !m.isAhead(part, version, revision, versioned):
+		case !m.isAhead(part, local):
 			l.since = time.Time{}
 		case l.since.IsZero():
 			l.since = now
@@ -91,14 +104,14 @@
 	if d.ReadsStore() && d.StoreResponds() {
 		delay = readerFetchDelay
 	}
-	version, revision := d.Versions()
+	local := g.localParts()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for part := range partCount {
 		if g.fetching[part] {
 			continue
 		}
-		m := g.fetchSource(part, delay, version, revision, now)
+		m := g.fetchSource(part, delay, local, now)
 		if m == nil {
 			continue
 		}
@@ -109,12 +122,11 @@
 }
 
 // fetchSource returns the peer to fetch a part from, nil for none. g.mu must be held.
-func (g *Group) fetchSource(p Part, delay time.Duration, version, revision uint64, now time.Time) *member {
+func (g *Group) fetchSource(p Part, delay time.Duration, local localParts, now time.Time) *member {
 	isRelay := g.currentPlan(now).isRelay
-	versioned := g.options.Directory.Versioned()
-	known := version > 0
+	known := local.version > 0
 	if p == EndpointsPart {
-		known = revision > 0
+		known = local.revision > 0
 	}
 	var best *member
 	for _, m := range g.members {
@@ -126,7 +138,7 @@
 		case m.remote && !isRelay:
 			wait += remoteFetchDelay
 		}
-		if !m.alive(now) || !m.isAhead(p, version, revision, versioned) || l.since.IsZero() || now.Sub(l.since) < wait {
+		if !m.alive(now) || !m.isAhead(p, local) || l.since.IsZero() || now.Sub(l.since) < wait {
 			continue
 		}
 		if best == nil || m.fetchOrder(p).Before(best.fetchOrder(p)) {
--- a/internal/direct/peers/group.go
+++ b/internal/direct/peers/group.go
@@ -37,7 +37,7 @@
 }
 
 // Directory holds the data that peers compare and exchange: the settings and the list of
-// endpoints.
+// endpoints. Its methods are called without Group.mu held.
 type Directory interface {
 	Versions() (version, revision uint64)
 	Confirmed() time.Time
--- a/internal/direct/peers/peers_test.go
+++ b/internal/direct/peers/peers_test.go
@@ -31,6 +31,7 @@
 type testPeer struct {
 	group     *peers.Group
 	directory *directory.Directory
+	guarded   guardedDirectory // the directory as the group sees it
 	end       context.CancelFunc
 
 	mu     sync.Mutex
@@ -73,6 +74,7 @@
 	GinkgoHelper()
 	e := &testPeer{}
 	e.directory = directory.New(func(directory.ActiveSettings) {}, func([]placement.Endpoint) {}, func([]string) {})
+	e.guarded.Directory = e.directory
 	if address == "" {
 		address = freeAddress()
 	}
@@ -81,12 +83,13 @@
 	server := &http.Server{Handler: peers.StateHandler(e.directory)}
 	go func() { _ = server.Serve(listener) }()
 	e.group, err = peers.New(peers.Options{
-		Name: name, DataCentre: dataCentre, Address: address, Owner: owner, Seeds: seeds, Listener: e, Directory: e.directory,
+		Name: name, DataCentre: dataCentre, Address: address, Owner: owner, Seeds: seeds, Listener: e, Directory: &e.guarded,
 		Fetch: func(ctx context.Context, from string, p peers.Part) {
 			_ = peers.FetchState(ctx, e.directory, from, p)
 		},
 	})
 	Expect(err).NotTo(HaveOccurred())
+	e.guarded.group.Store(e.group)
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan struct{})
 	go func() {
--- a/internal/direct/peers/receive.go
+++ b/internal/direct/peers/receive.go
@@ -32,7 +32,7 @@
 // handlePacket applies the content of a packet.
 func (g *Group) handlePacket(p packet, from *net.UDPAddr) {
 	now := steady.Now()
-	version, revision := g.options.Directory.Versions()
+	local := g.localParts()
 	g.mu.Lock()
 	m, ended := g.findOrAddMember(p, from, now)
 	if m == nil {
@@ -41,14 +41,14 @@
 		return
 	}
 	m.lastDirect = now
-	g.updateVersions(m, p, version, revision, now)
+	g.updateVersions(m, p, local, now)
 	if p.Heartbeat != nil {
 		g.applyHeartbeat(m, p.Heartbeat, now)
 	}
 	if p.Probe == probeReply {
 		m.unansweredSince = time.Time{}
 	}
-	replaced := g.receiveReports(p, m, version, revision, now)
+	replaced := g.receiveReports(p, m, local, now)
 	g.applyPresence(p, m, now)
 	g.relayReports(p, m, now)
 	fresh := g.receiveSections(p, m, now)
@@ -66,8 +66,8 @@
 			g.options.Listener.MemberGone(owner)
 		}
 	}
-	if h := p.Heartbeat; h != nil && h.ConfirmedAgeMS >= 0 && p.Version == version {
-		g.options.Directory.Confirm(version, timeAtAge(now, h.ConfirmedAgeMS))
+	if h := p.Heartbeat; h != nil && h.ConfirmedAgeMS >= 0 && p.Version == local.version {
+		g.options.Directory.Confirm(local.version, timeAtAge(now, h.ConfirmedAgeMS))
 	}
 	if h := p.Heartbeat; h != nil && h.EndpointsAgeMS > 0 {
 		g.options.Directory.ConfirmEndpoints(p.Revision, timeAtAge(now, h.EndpointsAgeMS-1))
--- a/internal/direct/peers/report.go
+++ b/internal/direct/peers/report.go
@@ -193,12 +193,12 @@
 
 // receiveReports applies the reports of a packet and returns the incarnations that have ended.
 // g.mu must be held.
-func (g *Group) receiveReports(p packet, sender *member, version, revision uint64, now time.Time) (ended []uint64) {
+func (g *Group) receiveReports(p packet, sender *member, local localParts, now time.Time) (ended []uint64) {
 	if len(p.Reports) == 0 || now.Before(g.staleUntil) || !sender.maySendOver(p.Hop) {
 		return nil
 	}
 	for _, r := range p.Reports {
-		if owner := g.applyReport(r, version, revision, now); owner != 0 {
+		if owner := g.applyReport(r, local, now); owner != 0 {
 			ended = append(ended, owner)
 		}
 	}
@@ -207,7 +207,7 @@
 
 // applyReport applies a report about one peer. It returns the peer's previous incarnation if
 // that has ended, else 0. g.mu must be held.
-func (g *Group) applyReport(r report, version, revision uint64, now time.Time) (ended uint64) {
+func (g *Group) applyReport(r report, local localParts, now time.Time) (ended uint64) {
 	if r.Owner == 0 || r.Address == g.address || r.Heartbeat.DataCentre == g.options.DataCentre {
 		return 0 // members of the local data centre are known directly
 	}
@@ -226,7 +226,7 @@
 	if m == nil {
 		return 0
 	}
-	g.updateVersions(m, p, version, revision, now)
+	g.updateVersions(m, p, local, now)
 	g.applyHeartbeat(m, &r.Heartbeat, now)
 	return ended
 }
--- a/internal/testing/soak/entry.go
+++ b/internal/testing/soak/entry.go
@@ -204,6 +204,12 @@
 	}
 }
 
+// logStacks ends the process, which then writes the stacks of its goroutines to its log.
+func (e *entry) logStacks() {
+	e.signal(syscall.SIGQUIT)
+	e.awaitEnd(time.Second)
+}
+
 // shutDown kills the process and releases its resources.
 func (e *entry) shutDown() {
 	e.mu.Lock()
--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -170,6 +170,7 @@
 	defer cancel()
 	for _, e := range d.entries {
 		if err := d.awaitEntry(ctx, e); err != nil {
+			e.logStacks()
 			return err
 		}
 	}
@@ -179,11 +180,15 @@
 func (d *deployment) awaitEntry(ctx context.Context, e *entry) error {
 	ticker := time.NewTicker(50 * time.Millisecond)
 	defer ticker.Stop()
+	missing := "not probed"
 	for {
-		missing := d.unmetCondition(ctx, e)
-		if missing == "" {
+		unmet := d.unmetCondition(ctx, e)
+		if unmet == "" {
 			return nil
 		}
+		if ctx.Err() == nil { // a probe that ends with ctx shows nothing
+			missing = unmet
+		}
 		select {
 		case <-ctx.Done():
 			return fmt.Errorf("soak: %s: %s", e.name, missing)
--- a/internal/testing/soak/soak_test.go
+++ b/internal/testing/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -18,12 +19,29 @@
 	entryprogram.Main(m, func() error { return process.RunGateway("fleet") })
 }
 
+// logFolder returns a folder for the logs of entries. It is kept if the test fails.
+func logFolder(t *testing.T) string {
+	t.Helper()
+	folder, err := os.MkdirTemp("", "soak-")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("logs of the entries: %s", folder)
+			return
+		}
+		_ = os.RemoveAll(folder) // it is in the folder for temporary files
+	})
+	return folder
+}
+
 // runSoak runs entries as separate processes under random faults. It checks the promises, and of
 // the times only those that the platform bounds.
 func runSoak(t *testing.T, seed uint64, only []string) Report {
 	t.Helper()
 	r, err := Run(context.Background(), Options{
-		Seed: seed, Duration: 6 * time.Second, Entries: 3, Endpoints: 4, Callers: 6, Dir: t.TempDir(), Only: only,
+		Seed: seed, Duration: 6 * time.Second, Entries: 3, Endpoints: 4, Callers: 6, Dir: logFolder(t), Only: only,
 		Command: entryprogram.Command,
 	})
 	if err != nil {
@@ -44,7 +62,7 @@
 // while all faults are injected.
 func TestCrashingRequest(t *testing.T) {
 	r, err := Run(context.Background(), Options{
-		Seed: 3, Duration: 6 * time.Second, Entries: 3, Endpoints: 4, Callers: 6, Dir: t.TempDir(), Crashing: true,
+		Seed: 3, Duration: 6 * time.Second, Entries: 3, Endpoints: 4, Callers: 6, Dir: logFolder(t), Crashing: true,
 		Command: entryprogram.Command,
 	})
 	if err != nil {
@@ -91,7 +109,7 @@
 // and callers resume the streams that break.
 func TestReleases(t *testing.T) {
 	r, err := Run(context.Background(), Options{
-		Seed: 9, Duration: 6 * time.Second, Entries: 3, Endpoints: 8, Callers: 24, Dir: t.TempDir(), EventPause: 60 * time.Millisecond,
+		Seed: 9, Duration: 6 * time.Second, Entries: 3, Endpoints: 8, Callers: 24, Dir: logFolder(t), EventPause: 60 * time.Millisecond,
 		Only:    []string{"engines are released", "kill an entry"},
 		Command: entryprogram.Command,
 	})
@@ -114,7 +132,7 @@
 func TestSlowCallers(t *testing.T) {
 	const maxBodyBytes = entryMemoryLimitMB << 20 / 4 // a quarter of an entry's memory may hold bodies
 	r, err := Run(context.Background(), Options{
-		Seed: 4, Duration: 6 * time.Second, Entries: 3, Endpoints: 4, Callers: 6, Dir: t.TempDir(), SlowCallers: 60,
+		Seed: 4, Duration: 6 * time.Second, Entries: 3, Endpoints: 4, Callers: 6, Dir: logFolder(t), SlowCallers: 60,
 		Only: []string{"data centre evacuated"}, Command: entryprogram.Command,
 	})
 	if err != nil {
