Wait for full engines of a stream's version

What callers saw: 503 with code 1204 at once for a stream that they take up, while engines of its version serve; so for all streams of an entry that was just killed, while the others still count its open requests at few engines. Cause: a resumption waited if a second look, after none could be placed, named a rate limit, a warm-up or a backoff. An engine that is full has none of these reasons, nor has one whose warm-up rate allowed a request between the two looks. Why this works: whether to wait is asked of the engines that are not excluded: one that runs the version, and that may be sent requests at all, may take the stream later. If all were tried or none is left, the stream is refused at once, as before.

--- a/coord/eligibility/eligibility.go
+++ b/coord/eligibility/eligibility.go
@@ -39,6 +39,9 @@
 	OtherVersion          // the endpoint runs another version than the one that began the request's stream
 )
 
+// Temporary reports whether the endpoint may receive the request soon, or may now.
+func (r Reason) Temporary() bool { return r < Draining }
+
 // String returns a readable form of the reason.
 func (r Reason) String() string {
 	switch r {
--- a/coord/placement/unavailability.go
+++ b/coord/placement/unavailability.go
@@ -1,15 +1,17 @@
-// Determines why no endpoint can take a request now, and when one can.
+// Determines why no endpoint can take a request now, and whether and when one can.
 //
 // Rule: among the reasons why the service's endpoints are unavailable, the one that ends first is
 // returned. Two of them are compared by their remaining times if both are known, else by the
-// order of the reasons in package eligibility.
+// order of the reasons in package eligibility. An endpoint may take the request later if it may be
+// sent requests at all, and is full, at a rate limit or in backoff.
 // Inputs: the table, the request, the time.
 // Units: times.
-// Never: an endpoint that is leaving counts.
+// Never: an endpoint that is leaving counts, except for a stream that may be resumed there.
 
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"foxcross.dev/coord/eligibility"
@@ -88,3 +90,13 @@
 	}
 	return o.Reason < other.Reason
 }
+
+// MayTakeLater reports whether an endpoint that is not excluded may take a request that none can take
+// now, or has become able to since.
+func (t *Table) MayTakeLater(now time.Time, r Request, exclude func(id string) bool) bool {
+	q := query{table: t, service: t.service(r.Service), request: r, now: now, leavingToo: r.Resumes}
+	return slices.ContainsFunc(q.service.endpoints, func(e *endpoint) bool {
+		leaves := e.Leaving && !q.mayResumeAtLeaving(e)
+		return !leaves && !exclude(e.ID) && r.accepts(e.Version) && q.eligibility(e).Temporary()
+	})
+}
--- a/coord/placement/version_test.go
+++ b/coord/placement/version_test.go
@@ -125,3 +125,32 @@
 		t.Errorf("a new request is sent to %q", got)
 	}
 }
+
+// TestStreamIsTakenLaterByFullEnginesOfItsVersion guards against refusals at once while an engine of the version is only full.
+func TestStreamIsTakenLaterByFullEnginesOfItsVersion(t *testing.T) {
+	none := func(string) bool { return false }
+	r := placement.Request{Service: "pool", Resumes: true, Version: "v1"}
+	table := versionTable(6, 6) // i-0 at v1
+	service := table.ServiceSettings("pool")
+	service.MaxRequests = 1
+	table.SetServices([]placement.Service{service})
+	table.Place(origin, placement.AttemptID{Owner: other, Number: 1}, "i-0", r, memory.Fetch{})
+	if c, ok := table.Choose(origin, r, none, rand.New(rand.NewPCG(1, 2))); ok {
+		t.Fatalf("chose %+v", c.Endpoint)
+	}
+	for _, c := range []struct {
+		name    string
+		version string
+		exclude func(string) bool
+		want    bool
+	}{
+		{"while it is full", "v1", none, true},
+		{"after it has been tried", "v1", func(id string) bool { return id == "i-0" }, false},
+		{"of a version that none runs", "v0", none, false},
+	} {
+		r.Version = c.version
+		if got := table.MayTakeLater(origin, r, c.exclude); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
--- a/internal/direct/gateway/attempts.go
+++ b/internal/direct/gateway/attempts.go
@@ -279,6 +279,13 @@
 	return d.table.Unavailability(steady.Now(), q.spec)
 }
 
+// mayTakeLater reports whether an endpoint that is not excluded may take the request later.
+func (d *dispatcher) mayTakeLater(q *request, excluded map[string]bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.MayTakeLater(steady.Now(), q.spec, func(id string) bool { return excluded[id] })
+}
+
 // recordFirstEvent records the first event of an attempt. Later calls have no effect.
 func (d *dispatcher) recordFirstEvent(q *request, x *attempt) {
 	if x.gotFirstEvent {
--- a/internal/direct/gateway/resumption.go
+++ b/internal/direct/gateway/resumption.go
@@ -4,8 +4,8 @@
 // entry knows where the streams of all entries began, from their events; for a stream that it does
 // not know it asks other entries. Such a request passes admission, as a resumption within an answer
 // does, if its origin is recorded. It is sent to endpoints of that version only, and refused as not
-// run if there is none. If those of its version can't take it for now (rate limit, warm-up, backoff),
-// it waits for them for maxResumptionWait: there are no others.
+// run if there is none. If those of its version can't take it for now (they are full, at a rate limit or
+// in backoff), it waits for them for maxResumptionWait: there are no others.
 // Inputs: the header of the request, events of other entries, the list of endpoints.
 // Never: a stream is resumed at a version that may not have begun it; the refusal of a stream that can't
 // be resumed has a Retry-After.
@@ -16,7 +16,6 @@
 	"fmt"
 	"time"
 
-	"foxcross.dev/coord/eligibility"
 	"foxcross.dev/coord/placement"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/coord/resumption"
@@ -199,15 +198,15 @@
 func (f *forwarding) place(excluded map[string]bool) (*attempt, *result.Error) {
 	for {
 		a, refusal := f.gateway.dispatcher.place(f.request, excluded)
-		if a != nil || refusal != nil || !f.awaitVersion() {
+		if a != nil || refusal != nil || !f.awaitVersion(excluded) {
 			return a, refusal
 		}
 	}
 }
 
 // awaitVersion waits a while if the endpoints that run the version of the request's stream can't take
-// it for now. It returns false if there are none, or if it has waited for long enough.
-func (f *forwarding) awaitVersion() bool {
+// it for now. It returns false if all of them are excluded, or if it has waited for long enough.
+func (f *forwarding) awaitVersion(excluded map[string]bool) bool {
 	q := f.request
 	if !q.spec.Resumes {
 		return false
@@ -219,12 +218,7 @@
 	if !now.Before(q.resumptionUntil) || f.gateway.refusing.Load() {
 		return false
 	}
-	switch f.gateway.dispatcher.unavailability(q).Reason {
-	case eligibility.Limited, eligibility.WarmingUp, eligibility.BackedOff:
-		return workers.Sleep(f.ctx, resumptionInterval)
-	default:
-		return false
-	}
+	return f.gateway.dispatcher.mayTakeLater(q, excluded) && workers.Sleep(f.ctx, resumptionInterval)
 }
 
 // versionDoubt returns why it is not certain that the endpoint of an attempt ran the version of its
--- a/internal/testing/fleet/versions_test.go
+++ b/internal/testing/fleet/versions_test.go
@@ -26,10 +26,7 @@
 func newMixedFleet(t *testing.T, entries, enginesPerVersion int, versions ...string) *fleet {
 	t.Helper()
 	f := newFleet(t, entries, 0)
-	f.configureService(2, map[string]any{
-		"name": service, "maxConns": 200, "warmupS": 10, "warmupPerS": warmupLimit,
-		"engine": map[string]any{"slots": 48, "kvCapacity": 500_000, "kvBytes": 18_432, "linkMbps": 740_000.0},
-	})
+	f.configureService(2, mixedService(200))
 	for _, version := range versions {
 		for n := range enginesPerVersion {
 			f.addEngine(fmt.Sprintf("i-%s-%d", version, n+1), version, platformtest.Events{To: longStream, Pause: eventPause})
@@ -39,6 +36,14 @@
 	return f
 }
 
+// mixedService returns the settings of a service whose engines accept a number of connections.
+func mixedService(connections int) map[string]any {
+	return map[string]any{
+		"name": service, "maxConns": connections, "warmupS": 10, "warmupPerS": warmupLimit,
+		"engine": map[string]any{"slots": 48, "kvCapacity": 500_000, "kvBytes": 18_432, "linkMbps": 740_000.0},
+	}
+}
+
 // addEngine starts an engine, which is not restarted when it crashes.
 func (f *fleet) addEngine(id, version string, behavior platformtest.Behavior) *platformtest.Runner {
 	r := platformtest.NewRunner(id, service, behavior)
@@ -323,6 +328,21 @@
 	f.checkAllResumed(streams, []*entry{e})
 }
 
+// TestStreamsWaitForAnEngineOfTheirVersionThatIsFull guards against refusals while the only engine has all the requests that it accepts.
+func TestStreamsWaitForAnEngineOfTheirVersionThatIsFull(t *testing.T) {
+	f := newMixedFleet(t, 2, 1, "v1", "v2")
+	streams := f.beginStreams(f.entries[0], 4, 2)
+	f.configureService(3, mixedService(2)) // one of which may carry a request
+	e := f.entries[1]
+	f.eventually("the engines accept one request", func() bool { return e.gateway.Dump().Version == 3 })
+	f.entries[0].stop()
+	f.eventually("the other entry is lost", func() bool { return e.gateway.Dump().LiveEntries == 1 })
+	for _, r := range f.endpoints() {
+		r.SetDefault(platformtest.Events{To: 20, Pause: eventPause})
+	}
+	f.checkAllResumed(streams, []*entry{e})
+}
+
 // TestStreamsOutliveTheRestartOfAllEntriesInTurn guards against origins that are lost in a rolling restart.
 func TestStreamsOutliveTheRestartOfAllEntriesInTurn(t *testing.T) {
 	f := newMixedFleet(t, 2, 2, "v1", "v2")
