Call a stream that a caller resumes by that word

"Takes up" was the users' word for it. Renames of a type, its uses, tests and comments; no logic changes. The tests of the gateway, explain, coord/resumption and the pages pass.

--- a/coord/resumption/model_test.go
+++ b/coord/resumption/model_test.go
@@ -139,8 +139,8 @@
 	return resumption.Origin{Endpoint: endpoint, Software: software}, known
 }
 
-// takeUp has a caller resume a stream at an entry, and returns a description of what is wrong.
-func (w *world) takeUp(s modelStream) string {
+// resume has a caller resume a stream at an entry, and returns a description of what is wrong.
+func (w *world) resume(s modelStream) string {
 	const life = 15 * time.Second
 	e := w.entries[w.random.IntN(len(w.entries))]
 	i := resumption.Input{Named: true, Services: []string{"pool"}, ListAge: w.now.Sub(e.listAt), Observed: e.versions.Observed(w.now, life)}
@@ -211,7 +211,7 @@
 			if w.now.Sub(s.begun) > 10*time.Second {
 				continue // its caller has left
 			}
-			if wrong := w.takeUp(s); wrong != "" {
+			if wrong := w.resume(s); wrong != "" {
 				t.Fatalf("seed %d, after %v: %s", seed, w.now.Sub(origin), wrong)
 			}
 		}
--- a/internal/direct/explain/explain.go
+++ b/internal/direct/explain/explain.go
@@ -110,7 +110,7 @@
 	}
 }
 
-// writeResumption writes which stream the request takes up, and what was known about it.
+// writeResumption writes which stream the request resumes, and what was known about it.
 func writeResumption(w *strings.Builder, r *record.Resumption) {
 	if r == nil {
 		return
--- a/internal/direct/gateway/accept.go
+++ b/internal/direct/gateway/accept.go
@@ -27,8 +27,8 @@
 	class    settings.ClassInfo
 	team     string
 	spec     placement.Request // input to placement
-	stream   resumption.Key    // that it begins or takes up; 0 if it can't be resumed, or its caller names none
-	takenUp  *takenUp          // nil for a request that takes up no stream
+	stream   resumption.Key    // that it begins or resumes; 0 if it can't be resumed, or its caller names none
+	resumed  *resumedStream    // nil for a request that resumes no stream
 	// resumptionUntil is when a resumption of its stream stops waiting for an endpoint, zero before it
 	// waits.
 	resumptionUntil time.Time
@@ -61,7 +61,7 @@
 }
 
 // resumesRecorded reports whether the request resumes a stream whose origin is recorded.
-func (q *request) resumesRecorded() bool { return q.takenUp != nil && q.takenUp.recorded }
+func (q *request) resumesRecorded() bool { return q.resumed != nil && q.resumed.recorded }
 
 // timeLeft returns the time until the deadline.
 func (q *request) timeLeft() time.Duration { return steady.Until(q.deadline) }
--- a/internal/direct/gateway/gateway.go
+++ b/internal/direct/gateway/gateway.go
@@ -27,7 +27,7 @@
 //	held.go       their records in the store
 //	response.go   relays a response
 //	stream.go     relays a stream, and resumes it after a break
-//	resumption.go resumes streams that callers take up
+//	resumption.go finds where the streams go on that callers resume
 //	pauses.go     counts foreseen and seen pauses of streams
 //	report.go     writes the log line and the metrics of the request
 //
--- a/internal/direct/gateway/report.go
+++ b/internal/direct/gateway/report.go
@@ -44,9 +44,9 @@
 	if q.standing > 0 {
 		fields["standing"] = record.StandingOf(q.standing)
 	}
-	if q.takenUp != nil {
-		fields["resumes"] = q.takenUp.record()
-		g.countTakenUp(q)
+	if q.resumed != nil {
+		fields["resumes"] = q.resumed.record()
+		g.countResumedStream(q)
 	}
 	if len(q.attempts) > 0 {
 		fields["sends"] = q.attemptRecords()
--- a/internal/direct/gateway/resumption.go
+++ b/internal/direct/gateway/resumption.go
@@ -1,4 +1,4 @@
-// Resumes streams that callers take up after a broken connection.
+// Decides where the streams go on that callers resume after a broken connection.
 //
 // Rule: coord/resumption decides at which version of its engine's software a stream goes on. Each
 // entry knows where the streams of all entries began, from their events; for a stream that it does
@@ -47,8 +47,8 @@
 	originUnknown     = "unknown"
 )
 
-// takenUp is a stream that a caller resumes.
-type takenUp struct {
+// resumedStream is a stream that a caller resumes.
+type resumedStream struct {
 	request string // that brought its first event, empty if the caller names none
 	after   string // ID of the last event that the caller has
 
@@ -60,46 +60,46 @@
 	input resumption.Input // of the last decision, for the log
 }
 
-// takenUpOf returns the stream that a request takes up according to its header, nil if it begins one.
-func (g *Gateway) takenUpOf(q *request) *takenUp {
+// resumedStreamOf returns the stream that a request resumes according to its header, nil if it begins one.
+func (g *Gateway) resumedStreamOf(q *request) *resumedStream {
 	h := q.incoming.Header
-	t := &takenUp{request: h.Get(g.fields.Resumes), after: h.Get(g.fields.LastEvent)}
-	if t.request == "" && t.after == "" {
+	s := &resumedStream{request: h.Get(g.fields.Resumes), after: h.Get(g.fields.LastEvent)}
+	if s.request == "" && s.after == "" {
 		return nil
 	}
-	return t
+	return s
 }
 
-// setStream sets the stream that the request begins or takes up, if its class allows resumptions.
+// setStream sets the stream that the request begins or resumes, if its class allows resumptions.
 func (g *Gateway) setStream(q *request) {
 	if !q.class.Route.Streaming || !q.class.Route.Resumable {
 		return
 	}
 	q.stream = resumption.KeyOf(q.team, q.id)
-	if q.takenUp = g.takenUpOf(q); q.takenUp == nil {
+	if q.resumed = g.resumedStreamOf(q); q.resumed == nil {
 		return
 	}
 	q.stream = 0
-	if q.takenUp.request != "" {
-		q.stream = resumption.KeyOf(q.team, q.takenUp.request)
+	if q.resumed.request != "" {
+		q.stream = resumption.KeyOf(q.team, q.resumed.request)
 	}
 }
 
-// resolveOrigin decides where the stream that the request takes up is resumed. It returns a failure
+// resolveOrigin decides where the stream that the request resumes goes on. It returns a failure
 // if that is nowhere.
 func (f *forwarding) resolveOrigin() *result.Error {
 	q := f.request
-	t := q.takenUp
-	if t == nil {
+	s := q.resumed
+	if s == nil {
 		return nil
 	}
 	switch d := f.decideResumption().(type) {
 	case resumption.Resume:
 		if !d.Recorded {
-			t.source = originOnlyVersion
-			t.origin = resumption.Origin{Software: d.Software}
+			s.source = originOnlyVersion
+			s.origin = resumption.Origin{Software: d.Software}
 		}
-		t.recorded = d.Recorded
+		s.recorded = d.Recorded
 		q.spec.Resumes, q.spec.Version, q.spec.Service = true, d.Version, d.Service
 		q.spec.Team = teamOf(f.gateway.directory.Settings().Snapshot, d.Service, q.team)
 		return nil
@@ -125,18 +125,18 @@
 		i.PeersAsked, i.Waited = true, true
 		decision = resumption.Decide(i)
 	}
-	f.request.takenUp.input = i
+	f.request.resumed.input = i
 	return decision
 }
 
-// resumptionInput returns what this entry knows about the stream that the request takes up.
+// resumptionInput returns what this entry knows about the stream that the request resumes.
 func (g *Gateway) resumptionInput(q *request) resumption.Input {
 	now := steady.Now()
-	t := q.takenUp
+	s := q.resumed
 	listed := g.directory.EndpointsConfirmed()
-	i := resumption.Input{Named: t.request != "", ListAge: now.Sub(listed), ListNewest: listed.After(q.received)}
-	for _, s := range q.class.Route.Split {
-		i.Services = append(i.Services, s.Service)
+	i := resumption.Input{Named: s.request != "", ListAge: now.Sub(listed), ListNewest: listed.After(q.received)}
+	for _, part := range q.class.Route.Split {
+		i.Services = append(i.Services, part.Service)
 	}
 	d := &g.dispatcher
 	d.mu.Lock()
@@ -147,10 +147,10 @@
 	if len(i.Services) == 1 {
 		i.Version, i.Only = d.versions.Only(now, i.Services[0], life)
 	}
-	t.source = originUnknown
+	s.source = originUnknown
 	if o, age, known := d.origin(now, q.stream); known {
 		i.Origin, i.Known = o, true
-		t.source, t.origin, t.age = originFromEvents, o, age
+		s.source, s.origin, s.age = originFromEvents, o, age
 	}
 	return i
 }
@@ -176,21 +176,21 @@
 	}
 }
 
-// askPeers asks other entries about the stream that the request takes up.
+// askPeers asks other entries about the stream that the request resumes.
 func (f *forwarding) askPeers(i *resumption.Input) {
 	i.PeersAsked = true
 	group := f.gateway.dispatcher.peerGroup()
 	if group == nil {
 		return
 	}
-	t := f.request.takenUp
+	s := f.request.resumed
 	o, known := group.FindOrigin(f.ctx, uint64(f.request.stream))
 	if !known {
 		return
 	}
 	i.Known = true
 	i.Origin = resumption.Origin{Endpoint: o.Endpoint, Software: resumption.Software{Service: o.Service, Version: o.Version}}
-	t.source, t.origin, t.age = originFromPeer, i.Origin, time.Duration(o.AgeMS)*time.Millisecond
+	s.source, s.origin, s.age = originFromPeer, i.Origin, time.Duration(o.AgeMS)*time.Millisecond
 }
 
 // place chooses an endpoint as dispatcher.place does, and waits a while for those of the version of the
@@ -289,12 +289,12 @@
 	return d.origins.Counts()
 }
 
-// record returns the stream that a request takes up, for the log.
-func (t *takenUp) record() *record.Resumption {
+// record returns the stream that a request resumes, for the log.
+func (s *resumedStream) record() *record.Resumption {
 	return &record.Resumption{
-		Request: t.request, After: t.after, Source: t.source,
-		Endpoint: t.origin.Endpoint, Version: t.origin.Version, AgeMS: t.age.Milliseconds(),
-		ListAgeMS: t.input.ListAge.Milliseconds(), OnlyVersion: t.input.Version, Observed: t.input.Observed, PeersAsked: t.input.PeersAsked,
+		Request: s.request, After: s.after, Source: s.source,
+		Endpoint: s.origin.Endpoint, Version: s.origin.Version, AgeMS: s.age.Milliseconds(),
+		ListAgeMS: s.input.ListAge.Milliseconds(), OnlyVersion: s.input.Version, Observed: s.input.Observed, PeersAsked: s.input.PeersAsked,
 	}
 }
 
@@ -316,13 +316,13 @@
 	resumedByCaller = "caller"
 )
 
-// countTakenUp counts a stream that a caller takes up.
-func (g *Gateway) countTakenUp(q *request) {
+// countResumedStream counts a stream that a caller resumes.
+func (g *Gateway) countResumedStream(q *request) {
 	outcome := resumptionRefused
 	for _, a := range q.attempts {
 		if a.outcome != outcomeRefused && a.outcome != outcomeWithdrawn {
 			outcome = resumptionSent
 		}
 	}
-	g.countResumption(resumedByCaller, q.takenUp.source, outcome)
+	g.countResumption(resumedByCaller, q.resumed.source, outcome)
 }
--- a/internal/direct/record/record.go
+++ b/internal/direct/record/record.go
@@ -37,7 +37,7 @@
 	Standing        float64     `json:"standing"`          // engine time given to the team over its share, 0 without contention
 	FirstTargetMS   int64       `json:"first_target_ms"`   // 0 in logs of earlier versions
 	BetweenTargetMS int64       `json:"between_target_ms"` // 0 for none
-	Resumes         *Resumption `json:"resumes"`           // nil if it takes up no stream
+	Resumes         *Resumption `json:"resumes"`           // nil if it resumes no stream
 	Attempts        []Attempt   `json:"sends"`
 	Admission       *Admission  `json:"admission"` // nil where nothing waited, and in logs of earlier versions
 }
@@ -56,7 +56,7 @@
 	ReturnMS int64   `json:"return_ms,omitempty"` // until the refused caller may return
 }
 
-// Resumption is a stream that a request takes up, with what decided where it is resumed.
+// Resumption is a stream that a request resumes, with what decided where it is resumed.
 type Resumption struct {
 	Request  string `json:"request"`                // that brought its first event, as the caller says; empty if it names none
 	After    string `json:"after"`                  // ID of the last event that the caller has
--- a/internal/testing/fleet/versions_test.go
+++ b/internal/testing/fleet/versions_test.go
@@ -122,8 +122,8 @@
 	return version
 }
 
-// takeUp has a caller take up a broken stream at an entry.
-func (f *fleet) takeUp(e *entry, s *brokenStream) response {
+// resume has a caller resume a broken stream at an entry.
+func (f *fleet) resume(e *entry, s *brokenStream) response {
 	f.t.Helper()
 	q := f.newRequest(f.t.Context(), e, s.target, "")
 	q.Header.Set(platformtest.ResumesField, s.id)
@@ -152,7 +152,7 @@
 	var callers sync.WaitGroup
 	for n, s := range streams {
 		began[s.version]++
-		callers.Go(func() { checkResumed(t, s, f.takeUp(f.entries[1+n%2], s)) })
+		callers.Go(func() { checkResumed(t, s, f.resume(f.entries[1+n%2], s)) })
 	}
 	callers.Wait()
 	t.Logf("begun by version: %v", began)
@@ -223,7 +223,7 @@
 	f.t.Helper()
 	var callers sync.WaitGroup
 	for n, s := range streams {
-		callers.Go(func() { checkResumed(f.t, s, f.takeUp(at[n%len(at)], s)) })
+		callers.Go(func() { checkResumed(f.t, s, f.resume(at[n%len(at)], s)) })
 	}
 	callers.Wait()
 }
@@ -238,8 +238,8 @@
 	f.checkAllResumed(streams, []*entry{started})
 }
 
-// TestStreamIsTakenUpTwiceOverThreeEntries guards against a chain whose origin only its first entry knows.
-func TestStreamIsTakenUpTwiceOverThreeEntries(t *testing.T) {
+// TestStreamIsResumedTwiceOverThreeEntries guards against a chain whose origin only its first entry knows.
+func TestStreamIsResumedTwiceOverThreeEntries(t *testing.T) {
 	f := newMixedFleet(t, 3, 2, "v1", "v2")
 	streams := f.beginStreams(f.entries[0], 12, 2)
 	f.entries[0].stop()
@@ -250,7 +250,7 @@
 	f.checkAllResumed(streams, f.entries[2:])
 }
 
-// continueBriefly has a caller take up a stream at an entry and get some events, which must be of
+// continueBriefly has a caller resume a stream at an entry and get some events, which must be of
 // its version. The connection stays open.
 func (f *fleet) continueBriefly(e *entry, s *brokenStream, events int) {
 	f.t.Helper()
@@ -274,7 +274,7 @@
 		"never begun": {id: "of-nobody", target: "/chat/x", lastEventID: "3"},
 		"not named":   {target: "/chat/x", lastEventID: "3"},
 	} {
-		a := f.takeUp(f.entries[1], s)
+		a := f.resume(f.entries[1], s)
 		if a.status != http.StatusServiceUnavailable || a.header.Get("X-Foxcross-Code") != "1309" || a.header.Get("X-Foxcross-Run") != "not run" || a.header.Get("Retry-After") != "" {
 			t.Errorf("%s: status %d, header %v", name, a.status, a.header)
 		}
@@ -299,7 +299,7 @@
 	e := f.entries[1]
 	f.eventually("the engine has left the list", func() bool { return len(e.gateway.Dump().Endpoints) == 1 })
 	for _, s := range streams {
-		a := f.takeUp(e, s)
+		a := f.resume(e, s)
 		if s.version == "v2" {
 			checkResumed(t, s, a)
 			continue
@@ -367,7 +367,7 @@
 	f.awaitEndpoints(len(engines))
 	streams := f.beginStreams(f.entries[0], 12, 2)
 	f.eventually("an entry is certain where the streams began", func() bool {
-		return f.takeUp(f.entries[1], streams[0]).status == http.StatusOK
+		return f.resume(f.entries[1], streams[0]).status == http.StatusOK
 	})
 	f.store.SetFault(platformtest.Silent)
 	f.entries[0].stop()
@@ -375,7 +375,7 @@
 	restarted := engines[1].Restart("v2")
 	t.Cleanup(restarted.Close)
 	for _, s := range streams {
-		f.takeUp(f.entries[1], s)
+		f.resume(f.entries[1], s)
 	}
 	if got := len(restarted.Runs()); got > 0 {
 		t.Errorf("the engine that restarted at v2 got %d streams of v1", got)
