--- a/internal/direct/gateway/replicas_test.go
+++ b/internal/direct/gateway/replicas_test.go
@@ -287,7 +287,7 @@
 		for _, r := range h.runners {
 			r.StartedMS = 7
 		}
-		h.runners[2].Version, h.runners[2].DataCentre = "v2", "zone-2" // chosen last
+		h.runners[2].Version, h.runners[2].DataCentre = "v2", "zone-2" // farther than the others
 		h.engines(engine(true))
 		platformtest.ShareScript(h.runners, crash, whole)
 		a := h.do(plan(h, small))
--- a/internal/testing/soak/soak_test.go
+++ b/internal/testing/soak/soak_test.go
@@ -105,8 +105,7 @@
 	}
 }
 
-// TestReleases replaces engines by those of other versions, both ways, while entries and engines crash
-// and callers resume the streams that break.
+// TestReleases guards against streams of two versions while engines are released both ways and entries are killed.
 func TestReleases(t *testing.T) {
 	r, err := Run(context.Background(), Options{
 		Seed: 9, Duration: 6 * time.Second, Entries: 3, Endpoints: 8, Callers: 24, Dir: logFolder(t), EventPause: 60 * time.Millisecond,
