--- a/coord/resumption/versions.go
+++ b/coord/resumption/versions.go
@@ -33,6 +33,7 @@
 // the first stream. It is not safe for concurrent use.
 type Versions struct {
 	since     time.Time // of the observation; zero for since before the first stream
+	until     time.Time // of the observation, here or at a peer; zero before its first list
 	confirmed time.Time // when the list was last known to be the newest, zero for never
 	endpoints map[string]*softwareOf
 	earlier   map[Software]time.Time // when a peer last knew it listed, of those that no endpoint here has run
@@ -48,7 +49,7 @@
 }
 
 // StartAt records that endpoints are observed from a time on.
-func (v *Versions) StartAt(now time.Time) { v.since = now }
+func (v *Versions) StartAt(now time.Time) { v.since, v.until = now, now }
 
 // Confirm records that the list was the newest at a time. A gap of more than maxObservationGap restarts
 // the observation, since an endpoint may have come and left in it.
@@ -56,10 +57,18 @@
 	if !at.After(v.confirmed) {
 		return
 	}
-	if !v.confirmed.IsZero() && at.Sub(v.confirmed) > maxObservationGap {
+	if !v.until.IsZero() && at.Sub(v.until) > maxObservationGap {
 		v.since = at
 	}
 	v.confirmed = at
+	v.extend(at)
+}
+
+// extend records that the observation had no gap until a time.
+func (v *Versions) extend(until time.Time) {
+	if until.After(v.until) {
+		v.until = until
+	}
 }
 
 // Observe applies the list of endpoints.
@@ -166,6 +175,7 @@
 	Always     bool              `cbor:"1,keyasint,omitempty"` // observed without a gap since before the first stream
 	ObservedMS int64             `cbor:"2,keyasint,omitempty"` // for how long without a gap until now, unless Always
 	Earlier    []EarlierSnapshot `cbor:"3,keyasint,omitempty"`
+	ListAgeMS  int64             `cbor:"4,keyasint,omitempty"` // since the list was known to be the newest
 }
 
 // EarlierSnapshot is a version that was listed lately.
@@ -178,9 +188,10 @@
 
 // Snapshot returns the versions that were listed lately.
 func (v *Versions) Snapshot(now time.Time) VersionsSnapshot {
-	var s VersionsSnapshot
+	s := VersionsSnapshot{ListAgeMS: now.Sub(v.confirmed).Milliseconds()}
 	switch {
 	case now.Sub(v.confirmed) > maxObservationGap:
+		s.ListAgeMS = 0
 	case v.since.IsZero():
 		s.Always = true
 	default:
@@ -215,6 +226,9 @@
 	case s.ObservedMS > 0 && observed.Before(v.since):
 		v.since = observed
 	}
+	if s.Always || s.ObservedMS > 0 {
+		v.extend(now.Add(-time.Duration(s.ListAgeMS) * time.Millisecond))
+	}
 	if v.earlier == nil {
 		v.earlier = map[Software]time.Time{}
 	}
--- a/coord/resumption/versions_test.go
+++ b/coord/resumption/versions_test.go
@@ -90,6 +90,29 @@
 	expectOnly(t, &v, at(30*time.Second), "v1")
 }
 
+// TestVersionThatLeftBeforeTheFirstListIsNotRuledOut guards against an entry that starts while the store is away.
+func TestVersionThatLeftBeforeTheFirstListIsNotRuledOut(t *testing.T) {
+	var v resumption.Versions
+	v.StartAt(at(0))
+	v.Observe(at(10*time.Second), list("a", "v2"))
+	v.Confirm(at(10 * time.Second))
+	expectOnly(t, &v, at(20*time.Second), "")
+	expectOnly(t, &v, at(30*time.Second), "v2")
+}
+
+// TestVersionThatLeftAfterTheSnapshotIsNotRuledOut guards against a gap between a peer's observation and the own one.
+func TestVersionThatLeftAfterTheSnapshotIsNotRuledOut(t *testing.T) {
+	var peer, v resumption.Versions
+	peer.Observe(at(0), list("a", "v1"))
+	peer.Confirm(at(30 * time.Second))
+	v.StartAt(at(30 * time.Second))
+	v.Restore(at(31*time.Second), peer.Snapshot(at(31*time.Second)))
+	v.Observe(at(41*time.Second), list("b", "v2"))
+	v.Confirm(at(41 * time.Second))
+	expectOnly(t, &v, at(52*time.Second), "")
+	expectOnly(t, &v, at(61*time.Second), "v2")
+}
+
 // TestSnapshotOfPeerOutOfTouchIsNoObservation guards against trust in a peer that may have missed a version.
 func TestSnapshotOfPeerOutOfTouchIsNoObservation(t *testing.T) {
 	var peer, v resumption.Versions
