Copy and fetch no memory where versions are unknown

What callers could see: an answer that goes on, or begins, from the memory of another version, at an entry whose list of endpoints came through an entry of an older build. Cause: such a list has no versions, and two engines without one counted as engines of the same version. Found by reading. Why this works: an unknown version fits none, as for streams. Tests of copies and fetches now say which version their engines run.

--- a/coord/memory/example_test.go
+++ b/coord/memory/example_test.go
@@ -19,10 +19,10 @@
 	var busy, free, own memory.Link
 	memory.Occupy(now, &busy, &memory.Link{}, 25)
 	sources := []memory.Source{
-		{ID: "i-1", CachedTokens: 6000, Link: &busy, MissRate: &memory.MissRate{}},
-		{ID: "i-2", CachedTokens: 6000, Link: &free, MissRate: &memory.MissRate{}},
+		{ID: "i-1", Version: "v1", CachedTokens: 6000, Link: &busy, MissRate: &memory.MissRate{}},
+		{ID: "i-2", Version: "v1", CachedTokens: 6000, Link: &free, MissRate: &memory.MissRate{}},
 	}
-	f := memory.Best(now, rate, sources, memory.Target{ID: "i-3", Link: &own, ComputeMS: 0.016})
+	f := memory.Best(now, rate, sources, memory.Target{ID: "i-3", Version: "v1", Link: &own, ComputeMS: 0.016})
 	fmt.Printf("%d tokens from %s in %.0f ms\n", f.Tokens, f.Source, f.MS())
 	// Output: 6000 tokens from i-2 in 33 ms
 }
--- a/coord/memory/fetch.go
+++ b/coord/memory/fetch.go
@@ -7,8 +7,8 @@
 // Inputs: the estimated cache of each engine, the transfers in progress at both ends, the
 // time to compute a token, the results of earlier fetches from the source.
 // Units: tokens, milliseconds.
-// Never: a source runs another version of its software than the engine that fetches, since what two
-// versions write doesn't fit together; a source is draining, failing, unreachable, overdue or slow; the
+// Never: a source runs another version of its software than the engine that fetches, or an unknown one,
+// since what two versions write doesn't fit together; a source is draining, failing, unreachable, overdue or slow; the
 // caller leaves those out.
 
 package memory
@@ -67,7 +67,7 @@
 	bestGain := 0.0
 	for _, s := range sources {
 		tokens := s.CachedTokens - to.CachedTokens
-		if tokens < minFetchTokens || s.ID == to.ID || s.Version != to.Version {
+		if tokens < minFetchTokens || s.ID == to.ID || s.Version != to.Version || s.Version == "" {
 			continue
 		}
 		f := Fetch{
--- a/coord/memory/memory_test.go
+++ b/coord/memory/memory_test.go
@@ -13,11 +13,11 @@
 var rate = memory.Rate{TokenBytes: 100_000, LinkMbps: 160_000}
 
 func target(cachedTokens int) memory.Target {
-	return memory.Target{ID: "to", DataCentre: "a", CachedTokens: cachedTokens, Link: &memory.Link{}, ComputeMS: 0.02}
+	return memory.Target{ID: "to", Version: "v1", DataCentre: "a", CachedTokens: cachedTokens, Link: &memory.Link{}, ComputeMS: 0.02}
 }
 
 func source(cachedTokens int) memory.Source {
-	return memory.Source{ID: "from", DataCentre: "a", CachedTokens: cachedTokens, Link: &memory.Link{}, MissRate: &memory.MissRate{}}
+	return memory.Source{ID: "from", Version: "v1", DataCentre: "a", CachedTokens: cachedTokens, Link: &memory.Link{}, MissRate: &memory.MissRate{}}
 }
 
 func TestBest(t *testing.T) {
--- a/coord/placement/bench_test.go
+++ b/coord/placement/bench_test.go
@@ -48,7 +48,7 @@
 			t.SetServices([]placement.Service{{Name: "pool", MemoryTokens: 500_000}})
 			list := make([]placement.Endpoint, engines)
 			for n := range list {
-				list[n] = placement.Endpoint{ID: fmt.Sprint("i-", n), Service: "pool", Slots: 48, Engine: true}
+				list[n] = placement.Endpoint{ID: fmt.Sprint("i-", n), Service: "pool", Slots: 48, Engine: true, Version: "v1"}
 			}
 			t.SetEndpoints(now, list)
 			r := placement.Request{Service: "pool", Prompt: memory.Prompt{Tokens: 600, MaxOutputTokens: 300}}
@@ -91,7 +91,7 @@
 	t.SetServices([]placement.Service{service})
 	list := make([]placement.Endpoint, endpoints)
 	for n := range list {
-		list[n] = placement.Endpoint{ID: fmt.Sprint("i-", n), Service: "pool", Slots: 48, Engine: true}
+		list[n] = placement.Endpoint{ID: fmt.Sprint("i-", n), Service: "pool", Slots: 48, Engine: true, Version: "v1"}
 	}
 	t.SetEndpoints(now, list)
 	t.Group = eligibility.Group{Self: 1, Entries: 620, Visible: 620}
--- a/coord/placement/eligible_test.go
+++ b/coord/placement/eligible_test.go
@@ -29,7 +29,7 @@
 	var list []placement.Endpoint
 	for n := range 6 {
 		list = append(list, placement.Endpoint{
-			ID: fmt.Sprint("i-", n), Service: "pool", Slots: 48, Engine: true, DataCentre: fmt.Sprint("zone-", 1+n%2),
+			ID: fmt.Sprint("i-", n), Service: "pool", Slots: 48, Engine: true, Version: "v1", DataCentre: fmt.Sprint("zone-", 1+n%2),
 		})
 	}
 	return list
--- a/coord/placement/herd_test.go
+++ b/coord/placement/herd_test.go
@@ -139,7 +139,7 @@
 	for _, t := range l.tables {
 		var remaining []placement.Endpoint
 		for n := l.lostEngines; n < l.engines; n++ {
-			remaining = append(remaining, placement.Endpoint{ID: fmt.Sprint("i-", n), Service: "pool", Slots: 24, Engine: true})
+			remaining = append(remaining, placement.Endpoint{ID: fmt.Sprint("i-", n), Service: "pool", Slots: 24, Engine: true, Version: "v1"})
 		}
 		t.SetEndpoints(l.start, remaining)
 	}
--- a/coord/placement/pause_test.go
+++ b/coord/placement/pause_test.go
@@ -102,7 +102,7 @@
 func pauseEngines(n int) []Endpoint {
 	var list []Endpoint
 	for i := range n {
-		list = append(list, Endpoint{ID: fmt.Sprint("e-", i), Service: "pool", Slots: 64, Engine: true, StartedMS: 1})
+		list = append(list, Endpoint{ID: fmt.Sprint("e-", i), Service: "pool", Slots: 64, Engine: true, Version: "v1", StartedMS: 1})
 	}
 	return list
 }
--- a/coord/placement/placement_test.go
+++ b/coord/placement/placement_test.go
@@ -39,7 +39,7 @@
 	var list []placement.Endpoint
 	for i := range n {
 		list = append(list, placement.Endpoint{
-			ID: fmt.Sprintf("e-%d", i), Service: "pool", DataCentre: "zone-1", Slots: 48, Engine: true,
+			ID: fmt.Sprintf("e-%d", i), Service: "pool", DataCentre: "zone-1", Slots: 48, Engine: true, Version: "v1",
 		})
 	}
 	return list
--- a/coord/placement/replica.go
+++ b/coord/placement/replica.go
@@ -4,8 +4,9 @@
 // service, the one with the fewest copies; an engine in another data centre than the run counts
 // crossCentreCopies times as many, since the copy takes as much longer. They are drawn again while none
 // may hold it, replicaRounds times in all. An engine holds no copy if it runs another version of its
-// software, may not take the request (eligible.go), drains, fails, is unreachable or overdue, is the
-// run's own, has no slot left for the runs that it has and would continue, or has no memory for it.
+// software than the run's, or an unknown one, may not take the request (eligible.go), drains, fails, is
+// unreachable or overdue, is the run's own, has no slot left for the runs that it has and would
+// continue, or has no memory for it.
 // Inputs: the table, the request, the engine that runs it, a source of randomness.
 // Units: copies, slots, tokens.
 // Never: an engine holds more than maxReplicaShare of its memory in copies, or more than
@@ -58,7 +59,7 @@
 			cost *= crossCentreCopies
 		}
 		fewer := best == nil || cost < lowest
-		if e != runs && e.Version == runs.Version && fewer && q.canHoldReplica(e) {
+		if e != runs && runs.Version != "" && e.Version == runs.Version && fewer && q.canHoldReplica(e) {
 			best, lowest = e, cost
 		}
 	}
--- a/coord/placement/restart_test.go
+++ b/coord/placement/restart_test.go
@@ -15,7 +15,7 @@
 	now := origin
 	table := engineTable(0)
 	list := func(startedMS int64) []placement.Endpoint {
-		return []placement.Endpoint{{ID: "e-0", Service: "pool", DataCentre: "zone-1", Slots: 48, Engine: true, StartedMS: startedMS}}
+		return []placement.Endpoint{{ID: "e-0", Service: "pool", DataCentre: "zone-1", Slots: 48, Engine: true, Version: "v1", StartedMS: startedMS}}
 	}
 	before, after := list(1)[0].Incarnation(), list(2)[0].Incarnation()
 	random := rand.New(rand.NewPCG(1, 2))
--- a/coord/placement/snapshot_test.go
+++ b/coord/placement/snapshot_test.go
@@ -16,7 +16,7 @@
 	t.SetServices([]placement.Service{{Name: "pool", MemoryTokens: 400_000, EventTokens: 14, InterEventTarget: 300 * time.Millisecond}})
 	var list []placement.Endpoint
 	for n := range engines {
-		list = append(list, placement.Endpoint{ID: fmt.Sprint("i-", n), Service: "pool", Slots: 24, Engine: true})
+		list = append(list, placement.Endpoint{ID: fmt.Sprint("i-", n), Service: "pool", Slots: 24, Engine: true, Version: "v1"})
 	}
 	t.SetEndpoints(origin, list)
 	return t
--- a/coord/placement/version_test.go
+++ b/coord/placement/version_test.go
@@ -71,12 +71,26 @@
 	}
 }
 
+// TestNoCopyIsHeldWhereVersionsAreUnknown guards against copies between versions that an older build left out.
+func TestNoCopyIsHeldWhereVersionsAreUnknown(t *testing.T) {
+	table := engineTable(0)
+	table.SetEndpoints(origin, []placement.Endpoint{
+		{ID: "i-0", Service: "pool", Slots: 48, Engine: true}, {ID: "i-1", Service: "pool", Slots: 48, Engine: true},
+	})
+	if holder, _ := placeCopied(table, 1, "i-0", shortRequest(1), rand.New(rand.NewPCG(1, 2))); holder != "" {
+		t.Errorf("the run has its copy at %s", holder)
+	}
+}
+
 // TestMemoryIsFetchedWithinAVersionOnly guards against prompts that use the memory of another version.
 func TestMemoryIsFetchedWithinAVersionOnly(t *testing.T) {
-	for _, version := range []string{"v1", "v2"} {
+	for _, x := range []struct {
+		from, to string
+		fetches  bool
+	}{{"v1", "v1", true}, {"v1", "v2", false}, {"", "", false}} {
 		table := transferTable(2)
 		list := engines(2)
-		list[0].Version, list[1].Version = "v1", version
+		list[0].Version, list[1].Version = x.from, x.to
 		table.SetEndpoints(origin, list)
 		id := placement.AttemptID{Owner: other, Number: 1}
 		table.Place(origin, id, "e-0", longRequest(100, 1), memory.Fetch{})
@@ -84,8 +98,8 @@
 		table.End(origin.Add(time.Second), id, placement.Succeeded)
 		exceptFirst := func(id string) bool { return id == "e-0" }
 		c, ok := table.Choose(origin.Add(2*time.Second), longRequest(100, 2), exceptFirst, rand.New(rand.NewPCG(1, 2)))
-		if !ok || c.Fetch.Any() != (version == "v1") {
-			t.Errorf("an engine of %s fetches %+v from one of v1", version, c.Fetch)
+		if !ok || c.Fetch.Any() != x.fetches {
+			t.Errorf("an engine of version %q fetches %+v from one of %q", x.to, c.Fetch, x.from)
 		}
 	}
 }
