Observe a list of endpoints without a map of its own

Cause: each change of one endpoint built a map of all listed incarnations, under the lock that requests wait for. Change: each endpoint knows the number of the last list that it was on. The tests of resumption pass, its model among them.

--- a/coord/resumption/versions.go
+++ b/coord/resumption/versions.go
@@ -36,12 +36,14 @@
 	until     time.Time // of the observation, here or at a peer; zero before its first list
 	confirmed time.Time // when the list was last known to be the newest, zero for never
 	endpoints map[string]*softwareOf
+	lists     uint64                 // observed lists
 	earlier   map[Software]time.Time // when a peer last knew it listed, of those that no endpoint here has run
 }
 
 // softwareOf is the software of an incarnation of an endpoint.
 type softwareOf struct {
 	Software
+	list         uint64 // number of the last list that it was on
 	listed       bool
 	lastListed   time.Time // of one that is no longer listed
 	doubted      bool
@@ -76,13 +78,12 @@
 	if v.endpoints == nil {
 		v.endpoints = map[string]*softwareOf{}
 	}
-	listed := make(map[string]bool, len(list))
+	v.lists++
 	for _, e := range list {
-		listed[e.Incarnation()] = true
 		v.observeEndpoint(e)
 	}
 	for incarnation, s := range v.endpoints {
-		if s.listed && !listed[incarnation] {
+		if s.listed && s.list != v.lists {
 			v.removeEndpoint(now, incarnation, s)
 		}
 	}
@@ -93,16 +94,17 @@
 // record may have been wrong all the time.
 func (v *Versions) observeEndpoint(e placement.Endpoint) {
 	software := Software{Service: e.Service, Version: e.Version}
-	s := v.endpoints[e.Incarnation()]
+	incarnation := e.Incarnation()
+	s := v.endpoints[incarnation]
 	if s == nil {
 		s = &softwareOf{Software: software}
-		v.endpoints[e.Incarnation()] = s
+		v.endpoints[incarnation] = s
 	}
 	if s.Software != software {
 		s.Software = software
 		s.doubted, s.doubtedSince = true, time.Time{}
 	}
-	s.listed = true
+	s.listed, s.list = true, v.lists
 }
 
 // removeEndpoint records that an incarnation has left the list.
--- a/coord/resumption/versions_test.go
+++ b/coord/resumption/versions_test.go
@@ -1,6 +1,7 @@
 package resumption_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -195,3 +196,21 @@
 		t.Error("unknown although the ID is that of one process")
 	}
 }
+
+// BenchmarkObserve measures a change of one endpoint in a list.
+func BenchmarkObserve(b *testing.B) {
+	for _, count := range []int{300, 1600, 3200} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			var all []string
+			for n := range count {
+				all = append(all, fmt.Sprint("i-", n), "v1")
+			}
+			endpoints := list(all...)
+			var v resumption.Versions
+			for n := 0; b.Loop(); n++ {
+				endpoints[n%count].ID = fmt.Sprint("i-", count+n)
+				v.Observe(at(time.Duration(n)*time.Second), endpoints)
+			}
+		})
+	}
+}
