Log how old the list was for each stream that is not resumed

Cause: "no endpoint of version v2 may take it" named no age of the list of endpoints by which that was decided, and a resumption at an entry without a confirmed list had an age of 292 years in its log line. Change: the reason ends with the age of the list, as the one for an unknown version does; -1 stands for never, which explain says in words. Tests of explain and of the gateway pass.

--- a/internal/direct/explain/explain.go
+++ b/internal/direct/explain/explain.go
@@ -134,7 +134,11 @@
 	if r.PeersAsked {
 		asked = "other entries were asked"
 	}
-	fmt.Fprintf(w, "    known of the service: %s, %s, by a list that was the newest %d ms before; %s\n", only, observed, r.ListAgeMS, asked)
+	listed := fmt.Sprintf("by a list that was the newest %d ms before", r.ListAgeMS)
+	if r.ListAgeMS == record.NeverListed {
+		listed = "by a list that was never known to be the newest"
+	}
+	fmt.Fprintf(w, "    known of the service: %s, %s, %s; %s\n", only, observed, listed, asked)
 }
 
 // versionText returns the version of an endpoint's software as it follows the endpoint, empty for
--- a/internal/direct/gateway/resumption.go
+++ b/internal/direct/gateway/resumption.go
@@ -57,7 +57,8 @@
 	age      time.Duration // since it began, 0 for unknown
 	recorded bool          // its origin is known, and not only its version
 
-	input resumption.Input // of the last decision, for the log
+	input  resumption.Input // of the last decision, for the log
+	listed time.Time        // when the list of endpoints behind it was the newest, zero for never
 }
 
 // resumedStreamOf returns the stream that a request resumes according to its header, nil if it begins one.
@@ -147,7 +148,7 @@
 	if len(i.Services) == 1 {
 		i.Version, i.Only = d.versions.Only(now, i.Services[0], life)
 	}
-	s.source = originUnknown
+	s.source, s.listed = originUnknown, listed
 	if o, age, known := d.origin(now, q.stream); known {
 		i.Origin, i.Known = o, true
 		s.source, s.origin, s.age = originFromEvents, o, age
@@ -225,11 +226,19 @@
 // record when it began the request's stream. It is empty if that is certain, or no other version is
 // known.
 func (g *Gateway) versionDoubt(q *request, a *attempt) string {
-	listed := g.directory.EndpointsConfirmed()
-	if g.dispatcher.versionKnown(q, a, listed) {
+	if g.dispatcher.versionKnown(q, a, g.directory.EndpointsConfirmed()) {
 		return ""
 	}
-	return fmt.Sprintf("it is not known which version ran it: the list of endpoints was the newest %d ms ago", steady.Since(listed).Milliseconds())
+	return "it is not known which version ran it, " + g.listAge()
+}
+
+// listAge describes how old the list of endpoints is, for the log.
+func (g *Gateway) listAge() string {
+	listed := g.directory.EndpointsConfirmed()
+	if listed.IsZero() {
+		return "without a list of endpoints that was ever the newest"
+	}
+	return fmt.Sprintf("by a list of endpoints that was the newest %d ms ago", steady.Since(listed).Milliseconds())
 }
 
 // versionKnown reports whether the endpoint of an attempt ran the version of its record, or no other
@@ -291,10 +300,14 @@
 
 // record returns the stream that a request resumes, for the log.
 func (s *resumedStream) record() *record.Resumption {
+	listAgeMS := s.input.ListAge.Milliseconds()
+	if s.listed.IsZero() {
+		listAgeMS = record.NeverListed
+	}
 	return &record.Resumption{
 		Request: s.request, After: s.after, Source: s.source,
 		Endpoint: s.origin.Endpoint, Version: s.origin.Version, AgeMS: s.age.Milliseconds(),
-		ListAgeMS: s.input.ListAge.Milliseconds(), OnlyVersion: s.input.Version, Observed: s.input.Observed, PeersAsked: s.input.PeersAsked,
+		ListAgeMS: listAgeMS, OnlyVersion: s.input.Version, Observed: s.input.Observed, PeersAsked: s.input.PeersAsked,
 	}
 }
 
--- a/internal/direct/gateway/stream.go
+++ b/internal/direct/gateway/stream.go
@@ -180,7 +180,7 @@
 		}
 		a, refusal := s.place(tried)
 		if refusal != nil || a == nil {
-			return s.notResumed(broken, "no endpoint of version "+q.spec.Version+" may take it")
+			return s.notResumed(broken, "no endpoint of version "+q.spec.Version+" may take it, "+s.gateway.listAge())
 		}
 		tried[a.endpoint().ID] = true
 		s.gateway.countResumption(resumedByEntry, originFromEvents, resumptionSent)
--- a/internal/direct/record/record.go
+++ b/internal/direct/record/record.go
@@ -56,6 +56,9 @@
 	ReturnMS int64   `json:"return_ms,omitempty"` // until the refused caller may return
 }
 
+// NeverListed is the age of a list of endpoints that was never known to be the newest.
+const NeverListed = -1
+
 // Resumption is a stream that a request resumes, with what decided where it is resumed.
 type Resumption struct {
 	Request  string `json:"request"`                // that brought its first event, as the caller says; empty if it names none
@@ -65,7 +68,7 @@
 	Version  string `json:"version,omitempty"`      // that began it
 	AgeMS    int64  `json:"begun_ms_ago,omitempty"` // 0 for unknown
 
-	ListAgeMS   int64  `json:"list_ms_ago"`            // since the list of endpoints was known to be the newest
+	ListAgeMS   int64  `json:"list_ms_ago"`            // since the list of endpoints was known to be the newest, or NeverListed
 	OnlyVersion string `json:"only_version,omitempty"` // that the service has run lately, as far as is known; empty for several
 	Observed    bool   `json:"observed"`               // for as long as an attempt lasts, without a gap
 	PeersAsked  bool   `json:"peers_asked"`
