Log how the body of each response was framed and how it ended

Cause: the log line of a request told neither, so that an answer that broke off inside an event could not be told from one that broke off between two.

Change: the record of each attempt has framing and ended, and explain prints them.

--- /dev/null
+++ b/coord/completeness/evidence.go
@@ -0,0 +1,62 @@
+// Package completeness decides whether a response whose body has ended is complete.
+//
+// Rule: a body with a length or in chunks is complete if its framing ended it. A body that lasts
+// until its connection closes is broken if the connection failed, if the endpoint is gone, or if it
+// is a stream without a single event. Otherwise its end proves nothing, and the response may be
+// relayed only in a framing that proves as little. In each framing, a stream that ends inside an
+// event is broken.
+// Inputs: the framing, how the body ended, what the last bytes of a stream are, and whether the
+// endpoint still accepts connections.
+// Never: a response that ended without proof reaches its caller in a framing that proves it.
+package completeness
+
+// Framing is how the end of a body is marked (RFC 9112, 6.3).
+type Framing uint8
+
+// The framings.
+const (
+	NoBody     Framing = iota // the method or the status excludes one
+	Length                    // a Content-Length
+	Chunked                   // the last chunk
+	UntilClose                // the close of the connection
+)
+
+// String implements fmt.Stringer.
+func (f Framing) String() string {
+	return [...]string{"no body", "length", "chunked", "until close"}[f]
+}
+
+// End is how the reading of a body ended.
+type End uint8
+
+// The ends.
+const (
+	InOrder End = iota // by its framing; for UntilClose, the connection closed in order
+	Failed             // the connection was reset, timed out or closed early, or the framing is invalid
+)
+
+// String implements fmt.Stringer.
+func (e End) String() string { return [...]string{"in order", "failed"}[e] }
+
+// Tail is what the last bytes of a body are.
+type Tail uint8
+
+// The tails. A body that is no stream of events is Opaque.
+const (
+	Opaque        Tail = iota
+	NoEvent            // the stream held no event, and one was to be expected
+	BetweenEvents      // the last event is whole
+	InsideEvent        // the last event is not
+)
+
+// String implements fmt.Stringer.
+func (t Tail) String() string {
+	return [...]string{"opaque", "no event", "between events", "inside an event"}[t]
+}
+
+// Evidence is what is known of a body that has ended.
+type Evidence struct {
+	Framing Framing
+	End     End
+	Tail    Tail
+}
--- a/internal/direct/explain/explain.go
+++ b/internal/direct/explain/explain.go
@@ -80,6 +80,9 @@
 		fmt.Fprintf(w, "  send %d to %s%s: %s\n", n+1, a.Endpoint, versionText(a.Version), a.Outcome)
 		fmt.Fprintf(w, "    expected: %.0f ms of waiting, first event after %.0f ms, %d tokens to read, slowness %.2f\n",
 			a.WaitMS, a.FirstMS, a.PrefillTokens, a.Slowdown)
+		if a.Ended != "" {
+			fmt.Fprintf(w, "    the body of its response ended: %s (framing: %s)\n", a.Ended, a.Framing)
+		}
 		if a.Limit != "" {
 			fmt.Fprintf(w, "    its answer named a limit of %s requests a second\n", a.Limit)
 		}
--- a/internal/direct/gateway/attempts.go
+++ b/internal/direct/gateway/attempts.go
@@ -43,6 +43,8 @@
 	draining         string // value of the response's draining field, for the log
 	backoffRequested bool   // the response asked for a backoff
 	bytes            int    // relayed from the response's body
+	framing          string // of the response's body, for the log
+	ended            string // how the response's body ended, for the log
 	paused           bool   // it missed its inter-event target
 	pauseCounted     bool   // it counts in the metrics of pauses
 }
--- a/internal/direct/gateway/report.go
+++ b/internal/direct/gateway/report.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"foxcross.dev/coord/completeness"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/foxcross/internal/direct/record"
 	"foxcross.dev/foxcross/internal/logs"
@@ -70,12 +71,22 @@
 		r.RetryAfter = a.retryAfter
 		r.Draining = a.draining
 		r.NotResumed = a.notResumed
+		r.Framing, r.Ended = a.framing, a.ended
 		a.recordReplica(&r)
 		records = append(records, r)
 	}
 	return records
 }
 
+// recordEnd sets how the body of the attempt's response was framed and how it ended.
+func (a *attempt) recordEnd(e completeness.Evidence) {
+	a.framing = e.Framing.String()
+	a.ended = e.End.String()
+	if e.Tail != completeness.Opaque {
+		a.ended += ", " + e.Tail.String()
+	}
+}
+
 // durationBuckets are 5 ms to 10 s, each twice the one before.
 var durationBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 12)
 
--- a/internal/direct/gateway/response.go
+++ b/internal/direct/gateway/response.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 
+	"foxcross.dev/coord/completeness"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/foxcross/internal/direct/upstream"
 	"foxcross.dev/foxcross/internal/steady"
@@ -48,6 +49,7 @@
 // relayWhole reads a short response and relays it once it is complete.
 func (f *forwarding) relayWhole(a *attempt, response *upstream.Response, res attemptResult) decision {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
+	a.recordEnd(response.Evidence(err, completeness.Opaque))
 	if err != nil || (response.Length >= 0 && int64(len(body)) != response.Length) {
 		response.Close()
 		return f.endFailed(a, errors.Join(upstream.ErrBroken, err))
@@ -72,6 +74,7 @@
 	to := &callerWriter{writer: f.writer}
 	copied, err := io.Copy(to, io.MultiReader(bytes.NewReader(prefix), response.Body))
 	a.bytes = int(copied)
+	a.recordEnd(response.Evidence(err, completeness.Opaque))
 	if err == nil {
 		response.Finish()
 		f.endAttempt(a, res)
--- a/internal/direct/gateway/stream.go
+++ b/internal/direct/gateway/stream.go
@@ -1,23 +1,15 @@
 package gateway
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 
 	"foxcross.dev/coord/replication"
 	"foxcross.dev/foxcross/internal/direct/upstream"
 )
 
-// maxEventBytes limits the size of one event of a stream.
-const maxEventBytes = 1 << 20
-
-var errEventTooLong = errors.New("gateway: an event is longer than allowed")
-
 // stream is a streamed response that is being relayed to the caller.
 type stream struct {
 	*forwarding
@@ -76,9 +68,12 @@
 // relayEvents relays events until the stream ends.
 func (s *stream) relayEvents(a *attempt, response *upstream.Response) error {
 	control := http.NewResponseController(s.writer)
-	reader := bufio.NewReader(response.Body)
+	reader := newEventReader(response.Body)
 	for {
-		event, err := readEvent(reader)
+		event, err := reader.next()
+		if err != nil {
+			a.recordEnd(response.Evidence(err, reader.tailOf(event)))
+		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			return err
 		}
@@ -90,7 +85,7 @@
 		if err != nil {
 			return nil
 		}
-		if reader.Buffered() == 0 {
+		if !reader.buffered() {
 			_ = control.Flush() // the next write fails if the caller has disconnected
 		}
 	}
@@ -117,38 +112,6 @@
 	return nil
 }
 
-// readEvent returns the next event including the blank line that ends it. With io.EOF it returns
-// the bytes after the last event.
-func readEvent(r *bufio.Reader) ([]byte, error) {
-	var event []byte
-	for {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
-		if errors.Is(err, bufio.ErrBufferFull) {
-			err = nil
-		}
-		if len(event) > maxEventBytes {
-			return nil, errEventTooLong
-		}
-		if err != nil {
-			return event, err
-		}
-		if string(line) == "\n" || string(line) == "\r\n" {
-			return event, nil
-		}
-	}
-}
-
-// eventID returns the ID of an event.
-func eventID(event []byte) (string, bool) {
-	for line := range bytes.Lines(event) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return strings.TrimSpace(string(value)), true
-		}
-	}
-	return "", false
-}
-
 // recordBreak records that the stream of an attempt broke after part of it was relayed.
 func (s *stream) recordBreak(a *attempt, err error) attemptResult {
 	_ = http.NewResponseController(s.writer).Flush() // the caller gets the events received so far
--- a/internal/direct/record/record.go
+++ b/internal/direct/record/record.go
@@ -113,6 +113,8 @@
 	Limit            string          `json:"limit,omitempty"`         // advertised rate limit, as received
 	RetryAfter       string          `json:"retry_after,omitempty"`   // as received
 	Draining         string          `json:"draining,omitempty"`      // as received
+	Framing          string          `json:"framing,omitempty"`       // of the response's body; empty if none was read
+	Ended            string          `json:"ended,omitempty"`         // how the response's body ended
 	Replica          string          `json:"replica,omitempty"`       // engine that holds the copy of the run's memory
 	NotResumed       string          `json:"not_resumed,omitempty"`   // why its stream was not resumed
 	NotContinued     string          `json:"not_continued,omitempty"` // why its run was not continued from the copy
--- a/internal/direct/upstream/exchange.go
+++ b/internal/direct/upstream/exchange.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"foxcross.dev/coord/completeness"
 	"foxcross.dev/foxcross/internal/steady"
 )
 
@@ -233,12 +234,32 @@
 	return fmt.Errorf("%w: %w", ErrInvalidResponse, err)
 }
 
-// framed reports whether the body has a length or is chunked, so that it does not end
-// with its connection.
-func (r *Response) framed() bool {
-	return r.response.ContentLength >= 0 || len(r.response.TransferEncoding) > 0
+// Framing returns how the end of the body is marked.
+func (r *Response) Framing() completeness.Framing {
+	switch {
+	case len(r.response.TransferEncoding) > 0:
+		return completeness.Chunked
+	case r.response.ContentLength < 0:
+		return completeness.UntilClose
+	case r.response.Body == http.NoBody:
+		return completeness.NoBody
+	default:
+		return completeness.Length
+	}
 }
 
+// Evidence returns what is known of a body that ended with err.
+func (r *Response) Evidence(err error, tail completeness.Tail) completeness.Evidence {
+	e := completeness.Evidence{Framing: r.Framing(), Tail: tail}
+	if err != nil && !errors.Is(err, io.EOF) {
+		e.End = completeness.Failed
+	}
+	return e
+}
+
+// framed reports whether the body does not end with its connection.
+func (r *Response) framed() bool { return r.Framing() != completeness.UntilClose }
+
 // closeDelimitedBody is the body of a response that ends when its connection closes. It is
 // complete unless the endpoint has crashed by then.
 type closeDelimitedBody struct{ response *Response }
