Reproduce streams that are cut inside an event and framed as complete

A stand-in endpoint that goes on serving sends a stream with neither length nor chunks and closes its connection in order after each byte of an event.

--- a/internal/testing/standin/platformtest/behavior.go
+++ b/internal/testing/standin/platformtest/behavior.go
@@ -60,15 +60,20 @@
 	// Early responds before it reads the body, and then reads the body.
 	Early struct{ Status int }
 	// Events streams events up to the id To, from the one after the caller's last event. If
-	// Broken, it stops within the event after To. If Crash, the runner ends there.
+	// Broken, it stops within the event after To. If Crash, the runner ends there. If Cut, it sends
+	// the first bytes of that event and closes the connection in order.
 	Events struct {
 		To     int
 		Broken bool
 		Crash  bool
-		Repeat int           // number of events from the caller's last one on that it sends again
-		Hold   chan struct{} // holds back the events after the first until it is closed, nil for no hold
-		Pause  time.Duration // before each event
-		Token  time.Duration // prefill time of a token of the prompt, before the first event
+		Cut    string // first bytes of the event after To, with Unframed; empty for none
+		// Unframed sends the events neither with a length nor in chunks, so that they end with the
+		// connection.
+		Unframed bool
+		Repeat   int           // number of events from the caller's last one on that it sends again
+		Hold     chan struct{} // holds back the events after the first until it is closed, nil for no hold
+		Pause    time.Duration // before each event
+		Token    time.Duration // prefill time of a token of the prompt, before the first event
 	}
 	// ByPath performs Then for requests whose path has one of the prefixes, and Else for others.
 	ByPath struct {
--- a/internal/testing/standin/platformtest/respond.go
+++ b/internal/testing/standin/platformtest/respond.go
@@ -27,26 +27,34 @@
 	if last, err := strconv.Atoi(q.Header.Get(LastEventField)); err == nil {
 		from = last + 1 - a.Repeat
 	}
-	write(c, "%s", r.head(http.StatusOK, id, InstanceField+": "+r.ID+"\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"))
+	framing, send := "Transfer-Encoding: chunked\r\n", chunk
+	if a.Unframed {
+		framing, send = "Connection: close\r\n", func(c net.Conn, data string) { write(c, "%s", data) }
+	}
+	write(c, "%s", r.head(http.StatusOK, id, InstanceField+": "+r.ID+"\r\nContent-Type: text/event-stream\r\n"+framing))
 	r.prefill(q.Header, r.slowed(a.Token))
 	for n := from; n <= a.To; n++ {
 		time.Sleep(r.slowed(a.Pause))
-		chunk(c, fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, r.ID, n))
+		send(c, fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, r.ID, n))
 		if n == from && a.Hold != nil {
 			<-a.Hold
 		}
 	}
 	if a.Crash {
-		chunk(c, fmt.Sprintf("id: %d\nda", a.To+1))
+		send(c, fmt.Sprintf("id: %d\nda", a.To+1))
 		time.Sleep(resetDelay)
 		r.Close()
 		return false
 	}
 	if a.Broken {
-		chunk(c, fmt.Sprintf("id: %d\nda", a.To+1))
+		send(c, fmt.Sprintf("id: %d\nda", a.To+1))
 		time.Sleep(resetDelay)
 		return reset(c)
 	}
+	if a.Unframed {
+		send(c, a.Cut)
+		return false
+	}
 	write(c, "0\r\n\r\n")
 	return true
 }
