Judge by its last bytes whether a stream is complete

Cause: an orderly close of the connection was taken for the end of a stream wherever it fell, also inside an event; and the only evidence that was asked for, whether the endpoint refuses a new connection, speaks of the whole process and not of this answer. The class: an end of data taken for the end of a message.

A stream that ends inside an event is broken in each framing, the part of the event stays back, and the stream is resumed as after any break. The rule is asked for streams, for short and for long answers; bodies_ended counts its verdicts, the log line has them.

--- /dev/null
+++ b/internal/direct/gateway/judge.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+
+	"foxcross.dev/coord/completeness"
+	"foxcross.dev/foxcross/internal/direct/upstream"
+)
+
+// judge decides whether a response whose body ended with err may be complete. The error wraps
+// upstream.ErrBroken if it is broken.
+func (g *Gateway) judge(a *attempt, response *upstream.Response, err error, tail completeness.Tail) error {
+	e := response.Evidence(err, tail)
+	v := response.Judge(e)
+	a.recordEnd(e, v)
+	g.options.Metrics.Tagged(map[string]string{"framing": e.Framing.String(), "verdict": v.String()}).Counter("bodies_ended").Inc(1)
+	switch {
+	case v != completeness.Broken:
+		return nil
+	case e.End == completeness.Failed:
+		return errors.Join(upstream.ErrBroken, err)
+	default:
+		return fmt.Errorf("%w: the body ended %s", upstream.ErrBroken, a.ended)
+	}
+}
+
+// recordEnd sets how the body of the attempt's response was framed and how it ended, for the log.
+func (a *attempt) recordEnd(e completeness.Evidence, v completeness.Verdict) {
+	a.framing = e.Framing.String()
+	a.ended = e.End.String()
+	if e.Tail != completeness.Opaque {
+		a.ended += ", " + e.Tail.String()
+	}
+	a.ended += ": " + v.String()
+}
--- a/internal/direct/gateway/report.go
+++ b/internal/direct/gateway/report.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"foxcross.dev/coord/completeness"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/foxcross/internal/direct/record"
 	"foxcross.dev/foxcross/internal/logs"
@@ -78,15 +77,6 @@
 	return records
 }
 
-// recordEnd sets how the body of the attempt's response was framed and how it ended.
-func (a *attempt) recordEnd(e completeness.Evidence) {
-	a.framing = e.Framing.String()
-	a.ended = e.End.String()
-	if e.Tail != completeness.Opaque {
-		a.ended += ", " + e.Tail.String()
-	}
-}
-
 // durationBuckets are 5 ms to 10 s, each twice the one before.
 var durationBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 12)
 
--- a/internal/direct/gateway/response.go
+++ b/internal/direct/gateway/response.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -49,14 +48,13 @@
 // relayWhole reads a short response and relays it once it is complete.
 func (f *forwarding) relayWhole(a *attempt, response *upstream.Response, res attemptResult) decision {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
-	a.recordEnd(response.Evidence(err, completeness.Opaque))
-	if err != nil || (response.Length >= 0 && int64(len(body)) != response.Length) {
-		response.Close()
-		return f.endFailed(a, errors.Join(upstream.ErrBroken, err))
-	}
-	if response.Length < 0 && len(body) == maxBufferedBytes {
+	if err == nil && response.Length < 0 && len(body) == maxBufferedBytes {
 		return f.relayUnbuffered(a, response, body, res)
 	}
+	if err := f.gateway.judge(a, response, err, completeness.Opaque); err != nil {
+		response.Close()
+		return f.endFailed(a, err)
+	}
 	f.gateway.dispatcher.recordFirstEvent(f.request, a)
 	response.Finish()
 	f.endAttempt(a, res)
@@ -74,7 +72,9 @@
 	to := &callerWriter{writer: f.writer}
 	copied, err := io.Copy(to, io.MultiReader(bytes.NewReader(prefix), response.Body))
 	a.bytes = int(copied)
-	a.recordEnd(response.Evidence(err, completeness.Opaque))
+	if !to.failed {
+		err = f.gateway.judge(a, response, err, completeness.Opaque)
+	}
 	if err == nil {
 		response.Finish()
 		f.endAttempt(a, res)
--- a/internal/direct/gateway/stream.go
+++ b/internal/direct/gateway/stream.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 
 	"foxcross.dev/coord/replication"
@@ -65,26 +63,19 @@
 	writeResponseHeader(s.writer, response, response.Length)
 }
 
-// relayEvents relays events until the stream ends.
+// relayEvents relays events until the stream ends. The error is nil if the stream may be complete. A
+// part of an event is not relayed.
 func (s *stream) relayEvents(a *attempt, response *upstream.Response) error {
 	control := http.NewResponseController(s.writer)
 	reader := newEventReader(response.Body)
 	for {
 		event, err := reader.next()
 		if err != nil {
-			a.recordEnd(response.Evidence(err, reader.tailOf(event)))
+			return s.gateway.judge(a, response, err, reader.tailOf(event))
 		}
-		if err != nil && !errors.Is(err, io.EOF) {
+		if err := s.relayEvent(a, response, event); err != nil {
 			return err
 		}
-		if len(event) > 0 {
-			if err := s.relayEvent(a, response, event); err != nil {
-				return err
-			}
-		}
-		if err != nil {
-			return nil
-		}
 		if !reader.buffered() {
 			_ = control.Flush() // the next write fails if the caller has disconnected
 		}
--- a/internal/direct/upstream/crashed.go
+++ b/internal/direct/upstream/crashed.go
@@ -5,10 +5,9 @@
 // endpoint is running, and the connection is kept for the next request. Any other result, above
 // all a timeout, is inconclusive and doesn't count as a crash.
 //
-// A response without a length ends with its connection. If the endpoint has crashed by then, the
-// response counts as truncated, since a crashing process closes its connections like one that has
-// finished. The last such response of an endpoint that exits within the 2 ms of the check wrongly
-// counts as truncated too.
+// The check is also evidence for a response that ends with its connection (coord/completeness), since
+// a crashing process closes its connections like one that has finished. The last such response of an
+// endpoint that exits within the 2 ms of the check wrongly counts as broken.
 //
 // Inputs: the address, and the time at which the connection broke.
 // Units: a connection.
--- a/internal/direct/upstream/exchange.go
+++ b/internal/direct/upstream/exchange.go
@@ -94,9 +94,6 @@
 	response.pool = p
 	response.stop = stop
 	response.write = w
-	if !response.framed() {
-		response.Body = closeDelimitedBody{response}
-	}
 	return response, nil
 }
 
@@ -237,12 +234,12 @@
 // Framing returns how the end of the body is marked.
 func (r *Response) Framing() completeness.Framing {
 	switch {
+	case r.response.Body == http.NoBody:
+		return completeness.NoBody
 	case len(r.response.TransferEncoding) > 0:
 		return completeness.Chunked
 	case r.response.ContentLength < 0:
 		return completeness.UntilClose
-	case r.response.Body == http.NoBody:
-		return completeness.NoBody
 	default:
 		return completeness.Length
 	}
@@ -260,18 +257,12 @@
 // framed reports whether the body does not end with its connection.
 func (r *Response) framed() bool { return r.Framing() != completeness.UntilClose }
 
-// closeDelimitedBody is the body of a response that ends when its connection closes. It is
-// complete unless the endpoint has crashed by then.
-type closeDelimitedBody struct{ response *Response }
-
-// Read implements io.Reader.
-func (b closeDelimitedBody) Read(p []byte) (int, error) {
-	r := b.response
-	n, err := r.response.Body.Read(p)
-	if errors.Is(err, io.EOF) && r.pool.Crashed(r.request.Endpoint, r.request.Address, steady.Now()) {
-		err = fmt.Errorf("%w: the endpoint is gone", ErrBroken)
-	}
-	return n, err
+// Judge returns the verdict on a response whose body ended now, by the evidence. For a body that ends
+// with its connection it may dial the endpoint.
+func (r *Response) Judge(e completeness.Evidence) completeness.Verdict {
+	return completeness.Judge(e, func() bool {
+		return r.pool.Crashed(r.request.Endpoint, r.request.Address, steady.Now())
+	})
 }
 
 // Finish returns the connection to the pool after the whole body was read.
