Relay an end that nothing proves in a framing that proves as little

What callers saw: an answer that came with neither a length nor chunks reached them with a length or in chunks, whole by its framing, whatever had ended it: a close in order, at an endpoint that takes connections, proves nothing.

Cause: net/http gives a response a framing of its own, and the entry ended it whole.

Evidence: TestUnprovenEndIsNotFramedAsComplete failed before for a stream and for a short answer. TestBrokenResponseUntilCloseIsReset passed before and holds that a caller can still tell a broken one.

Fix: such a response ends with the caller's connection too; one that breaks after that is reset, since a close in order would look like its end. A stream that has begun in chunks and whose rest ends without proof is resumed, or broken off visibly.

Two ways were weighed: chunks as before for what is probably whole, and this one. Why this way: a caller that gets chunks can't know that the end is a guess. It costs its connection for each such answer.

--- a/internal/direct/gateway/forward.go
+++ b/internal/direct/gateway/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"foxcross.dev/coord/completeness"
 	"foxcross.dev/coord/eligibility"
 	"foxcross.dev/coord/replication"
 	"foxcross.dev/coord/result"
@@ -19,24 +20,31 @@
 	writer  http.ResponseWriter
 	request *request
 
-	tried           map[string]bool // by endpoint ID
-	sent            int             // attempts that reached an endpoint
-	failedDials     int             // attempts for which no connection was established
-	mayHaveRun      bool            // whether any attempt may have run
-	responseStarted bool            // part of a response was relayed
-	trial           bool            // the request is the trial of a held content
-	copied          replication.Run // life of the latest attempt's run
+	tried           map[string]bool      // by endpoint ID
+	sent            int                  // attempts that reached an endpoint
+	failedDials     int                  // attempts for which no connection was established
+	mayHaveRun      bool                 // whether any attempt may have run
+	responseStarted bool                 // part of a response was relayed
+	framing         completeness.Framing // of the response to the caller, once it has started
+	trial           bool                 // the request is the trial of a held content
+	copied          replication.Run      // life of the latest attempt's run
+}
+
+// delivery is what the caller has received of a response.
+type delivery struct {
+	started bool
+	framing completeness.Framing
 }
 
 // forward sends the request until it gets a response, and relays that. If it returns a failure, the
 // caller of forward has to answer with it, or to abort the response if that has started.
-func (g *Gateway) forward(ctx context.Context, w http.ResponseWriter, q *request) (failed *result.Error, responseStarted bool) {
+func (g *Gateway) forward(ctx context.Context, w http.ResponseWriter, q *request) (failed *result.Error, d delivery) {
 	f := &forwarding{gateway: g, ctx: ctx, writer: w, request: q, tried: map[string]bool{}}
 	failed = f.run()
 	if f.trial && f.sent == 0 {
 		g.abandonTrial(q.contentKey())
 	}
-	return failed, f.responseStarted
+	return failed, delivery{started: f.responseStarted, framing: f.framing}
 }
 
 // run makes attempts until the request is answered or refused.
--- a/internal/direct/gateway/handler.go
+++ b/internal/direct/gateway/handler.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 
+	"foxcross.dev/coord/completeness"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/foxcross/internal/failure"
 )
@@ -20,12 +21,12 @@
 	if failed != nil {
 		limitUnreadBody(w, q)
 	}
-	responseStarted := false
+	var sent delivery
 	if failed == nil {
 		ctx, cancel := q.withDeadline()
 		defer cancel()
 		g.dispatcher.countRequest(q)
-		failed, responseStarted = g.forward(ctx, w, q)
+		failed, sent = g.forward(ctx, w, q)
 	}
 	if c, ok := callerConnOf(r); ok && c.unread() {
 		failed = unreadFailure(failed)
@@ -34,12 +35,21 @@
 	if failed == nil {
 		return
 	}
-	if responseStarted || failed.Code == result.Cancelled || failed.Code == result.Unread {
-		panic(http.ErrAbortHandler) // the caller must not treat the response as complete
+	if sent.started || failed.Code == result.Cancelled || failed.Code == result.Unread {
+		abort(r, sent)
 	}
 	writeFailure(w, failed)
 }
 
+// abort closes the caller's connection so that the response doesn't look complete. One that ends with
+// the connection would, after a close in order: it is reset.
+func abort(r *http.Request, sent delivery) {
+	if c, ok := callerConnOf(r); ok && sent.framing == completeness.UntilClose {
+		c.resetOnClose()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // releaseBody frees the memory reserved for a request's body.
 func (g *Gateway) releaseBody(q *request) {
 	if q.reservation != nil {
--- a/internal/direct/gateway/judge.go
+++ b/internal/direct/gateway/judge.go
@@ -8,20 +8,20 @@
 	"foxcross.dev/foxcross/internal/direct/upstream"
 )
 
-// judge decides whether a response whose body ended with err may be complete. The error wraps
-// upstream.ErrBroken if it is broken.
-func (g *Gateway) judge(a *attempt, response *upstream.Response, err error, tail completeness.Tail) error {
+// judge returns the verdict on a response whose body ended with err. If it is broken, the error wraps
+// upstream.ErrBroken.
+func (g *Gateway) judge(a *attempt, response *upstream.Response, err error, tail completeness.Tail) (completeness.Verdict, error) {
 	e := response.Evidence(err, tail)
 	v := response.Judge(e)
 	a.recordEnd(e, v)
 	g.options.Metrics.Tagged(map[string]string{"framing": e.Framing.String(), "verdict": v.String()}).Counter("bodies_ended").Inc(1)
 	switch {
 	case v != completeness.Broken:
-		return nil
+		return v, nil
 	case e.End == completeness.Failed:
-		return errors.Join(upstream.ErrBroken, err)
+		return v, errors.Join(upstream.ErrBroken, err)
 	default:
-		return fmt.Errorf("%w: the body ended %s", upstream.ErrBroken, a.ended)
+		return v, fmt.Errorf("%w: the body ended %s", upstream.ErrBroken, a.ended)
 	}
 }
 
--- a/internal/direct/gateway/response.go
+++ b/internal/direct/gateway/response.go
@@ -51,14 +51,19 @@
 	if err == nil && response.Length < 0 && len(body) == maxBufferedBytes {
 		return f.relayUnbuffered(a, response, body, res)
 	}
-	if err := f.gateway.judge(a, response, err, completeness.Opaque); err != nil {
+	verdict, err := f.gateway.judge(a, response, err, completeness.Opaque)
+	if err != nil {
 		response.Close()
 		return f.endFailed(a, err)
 	}
+	length := int64(len(body))
+	if verdict == completeness.Unproven {
+		length = unknownLength
+	}
 	f.gateway.dispatcher.recordFirstEvent(f.request, a)
 	response.Finish()
 	f.endAttempt(a, res)
-	writeResponseHeader(f.writer, response, int64(len(body)))
+	f.writeHeader(response, length)
 	a.bytes = len(body)
 	_, _ = f.writer.Write(body) // the caller may have disconnected
 	return done{}
@@ -68,12 +73,12 @@
 func (f *forwarding) relayUnbuffered(a *attempt, response *upstream.Response, prefix []byte, res attemptResult) decision {
 	f.gateway.dispatcher.recordFirstEvent(f.request, a)
 	f.responseStarted = true
-	writeResponseHeader(f.writer, response, response.Length)
+	f.writeHeader(response, response.Length)
 	to := &callerWriter{writer: f.writer}
 	copied, err := io.Copy(to, io.MultiReader(bytes.NewReader(prefix), response.Body))
 	a.bytes = int(copied)
 	if !to.failed {
-		err = f.gateway.judge(a, response, err, completeness.Opaque)
+		_, err = f.gateway.judge(a, response, err, completeness.Opaque)
 	}
 	if err == nil {
 		response.Finish()
@@ -108,12 +113,28 @@
 	return n, err
 }
 
-// writeResponseHeader relays the status and header of a response. A length of -1 is unknown.
-func writeResponseHeader(w http.ResponseWriter, response *upstream.Response, length int64) {
-	h := w.Header()
+// unknownLength is the length of a body that has none.
+const unknownLength = -1
+
+// writeHeader relays the status and header of a response. A body of unknownLength is relayed in the
+// framing in which it comes: chunks would prove its end.
+func (f *forwarding) writeHeader(response *upstream.Response, length int64) {
+	h := f.writer.Header()
 	copyResponseHeader(h, response.Header)
+	f.framing = response.Framing()
+	switch {
+	case f.framing == completeness.NoBody:
+		length = response.Length
+	case length >= 0:
+		f.framing = completeness.Length
+	case !f.request.incoming.ProtoAtLeast(1, 1):
+		f.framing = completeness.UntilClose
+	}
+	if f.framing == completeness.UntilClose {
+		h.Set("Transfer-Encoding", "identity") // net/http then closes the connection after the body
+	}
 	if length >= 0 && response.Status != http.StatusNoContent && response.Status != http.StatusNotModified {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	w.WriteHeader(response.Status)
+	f.writer.WriteHeader(response.Status)
 }
--- a/internal/direct/gateway/stream.go
+++ b/internal/direct/gateway/stream.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 
+	"foxcross.dev/coord/completeness"
 	"foxcross.dev/coord/replication"
 	"foxcross.dev/foxcross/internal/direct/upstream"
 )
@@ -60,7 +62,7 @@
 		return
 	}
 	s.responseStarted = true
-	writeResponseHeader(s.writer, response, response.Length)
+	s.writeHeader(response, response.Length)
 }
 
 // relayEvents relays events until the stream ends. The error is nil if the stream may be complete. A
@@ -71,7 +73,7 @@
 	for {
 		event, err := reader.next()
 		if err != nil {
-			return s.gateway.judge(a, response, err, reader.tailOf(event))
+			return s.endEvents(a, response, err, reader.tailOf(event))
 		}
 		if err := s.relayEvent(a, response, event); err != nil {
 			return err
@@ -82,6 +84,22 @@
 	}
 }
 
+// errUnprovenEnd means that the rest of a stream, whose caller takes its framing for a proof, ended
+// without one.
+var errUnprovenEnd = fmt.Errorf("%w: nothing proves the end of the rest", upstream.ErrBroken)
+
+// endEvents decides whether the events of a response are all of the stream.
+func (s *stream) endEvents(a *attempt, response *upstream.Response, err error, tail completeness.Tail) error {
+	verdict, err := s.gateway.judge(a, response, err, tail)
+	if err != nil {
+		return err
+	}
+	if verdict == completeness.Unproven && s.responseStarted && s.framing != completeness.UntilClose {
+		return errUnprovenEnd
+	}
+	return nil
+}
+
 // relayEvent relays one event.
 func (s *stream) relayEvent(a *attempt, response *upstream.Response, event []byte) error {
 	if a.gotFirstEvent {
--- a/internal/direct/gateway/unread.go
+++ b/internal/direct/gateway/unread.go
@@ -67,6 +67,13 @@
 // unread reports whether a write timed out because the caller read nothing.
 func (c *callerConn) unread() bool { return c.writeState.expired.Load() }
 
+// resetOnClose makes the close of the connection send a reset.
+func (c *callerConn) resetOnClose() {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // fails only on a closed connection
+	}
+}
+
 // callerConnKey is the context key of the connection that a request came over.
 type callerConnKey struct{}
 
--- a/internal/testing/fleet/broken_test.go
+++ b/internal/testing/fleet/broken_test.go
@@ -39,6 +39,11 @@
 	return strings.Join(ids, " ")
 }
 
+// untilClose reports whether the response ends with its connection.
+func (r rawResponse) untilClose() bool {
+	return !strings.Contains(r.head, "\r\nContent-Length:") && !strings.Contains(r.head, "\r\nTransfer-Encoding:")
+}
+
 // requestRaw sends a request over a connection of its own and reads all that arrives.
 func (f *fleet) requestRaw(e *entry, target string) rawResponse {
 	f.t.Helper()
@@ -124,3 +129,32 @@
 		}
 	}
 }
+
+// TestUnprovenEndIsNotFramedAsComplete checks that a response that ended with its connection reaches
+// the caller in no framing that proves more.
+func TestUnprovenEndIsNotFramedAsComplete(t *testing.T) {
+	for target, behavior := range map[string]platformtest.Behavior{
+		"/chat/1": platformtest.Events{To: lastEvent, Unframed: true},
+		"/page/1": platformtest.Unframed{Body: "all of it"},
+	} {
+		f := newScriptedFleet(t, 1, behavior)
+		if r := f.requestRaw(f.entries[0], target); !r.whole || !r.untilClose() || r.body == "" {
+			t.Errorf("%s: whole %t, body %q after head %s", target, r.whole, r.body, r.head)
+		}
+	}
+}
+
+// TestBrokenResponseUntilCloseIsReset checks that a caller can tell a broken response from a whole one
+// that ends with its connection.
+func TestBrokenResponseUntilCloseIsReset(t *testing.T) {
+	large := strings.Repeat("x", 1<<20)
+	for target, behavior := range map[string]platformtest.Behavior{
+		"/chat/1": platformtest.Events{To: 3, Unframed: true, Broken: true},
+		"/page/1": platformtest.Unframed{Body: large, Broken: true},
+	} {
+		f := newScriptedFleet(t, 1, behavior)
+		if r := f.requestRaw(f.entries[0], target); r.whole || r.untilClose() != r.reset {
+			t.Errorf("%s: whole %t, reset %t, head %s", target, r.whole, r.reset, r.head)
+		}
+	}
+}
