Count a stream that ends without a single event as broken

What callers saw: status 200 and an empty stream, framed as complete, from an endpoint that closed its connection in order before the first event.

Cause: as for a cut inside an event, the close was taken for the end. Nothing of such a stream is of use, and nothing of it has been relayed, so it can be repeated as its class allows.

Evidence: TestStreamWithoutAnyEventIsNotComplete failed before (whole, no events) and passes.

Fix: coord/completeness has a verdict for it. A stream that is resumed may have no event left, and one with a length or chunks is proven by these: neither counts as broken.

--- a/coord/completeness/rule.go
+++ b/coord/completeness/rule.go
@@ -21,7 +21,7 @@
 		return Broken
 	case e.Framing != UntilClose:
 		return Complete
-	case endpointGone():
+	case e.Tail == NoEvent || endpointGone():
 		return Broken
 	default:
 		return Unproven
--- a/internal/direct/gateway/stream.go
+++ b/internal/direct/gateway/stream.go
@@ -90,6 +90,9 @@
 
 // endEvents decides whether the events of a response are all of the stream.
 func (s *stream) endEvents(a *attempt, response *upstream.Response, err error, tail completeness.Tail) error {
+	if tail == completeness.NoEvent && s.resumes() {
+		tail = completeness.BetweenEvents
+	}
 	verdict, err := s.gateway.judge(a, response, err, tail)
 	if err != nil {
 		return err
@@ -100,6 +103,11 @@
 	return nil
 }
 
+// resumes reports whether the response continues a stream, of which no event may be left.
+func (s *stream) resumes() bool {
+	return s.lastEventID != "" || s.request.incoming.Header.Get(s.gateway.fields.LastEvent) != ""
+}
+
 // relayEvent relays one event.
 func (s *stream) relayEvent(a *attempt, response *upstream.Response, event []byte) error {
 	if a.gotFirstEvent {
--- a/internal/testing/fleet/broken_test.go
+++ b/internal/testing/fleet/broken_test.go
@@ -158,3 +158,11 @@
 		}
 	}
 }
+
+// TestStreamWithoutAnyEventIsNotComplete ends a stream without a length before its first event.
+func TestStreamWithoutAnyEventIsNotComplete(t *testing.T) {
+	f := newScriptedFleet(t, 2, platformtest.Events{To: lastEvent}, platformtest.Events{Unframed: true})
+	if r := f.requestRaw(f.entries[0], "/chat/1"); !r.whole || r.eventIDs() != "1 2 3 4 5 6" {
+		t.Errorf("whole %t, events %q", r.whole, r.eventIDs())
+	}
+}
