Tell callers of relay mode which responses nothing proves to be complete

What callers would see: in relay mode, a response of a plain service that ended with its connection reached them in chunks, whole by its framing, also when the service had crashed.

Cause: the class of the direct mode's fault. The agent took the end of the data for the end of the response, and the entry framed it anew.

Evidence: the agent's driver reported success for a response whose service refused connections by its end; with the check for the crash taken out, the new case of internal/relay/endpoint fails in that way.

Fix: the driver asks the same rule, coord/completeness. The head of a response says that it ends with its connection (a new field, left out where it is not set: golden frames are the same); the entry relays it in that framing and resets the connection if it breaks. Chats end with an event of their own and are not affected.

--- a/coord/completeness/evidence.go
+++ b/coord/completeness/evidence.go
@@ -19,6 +19,21 @@
 	UntilClose                // the close of the connection
 )
 
+// FramingOf returns the framing of an HTTP response by its length, -1 for unknown, its transfer codings
+// and whether it may have a body.
+func FramingOf(length int64, codings []string, mayHaveBody bool) Framing {
+	switch {
+	case !mayHaveBody:
+		return NoBody
+	case len(codings) > 0:
+		return Chunked
+	case length < 0:
+		return UntilClose
+	default:
+		return Length
+	}
+}
+
 // String implements fmt.Stringer.
 func (f Framing) String() string {
 	return [...]string{"no body", "length", "chunked", "until close"}[f]
--- a/internal/direct/upstream/exchange.go
+++ b/internal/direct/upstream/exchange.go
@@ -233,16 +233,7 @@
 
 // Framing returns how the end of the body is marked.
 func (r *Response) Framing() completeness.Framing {
-	switch {
-	case r.response.Body == http.NoBody:
-		return completeness.NoBody
-	case len(r.response.TransferEncoding) > 0:
-		return completeness.Chunked
-	case r.response.ContentLength < 0:
-		return completeness.UntilClose
-	default:
-		return completeness.Length
-	}
+	return completeness.FramingOf(r.response.ContentLength, r.response.TransferEncoding, r.response.Body != http.NoBody)
 }
 
 // Evidence returns what is known of a body that ended with err.
--- a/internal/relay/endpoint/endpoint_test.go
+++ b/internal/relay/endpoint/endpoint_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
 
+	"foxcross.dev/coord/completeness"
 	"foxcross.dev/coord/message"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/foxcross/internal/relay/endpoint"
@@ -20,17 +23,19 @@
 
 // sink records a response.
 type sink struct {
-	mu     sync.Mutex
-	text   strings.Builder
-	data   []string
-	status int
-	tokens int
+	mu      sync.Mutex
+	text    strings.Builder
+	data    []string
+	status  int
+	framing completeness.Framing
+	tokens  int
 }
 
-func (s *sink) Head(status int, _ []message.Field) error {
+func (s *sink) Head(status int, _ []message.Field, framing completeness.Framing) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.status = status
+	s.framing = framing
 	return nil
 }
 
@@ -172,6 +177,35 @@
 		Expect(got.Header.Get("X-A")).To(Equal("1"))
 	})
 
+	It("takes no response that ends with its connection for a proven one", func() {
+		ends := make(chan net.Conn, 1)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Transfer-Encoding", "identity")
+			_, _ = io.WriteString(w, "all of it")
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				ends <- c
+			}
+		}))
+		defer server.Close()
+		d := driverAt("http", server.URL)
+		call := endpoint.Call{Start: message.Start{Method: http.MethodGet, Path: "/"}}
+		run := func(beforeEnd func()) (*sink, message.End) {
+			var s sink
+			ended := make(chan message.End)
+			go func() { ended <- d.Run(context.Background(), call, &s) }()
+			c := <-ends
+			beforeEnd()
+			Expect(c.Close()).To(Succeed())
+			return &s, <-ended
+		}
+		s, end := run(func() {})
+		Expect(end.Code).To(Equal(result.OK))
+		Expect(s.framing).To(Equal(completeness.UntilClose))
+		_, end = run(func() { Expect(server.Listener.Close()).To(Succeed()) })
+		Expect(end.Code).NotTo(Equal(result.OK), "the service has crashed")
+	})
+
 	It("never sends a call twice, even where net/http would resend it", func() {
 		var calls atomic.Int32
 		d := driver("http", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
--- a/internal/relay/endpoint/http.go
+++ b/internal/relay/endpoint/http.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"foxcross.dev/coord/completeness"
 	"foxcross.dev/coord/message"
 	"foxcross.dev/coord/result"
 )
@@ -80,10 +81,18 @@
 		return end
 	}
 	defer func() { _ = response.Body.Close() }()
-	if err := k.Head(response.StatusCode, fieldsOf(response.Header)); err != nil {
+	framing := completeness.FramingOf(response.ContentLength, response.TransferEncoding, response.Body != http.NoBody)
+	if err := k.Head(response.StatusCode, fieldsOf(response.Header), framing); err != nil {
 		return failed(result.Ran, err.Error())
 	}
-	return copyBody(response.Body, k)
+	if err := copyBody(response.Body, k); err != nil {
+		return failed(result.Ran, err.Error())
+	}
+	gone := func() bool { return s.HasCrashed(ctx) }
+	if completeness.Judge(completeness.Evidence{Framing: framing}, gone) == completeness.Broken {
+		return failed(result.Ran, "the service crashed during the response")
+	}
+	return message.End{Code: result.OK, Run: result.Ran}
 }
 
 func (s *service) request(ctx context.Context, m message.Start) (*http.Request, error) {
@@ -123,20 +132,21 @@
 	return nil, failed(result.NotRun, err.Error())
 }
 
-func copyBody(body io.Reader, k Sink) message.End {
+// copyBody passes a body on. The error is nil if it ended in order.
+func copyBody(body io.Reader, k Sink) error {
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
 			if err := k.Data(bytes.Clone(buffer[:n]), 0); err != nil {
-				return failed(result.Ran, err.Error())
+				return err
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return message.End{Code: result.OK, Run: result.Ran}
+			return nil
 		}
 		if err != nil {
-			return failed(result.Ran, err.Error())
+			return err
 		}
 	}
 }
--- a/internal/relay/entry/service.go
+++ b/internal/relay/entry/service.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net"
 	"net/http"
 	"strings"
 
@@ -100,7 +101,7 @@
 // aborts the connection, so that the caller can't take the response for complete.
 func writeService(w http.ResponseWriter, r *http.Request, c *call) {
 	controller := http.NewResponseController(w)
-	started := false
+	started, untilClose := false, false
 	for {
 		fragments, err := c.next(r.Context())
 		if err != nil {
@@ -109,7 +110,7 @@
 		for _, p := range fragments {
 			switch p := p.(type) {
 			case head:
-				started = true
+				started, untilClose = true, p.UntilClose
 				writeHead(w, p)
 			case data:
 				_, _ = w.Write(p) // the caller may have disconnected
@@ -118,7 +119,8 @@
 					return
 				}
 				if started {
-					panic(http.ErrAbortHandler)
+					abort(w, untilClose)
+					return
 				}
 				writeFailure(w, p.failure())
 				return
@@ -130,6 +132,22 @@
 	}
 }
 
+// abort ends a response so that it doesn't look complete. One that ends with its connection would,
+// after a close in order: the connection is reset.
+func abort(w http.ResponseWriter, untilClose bool) {
+	if !untilClose {
+		panic(http.ErrAbortHandler)
+	}
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler) // HTTP/2 has a framing of its own
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // fails only on a closed connection
+	}
+	_ = c.Close() // the response has failed
+}
+
 func writeHead(w http.ResponseWriter, m head) {
 	h := w.Header()
 	for _, f := range m.Header {
@@ -138,5 +156,8 @@
 		}
 	}
 	failure.SetCode(h, result.OK, result.Ran)
+	if m.UntilClose {
+		h.Set("Transfer-Encoding", "identity") // net/http then closes the connection after the body
+	}
 	w.WriteHeader(m.Status)
 }
