--- a/internal/direct/explain/explain.go
+++ b/internal/direct/explain/explain.go
@@ -76,10 +76,16 @@
 	writeStanding(w, f)
 	writeAdmission(w, f.Admission)
 	writeResumption(w, f.Resumes)
+	if len(f.Parts) > 0 {
+		fmt.Fprintf(w, "  parts of its prompt that others may share: %s\n", strings.Join(f.Parts, ", "))
+	}
 	for n, a := range f.Attempts {
 		fmt.Fprintf(w, "  send %d to %s%s: %s\n", n+1, a.Endpoint, versionText(a.Version), a.Outcome)
 		fmt.Fprintf(w, "    expected: %.0f ms of waiting, first event after %.0f ms, %d tokens to read, slowness %.2f\n",
 			a.WaitMS, a.FirstMS, a.PrefillTokens, a.Slowdown)
+		if a.Silent {
+			fmt.Fprintln(w, "    its endpoint crashed before the first event")
+		}
 		if a.Ended != "" {
 			fmt.Fprintf(w, "    the body of its response ended: %s (framing: %s)\n", a.Ended, a.Framing)
 		}
--- a/internal/direct/explain/explain_test.go
+++ b/internal/direct/explain/explain_test.go
@@ -38,10 +38,10 @@
 }
 
 func TestReportListsEndpointSignals(t *testing.T) {
-	const log = `{"fields":{"request":"a","code":1000,"resumes":{"request":"b","after":"4","origin":"peer","begun_at":"i-9","version":"v1","begun_ms_ago":70,"list_ms_ago":600,"observed":true,"peers_asked":true},"sends":[` +
+	const log = `{"fields":{"request":"a","code":1000,"resumes":{"request":"b","after":"4","origin":"peer","begun_at":"i-9","version":"v1","begun_ms_ago":70,"list_ms_ago":600,"observed":true,"peers_asked":true},"prompt_parts":["5c1e07a2","91bd3f06"],"sends":[` +
 		`{"endpoint":"i-1","version":"v1.1","outcome":"status 200","limit":"2.2"},` +
 		`{"endpoint":"i-2","outcome":"not run, Service Unavailable","retry_after":"3"},` +
-		`{"endpoint":"i-3","outcome":"the endpoint crashed: EOF","not_resumed":"no endpoint of version v2 may take it, by a list of endpoints that was the newest 40 ms ago","draining":"1","replica":"i-4@5"},` +
+		`{"endpoint":"i-3","outcome":"the endpoint crashed: EOF","not_resumed":"no endpoint of version v2 may take it, by a list of endpoints that was the newest 40 ms ago","draining":"1","crashed_silent":true,"replica":"i-4@5"},` +
 		`{"endpoint":"i-4","outcome":"status 200","continued_from":"i-3","continued_after":"7"}]}}`
 	var out bytes.Buffer
 	if _, err := explain.Report(&out, strings.NewReader(log), "a"); err != nil {
@@ -49,7 +49,7 @@
 	}
 	for _, want := range []string{"send 1 to i-1 (version v1.1)", `resumes the stream that request b began, after event "4"`, "begun at version v1 by i-9, 70 ms before; known from: peer",
 		"known of the service: several versions, observed for long enough, by a list that was the newest 600 ms before; other entries were asked", "named a limit of 2.2 requests a second", "had Retry-After: 3", "its stream was not resumed: no endpoint of version v2 may take it, by a list of endpoints that was the newest 40 ms ago", "had the sign of draining: 1",
-		"the run's memory is copied to i-4@5", `continues the run from its copy, after event "7": i-3 has crashed`} {
+		"the run's memory is copied to i-4@5", "others may share: 5c1e07a2, 91bd3f06", "its endpoint crashed before the first event", `continues the run from its copy, after event "7": i-3 has crashed`} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("%q is missing in %s", want, out.String())
 		}
--- a/internal/direct/gateway/attempts.go
+++ b/internal/direct/gateway/attempts.go
@@ -36,6 +36,7 @@
 	notContinued  string              // why its run was not continued from its copy, for the log
 	crashes       int                 // counted against the request's content when it was sent
 	gotFirstEvent bool                // the first event of the response was received
+	crashed       bool                // its endpoint crashed during it
 	outcome       string              // for the log
 	limit         string              // value of the response's rate limit field, for the log
 
--- a/internal/direct/gateway/forward.go
+++ b/internal/direct/gateway/forward.go
@@ -200,6 +200,7 @@
 func (f *forwarding) endAttempt(a *attempt, res attemptResult) attemptResult {
 	f.gateway.dispatcher.recordEnd(a, res)
 	res = f.checkCrash(a, res)
+	_, a.crashed = res.(endpointCrashed)
 	a.outcome = res.text()
 	f.copied = f.copied.Apply(replicationEvent(res))
 	f.gateway.recordContentResult(f.request, a, res)
--- a/internal/direct/gateway/report.go
+++ b/internal/direct/gateway/report.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"slices"
+	"strconv"
 	"time"
 
+	"foxcross.dev/coord/memory"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/foxcross/internal/direct/record"
 	"foxcross.dev/foxcross/internal/logs"
@@ -51,6 +54,9 @@
 	if len(q.attempts) > 0 {
 		fields["sends"] = q.attemptRecords()
 	}
+	if q.crashedEndpoint() {
+		fields["prompt_parts"] = partIDs(q.spec.Prompt)
+	}
 	if a := q.admissionRecord(); a != nil {
 		fields["admission"] = a
 	}
@@ -71,12 +77,28 @@
 		r.Draining = a.draining
 		r.NotResumed = a.notResumed
 		r.Framing, r.Ended = a.framing, a.ended
+		r.Silent = a.crashed && !a.gotFirstEvent
 		a.recordReplica(&r)
 		records = append(records, r)
 	}
 	return records
 }
 
+// crashedEndpoint reports whether the endpoint of an attempt crashed.
+func (q *request) crashedEndpoint() bool {
+	return slices.ContainsFunc(q.attempts, func(a *attempt) bool { return a.crashed })
+}
+
+// partIDs returns the IDs of the parts that other prompts may share, in the form in which callers send
+// them.
+func partIDs(p memory.Prompt) []string {
+	ids := []string{}
+	for _, x := range p.Shared() {
+		ids = append(ids, strconv.FormatUint(x.ID, 16))
+	}
+	return ids
+}
+
 // durationBuckets are 5 ms to 10 s, each twice the one before.
 var durationBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 12)
 
--- a/internal/direct/record/record.go
+++ b/internal/direct/record/record.go
@@ -39,7 +39,8 @@
 	BetweenTargetMS int64       `json:"between_target_ms"` // 0 for none
 	Resumes         *Resumption `json:"resumes"`           // nil if it resumes no stream
 	Attempts        []Attempt   `json:"sends"`
-	Admission       *Admission  `json:"admission"` // nil where nothing waited, and in logs of earlier versions
+	Parts           []string    `json:"prompt_parts"` // IDs of those that other prompts may share, if an attempt's endpoint crashed
+	Admission       *Admission  `json:"admission"`    // nil where nothing waited, and in logs of earlier versions
 }
 
 // Admission is what queued admission decided about a request, and the state of the service that
@@ -110,14 +111,15 @@
 	Source           string          `json:"fetched_from,omitempty"`
 	FetchedTokens    int             `json:"fetched,omitempty"`
 	FetchMS          float64         `json:"expected_fetch_ms,omitempty"`
-	Limit            string          `json:"limit,omitempty"`         // advertised rate limit, as received
-	RetryAfter       string          `json:"retry_after,omitempty"`   // as received
-	Draining         string          `json:"draining,omitempty"`      // as received
-	Framing          string          `json:"framing,omitempty"`       // of the response's body; empty if none was read
-	Ended            string          `json:"ended,omitempty"`         // how the response's body ended
-	Replica          string          `json:"replica,omitempty"`       // engine that holds the copy of the run's memory
-	NotResumed       string          `json:"not_resumed,omitempty"`   // why its stream was not resumed
-	NotContinued     string          `json:"not_continued,omitempty"` // why its run was not continued from the copy
+	Limit            string          `json:"limit,omitempty"`          // advertised rate limit, as received
+	RetryAfter       string          `json:"retry_after,omitempty"`    // as received
+	Draining         string          `json:"draining,omitempty"`       // as received
+	Silent           bool            `json:"crashed_silent,omitempty"` // the endpoint crashed before the attempt's first event
+	Framing          string          `json:"framing,omitempty"`        // of the response's body; empty if none was read
+	Ended            string          `json:"ended,omitempty"`          // how the response's body ended
+	Replica          string          `json:"replica,omitempty"`        // engine that holds the copy of the run's memory
+	NotResumed       string          `json:"not_resumed,omitempty"`    // why its stream was not resumed
+	NotContinued     string          `json:"not_continued,omitempty"`  // why its run was not continued from the copy
 	ContinuedFrom    string          `json:"continued_from,omitempty"`
 	ContinuedAfter   string          `json:"continued_after,omitempty"` // ID of the last event of the engine before, empty for none
 }
--- a/internal/testing/soak/faults.go
+++ b/internal/testing/soak/faults.go
@@ -244,6 +244,16 @@
 	platformtest.Hang{},
 	platformtest.Early{Status: http.StatusInternalServerError},
 	platformtest.Events{To: 4, Broken: true},
+	platformtest.Unframed{Body: responseBody},
+	inStreams(platformtest.Events{To: eventsPerStream, Unframed: true}),
+	inStreams(platformtest.Events{To: 4, Unframed: true, Cut: "id: 5\nda"}),
+	inStreams(platformtest.Events{To: 4, Unframed: true, Broken: true}),
+	inStreams(platformtest.Events{Unframed: true}),
+}
+
+// inStreams returns a behavior for streams. Other requests get a response that is broken off.
+func inStreams(then platformtest.Behavior) platformtest.Behavior {
+	return platformtest.ByPath{Prefix: []string{"/chat/", "/plan/"}, Then: then, Else: platformtest.Unframed{Body: "cut", Broken: true}}
 }
 
 // injectFaultyBehaviors makes the next requests of an endpoint fail.
