Reproduce a prompt part that crashes each engine that begins to write on it

The bounds are the users': five crashes, then three sends from one contact time on; nine tenths of the requests beside them.

--- a/internal/testing/fleet/fleet_test.go
+++ b/internal/testing/fleet/fleet_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -31,6 +32,8 @@
 	crashingPath = "/chat/crash"
 	// crashingOncePath is the same for requests that must not run twice.
 	crashingOncePath = "/book/crash"
+	// crashingPart is the ID of a part of prompts on which an endpoint crashes when it begins to write.
+	crashingPart = "dead"
 )
 
 // conditionTimeout bounds the wait for a condition. It is long because CI machines may be busy.
@@ -53,10 +56,12 @@
 	entries      []*entry
 	client       *http.Client
 	requestCount atomic.Int64
+	eventPause   time.Duration // before each event of a stream, set before endpoints are added
 	stopped      chan struct{}
 
 	mu      sync.Mutex
 	started []*platformtest.Runner // all endpoints, also those that have crashed
+	crashed []time.Time            // when endpoints have, in order
 }
 
 // entry is one gateway of the fleet.
@@ -121,7 +126,7 @@
 		Then:   platformtest.Crash{},
 		Else: platformtest.ByPath{
 			Prefix: []string{"/chat/"},
-			Then:   platformtest.Events{To: 3},
+			Then:   platformtest.Events{To: 3, Pause: f.eventPause, CrashPart: crashingPart},
 			Else:   platformtest.Answer{Status: http.StatusOK, Body: "the whole answer"},
 		},
 	})
@@ -136,6 +141,9 @@
 		case <-f.stopped:
 			r.Close()
 		case <-r.Ended():
+			f.mu.Lock()
+			f.crashed = append(f.crashed, time.Now())
+			f.mu.Unlock()
 			r.Close() // all its connections break before it restarts
 			f.addEndpoint(id, startedMS+1, version)
 		}
@@ -155,6 +163,13 @@
 	return crashes
 }
 
+// crashTimes returns when endpoints crashed, in order.
+func (f *fleet) crashTimes() []time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.crashed)
+}
+
 func (f *fleet) endpointsAndCrashes() (serving []*platformtest.Runner, crashes int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- /dev/null
+++ b/internal/testing/fleet/parts_test.go
@@ -0,0 +1,118 @@
+package fleet_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"foxcross.dev/foxcross/internal/testing/standin/platformtest"
+)
+
+const (
+	// acceptedCrashes is the number of crashes under one part after which its requests are bounded, and
+	// acceptedSends how many of them may reach endpoints from contactTime after the last of those on.
+	acceptedCrashes = 5
+	acceptedSends   = 3
+	contactTime     = 3 * time.Second
+	// minSoundShare is the share of the requests beside such a part that are served at once.
+	minSoundShare = 0.9
+)
+
+// requestWithParts sends a request with a prompt of these shared parts and one of its own.
+func (f *fleet) requestWithParts(e *entry, shared string) response {
+	f.t.Helper()
+	own := f.requestCount.Add(1)
+	q := f.newRequest(f.t.Context(), e, fmt.Sprintf("/chat/parts/%d", own), fmt.Sprint("prompt ", own))
+	q.Header.Set(platformtest.PartsField, fmt.Sprintf("%s,f%06x:30", shared, own))
+	return f.do(q)
+}
+
+// sendsWith returns when requests whose prompts share a part reached endpoints.
+func (f *fleet) sendsWith(part string) []time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var at []time.Time
+	for _, r := range f.started {
+		for _, run := range r.Runs() {
+			if platformtest.SharesPart(run.Header, part) {
+				at = append(at, run.At)
+			}
+		}
+	}
+	return at
+}
+
+// TestPromptPartThatCrashesEnginesIsHeld repeats requests that are all different but for such a part.
+func TestPromptPartThatCrashesEnginesIsHeld(t *testing.T) {
+	const entries, endpoints, rounds = 5, 8, 40
+	f := newFleet(t, entries, endpoints)
+	for n := range rounds {
+		f.requestWithParts(f.entries[n%entries], "aa:50,dead:40")
+		for k, shared := range []string{"aa:50", "aa:50,bb:20", "cc:50,dd:20"} {
+			f.eventually("another request is served", func() bool {
+				return f.requestWithParts(f.entries[(n+k)%entries], shared).status == http.StatusOK
+			})
+		}
+	}
+	if n := len(f.sendsWith(crashingPart)); n > acceptedCrashes+acceptedSends {
+		t.Errorf("%d requests with the part reached endpoints, allowed are %d; %d endpoints crashed", n, acceptedCrashes+acceptedSends, f.crashes())
+	}
+}
+
+// TestConcurrentRequestsWithCrashingPartAreBounded sends many of them at once, at all entries, until well
+// after the contact time.
+func TestConcurrentRequestsWithCrashingPartAreBounded(t *testing.T) {
+	const (
+		entries, endpoints = 5, 8
+		perRound           = 6
+		rounds             = 48
+		roundInterval      = 100 * time.Millisecond
+	)
+	f := newFleet(t, entries, 0)
+	f.eventPause = 20 * time.Millisecond
+	for n := range endpoints {
+		f.addEndpoint(fmt.Sprint("i-", n+1), 1, "v1")
+	}
+	f.eventually("all endpoints are known", func() bool {
+		return len(f.entries[entries-1].gateway.Dump().Endpoints) == endpoints
+	})
+	var requests sync.WaitGroup
+	var sound, served atomic.Int64
+	for round := range rounds {
+		for k := range perRound {
+			e := f.entries[(round+k)%entries]
+			requests.Go(func() { f.requestWithParts(e, "aa:50,dead:40") })
+			requests.Go(func() {
+				status := f.requestWithParts(e, "aa:50,bb:20").status
+				if round < rounds/2 {
+					return
+				}
+				sound.Add(1)
+				if status == http.StatusOK {
+					served.Add(1)
+				}
+			})
+		}
+		time.Sleep(roundInterval)
+	}
+	requests.Wait()
+	times := f.crashTimes()
+	if len(times) <= acceptedCrashes {
+		return
+	}
+	late := 0
+	for _, at := range f.sendsWith(crashingPart) {
+		if at.After(times[acceptedCrashes-1].Add(contactTime)) {
+			late++
+		}
+	}
+	if late > acceptedSends {
+		t.Errorf("%d requests with the part reached endpoints %v after the fifth crash or later; %d endpoints crashed", late, contactTime, len(times))
+	}
+	if share := float64(served.Load()) / float64(sound.Load()); share < minSoundShare {
+		t.Errorf("%.2f of the other requests were served in the second half", share)
+	}
+}
--- a/internal/testing/standin/platformtest/prompt.go
+++ b/internal/testing/standin/platformtest/prompt.go
@@ -39,6 +39,17 @@
 	return tokens
 }
 
+// SharesPart reports whether a part other than the last one of a request's prompt has the ID.
+func SharesPart(h http.Header, id string) bool {
+	parts := strings.Split(h.Get(PartsField), ",")
+	for _, part := range parts[:len(parts)-1] {
+		if found, _, _ := strings.Cut(part, ":"); found == id && id != "" {
+			return true
+		}
+	}
+	return false
+}
+
 // listJSON returns the cached parts in the format of CachedPartsPath.
 func (m *promptCache) listJSON() string {
 	m.mu.Lock()
--- a/internal/testing/standin/platformtest/respond.go
+++ b/internal/testing/standin/platformtest/respond.go
@@ -35,6 +35,10 @@
 	r.prefill(q.Header, r.slowed(a.Token))
 	for n := from; n <= a.To; n++ {
 		time.Sleep(r.slowed(a.Pause))
+		if n == from && SharesPart(q.Header, a.CrashPart) {
+			r.Close()
+			return false
+		}
 		send(c, fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, r.ID, n))
 		if n == from && a.Hold != nil {
 			<-a.Hold
