Hold prompt parts on which engines crash when they begin to write

Cause: the quarantine blames a whole content, of which each such request has its own, so that none was ever counted twice; and it counts each run at a crashed engine alike, though only one that was about to write can have ended it. The class: blame by an identity that the cause doesn't share.

Fix: a crash counts against each shared part of the prompts whose runs had no event there, once for each content. The first event of any run with a part, here or at another entry, clears it: parts that sound requests share are cleared in the time of one first event, so that only what is in each crash and in no success stays. Entries of earlier builds ignore the reports of parts (new fields, golden packets are the same).

Two ways were weighed: blame by a part's count alone (holds what all share in a loss of a rack), and this one, in which a success decides.

--- a/coord/placement/attempts.go
+++ b/coord/placement/attempts.go
@@ -81,6 +81,15 @@
 	s.asked.add(now, prefillMS)
 }
 
+// Sent returns the endpoint and the request of an open attempt.
+func (t *Table) Sent(id AttemptID) (endpoint string, r Request, ok bool) {
+	e := t.byAttempt[id]
+	if e == nil {
+		return "", Request{}, false
+	}
+	return e.Incarnation(), e.attempts[id].request, true
+}
+
 // FirstEvent records the first event of an attempt, which ends its prefill.
 func (t *Table) FirstEvent(now time.Time, id AttemptID) {
 	e := t.byAttempt[id]
--- a/coord/quarantine/quarantine.go
+++ b/coord/quarantine/quarantine.go
@@ -65,6 +65,7 @@
 	// started. It orders runs and crashes without a clock: a retry begins within 1 ms of the crash
 	// before it, while reports of crashes have a resolution of 1 ms and take some ms to arrive.
 	KnownCrashes int
+	Source       Source // of the run's content, if Content is the key of a part; else 0
 }
 
 // Verdict is the decision on a content.
@@ -77,6 +78,8 @@
 	// Correlated is set if the crashes happened together, so that they may be one event that the
 	// content did not cause.
 	Correlated bool
+	// Probation is set for a part of which one run at a time is sent, ProbeOpen while that is open.
+	Probation, ProbeOpen bool
 }
 
 // Verdict returns the decision on a content.
@@ -98,6 +101,10 @@
 		}
 		failed := min(c.trials, v.Crashes-maxCrashes)
 		next = v.LastCrash.Add(holdAfterTrials(hold, failed))
+	case k.IsPart():
+		v.Probation = len(c.crashes) >= probationCrashes
+		v.ProbeOpen = v.Probation && now.Before(c.probe.until)
+		return v
 	case c.neverSucceeded(now):
 		v.Crashes = maxCrashes
 		v.Correlated = true
@@ -170,6 +177,9 @@
 		}
 	}
 	c.counted = min(max(separate, known+1), len(c.crashes))
+	if c.key.IsPart() {
+		c.counted = min(c.counted, c.sources())
+	}
 }
 
 // holdAfterTrials returns the length of the hold after a number of failed trials.
--- a/coord/quarantine/report.go
+++ b/coord/quarantine/report.go
@@ -77,10 +77,14 @@
 	Crashes []CrashReport `cbor:"1,keyasint,omitempty"`
 	Holds   []HoldReport  `cbor:"2,keyasint,omitempty"`
 	Cleared [][]byte      `cbor:"3,keyasint,omitempty"` // keys of contents that have succeeded since
+	// PartCrashes are the crashes counted against prompt parts. Processes of earlier builds ignore them.
+	PartCrashes []PartCrashReport `cbor:"4,keyasint,omitempty"`
 }
 
-// Empty reports whether the snapshot has no crash, hold or cleared content.
-func (s Snapshot) Empty() bool { return len(s.Crashes)+len(s.Holds)+len(s.Cleared) == 0 }
+// Empty reports whether the snapshot has no crash, hold or cleared content or part.
+func (s Snapshot) Empty() bool {
+	return len(s.Crashes)+len(s.Holds)+len(s.Cleared)+len(s.PartCrashes) == 0
+}
 
 // CrashReport is the report of a crash of an endpoint.
 type CrashReport struct {
@@ -99,6 +103,25 @@
 	Known   int      // crashes that the sender counted against the content when the run started
 }
 
+// PartCrashReport is the report of a crash of an endpoint, as far as it counts against prompt parts.
+type PartCrashReport struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint string
+	AgeMS    int64  // ms since the crash
+	From     uint64 // incarnation of the process that detected it
+	Runs     []PartReport
+}
+
+// PartReport is the report of a run with a prompt part that had not begun to write when its endpoint
+// crashed.
+type PartReport struct {
+	_      struct{} `cbor:",toarray"`
+	Part   []byte   // key
+	Source uint64   // of the run's content
+	RanMS  int64    // ms from the start of the run to the crash
+	Known  int      // crashes that the sender counted against the part when the run started
+}
+
 // HoldReport is the report of a held content.
 type HoldReport struct {
 	_       struct{} `cbor:",toarray"`
@@ -118,6 +141,11 @@
 	return RunReport{Content: r.Content[:], RanMS: at.Sub(r.Started).Milliseconds(), Known: r.KnownCrashes}
 }
 
+// PartReportOf returns the report of a run with a part at an endpoint that crashed at a time.
+func PartReportOf(r Run, at time.Time) PartReport {
+	return PartReport{Part: r.Content[:], Source: uint64(r.Source), RanMS: at.Sub(r.Started).Milliseconds(), Known: r.KnownCrashes}
+}
+
 // KeyFromBytes returns the key in a report. It returns false if its length is wrong.
 func KeyFromBytes(data []byte) (Key, bool) {
 	if len(data) != keyBytes {
@@ -135,7 +163,7 @@
 	}
 	var runs []Run
 	for _, x := range r.Runs {
-		if k, ok := KeyFromBytes(x.Content); ok && x.RanMS >= 0 {
+		if k, ok := KeyFromBytes(x.Content); ok && x.RanMS >= 0 && !k.IsPart() {
 			runs = append(runs, Run{Content: k, Started: ago(at, x.RanMS), KnownCrashes: x.Known})
 		}
 	}
@@ -145,6 +173,24 @@
 	return t.RecordCrash(r.Endpoint, at, r.From, runs...)
 }
 
+// ApplyPartCrash applies another process's report like ApplyCrash.
+func (t *Table) ApplyPartCrash(now time.Time, r PartCrashReport) []Key {
+	at := ago(now, r.AgeMS)
+	if r.AgeMS < 0 || now.Sub(at) >= retention {
+		return nil
+	}
+	var runs []Run
+	for _, x := range r.Runs {
+		if k, ok := KeyFromBytes(x.Part); ok && x.RanMS >= 0 && k.IsPart() {
+			runs = append(runs, Run{Content: k, Started: ago(at, x.RanMS), KnownCrashes: x.Known, Source: Source(x.Source)})
+		}
+	}
+	if len(runs) == 0 {
+		return nil
+	}
+	return t.RecordCrash(r.Endpoint, at, r.From, runs...)
+}
+
 // ApplyHold applies another process's report of a hold like Hold. It ignores invalid reports.
 func (t *Table) ApplyHold(now time.Time, r HoldReport) {
 	k, ok := KeyFromBytes(r.Content)
@@ -160,14 +206,23 @@
 	for _, name := range t.order {
 		known := t.crashes[name]
 		x := CrashReport{Endpoint: name, AgeMS: now.Sub(known.at).Milliseconds(), From: cmp.Or(known.from, self)}
+		p := PartCrashReport{Endpoint: name, AgeMS: x.AgeMS, From: x.From}
 		for k, r := range known.runs {
-			if !r.cleared {
-				x.Runs = append(x.Runs, ReportOf(Run{Content: k, Started: r.started, KnownCrashes: r.knownCrashes}, known.at))
+			run := Run{Content: k, Started: r.started, KnownCrashes: r.knownCrashes, Source: r.source}
+			switch {
+			case r.cleared:
+			case k.IsPart():
+				p.Runs = append(p.Runs, PartReportOf(run, known.at))
+			default:
+				x.Runs = append(x.Runs, ReportOf(run, known.at))
 			}
 		}
 		if len(x.Runs) > 0 {
 			s.Crashes = append(s.Crashes, x)
 		}
+		if len(p.Runs) > 0 {
+			s.PartCrashes = append(s.PartCrashes, p)
+		}
 	}
 	for k, c := range t.contents {
 		if crashes := max(c.reportedCrashes, c.counted); crashes >= maxCrashes && !c.until.IsZero() {
@@ -188,6 +243,9 @@
 			added.Crashes = append(added.Crashes, r)
 		}
 	}
+	for _, r := range s.PartCrashes[:min(len(s.PartCrashes), maxKnownCrashes)] {
+		held = append(held, t.ApplyPartCrash(now, r)...)
+	}
 	for _, h := range s.Holds[:min(len(s.Holds), maxKnownCrashes)] {
 		known := t.hasHold(now, h)
 		t.ApplyHold(now, h)
--- a/coord/quarantine/table.go
+++ b/coord/quarantine/table.go
@@ -30,7 +30,8 @@
 	crashes    map[string]*crash // by endpoint
 	order      []string          // keys of crashes, in the order of their first reports
 	contents   map[Key]*content
-	unanswered []unanswered // oldest first
+	unanswered []unanswered  // oldest first
+	begins     map[Key]begin // of parts that were suspect
 }
 
 // crash is one crash of an endpoint.
@@ -45,6 +46,7 @@
 type run struct {
 	started      time.Time // latest start, if the content had several runs
 	knownCrashes int       // highest KnownCrashes of the runs
+	source       Source    // of the latest run, 0 unless the key is that of a part
 	cleared      bool      // the content has succeeded since
 }
 
@@ -56,6 +58,7 @@
 	reportedCrashes int       // crashes counted by other processes, as stored or reported by them
 	trials          int       // since it is held
 	until           time.Time // end of a hold reported by another process, or of a trial
+	probe           openProbe // of a part on probation
 }
 
 // unanswered is a run without a response.
@@ -112,17 +115,26 @@
 		return
 	}
 	if former.started.After(r.Started) {
-		r.Started = former.started
+		r.Started, r.Source = former.started, former.source
 	}
-	x.runs[r.Content] = run{started: r.Started, knownCrashes: max(former.knownCrashes, r.KnownCrashes)}
+	if r.Content.IsPart() {
+		t.revokeBegin(r.Content, x)
+	}
+	x.runs[r.Content] = run{started: r.Started, knownCrashes: max(former.knownCrashes, r.KnownCrashes), source: r.Source}
 	c := t.content(r.Content)
+	c.probe = openProbe{}
 	if !ok {
-		at, _ := slices.BinarySearchFunc(c.crashes, x.at, func(x *crash, t time.Time) int { return x.at.Compare(t) })
-		c.crashes = slices.Insert(c.crashes, at, x)
+		c.insert(x)
 	}
 	c.recount()
 }
 
+// insert adds a crash.
+func (c *content) insert(x *crash) {
+	at, _ := slices.BinarySearchFunc(c.crashes, x.at, func(x *crash, t time.Time) int { return x.at.Compare(t) })
+	c.crashes = slices.Insert(c.crashes, at, x)
+}
+
 // content returns the state of a content. It creates the state if there is none.
 func (t *Table) content(k Key) *content {
 	if t.contents == nil {
@@ -215,6 +227,7 @@
 	for len(t.order) > 0 && now.Sub(t.crashes[t.order[0]].at) >= retention {
 		t.removeCrash(t.order[0])
 	}
+	t.expireBegins(now)
 	for k, c := range t.contents {
 		if len(c.crashes) == 0 && now.Sub(c.until) >= retention {
 			delete(t.contents, k)
--- a/internal/direct/gateway/accept.go
+++ b/internal/direct/gateway/accept.go
@@ -38,16 +38,17 @@
 	tierPriority int            // that of its class and team; spec.Priority also depends on standing
 	standing     share.Standing // of its team when it was last placed
 
-	cachedKey    *quarantine.Key // of its content, nil until contentKey is called
-	crashes      int             // counted against its content, as of the last check
-	runCounted   bool            // an endpoint began to run it, and that was counted
-	attempts     []*attempt      // in the order of sending
-	admission    admissionResult // of queued admission
-	heldSince    time.Time       // when admission first decided
-	holdFor      time.Duration   // until admission decides again, 0 if it is not held
-	firstEventAt time.Time       // when the first event was relayed, zero before that
-	lastEventAt  time.Time       // when the last event was relayed
-	maxPause     time.Duration   // longest time between two events
+	cachedKey      *quarantine.Key        // of its content, nil until contentKey is called
+	cachedPartKeys []quarantine.Key       // of its prompt's shared parts, nil until partKeys is called
+	crashes        map[quarantine.Key]int // counted against its content and parts, as of the last check; without those that have none
+	runCounted     bool                   // an endpoint began to run it, and that was counted
+	attempts       []*attempt             // in the order of sending
+	admission      admissionResult        // of queued admission
+	heldSince      time.Time              // when admission first decided
+	holdFor        time.Duration          // until admission decides again, 0 if it is not held
+	firstEventAt   time.Time              // when the first event was relayed, zero before that
+	lastEventAt    time.Time              // when the last event was relayed
+	maxPause       time.Duration          // longest time between two events
 }
 
 // contentKey returns the key of the request's content and caller. It is computed on the first call:
--- a/internal/direct/gateway/attempts.go
+++ b/internal/direct/gateway/attempts.go
@@ -10,6 +10,7 @@
 	"foxcross.dev/coord/eligibility"
 	"foxcross.dev/coord/memory"
 	"foxcross.dev/coord/placement"
+	"foxcross.dev/coord/quarantine"
 	"foxcross.dev/coord/replication"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/coord/resumption"
@@ -30,15 +31,16 @@
 	id            placement.AttemptID
 	choice        placement.Choice
 	sentAt        time.Time
-	replica       replication.Replica // of the run's memory
-	continues     *continuation       // nil unless it continues the run of another attempt
-	notResumed    string              // why its stream was not resumed, for the log
-	notContinued  string              // why its run was not continued from its copy, for the log
-	crashes       int                 // counted against the request's content when it was sent
-	gotFirstEvent bool                // the first event of the response was received
-	crashed       bool                // its endpoint crashed during it
-	outcome       string              // for the log
-	limit         string              // value of the response's rate limit field, for the log
+	replica       replication.Replica    // of the run's memory
+	continues     *continuation          // nil unless it continues the run of another attempt
+	notResumed    string                 // why its stream was not resumed, for the log
+	notContinued  string                 // why its run was not continued from its copy, for the log
+	crashes       map[quarantine.Key]int // counted against the request's content and parts when it was sent
+	firstEventAt  time.Time              // zero before it
+	gotFirstEvent bool                   // the first event of the response was received
+	crashed       bool                   // its endpoint crashed during it
+	outcome       string                 // for the log
+	limit         string                 // value of the response's rate limit field, for the log
 
 	retryAfter       string // value of the response's Retry-After field, for the log
 	draining         string // value of the response's draining field, for the log
@@ -212,7 +214,7 @@
 	defer d.mu.Unlock()
 	d.applyStanding(now, q)
 	q.spec.TimeLeft = q.timeLeft()
-	q.spec.NoFetch = q.crashes > 0 // data fetched from another engine may have caused the crash
+	q.spec.NoFetch = len(q.crashes) > 0 && q.crashes[q.contentKey()] > 0 // data fetched from another engine may have caused the crash
 	choice, ok := d.table.Choose(now, q.spec, func(id string) bool { return excluded[id] }, d.random)
 	if !ok {
 		return nil, nil
--- a/internal/direct/gateway/content.go
+++ b/internal/direct/gateway/content.go
@@ -17,7 +17,7 @@
 
 import (
 	"errors"
-	"fmt"
+	"slices"
 	"syscall"
 	"time"
 
@@ -35,25 +35,60 @@
 // model (TestModelBoundsSends).
 var rebroadcastDelays = []time.Duration{300 * time.Millisecond, 700 * time.Millisecond}
 
-// checkContent returns the refusal of a request whose content is held, or nil.
-func (f *forwarding) checkContent() *result.Error {
-	g := f.gateway
-	if !g.suspects.any.Load() {
+// checkQuarantine returns the refusal of a request whose content, or a part of whose prompt, is held or
+// being tried, or nil.
+func (f *forwarding) checkQuarantine() *result.Error {
+	if !f.gateway.suspects.any.Load() {
 		return nil
 	}
-	now := steady.Now()
-	k := f.request.contentKey()
-	v := g.suspects.verdict(now, k)
-	f.request.crashes = v.Crashes
-	if !v.Held || f.trial && f.sent == 0 {
-		return nil
+	held := f.heldKeys()
+	for _, k := range held {
+		if f.gateway.suspects.verdict(steady.Now(), k).Remaining > 0 || f.sent > 0 {
+			return f.heldRefusal(k)
+		}
 	}
-	if v.Remaining == 0 && f.sent == 0 && g.beginTrial(f.ctx, k) {
-		f.trial = true
+	if len(held) > 0 && !f.beginTrial(held[0]) {
+		return f.heldRefusal(held[0])
+	}
+	if len(held) > 0 {
 		return nil
 	}
-	g.options.Metrics.Counter("quarantine_refused").Inc(1)
-	refusal := newFailure(result.Quarantined, fmt.Sprintf("%d endpoints have crashed under content %s", v.Crashes, k), f.mayHaveRun)
+	return f.awaitProbes()
+}
+
+// heldKeys returns those of the request's keys that are held, without those that it tries, and notes
+// the crashes counted against each.
+func (f *forwarding) heldKeys() []quarantine.Key {
+	q := f.request
+	now := steady.Now()
+	q.crashes = map[quarantine.Key]int{}
+	var held []quarantine.Key
+	for _, k := range append([]quarantine.Key{q.contentKey()}, q.partKeys()...) {
+		v := f.gateway.suspects.verdict(now, k)
+		if v.Crashes > 0 {
+			q.crashes[k] = v.Crashes
+		}
+		if v.Held && !(f.sent == 0 && f.trial == k) {
+			held = append(held, k)
+		}
+	}
+	return held
+}
+
+// beginTrial reports whether the request may try a content or part whose hold has ended.
+func (f *forwarding) beginTrial(k quarantine.Key) bool {
+	if !f.gateway.beginTrial(f.ctx, k) {
+		return false
+	}
+	f.trial = k
+	return true
+}
+
+// heldRefusal returns the refusal of a request with a content or part that is held.
+func (f *forwarding) heldRefusal(k quarantine.Key) *result.Error {
+	v := f.gateway.suspects.verdict(steady.Now(), k)
+	f.gateway.options.Metrics.Counter("quarantine_refused").Inc(1)
+	refusal := newFailure(result.Quarantined, f.heldText(k, v.Crashes), f.mayHaveRun)
 	if refusal.Run == result.NotRun {
 		refusal.RetryAfter = max(v.Remaining, trialInterval)
 	}
@@ -64,7 +99,7 @@
 func (g *Gateway) recordContentResult(q *request, a *attempt, res attemptResult) {
 	switch res := res.(type) {
 	case endpointCrashed:
-		g.handleCrash(a.endpoint(), res.at, a.quarantineRun(q))
+		g.handleCrash(a.endpoint(), res.at, a.suspectRuns(q, res.at)...)
 	case responded:
 		g.contentSucceeded(q)
 	case unreachable:
@@ -72,16 +107,16 @@
 			g.handleCrash(a.endpoint(), steady.Now())
 		}
 	case noResponse, deadlineExceeded, callerLeft:
-		run := a.quarantineRun(q)
-		g.suspects.update(func(t *quarantine.Table) { t.RecordUnanswered(steady.Now(), a.endpoint().Incarnation(), run) })
+		now := steady.Now()
+		runs := a.suspectRuns(q, now)
+		g.suspects.update(func(t *quarantine.Table) {
+			for _, r := range runs {
+				t.RecordUnanswered(now, a.endpoint().Incarnation(), r)
+			}
+		})
 	}
 }
 
-// quarantineRun returns the attempt in the form that coord/quarantine expects.
-func (a *attempt) quarantineRun(q *request) quarantine.Run {
-	return quarantine.Run{Content: q.contentKey(), Started: a.sentAt, KnownCrashes: a.crashes}
-}
-
 // handleCrash records that this entry observed the crash of an endpoint during the runs. It ignores
 // an endpoint that announced its end.
 func (g *Gateway) handleCrash(e placement.Endpoint, at time.Time, runs ...quarantine.Run) {
@@ -105,11 +140,7 @@
 	if len(runs) == 0 {
 		return
 	}
-	event := peers.Event{Kind: peers.EndpointCrashed, Endpoint: endpoint}
-	for _, r := range runs {
-		event.Runs = append(event.Runs, quarantine.ReportOf(r, at))
-	}
-	g.broadcastRepeatedly(event)
+	g.broadcastCrash(endpoint, at, runs)
 	if !g.dispatcher.hasLivePeers() {
 		g.loadHolds(at)
 	}
@@ -119,6 +150,23 @@
 	}
 }
 
+// broadcastCrash broadcasts a crash of an endpoint with the runs that it counts against.
+func (g *Gateway) broadcastCrash(endpoint string, at time.Time, runs []quarantine.Run) {
+	event := peers.Event{Kind: peers.EndpointCrashed, Endpoint: endpoint}
+	var parts []quarantine.PartReport
+	for _, r := range runs {
+		if r.Content.IsPart() {
+			parts = append(parts, quarantine.PartReportOf(r, at))
+		} else {
+			event.Runs = append(event.Runs, quarantine.ReportOf(r, at))
+		}
+	}
+	g.broadcastRepeatedly(event)
+	for chunk := range slices.Chunk(parts, partRunsPerEvent) {
+		g.broadcastRepeatedly(peers.Event{Kind: peers.EndpointCrashed, Endpoint: endpoint, PartRuns: chunk})
+	}
+}
+
 // broadcastRepeatedly broadcasts an event about a content, and again after rebroadcastDelays in
 // case datagrams were lost.
 func (g *Gateway) broadcastRepeatedly(e peers.Event) {
@@ -183,7 +231,7 @@
 		switch e.Kind {
 		case peers.EndpointCrashed:
 			g.dispatcher.recordCrash(e.Endpoint)
-			g.applyPeerCrash(now, quarantine.CrashReport{Endpoint: e.Endpoint, AgeMS: e.AgeMS, From: owner, Runs: e.Runs})
+			g.applyPeerCrash(now, quarantine.CrashReport{Endpoint: e.Endpoint, AgeMS: e.AgeMS, From: owner, Runs: e.Runs}, e.PartRuns)
 		case peers.ContentCleared:
 			for _, r := range e.Runs {
 				if k, ok := quarantine.KeyFromBytes(r.Content); ok {
@@ -198,11 +246,11 @@
 
 // applyPeerCrash records a crash that another entry observed. Recent runs of this entry at that
 // endpoint that got no response count as well.
-func (g *Gateway) applyPeerCrash(now time.Time, r quarantine.CrashReport) {
+func (g *Gateway) applyPeerCrash(now time.Time, r quarantine.CrashReport, parts []quarantine.PartReport) {
 	var held []quarantine.Key
 	var own []quarantine.Run
 	g.suspects.update(func(t *quarantine.Table) {
-		held = t.ApplyCrash(now, r)
+		held = append(t.ApplyCrash(now, r), t.ApplyPartCrash(now, quarantine.PartCrashReport{Endpoint: r.Endpoint, AgeMS: r.AgeMS, From: r.From, Runs: parts})...)
 		own = t.TakeUnanswered(now, r.Endpoint)
 	})
 	for _, k := range held {
--- a/internal/direct/gateway/forward.go
+++ b/internal/direct/gateway/forward.go
@@ -6,6 +6,7 @@
 
 	"foxcross.dev/coord/completeness"
 	"foxcross.dev/coord/eligibility"
+	"foxcross.dev/coord/quarantine"
 	"foxcross.dev/coord/replication"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/foxcross/internal/direct/upstream"
@@ -26,7 +27,7 @@
 	mayHaveRun      bool                 // whether any attempt may have run
 	responseStarted bool                 // part of a response was relayed
 	framing         completeness.Framing // of the response to the caller, once it has started
-	trial           bool                 // the request is the trial of a held content
+	trial           quarantine.Key       // of the held content or part that the request tries, zero for none
 	copied          replication.Run      // life of the latest attempt's run
 }
 
@@ -41,8 +42,8 @@
 func (g *Gateway) forward(ctx context.Context, w http.ResponseWriter, q *request) (failed *result.Error, d delivery) {
 	f := &forwarding{gateway: g, ctx: ctx, writer: w, request: q, tried: map[string]bool{}}
 	failed = f.run()
-	if f.trial && f.sent == 0 {
-		g.abandonTrial(q.contentKey())
+	if f.trial != (quarantine.Key{}) && f.sent == 0 {
+		g.abandonTrial(f.trial)
 	}
 	return failed, delivery{started: f.responseStarted, framing: f.framing}
 }
@@ -54,7 +55,7 @@
 		return refusal
 	}
 	for {
-		if refusal := f.checkContent(); refusal != nil {
+		if refusal := f.checkQuarantine(); refusal != nil {
 			return refusal
 		}
 		if f.sent > 0 && !dispatcher.allowRetry(f.request.spec.Service) {
@@ -204,21 +205,22 @@
 	a.outcome = res.text()
 	f.copied = f.copied.Apply(replicationEvent(res))
 	f.gateway.recordContentResult(f.request, a, res)
-	if f.trial {
+	if f.trial != (quarantine.Key{}) {
 		f.endTrial(a, res)
 	}
+	f.gateway.endProbes(f.request, a)
 	return res
 }
 
-// endTrial applies the result of a trial of a content. After a success it deletes the record of the
+// endTrial applies the result of a trial of a content or part. After a success it deletes the record of the
 // hold. It also does so if another entry cleared the content in the meantime: that entry may have
 // deleted the record before this one wrote its own.
 func (f *forwarding) endTrial(a *attempt, res attemptResult) {
 	switch res.(type) {
 	case endpointCrashed:
-		f.gateway.trialFailed(f.request.contentKey(), a.crashes)
+		f.gateway.trialFailed(f.trial, a.crashes[f.trial])
 	case responded:
-		go f.gateway.deleteHold(f.request.contentKey())
+		go f.gateway.deleteHold(f.trial)
 	}
 }
 
--- a/internal/direct/gateway/gateway.go
+++ b/internal/direct/gateway/gateway.go
@@ -125,6 +125,7 @@
 
 // HandleEvents implements peers.Listener.
 func (l listener) HandleEvents(owner uint64, events []peers.Event) {
+	l.applyPartEvents(owner, events)
 	l.dispatcher.applyEvents(owner, events)
 	l.applyContentEvents(owner, events)
 }
--- a/internal/direct/gateway/replicas.go
+++ b/internal/direct/gateway/replicas.go
@@ -175,9 +175,9 @@
 		return nil, "the caller has left or the deadline has passed"
 	case doubt != "":
 		return nil, doubt
-	case f.checkContent() != nil:
+	case f.checkQuarantine() != nil:
 		return nil, "its content is held"
-	case q.crashes > 1: // with this crash
+	case q.crashes[q.contentKey()] > 1: // with this crash
 		return nil, "its content has crashed another engine"
 	case !d.mayContinueAt(q, f.copied.Replica.Endpoint):
 		return nil, "the engine with the copy may not take it"
--- a/internal/direct/gateway/response.go
+++ b/internal/direct/gateway/response.go
@@ -60,7 +60,7 @@
 	if verdict == completeness.Unproven {
 		length = unknownLength
 	}
-	f.gateway.dispatcher.recordFirstEvent(f.request, a)
+	f.recordFirstEvent(a)
 	response.Finish()
 	f.endAttempt(a, res)
 	f.writeHeader(response, length)
@@ -71,7 +71,7 @@
 
 // relayUnbuffered relays a response as it arrives, after the prefix that was already read.
 func (f *forwarding) relayUnbuffered(a *attempt, response *upstream.Response, prefix []byte, res attemptResult) decision {
-	f.gateway.dispatcher.recordFirstEvent(f.request, a)
+	f.recordFirstEvent(a)
 	f.responseStarted = true
 	f.writeHeader(response, response.Length)
 	to := &callerWriter{writer: f.writer}
--- a/internal/direct/gateway/resumption.go
+++ b/internal/direct/gateway/resumption.go
@@ -200,6 +200,9 @@
 	for {
 		a, refusal := f.gateway.dispatcher.place(f.request, excluded)
 		if a != nil || refusal != nil || !f.awaitVersion(excluded) {
+			if a != nil {
+				f.gateway.recordProbes(f.request, a)
+			}
 			return a, refusal
 		}
 	}
--- a/internal/direct/gateway/stream.go
+++ b/internal/direct/gateway/stream.go
@@ -56,7 +56,7 @@
 // start relays the header before the first event. The header of an endpoint at which the stream is
 // resumed is not relayed.
 func (s *stream) start(a *attempt, response *upstream.Response) {
-	s.gateway.dispatcher.recordFirstEvent(s.request, a)
+	s.recordFirstEvent(a)
 	s.gateway.countRun(s.request)
 	if s.responseStarted {
 		return
@@ -194,7 +194,7 @@
 		return doubt
 	case len(q.attempts) >= q.class.Route.MaxAttempts:
 		return "the attempts of its route are used up"
-	case s.checkContent() != nil:
+	case s.checkQuarantine() != nil:
 		return "its content is held"
 	case !s.gateway.dispatcher.allowRetry(q.spec.Service):
 		return "the service's budget of repeats is used up"
--- a/internal/direct/peers/packet.go
+++ b/internal/direct/peers/packet.go
@@ -64,6 +64,8 @@
 	Stream   uint64 `cbor:"16,keyasint,omitempty"` // of AttemptSent: key of the stream that may be resumed, 0 for none
 	Resumes  bool   `cbor:"17,keyasint,omitempty"` // of AttemptSent: the attempt resumes Stream; else it begins it
 
+	PartRuns []quarantine.PartReport `cbor:"18,keyasint,omitempty"` // of EndpointCrashed
+
 	occurredAt time.Time // on the sender's clock
 }
 
--- a/internal/testing/fleet/parts_test.go
+++ b/internal/testing/fleet/parts_test.go
@@ -57,6 +57,7 @@
 			})
 		}
 	}
+	t.Logf("%d sends, %d endpoints crashed", len(f.sendsWith(crashingPart)), f.crashes())
 	if n := len(f.sendsWith(crashingPart)); n > acceptedCrashes+acceptedSends {
 		t.Errorf("%d requests with the part reached endpoints, allowed are %d; %d endpoints crashed", n, acceptedCrashes+acceptedSends, f.crashes())
 	}
@@ -100,6 +101,7 @@
 	}
 	requests.Wait()
 	times := f.crashTimes()
+	t.Logf("%d sends, %d endpoints crashed, %d of %d others served", len(f.sendsWith(crashingPart)), len(times), served.Load(), sound.Load())
 	if len(times) <= acceptedCrashes {
 		return
 	}
