--- a/coord/quarantine/part.go
+++ b/coord/quarantine/part.go
@@ -110,10 +110,11 @@
 }
 
 // RecordBegin records that a run with a part began to write at an endpoint, and clears the part until
-// that endpoint crashes within settleTime. It reports whether the part was held.
+// that endpoint crashes within settleTime. The report of a begin may arrive after that of the crash. It
+// reports whether the part was held.
 func (t *Table) RecordBegin(now time.Time, endpoint string, k Key) (wasHeld bool) {
 	c := t.contents[k]
-	if c == nil {
+	if c == nil || t.endedWithin(settleTime, now, endpoint) {
 		return false
 	}
 	wasHeld = t.Verdict(now, k).Held
@@ -129,6 +130,12 @@
 	return wasHeld
 }
 
+// endedWithin reports whether an endpoint is known to have crashed before d was over.
+func (t *Table) endedWithin(d time.Duration, from time.Time, endpoint string) bool {
+	x := t.crashes[endpoint]
+	return x != nil && x.at.Sub(from) < d
+}
+
 // revokeBegin counts the crashes against a part again that its latest begin cleared, if that was at an
 // endpoint that has crashed just afterwards.
 func (t *Table) revokeBegin(k Key, x *crash) {
--- /dev/null
+++ b/coord/quarantine/part_model_test.go
@@ -0,0 +1,344 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"foxcross.dev/coord/quarantine"
+)
+
+const (
+	partService   = "pool"
+	modelDeadly   = uint64(1)              // the part that crashes endpoints
+	modelDeadly2  = uint64(2)              // another one
+	modelSubjects = 40                     // parts that some sound requests share
+	modelFirst    = 60 * time.Millisecond  // mean time to a first event, after minModelFirst
+	minModelFirst = 20 * time.Millisecond  //
+	modelContact  = 3 * time.Second        // after which all entries have every report
+	modelWait     = 500 * time.Millisecond // for which a request waits for another's outcome
+	modelPoll     = 5 * time.Millisecond   // between two looks
+	modelRestart  = 3 * time.Second        // from a crash to the restart
+	partModelTime = 30 * time.Second       // of each run of the model
+	modelEvent    = 2 * time.Millisecond   // mean delay of an event
+)
+
+// partModel simulates entries, endpoints and requests with prompt parts in virtual time.
+type partModel struct {
+	model
+	name    int
+	deadly  []uint64
+	silent  bool // runs with a deadly part send no event before their endpoint ends
+	crashes map[uint64][]time.Duration
+	sends   map[uint64][]time.Duration
+	sound   partCount          // in the whole run
+	late    map[bool]partCount // sound requests after the second contact time, by whether they share a subject
+}
+
+// partCount counts requests and those that were sent at once or after a wait.
+type partCount struct{ requested, sent int }
+
+// partRun is one run of a request.
+type partRun struct {
+	parts   []uint64
+	source  quarantine.Source
+	entry   int
+	started time.Duration
+	known   []int
+	number  uint64
+	wrote   bool
+	wroteAt time.Duration
+}
+
+func newPartModel(seed uint64, entries, endpoints int, loss float64, deadly ...uint64) *partModel {
+	m := &partModel{
+		model:  model{random: rand.New(rand.NewPCG(seed, 63)), loss: loss, tables: make([]quarantine.Table, entries)},
+		deadly: deadly, silent: true, crashes: map[uint64][]time.Duration{}, sends: map[uint64][]time.Duration{},
+	}
+	for n := range endpoints {
+		m.endpoints = append(m.endpoints, &modelEndpoint{number: n})
+	}
+	return m
+}
+
+// tell has all other entries apply an event once, if it is not lost.
+func (m *partModel) tell(entry int, apply func(t *quarantine.Table)) {
+	for other := range m.tables {
+		if other != entry && m.random.Float64() >= m.loss {
+			m.after(time.Duration((0.5+m.random.ExpFloat64())*float64(modelEvent)), func() { apply(&m.tables[other]) })
+		}
+	}
+}
+
+// tellThrice is tell for reports of crashes, which are repeated.
+func (m *partModel) tellThrice(entry int, apply func(t *quarantine.Table, age time.Duration)) {
+	for _, age := range []time.Duration{0, 300 * time.Millisecond, time.Second} {
+		m.after(age, func() { m.tell(entry, func(t *quarantine.Table) { apply(t, age) }) })
+	}
+}
+
+// partState is the state of a partModel's endpoints beyond that of a model's.
+type partState struct {
+	runs map[*partRun]bool
+}
+
+// parts simulates requests at endpoints.
+type parts struct {
+	*partModel
+	states []partState
+}
+
+// ask sends a request from an entry, or has it wait until end.
+func (p *parts) ask(entry int, shared []uint64, end time.Duration, counted func(sent bool)) {
+	t := &p.tables[entry]
+	now := p.clock()
+	var known []int
+	wait := false
+	for _, id := range shared {
+		v := t.Verdict(now, quarantine.PartKey(partService, id))
+		known = append(known, v.Crashes)
+		wait = wait || v.ProbeOpen
+		if v.Held {
+			counted(false)
+			return
+		}
+	}
+	switch {
+	case wait && p.now >= end:
+		counted(false)
+		return
+	case wait:
+		p.after(modelPoll, func() { p.ask(entry, shared, end, counted) })
+		return
+	}
+	counted(true)
+	p.send(entry, shared, known)
+}
+
+// send starts a run at a random endpoint.
+func (p *parts) send(entry int, shared []uint64, known []int) {
+	var up []int
+	for n, e := range p.endpoints {
+		if e.restartAt <= p.now {
+			up = append(up, n)
+		}
+	}
+	if len(up) == 0 {
+		return
+	}
+	at := up[p.random.IntN(len(up))]
+	p.name++
+	r := &partRun{parts: shared, source: quarantine.Source(p.name), entry: entry, started: p.now, known: known, number: uint64(p.name)}
+	probe := quarantine.Probe{Owner: uint64(entry) + 1, Number: r.number}
+	record := func(t *quarantine.Table) {
+		for _, id := range shared {
+			t.RecordProbe(p.clock(), quarantine.PartKey(partService, id), probe)
+		}
+	}
+	record(&p.tables[entry])
+	p.tell(entry, record)
+	for _, id := range shared {
+		p.sends[id] = append(p.sends[id], p.now)
+	}
+	p.states[at].runs[r] = true
+	p.after(minModelFirst+time.Duration(p.random.ExpFloat64()*float64(modelFirst)), func() { p.firstEvent(at, r) })
+}
+
+// firstEvent has a run begin to write: its endpoint ends if one of its parts is deadly.
+func (p *parts) firstEvent(at int, r *partRun) {
+	if !p.states[at].runs[r] {
+		return
+	}
+	deadly := slices.IndexFunc(r.parts, func(id uint64) bool { return slices.Contains(p.deadly, id) })
+	if deadly < 0 || !p.silent {
+		r.wrote, r.wroteAt = true, p.now
+		endpoint := p.endpointName(at)
+		begin := func(t *quarantine.Table) {
+			for _, id := range r.parts {
+				t.RecordBegin(p.clock(), endpoint, quarantine.PartKey(partService, id))
+			}
+		}
+		begin(&p.tables[r.entry])
+		p.tell(r.entry, begin)
+	}
+	if deadly < 0 {
+		p.after(time.Duration(p.random.ExpFloat64()*float64(modelRunTime)), func() { delete(p.states[at].runs, r) })
+		return
+	}
+	p.crashes[r.parts[deadly]] = append(p.crashes[r.parts[deadly]], p.now)
+	p.crashAt(at)
+}
+
+func (p *parts) endpointName(at int) string { return fmt.Sprint(at, "@", p.endpoints[at].starts) }
+
+// crashAt ends an endpoint with all its runs, and has their entries report it.
+func (p *parts) crashAt(at int) {
+	name := p.endpointName(at)
+	e := p.endpoints[at]
+	e.starts++
+	e.restartAt = p.now + modelRestart
+	runs := p.states[at].runs
+	p.states[at].runs = map[*partRun]bool{}
+	byEntry := map[int][]quarantine.Run{}
+	when := p.clock()
+	for r := range runs {
+		if r.wrote && p.now-r.wroteAt > 100*time.Millisecond {
+			continue
+		}
+		for n, id := range r.parts {
+			byEntry[r.entry] = append(byEntry[r.entry], quarantine.Run{
+				Content: quarantine.PartKey(partService, id), Started: start.Add(r.started), KnownCrashes: r.known[n], Source: r.source,
+			})
+		}
+	}
+	for entry := range p.tables { // in an order that does not depend on the map's
+		list := byEntry[entry]
+		if len(list) == 0 {
+			continue
+		}
+		slices.SortFunc(list, func(a, b quarantine.Run) int { return a.Started.Compare(b.Started) })
+		p.tables[entry].RecordCrash(name, when, 0, list...)
+		report := quarantine.PartCrashReport{Endpoint: name, From: uint64(entry) + 1}
+		for _, r := range list {
+			report.Runs = append(report.Runs, quarantine.PartReportOf(r, when))
+		}
+		p.tellThrice(entry, func(t *quarantine.Table, age time.Duration) {
+			aged := report
+			aged.AgeMS = age.Milliseconds()
+			t.ApplyPartCrash(p.clock(), aged)
+		})
+	}
+}
+
+// play runs sound and deadly requests, losses of racks, and entries that start anew.
+func (m *partModel) play(deadlyPerSecond, soundPerSecond float64) {
+	p := &parts{partModel: m, states: make([]partState, len(m.endpoints))}
+	for n := range p.states {
+		p.states[n].runs = map[*partRun]bool{}
+	}
+	m.late = map[bool]partCount{}
+	anyEntry := func() int { return m.random.IntN(len(m.tables)) }
+	p.repeat(deadlyPerSecond, func() {
+		id := m.deadly[m.random.IntN(len(m.deadly))]
+		shared := []uint64{100, id}
+		if m.random.IntN(2) == 0 {
+			shared = []uint64{100, uint64(200 + m.random.IntN(modelSubjects)), id}
+		}
+		p.ask(anyEntry(), shared, m.now+modelWait, func(bool) {})
+	})
+	p.repeat(soundPerSecond, func() {
+		shared := []uint64{100}
+		subject := m.random.IntN(2) == 0
+		if subject {
+			shared = append(shared, uint64(200+m.random.IntN(modelSubjects)))
+		}
+		first := m.crashes[m.deadly[0]]
+		late := len(first) > 0 && m.now > first[min(len(first), 5)-1]+2*modelContact
+		p.ask(anyEntry(), shared, m.now+modelWait, func(sent bool) {
+			m.count(&m.sound, sent)
+			if late {
+				c := m.late[subject]
+				m.count(&c, sent)
+				m.late[subject] = c
+			}
+		})
+	})
+	p.repeat(0.15, func() { // the loss of a rack
+		for _, at := range m.random.Perm(len(m.endpoints))[:len(m.endpoints)/6] {
+			if m.endpoints[at].restartAt <= m.now {
+				p.crashAt(at)
+			}
+		}
+	})
+	p.repeat(0.1, func() { // an entry that starts, with the snapshot of another
+		entry := anyEntry()
+		from := m.tables[(entry+1)%len(m.tables)].Snapshot(m.clock(), 1)
+		m.tables[entry] = quarantine.Table{}
+		m.tables[entry].Merge(m.clock(), from)
+	})
+	m.run(partModelTime)
+}
+
+func (m *partModel) count(c *partCount, sent bool) {
+	c.requested++
+	if sent {
+		c.sent++
+	}
+}
+
+// repeat calls do at a mean rate.
+func (p *parts) repeat(perSecond float64, do func()) {
+	var next func()
+	next = func() {
+		do()
+		p.after(time.Duration(p.random.ExpFloat64()/perSecond*float64(time.Second)), next)
+	}
+	p.after(time.Duration(p.random.ExpFloat64()/perSecond*float64(time.Second)), next)
+}
+
+// sentLate returns how often a part was sent later than the contact time after its fifth crash.
+func (m *partModel) sentLate(id uint64) int {
+	if len(m.crashes[id]) < 5 {
+		return 0
+	}
+	n := 0
+	for _, at := range m.sends[id] {
+		if at > m.crashes[id][4]+modelContact {
+			n++
+		}
+	}
+	return n
+}
+
+// partCases are fleets, the rate of requests with deadly parts, and the share of datagrams lost.
+var partCases = []struct {
+	name               string
+	entries, endpoints int
+	deadly             float64
+	loss               float64
+	parts              []uint64
+	writes             bool // the first event arrives before the endpoint ends
+}{
+	{"one a second", 5, 18, 1, 0, []uint64{modelDeadly}, false},
+	{"sixty a second", 5, 18, 60, 0, []uint64{modelDeadly}, false},
+	{"sixty a second, one in twenty lost", 5, 18, 60, 0.05, []uint64{modelDeadly}, false},
+	{"many entries", 28, 60, 60, 0.05, []uint64{modelDeadly}, false},
+	{"two parts", 5, 18, 20, 0.05, []uint64{modelDeadly, modelDeadly2}, false},
+	{"after a first event", 5, 18, 20, 0.05, []uint64{modelDeadly}, true},
+}
+
+// TestPartModelBoundsSends checks the users' bounds: after five crashes under a part and one contact time,
+// three sends, and nine tenths of the requests beside them from the second contact time on.
+func TestPartModelBoundsSends(t *testing.T) {
+	const (
+		seeds     = 20
+		maxSends  = 3
+		minServed = 0.9
+	)
+	for _, c := range partCases {
+		t.Run(c.name, func(t *testing.T) {
+			crashes, late, served := 0, 0, 1.0
+			for seed := range uint64(seeds) {
+				m := newPartModel(seed, c.entries, c.endpoints, c.loss, c.parts...)
+				m.silent = !c.writes
+				m.play(c.deadly, 150)
+				for _, id := range c.parts {
+					crashes = max(crashes, len(m.crashes[id]))
+					late = max(late, m.sentLate(id))
+				}
+				for _, n := range m.late {
+					served = min(served, float64(n.sent)/float64(n.requested))
+				}
+			}
+			t.Logf("at most %d crashes under one part, %d late sends; at least %.3f of the other requests", crashes, late, served)
+			if late > maxSends {
+				t.Errorf("%d sends later than the contact time after the fifth crash", late)
+			}
+			if served < minServed {
+				t.Errorf("%.3f of the other requests were sent", served)
+			}
+		})
+	}
+}
