Look parts up without hashing them at length

Change: the key of a part is a marker and an xxHash. Callers choose the IDs of parts, so that a hash that can't be inverted protected nothing.

--- a/coord/quarantine/part.go
+++ b/coord/quarantine/part.go
@@ -2,10 +2,11 @@
 
 import (
 	"bytes"
-	"crypto/sha256"
 	"encoding/binary"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Quarantine of prompt parts, which different contents share.
@@ -38,13 +39,15 @@
 // partMarker is the first half of the keys of parts. The other half identifies the part.
 var partMarker = [keyBytes / 2]byte{0x70, 0x61, 0x72, 0x74, 0x9d, 0x3b, 0xe2, 0x58}
 
-// PartKey returns the key of a part of prompts to a service, by the part's ID.
+// PartKey returns the key of a part of prompts to a service, by the part's ID. It is computed for each
+// event of an attempt while something is suspect. Callers choose the IDs, so that a hash that nobody
+// can invert would protect nothing.
 func PartKey(service string, id uint64) Key {
-	data := binary.LittleEndian.AppendUint64(nil, id)
-	sum := sha256.Sum256(append(data, service...))
+	var buffer [64]byte
+	data := append(binary.LittleEndian.AppendUint64(buffer[:0], id), service...)
 	var k Key
 	copy(k[:], partMarker[:])
-	copy(k[keyBytes/2:], sum[:])
+	binary.LittleEndian.PutUint64(k[keyBytes/2:], xxhash.Sum64(data))
 	return k
 }
 
@@ -97,7 +100,7 @@
 
 // RecordProbe records the send of a run with a part, by any process.
 func (t *Table) RecordProbe(now time.Time, k Key, p Probe) {
-	if t.Verdict(now, k).Probation {
+	if t.contents[k] != nil && t.Verdict(now, k).Probation {
 		t.contents[k].probe = openProbe{Probe: p, until: now.Add(probeTimeout)}
 	}
 }
--- a/coord/quarantine/table.go
+++ b/coord/quarantine/table.go
@@ -11,7 +11,7 @@
 	maxKnownCrashes = 256
 	// maxRuns bounds the stored runs of one crash. It is above the 48 to 64 requests that an
 	// engine runs concurrently plus those that it queues. Both bounds together allow
-	// 32,768 contents, 9.6 MB (TestMemoryIsBounded, BenchmarkFullTable).
+	// 32,768 contents (TestMemoryIsBounded, BenchmarkFullTable).
 	maxRuns = 128
 	// retention is how long a crash counts. It is longer than maxHold, so that the crashes of a
 	// content that crashes an endpoint at each trial still count at the next one.
