Try a held part three times at most

The users accept three sends of requests with a deadly part, for as long as such requests come; a content's trials go on once an hour. After three failed trials a part is held as long as its crashes are kept.

--- a/coord/quarantine/part.go
+++ b/coord/quarantine/part.go
@@ -31,6 +31,9 @@
 	probeTimeout = time.Second
 	// probeReservation is the time from the decision to send such a run until it is recorded.
 	probeReservation = 50 * time.Millisecond
+	// maxPartTrials is the number of trials of a part. Operators accept three sends of requests with a
+	// part that is known to crash endpoints; a content is tried for as long as its caller comes back.
+	maxPartTrials = 3
 	// settleTime is how long after its first event a run proves nothing about its parts yet: all
 	// connections to a crashing endpoint break within 3 ms, and reports arrive within some 50 ms.
 	settleTime = 100 * time.Millisecond
@@ -169,6 +172,14 @@
 // retentionOfBegins covers settleTime and the time until a crash is reported.
 const retentionOfBegins = 10 * settleTime
 
+// partHold returns the length of the hold of a part after a number of failed trials.
+func partHold(hold time.Duration, failed int) time.Duration {
+	if failed >= maxPartTrials {
+		return retention
+	}
+	return holdAfterTrials(hold, failed)
+}
+
 // sources returns the number of contents under which the crashes counted against a part happened.
 func (c *content) sources() int {
 	var seen []Source
--- a/coord/quarantine/quarantine.go
+++ b/coord/quarantine/quarantine.go
@@ -101,6 +101,9 @@
 		}
 		failed := min(c.trials, v.Crashes-maxCrashes)
 		next = v.LastCrash.Add(holdAfterTrials(hold, failed))
+		if k.IsPart() {
+			next = v.LastCrash.Add(partHold(hold, failed))
+		}
 	case k.IsPart():
 		v.Probation = len(c.crashes) >= probationCrashes
 		v.ProbeOpen = v.Probation && now.Before(c.probe.until)
