Let deadly prompt parts strike in the soak

Callers send requests with one of two deadly parts, each with another content, beside all other faults; the number of engines that end is bounded by five a part and start of an entry.

--- a/internal/testing/soak/platform.go
+++ b/internal/testing/soak/platform.go
@@ -109,7 +109,7 @@
 		Then:   platformtest.Crash{},
 		Else: platformtest.ByPath{
 			Prefix: []string{"/chat/", "/plan/"},
-			Then:   platformtest.Events{To: eventsPerStream, Pause: cmp.Or(o.EventPause, defaultEventPause), Token: 20 * time.Microsecond},
+			Then:   platformtest.Events{To: eventsPerStream, Pause: cmp.Or(o.EventPause, defaultEventPause), Token: 20 * time.Microsecond, CrashParts: o.deadlyParts()},
 			Else: platformtest.ByPath{
 				Prefix: []string{largePath},
 				Then:   platformtest.Answer{Status: http.StatusOK, Body: largeResponseBody},
--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -23,6 +23,7 @@
 	Endpoints   int
 	Callers     int
 	Only        []string      // names of the faults to inject, empty for all
+	DeadlyParts int           // parts of prompts that crash each endpoint that begins to write on them
 	Crashing    bool          // a caller repeats a request that crashes each endpoint that runs it
 	EventPause  time.Duration // before each event of a stream, 0 for the shortest
 	SlowCallers int           // callers that do not read their responses or do not finish their bodies
@@ -116,6 +117,9 @@
 	for n := range o.SlowCallers {
 		callers.Go(func() { d.runSlowCaller(calling, n) })
 	}
+	for _, part := range o.deadlyParts() {
+		callers.Go(func() { d.runDeadlyCaller(calling, part) })
+	}
 	if o.Crashing {
 		callers.Go(func() { d.runCrashingCaller(calling) })
 	}
--- a/internal/testing/soak/soak_test.go
+++ b/internal/testing/soak/soak_test.go
@@ -76,6 +76,24 @@
 	}
 }
 
+// TestDeadlyParts runs callers whose prompts share parts that crash each endpoint that begins to write on
+// them, while all faults are injected.
+func TestDeadlyParts(t *testing.T) {
+	r, err := Run(context.Background(), Options{
+		Seed: 63101, Duration: 6 * time.Second, Entries: 3, Endpoints: 4, Callers: 6, Dir: logFolder(t), DeadlyParts: 2,
+		Command: entryprogram.Command,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range r.Violations {
+		t.Errorf("%s: request %s: %s", b.Promise, b.ID, b.Detail)
+	}
+	if r.Crashed == 0 {
+		t.Error("no endpoint has crashed")
+	}
+}
+
 // TestSignalsOfEndpoints makes endpoints ask for backoffs and drain in their responses while entries
 // are killed, stopped and frozen and the store does not respond.
 func TestSignalsOfEndpoints(t *testing.T) {
--- a/internal/testing/standin/platformtest/behavior.go
+++ b/internal/testing/standin/platformtest/behavior.go
@@ -70,13 +70,13 @@
 		// Unframed sends the events neither with a length nor in chunks, so that they end with the
 		// connection.
 		Unframed bool
-		// CrashPart is the ID of a part of prompts, other than the last one, on which the runner ends
-		// when it is to write the first event; empty for none.
-		CrashPart string
-		Repeat    int           // number of events from the caller's last one on that it sends again
-		Hold      chan struct{} // holds back the events after the first until it is closed, nil for no hold
-		Pause     time.Duration // before each event
-		Token     time.Duration // prefill time of a token of the prompt, before the first event
+		// CrashParts are the IDs of parts of prompts, other than the last one, on which the runner ends
+		// when it is to write the first event.
+		CrashParts []string
+		Repeat     int           // number of events from the caller's last one on that it sends again
+		Hold       chan struct{} // holds back the events after the first until it is closed, nil for no hold
+		Pause      time.Duration // before each event
+		Token      time.Duration // prefill time of a token of the prompt, before the first event
 	}
 	// ByPath performs Then for requests whose path has one of the prefixes, and Else for others.
 	ByPath struct {
