Keep the trial of a part over a second look at its request

What callers would see: a held part or content whose trial was begun and then given up, when admission held the request for a moment: the look after that found the part on trial held and refused the request.

Evidence: TestTrialOfAPartOutlastsASecondLook failed before on its second look. Brought in with the quarantine of parts; found by reading.

Fix: a request that tries something and was not sent yet goes on.

--- a/internal/direct/gateway/content.go
+++ b/internal/direct/gateway/content.go
@@ -50,7 +50,7 @@
 	if len(held) > 0 && !f.beginTrial(held[0]) {
 		return f.heldRefusal(held[0])
 	}
-	if len(held) > 0 {
+	if f.sent == 0 && f.trial != (quarantine.Key{}) {
 		return nil
 	}
 	return f.awaitProbes()
