--- a/internal/direct/gateway/fuzz_test.go
+++ b/internal/direct/gateway/fuzz_test.go
@@ -24,11 +24,14 @@
 func FuzzEvents(f *testing.F) {
 	prompt := memory.Prompt{Tokens: 100, Parts: []memory.Part{{ID: 1, Tokens: 60}, {ID: 2, Tokens: 40}}}
 	request := placement.Request{Service: "pool", Prompt: prompt, TimeLeft: time.Second}
+	part := quarantine.PartKey("pool", 1)
 	for _, events := range [][]peers.Event{
 		{{Kind: peers.AttemptSent, Number: 5, Endpoint: "i-1", Request: &request, Fetch: &memory.Fetch{Source: "i-2", Tokens: 60}}},
 		{{Kind: peers.FirstEvent, Number: 5}, {Kind: peers.AttemptEnded, Number: 5, Outcome: placement.Unreachable}},
 		{{Kind: peers.PartsCached, Endpoint: "i-1", Parts: []memory.Part{{ID: 1, Tokens: 100}}}},
 		{{Kind: peers.EndpointCrashed, Endpoint: "i-1", Runs: []quarantine.RunReport{{Content: make([]byte, 16), RanMS: 90}}}},
+		{{Kind: peers.EndpointCrashed, Endpoint: "i-1", PartRuns: []quarantine.PartReport{{Part: part[:], Source: 7, RanMS: 90}}},
+			{Kind: peers.AttemptSent, Number: 6, Endpoint: "i-2", Request: &request}, {Kind: peers.FirstEvent, Number: 6}, {Kind: peers.AttemptEnded, Number: 6}},
 		{{Kind: peers.ContentCleared, Runs: []quarantine.RunReport{{Content: make([]byte, 16)}}}},
 		{{Kind: peers.ContentHeld, Holds: []quarantine.HoldReport{{Content: make([]byte, 16), Crashes: 3, Trials: 1 << 40, ForMS: -1 << 60}}}},
 	} {
