--- a/coord/quarantine/part.go
+++ b/coord/quarantine/part.go
@@ -37,6 +37,8 @@
 	// settleTime is how long after its first event a run proves nothing about its parts yet: all
 	// connections to a crashing endpoint break within 3 ms, and reports arrive within some 50 ms.
 	settleTime = 100 * time.Millisecond
+	// beginRetention covers settleTime and the time until a crash is reported.
+	beginRetention = 10 * settleTime
 )
 
 // partMarker is the first half of the keys of parts. The other half identifies the part.
@@ -163,15 +165,12 @@
 // expireBegins removes the begins that can't be revoked any more.
 func (t *Table) expireBegins(now time.Time) {
 	for k, b := range t.begins {
-		if now.Sub(b.at) >= retentionOfBegins {
+		if now.Sub(b.at) >= beginRetention {
 			delete(t.begins, k)
 		}
 	}
 }
 
-// retentionOfBegins covers settleTime and the time until a crash is reported.
-const retentionOfBegins = 10 * settleTime
-
 // partHold returns the length of the hold of a part after a number of failed trials.
 func partHold(hold time.Duration, failed int) time.Duration {
 	if failed >= maxPartTrials {
--- a/coord/quarantine/part_model_test.go
+++ b/coord/quarantine/part_model_test.go
@@ -13,11 +13,11 @@
 
 const (
 	partService   = "pool"
-	modelDeadly   = uint64(1)              // the part that crashes endpoints
-	modelDeadly2  = uint64(2)              // another one
-	modelSubjects = 40                     // parts that some sound requests share
-	modelFirst    = 60 * time.Millisecond  // mean time to a first event, after minModelFirst
-	minModelFirst = 20 * time.Millisecond  //
+	modelDeadly   = uint64(1)             // the part that crashes endpoints
+	modelDeadly2  = uint64(2)             // another one
+	modelSubjects = 40                    // parts that some sound requests share
+	modelFirst    = 60 * time.Millisecond // mean time to a first event, after minModelFirst
+	minModelFirst = 20 * time.Millisecond
 	modelContact  = 3 * time.Second        // after which all entries have every report
 	modelWait     = 500 * time.Millisecond // for which a request waits for another's outcome
 	modelPoll     = 5 * time.Millisecond   // between two looks
@@ -29,7 +29,8 @@
 // partModel simulates entries, endpoints and requests with prompt parts in virtual time.
 type partModel struct {
 	model
-	name    int
+	runs    int                 // begun so far
+	running []map[*partRun]bool // by endpoint
 	deadly  []uint64
 	silent  bool // runs with a deadly part send no event before their endpoint ends
 	crashes map[uint64][]time.Duration
@@ -56,10 +57,11 @@
 func newPartModel(seed uint64, entries, endpoints int, loss float64, deadly ...uint64) *partModel {
 	m := &partModel{
 		model:  model{random: rand.New(rand.NewPCG(seed, 63)), loss: loss, tables: make([]quarantine.Table, entries)},
-		deadly: deadly, silent: true, crashes: map[uint64][]time.Duration{}, sends: map[uint64][]time.Duration{},
+		deadly: deadly, silent: true, crashes: map[uint64][]time.Duration{}, sends: map[uint64][]time.Duration{}, late: map[bool]partCount{},
 	}
 	for n := range endpoints {
 		m.endpoints = append(m.endpoints, &modelEndpoint{number: n})
+		m.running = append(m.running, map[*partRun]bool{})
 	}
 	return m
 }
@@ -80,21 +82,10 @@
 	}
 }
 
-// partState is the state of a partModel's endpoints beyond that of a model's.
-type partState struct {
-	runs map[*partRun]bool
-}
-
-// parts simulates requests at endpoints.
-type parts struct {
-	*partModel
-	states []partState
-}
-
 // ask sends a request from an entry, or has it wait until end.
-func (p *parts) ask(entry int, shared []uint64, end time.Duration, counted func(sent bool)) {
-	t := &p.tables[entry]
-	now := p.clock()
+func (m *partModel) ask(entry int, shared []uint64, end time.Duration, counted func(sent bool)) {
+	t := &m.tables[entry]
+	now := m.clock()
 	var known []int
 	wait := false
 	for _, id := range shared {
@@ -107,85 +98,85 @@
 		}
 	}
 	switch {
-	case wait && p.now >= end:
+	case wait && m.now >= end:
 		counted(false)
 		return
 	case wait:
-		p.after(modelPoll, func() { p.ask(entry, shared, end, counted) })
+		m.after(modelPoll, func() { m.ask(entry, shared, end, counted) })
 		return
 	}
 	counted(true)
-	p.send(entry, shared, known)
+	m.send(entry, shared, known)
 }
 
 // send starts a run at a random endpoint.
-func (p *parts) send(entry int, shared []uint64, known []int) {
+func (m *partModel) send(entry int, shared []uint64, known []int) {
 	var up []int
-	for n, e := range p.endpoints {
-		if e.restartAt <= p.now {
+	for n, e := range m.endpoints {
+		if e.restartAt <= m.now {
 			up = append(up, n)
 		}
 	}
 	if len(up) == 0 {
 		return
 	}
-	at := up[p.random.IntN(len(up))]
-	p.name++
-	r := &partRun{parts: shared, source: quarantine.Source(p.name), entry: entry, started: p.now, known: known, number: uint64(p.name)}
+	at := up[m.random.IntN(len(up))]
+	m.runs++
+	r := &partRun{parts: shared, source: quarantine.Source(m.runs), entry: entry, started: m.now, known: known, number: uint64(m.runs)}
 	probe := quarantine.Probe{Owner: uint64(entry) + 1, Number: r.number}
 	record := func(t *quarantine.Table) {
 		for _, id := range shared {
-			t.RecordProbe(p.clock(), quarantine.PartKey(partService, id), probe)
+			t.RecordProbe(m.clock(), quarantine.PartKey(partService, id), probe)
 		}
 	}
-	record(&p.tables[entry])
-	p.tell(entry, record)
+	record(&m.tables[entry])
+	m.tell(entry, record)
 	for _, id := range shared {
-		p.sends[id] = append(p.sends[id], p.now)
+		m.sends[id] = append(m.sends[id], m.now)
 	}
-	p.states[at].runs[r] = true
-	p.after(minModelFirst+time.Duration(p.random.ExpFloat64()*float64(modelFirst)), func() { p.firstEvent(at, r) })
+	m.running[at][r] = true
+	m.after(minModelFirst+time.Duration(m.random.ExpFloat64()*float64(modelFirst)), func() { m.firstEvent(at, r) })
 }
 
 // firstEvent has a run begin to write: its endpoint ends if one of its parts is deadly.
-func (p *parts) firstEvent(at int, r *partRun) {
-	if !p.states[at].runs[r] {
+func (m *partModel) firstEvent(at int, r *partRun) {
+	if !m.running[at][r] {
 		return
 	}
-	deadly := slices.IndexFunc(r.parts, func(id uint64) bool { return slices.Contains(p.deadly, id) })
-	if deadly < 0 || !p.silent {
-		r.wrote, r.wroteAt = true, p.now
-		endpoint := p.endpointName(at)
+	deadly := slices.IndexFunc(r.parts, func(id uint64) bool { return slices.Contains(m.deadly, id) })
+	if deadly < 0 || !m.silent {
+		r.wrote, r.wroteAt = true, m.now
+		endpoint := m.endpointName(at)
 		begin := func(t *quarantine.Table) {
 			for _, id := range r.parts {
-				t.RecordBegin(p.clock(), endpoint, quarantine.PartKey(partService, id))
+				t.RecordBegin(m.clock(), endpoint, quarantine.PartKey(partService, id))
 			}
 		}
-		begin(&p.tables[r.entry])
-		p.tell(r.entry, begin)
+		begin(&m.tables[r.entry])
+		m.tell(r.entry, begin)
 	}
 	if deadly < 0 {
-		p.after(time.Duration(p.random.ExpFloat64()*float64(modelRunTime)), func() { delete(p.states[at].runs, r) })
+		m.after(time.Duration(m.random.ExpFloat64()*float64(modelRunTime)), func() { delete(m.running[at], r) })
 		return
 	}
-	p.crashes[r.parts[deadly]] = append(p.crashes[r.parts[deadly]], p.now)
-	p.crashAt(at)
+	m.crashes[r.parts[deadly]] = append(m.crashes[r.parts[deadly]], m.now)
+	m.crashAt(at)
 }
 
-func (p *parts) endpointName(at int) string { return fmt.Sprint(at, "@", p.endpoints[at].starts) }
+func (m *partModel) endpointName(at int) string { return fmt.Sprint(at, "@", m.endpoints[at].starts) }
 
 // crashAt ends an endpoint with all its runs, and has their entries report it.
-func (p *parts) crashAt(at int) {
-	name := p.endpointName(at)
-	e := p.endpoints[at]
+func (m *partModel) crashAt(at int) {
+	name := m.endpointName(at)
+	e := m.endpoints[at]
 	e.starts++
-	e.restartAt = p.now + modelRestart
-	runs := p.states[at].runs
-	p.states[at].runs = map[*partRun]bool{}
+	e.restartAt = m.now + modelRestart
+	runs := m.running[at]
+	m.running[at] = map[*partRun]bool{}
 	byEntry := map[int][]quarantine.Run{}
-	when := p.clock()
+	when := m.clock()
 	for r := range runs {
-		if r.wrote && p.now-r.wroteAt > 100*time.Millisecond {
+		if r.wrote && m.now-r.wroteAt > 100*time.Millisecond {
 			continue
 		}
 		for n, id := range r.parts {
@@ -194,42 +185,37 @@
 			})
 		}
 	}
-	for entry := range p.tables { // in an order that does not depend on the map's
+	for entry := range m.tables { // in an order that does not depend on the map's
 		list := byEntry[entry]
 		if len(list) == 0 {
 			continue
 		}
 		slices.SortFunc(list, func(a, b quarantine.Run) int { return a.Started.Compare(b.Started) })
-		p.tables[entry].RecordCrash(name, when, 0, list...)
+		m.tables[entry].RecordCrash(name, when, 0, list...)
 		report := quarantine.PartCrashReport{Endpoint: name, From: uint64(entry) + 1}
 		for _, r := range list {
 			report.Runs = append(report.Runs, quarantine.PartReportOf(r, when))
 		}
-		p.tellThrice(entry, func(t *quarantine.Table, age time.Duration) {
+		m.tellThrice(entry, func(t *quarantine.Table, age time.Duration) {
 			aged := report
 			aged.AgeMS = age.Milliseconds()
-			t.ApplyPartCrash(p.clock(), aged)
+			t.ApplyPartCrash(m.clock(), aged)
 		})
 	}
 }
 
 // play runs sound and deadly requests, losses of racks, and entries that start anew.
 func (m *partModel) play(deadlyPerSecond, soundPerSecond float64) {
-	p := &parts{partModel: m, states: make([]partState, len(m.endpoints))}
-	for n := range p.states {
-		p.states[n].runs = map[*partRun]bool{}
-	}
-	m.late = map[bool]partCount{}
 	anyEntry := func() int { return m.random.IntN(len(m.tables)) }
-	p.repeat(deadlyPerSecond, func() {
+	m.repeat(deadlyPerSecond, func() {
 		id := m.deadly[m.random.IntN(len(m.deadly))]
 		shared := []uint64{100, id}
 		if m.random.IntN(2) == 0 {
 			shared = []uint64{100, uint64(200 + m.random.IntN(modelSubjects)), id}
 		}
-		p.ask(anyEntry(), shared, m.now+modelWait, func(bool) {})
+		m.ask(anyEntry(), shared, m.now+modelWait, func(bool) {})
 	})
-	p.repeat(soundPerSecond, func() {
+	m.repeat(soundPerSecond, func() {
 		shared := []uint64{100}
 		subject := m.random.IntN(2) == 0
 		if subject {
@@ -237,7 +223,7 @@
 		}
 		first := m.crashes[m.deadly[0]]
 		late := len(first) > 0 && m.now > first[min(len(first), 5)-1]+2*modelContact
-		p.ask(anyEntry(), shared, m.now+modelWait, func(sent bool) {
+		m.ask(anyEntry(), shared, m.now+modelWait, func(sent bool) {
 			m.count(&m.sound, sent)
 			if late {
 				c := m.late[subject]
@@ -246,14 +232,14 @@
 			}
 		})
 	})
-	p.repeat(0.15, func() { // the loss of a rack
+	m.repeat(0.15, func() { // the loss of a rack
 		for _, at := range m.random.Perm(len(m.endpoints))[:len(m.endpoints)/6] {
 			if m.endpoints[at].restartAt <= m.now {
-				p.crashAt(at)
+				m.crashAt(at)
 			}
 		}
 	})
-	p.repeat(0.1, func() { // an entry that starts, with the snapshot of another
+	m.repeat(0.1, func() { // an entry that starts, with the snapshot of another
 		entry := anyEntry()
 		from := m.tables[(entry+1)%len(m.tables)].Snapshot(m.clock(), 1)
 		m.tables[entry] = quarantine.Table{}
@@ -270,13 +256,13 @@
 }
 
 // repeat calls do at a mean rate.
-func (p *parts) repeat(perSecond float64, do func()) {
+func (m *partModel) repeat(perSecond float64, do func()) {
 	var next func()
 	next = func() {
 		do()
-		p.after(time.Duration(p.random.ExpFloat64()/perSecond*float64(time.Second)), next)
+		m.after(time.Duration(m.random.ExpFloat64()/perSecond*float64(time.Second)), next)
 	}
-	p.after(time.Duration(p.random.ExpFloat64()/perSecond*float64(time.Second)), next)
+	m.after(time.Duration(m.random.ExpFloat64()/perSecond*float64(time.Second)), next)
 }
 
 // sentLate returns how often a part was sent later than the contact time after its fifth crash.
