Relay streams and long answers without a length in chunks again

A stream that ends with the caller's connection looks whole when the entry that relays it is killed: no entry has a line of that request's end, so that it ended with its process.

Fix: a stream whose last event is whole counts as complete, as the users' page says, and goes to the caller in chunks, as do long answers. Short answers, which are read whole first, keep the framing in which they came where nothing proves their end. Callers of HTTP/1.0, which get no chunks, are reset if a response breaks.

--- a/coord/completeness/evidence.go
+++ b/coord/completeness/evidence.go
@@ -2,7 +2,8 @@
 //
 // Rule: a body with a length or in chunks is complete if its framing ended it. A body that lasts
 // until its connection closes is broken if the connection failed, if the endpoint is gone, or if it is
-// a stream without a single event; otherwise its end proves nothing. In each framing, a stream that ends inside an event is broken.
+// a stream without a single event. It is complete if it is a stream whose last event is whole;
+// otherwise its end proves nothing. In each framing, a stream that ends inside an event is broken.
 // Inputs: the framing, how the body ended, what the last bytes of a stream are, and whether the
 // endpoint still accepts connections.
 // Never: a body that may be a part counts as complete because no error was seen.
--- a/coord/completeness/rule.go
+++ b/coord/completeness/rule.go
@@ -23,6 +23,8 @@
 		return Complete
 	case e.Tail == NoEvent || endpointGone():
 		return Broken
+	case e.Tail == BetweenEvents:
+		return Complete
 	default:
 		return Unproven
 	}
--- a/coord/message/message.go
+++ b/coord/message/message.go
@@ -107,9 +107,6 @@
 	Attempt Attempt   `cbor:"2,keyasint"`
 	Status  int       `cbor:"3,keyasint"`
 	Header  []Field   `cbor:"4,keyasint,omitempty"`
-	// UntilClose is set if only the close of a connection ends the response, so that nothing proves
-	// that it is complete. Entries of earlier builds ignore it.
-	UntilClose bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Chunk is a part of a response.
--- a/internal/direct/gateway/handler.go
+++ b/internal/direct/gateway/handler.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"strconv"
 
-	"foxcross.dev/coord/completeness"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/foxcross/internal/failure"
 )
@@ -21,12 +20,12 @@
 	if failed != nil {
 		limitUnreadBody(w, q)
 	}
-	var sent delivery
+	responseStarted := false
 	if failed == nil {
 		ctx, cancel := q.withDeadline()
 		defer cancel()
 		g.dispatcher.countRequest(q)
-		failed, sent = g.forward(ctx, w, q)
+		failed, responseStarted = g.forward(ctx, w, q)
 	}
 	if c, ok := callerConnOf(r); ok && c.unread() {
 		failed = unreadFailure(failed)
@@ -35,16 +34,16 @@
 	if failed == nil {
 		return
 	}
-	if sent.started || failed.Code == result.Cancelled || failed.Code == result.Unread {
-		abort(r, sent)
+	if responseStarted || failed.Code == result.Cancelled || failed.Code == result.Unread {
+		abort(r)
 	}
 	writeFailure(w, failed)
 }
 
-// abort closes the caller's connection so that the response doesn't look complete. One that ends with
-// the connection would, after a close in order: it is reset.
-func abort(r *http.Request, sent delivery) {
-	if c, ok := callerConnOf(r); ok && sent.framing == completeness.UntilClose {
+// abort closes the caller's connection so that the response doesn't look complete. A caller of HTTP/1.0
+// gets no chunks, and would take a close in order for the end: its connection is reset.
+func abort(r *http.Request) {
+	if c, ok := callerConnOf(r); ok && !r.ProtoAtLeast(1, 1) {
 		c.resetOnClose()
 	}
 	panic(http.ErrAbortHandler)
--- a/internal/direct/gateway/response.go
+++ b/internal/direct/gateway/response.go
@@ -56,14 +56,17 @@
 		response.Close()
 		return f.endFailed(a, err)
 	}
-	length := int64(len(body))
-	if verdict == completeness.Unproven {
-		length = unknownLength
-	}
 	f.recordFirstEvent(a)
 	response.Finish()
 	f.endAttempt(a, res)
-	f.writeHeader(response, length)
+	switch {
+	case verdict == completeness.Unproven:
+		writeUnproven(f.writer, response)
+	case response.Framing() == completeness.NoBody:
+		writeResponseHeader(f.writer, response, response.Length)
+	default:
+		writeResponseHeader(f.writer, response, int64(len(body)))
+	}
 	a.bytes = len(body)
 	_, _ = f.writer.Write(body) // the caller may have disconnected
 	return done{}
@@ -73,7 +76,7 @@
 func (f *forwarding) relayUnbuffered(a *attempt, response *upstream.Response, prefix []byte, res attemptResult) decision {
 	f.recordFirstEvent(a)
 	f.responseStarted = true
-	f.writeHeader(response, response.Length)
+	writeResponseHeader(f.writer, response, response.Length)
 	to := &callerWriter{writer: f.writer}
 	copied, err := io.Copy(to, io.MultiReader(bytes.NewReader(prefix), response.Body))
 	a.bytes = int(copied)
@@ -113,28 +116,20 @@
 	return n, err
 }
 
-// unknownLength is the length of a body that has none.
-const unknownLength = -1
-
-// writeHeader relays the status and header of a response. A body of unknownLength is relayed in the
-// framing in which it comes: chunks would prove its end.
-func (f *forwarding) writeHeader(response *upstream.Response, length int64) {
-	h := f.writer.Header()
+// writeResponseHeader relays the status and header of a response. A length of -1 is unknown: the body
+// goes out in chunks, so that the caller can tell if this process ends within it.
+func writeResponseHeader(w http.ResponseWriter, response *upstream.Response, length int64) {
+	h := w.Header()
 	copyResponseHeader(h, response.Header)
-	f.framing = response.Framing()
-	switch {
-	case f.framing == completeness.NoBody:
-		length = response.Length
-	case length >= 0:
-		f.framing = completeness.Length
-	case !f.request.incoming.ProtoAtLeast(1, 1):
-		f.framing = completeness.UntilClose
-	}
-	if f.framing == completeness.UntilClose {
-		h.Set("Transfer-Encoding", "identity") // net/http then closes the connection after the body
-	}
 	if length >= 0 && response.Status != http.StatusNoContent && response.Status != http.StatusNotModified {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	f.writer.WriteHeader(response.Status)
+	w.WriteHeader(response.Status)
+}
+
+// writeUnproven relays the header of a response that has been read whole and whose end nothing proves.
+// Its body ends with the caller's connection, as it came.
+func writeUnproven(w http.ResponseWriter, response *upstream.Response) {
+	w.Header().Set("Transfer-Encoding", "identity") // net/http then closes the connection after the body
+	writeResponseHeader(w, response, -1)
 }
--- a/internal/relay/agent/run.go
+++ b/internal/relay/agent/run.go
@@ -5,7 +5,6 @@
 	"errors"
 	"sync"
 
-	"foxcross.dev/coord/completeness"
 	"foxcross.dev/coord/dispatch"
 	"foxcross.dev/coord/message"
 	"foxcross.dev/coord/queue"
@@ -128,11 +127,8 @@
 }
 
 // Head sends the status and the header of a service's response.
-func (r *run) Head(status int, header []message.Field, framing completeness.Framing) error {
-	return r.send(message.Head{
-		Request: r.key.Request, Attempt: r.attempt, Status: status, Header: header,
-		UntilClose: framing == completeness.UntilClose,
-	}, 0)
+func (r *run) Head(status int, header []message.Field) error {
+	return r.send(message.Head{Request: r.key.Request, Attempt: r.attempt, Status: status, Header: header}, 0)
 }
 
 // Text sends answer text of a model.
--- a/internal/relay/endpoint/endpoint.go
+++ b/internal/relay/endpoint/endpoint.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 
-	"foxcross.dev/coord/completeness"
 	"foxcross.dev/coord/message"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/foxcross/internal/kernel"
@@ -22,7 +21,7 @@
 // answer is wanted.
 type Sink interface {
 	// Head receives the status and the header of a service's response.
-	Head(status int, header []message.Field, framing completeness.Framing) error
+	Head(status int, header []message.Field) error
 	// Text receives answer text of a model.
 	Text(text string, tokens int) error
 	// Data receives bytes from a service, or choices of a model that are not plain text.
--- a/internal/relay/endpoint/http.go
+++ b/internal/relay/endpoint/http.go
@@ -81,13 +81,13 @@
 		return end
 	}
 	defer func() { _ = response.Body.Close() }()
-	framing := completeness.FramingOf(response.ContentLength, response.TransferEncoding, response.Body != http.NoBody)
-	if err := k.Head(response.StatusCode, fieldsOf(response.Header), framing); err != nil {
+	if err := k.Head(response.StatusCode, fieldsOf(response.Header)); err != nil {
 		return failed(result.Ran, err.Error())
 	}
 	if err := copyBody(response.Body, k); err != nil {
 		return failed(result.Ran, err.Error())
 	}
+	framing := completeness.FramingOf(response.ContentLength, response.TransferEncoding, response.Body != http.NoBody)
 	gone := func() bool { return s.HasCrashed(ctx) }
 	if completeness.Judge(completeness.Evidence{Framing: framing}, gone) == completeness.Broken {
 		return failed(result.Ran, "the service crashed during the response")
--- a/internal/relay/entry/service.go
+++ b/internal/relay/entry/service.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"net"
 	"net/http"
 	"strings"
 
@@ -101,7 +100,7 @@
 // aborts the connection, so that the caller can't take the response for complete.
 func writeService(w http.ResponseWriter, r *http.Request, c *call) {
 	controller := http.NewResponseController(w)
-	started, untilClose := false, false
+	started := false
 	for {
 		fragments, err := c.next(r.Context())
 		if err != nil {
@@ -110,7 +109,7 @@
 		for _, p := range fragments {
 			switch p := p.(type) {
 			case head:
-				started, untilClose = true, p.UntilClose
+				started = true
 				writeHead(w, p)
 			case data:
 				_, _ = w.Write(p) // the caller may have disconnected
@@ -119,8 +118,7 @@
 					return
 				}
 				if started {
-					abort(w, untilClose)
-					return
+					panic(http.ErrAbortHandler)
 				}
 				writeFailure(w, p.failure())
 				return
@@ -132,22 +130,6 @@
 	}
 }
 
-// abort ends a response so that it doesn't look complete. One that ends with its connection would,
-// after a close in order: the connection is reset.
-func abort(w http.ResponseWriter, untilClose bool) {
-	if !untilClose {
-		panic(http.ErrAbortHandler)
-	}
-	c, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(http.ErrAbortHandler) // HTTP/2 has a framing of its own
-	}
-	if t, ok := c.(*net.TCPConn); ok {
-		_ = t.SetLinger(0) // fails only on a closed connection
-	}
-	_ = c.Close() // the response has failed
-}
-
 func writeHead(w http.ResponseWriter, m head) {
 	h := w.Header()
 	for _, f := range m.Header {
@@ -156,8 +138,5 @@
 		}
 	}
 	failure.SetCode(h, result.OK, result.Ran)
-	if m.UntilClose {
-		h.Set("Transfer-Encoding", "identity") // net/http then closes the connection after the body
-	}
 	w.WriteHeader(m.Status)
 }
