--- a/coord/quarantine/part_model_test.go
+++ b/coord/quarantine/part_model_test.go
@@ -299,8 +299,7 @@
 	{"after a first event", 5, 18, 20, 0.05, []uint64{modelDeadly}, true},
 }
 
-// TestPartModelBoundsSends checks the users' bounds: after five crashes under a part and one contact time,
-// three sends, and nine tenths of the requests beside them from the second contact time on.
+// TestPartModelBoundsSends guards against sends that go on after five crashes under a part.
 func TestPartModelBoundsSends(t *testing.T) {
 	const (
 		maxSends  = 3
--- a/coord/quarantine/part_test.go
+++ b/coord/quarantine/part_test.go
@@ -134,8 +134,7 @@
 	}
 }
 
-// TestPartsTravelInFieldsOfTheirOwn checks that processes of earlier builds receive no keys of parts, which
-// they would never clear.
+// TestPartsTravelInFieldsOfTheirOwn guards against keys that earlier builds would never clear.
 func TestPartsTravelInFieldsOfTheirOwn(t *testing.T) {
 	var from, to quarantine.Table
 	for n := range 3 {
--- a/internal/direct/gateway/parts_test.go
+++ b/internal/direct/gateway/parts_test.go
@@ -12,8 +12,7 @@
 	"foxcross.dev/foxcross/internal/steady"
 )
 
-// TestTrialOfAPartOutlastsASecondLook guards against a trial that is given up when admission has held its
-// request.
+// TestTrialOfAPartOutlastsASecondLook guards against a trial that ends when admission holds its request.
 func TestTrialOfAPartOutlastsASecondLook(t *testing.T) {
 	g := New(Options{Driver: fieldsOnlyDriver{}, Owner: 1})
 	q := &request{incoming: httptest.NewRequest("POST", "/chat/1", nil)}
--- a/internal/testing/fleet/broken_test.go
+++ b/internal/testing/fleet/broken_test.go
@@ -107,8 +107,7 @@
 	return f
 }
 
-// TestStreamCutInsideEventIsNotComplete cuts a stream without a length at each byte of an event, at
-// an endpoint that goes on serving.
+// TestStreamCutInsideEventIsNotComplete cuts a stream without a length at each byte of an event.
 func TestStreamCutInsideEventIsNotComplete(t *testing.T) {
 	next := eventText("i-1", 4)
 	var cuts []platformtest.Behavior
@@ -139,8 +138,7 @@
 	}
 }
 
-// TestUnprovenEndIsNotFramedAsComplete checks that a short response that ended with its connection
-// reaches the caller in no framing that proves more.
+// TestUnprovenEndIsNotFramedAsComplete guards against a framing that proves more than the endpoint did.
 func TestUnprovenEndIsNotFramedAsComplete(t *testing.T) {
 	f := newScriptedFleet(t, 1, platformtest.Unframed{Body: "all of it"})
 	if r := f.requestRaw(f.entries[0], "/page/1"); !r.whole || !r.untilClose() || r.body != "all of it" {
@@ -148,8 +146,7 @@
 	}
 }
 
-// TestResponseOfAnEntryThatEndsIsNotComplete ends an entry while it relays responses that end with their
-// connections.
+// TestResponseOfAnEntryThatEndsIsNotComplete guards against a framing that hides the end of an entry.
 func TestResponseOfAnEntryThatEndsIsNotComplete(t *testing.T) {
 	for _, unframed := range []bool{false, true} {
 		f := newScriptedFleet(t, 1, platformtest.Events{To: longStream, Unframed: unframed, Pause: eventPause})
@@ -163,8 +160,7 @@
 	}
 }
 
-// TestBrokenResponseOfUnknownLengthIsNotComplete checks what each caller can tell from a whole response,
-// also one of HTTP/1.0, which gets no chunks.
+// TestBrokenResponseOfUnknownLengthIsNotComplete covers HTTP/1.0 too, which has no chunks.
 func TestBrokenResponseOfUnknownLengthIsNotComplete(t *testing.T) {
 	large := strings.Repeat("x", 1<<20)
 	for target, behavior := range map[string]platformtest.Behavior{
