--- a/coord/completeness/rule.go
+++ b/coord/completeness/rule.go
@@ -7,7 +7,7 @@
 const (
 	Complete Verdict = iota
 	Broken
-	Unproven // nothing tells whether it is complete
+	Unproven // neither complete nor broken by the evidence
 )
 
 // String implements fmt.Stringer.
--- a/coord/quarantine/part.go
+++ b/coord/quarantine/part.go
@@ -24,8 +24,8 @@
 // endpoints begin to write.
 
 const (
-	// probationCrashes are enough to send one run at a time. A part that endpoints bear is off
-	// probation after the time of one first event.
+	// probationCrashes are enough to send one run at a time. A harmless part leaves
+	// probation with the next first event.
 	probationCrashes = 2
 	// probeTimeout bounds the wait for the outcome of a run with a part on probation.
 	probeTimeout = time.Second
--- a/coord/quarantine/part_model_test.go
+++ b/coord/quarantine/part_model_test.go
@@ -66,8 +66,8 @@
 	return m
 }
 
-// tell has all other entries apply an event once, if it is not lost.
-func (m *partModel) tell(entry int, apply func(t *quarantine.Table)) {
+// broadcast has all other entries apply an event, except those that lose it.
+func (m *partModel) broadcast(entry int, apply func(t *quarantine.Table)) {
 	for other := range m.tables {
 		if other != entry && m.random.Float64() >= m.loss {
 			m.after(time.Duration((0.5+m.random.ExpFloat64())*float64(modelEvent)), func() { apply(&m.tables[other]) })
@@ -75,10 +75,10 @@
 	}
 }
 
-// tellThrice is tell for reports of crashes, which are repeated.
-func (m *partModel) tellThrice(entry int, apply func(t *quarantine.Table, age time.Duration)) {
+// broadcastRepeatedly repeats the report of a crash.
+func (m *partModel) broadcastRepeatedly(entry int, apply func(t *quarantine.Table, age time.Duration)) {
 	for _, age := range []time.Duration{0, 300 * time.Millisecond, time.Second} {
-		m.after(age, func() { m.tell(entry, func(t *quarantine.Table) { apply(t, age) }) })
+		m.after(age, func() { m.broadcast(entry, func(t *quarantine.Table) { apply(t, age) }) })
 	}
 }
 
@@ -130,7 +130,7 @@
 		}
 	}
 	record(&m.tables[entry])
-	m.tell(entry, record)
+	m.broadcast(entry, record)
 	for _, id := range shared {
 		m.sends[id] = append(m.sends[id], m.now)
 	}
@@ -153,7 +153,7 @@
 			}
 		}
 		begin(&m.tables[r.entry])
-		m.tell(r.entry, begin)
+		m.broadcast(r.entry, begin)
 	}
 	if deadly < 0 {
 		m.after(time.Duration(m.random.ExpFloat64()*float64(modelRunTime)), func() { delete(m.running[at], r) })
@@ -196,7 +196,7 @@
 		for _, r := range list {
 			report.Runs = append(report.Runs, quarantine.PartReportOf(r, when))
 		}
-		m.tellThrice(entry, func(t *quarantine.Table, age time.Duration) {
+		m.broadcastRepeatedly(entry, func(t *quarantine.Table, age time.Duration) {
 			aged := report
 			aged.AgeMS = age.Milliseconds()
 			t.ApplyPartCrash(m.clock(), aged)
@@ -204,7 +204,7 @@
 	}
 }
 
-// play runs sound and deadly requests, losses of racks, and entries that start anew.
+// play runs sound and deadly requests, losses of racks, and restarts of entries.
 func (m *partModel) play(deadlyPerSecond, soundPerSecond float64) {
 	anyEntry := func() int { return m.random.IntN(len(m.tables)) }
 	m.repeat(deadlyPerSecond, func() {
--- a/internal/direct/gateway/response.go
+++ b/internal/direct/gateway/response.go
@@ -117,7 +117,7 @@
 }
 
 // writeResponseHeader relays the status and header of a response. A length of -1 is unknown: the body
-// goes out in chunks, so that the caller can tell if this process ends within it.
+// goes out in chunks, which shows the caller whether this process ended within it.
 func writeResponseHeader(w http.ResponseWriter, response *upstream.Response, length int64) {
 	h := w.Header()
 	copyResponseHeader(h, response.Header)
--- a/internal/testing/fleet/concentration_test.go
+++ b/internal/testing/fleet/concentration_test.go
@@ -35,8 +35,7 @@
 	return float64(served.Load()) / float64(total)
 }
 
-// TestEntryThatGetsMostRequestsServesThem guards against limits of an entry that assume that the others
-// have as much to do: its part of what endpoints accept, of warm-ups, of open requests.
+// TestEntryThatGetsMostRequestsServesThem guards against limits that assume an equal load of all entries.
 func TestEntryThatGetsMostRequestsServesThem(t *testing.T) {
 	const (
 		perSecond = 120
--- a/internal/testing/fleet/parts_test.go
+++ b/internal/testing/fleet/parts_test.go
@@ -63,8 +63,7 @@
 	}
 }
 
-// TestConcurrentRequestsWithCrashingPartAreBounded sends many of them at once, at all entries, until well
-// after the contact time.
+// TestConcurrentRequestsWithCrashingPartAreBounded sends them at all entries until after the contact time.
 func TestConcurrentRequestsWithCrashingPartAreBounded(t *testing.T) {
 	const (
 		entries, endpoints = 5, 8
--- a/internal/testing/soak/soak_test.go
+++ b/internal/testing/soak/soak_test.go
@@ -76,8 +76,7 @@
 	}
 }
 
-// TestDeadlyParts runs callers whose prompts share parts that crash each endpoint that begins to write on
-// them, while all faults are injected.
+// TestDeadlyParts injects all faults while callers share parts of prompts that crash endpoints.
 func TestDeadlyParts(t *testing.T) {
 	r, err := Run(context.Background(), Options{
 		Seed: 63101, Duration: 6 * time.Second, Entries: 3, Endpoints: 4, Callers: 6, Dir: logFolder(t), DeadlyParts: 2,
