Try combinations of suspect parts, so that a crashing request holds no other's part

Callers saw: all sound requests that share a prompt part with crashing ones refused (0 of 144 in the second half of TestConcurrentRequestsWithCrashingPartAreBounded), by reading for up to two hours.

Cause: when the hold of the shared part ended, the request that was granted its trial also had the crashing part; the failure was counted against the first held part, whose hold grew four times. All parts had the same ambiguous hold (its spread took the first byte of the key, the marker of parts), so the crashing part was due in the same ms. And a part was explained by another only from three crashes of that on, so that what two causes share was held for a minute.

Change: a trial of a request with several suspect parts is one of their combination (coord/quarantine/ combination.go, derived by each entry from the reports of crashes; nothing new on the wire). Requests with the whole combination wait for its next trial; the parts' own holds stay, and a request that lacks one of them is the next trial. Parts that another may explain are held for 1 s at first, and explained from two crashes on.

--- a/coord/quarantine/key.go
+++ b/coord/quarantine/key.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
@@ -35,6 +36,9 @@
 // String returns the key in hexadecimal, the form used in logs and by operators.
 func (k Key) String() string { return hex.EncodeToString(k[:]) }
 
+// Compare orders keys by their bytes.
+func (k Key) Compare(other Key) int { return bytes.Compare(k[:], other[:]) }
+
 // MarshalText implements encoding.TextMarshaler.
 func (k Key) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
 
--- a/coord/quarantine/part.go
+++ b/coord/quarantine/part.go
@@ -17,6 +17,7 @@
 // against it, unless its endpoint crashes within settleTime. From probationCrashes on, together or
 // not, a part is on probation: one run with it at a time is sent, and the others wait for its
 // outcome. From maxCrashes counted crashes on it is held like a content.
+// A part whose crashes another part may have caused is held for minAmbiguousHold at first.
 // Inputs: the parts of runs without an event at a crashed endpoint, sends and first events of all
 // entries.
 // Units: as for contents.
@@ -82,6 +83,8 @@
 	endpoint string
 	at       time.Time
 	cleared  []clearedRun
+
+	combinations []combination // that included the part
 }
 
 type clearedRun struct {
@@ -126,7 +129,7 @@
 		return false
 	}
 	wasHeld = t.Verdict(now, k).Held
-	b := begin{endpoint: endpoint, at: now}
+	b := begin{endpoint: endpoint, at: now, combinations: t.removeFromCombinations(k)}
 	for _, x := range c.crashes {
 		b.cleared = append(b.cleared, clearedRun{x, x.runs[k]})
 	}
@@ -153,6 +156,9 @@
 	}
 	delete(t.begins, k)
 	c := t.content(k)
+	for _, x := range b.combinations {
+		t.store(x)
+	}
 	for _, r := range b.cleared {
 		if t.crashes[r.crash.endpoint] != r.crash || slices.Contains(c.crashes, r.crash) {
 			continue
@@ -171,6 +177,17 @@
 	}
 }
 
+// holdStart returns when the hold of a part began: at the last crash, but for those under trials of
+// combinations that include the part.
+func (c *content) holdStart() time.Time {
+	for _, x := range slices.Backward(c.crashes) {
+		if c.trials > 0 || x.runs[c.key].knownCrashes < maxCrashes {
+			return x.at
+		}
+	}
+	return time.Time{}
+}
+
 // partHold returns the length of the hold of a part after a number of failed trials.
 func partHold(hold time.Duration, failed int) time.Duration {
 	if failed >= maxPartTrials {
--- a/coord/quarantine/part_model_test.go
+++ b/coord/quarantine/part_model_test.go
@@ -32,7 +32,9 @@
 	runs    int                 // begun so far
 	running []map[*partRun]bool // by endpoint
 	deadly  []uint64
-	silent  bool // runs with a deadly part send no event before their endpoint ends
+	silent  bool                             // runs with a deadly part send no event before their endpoint ends
+	first   time.Duration                    // mean time to a first event, after minModelFirst
+	claims  map[quarantine.Key]time.Duration // ends of open trials, as the store has them
 	crashes map[uint64][]time.Duration
 	sends   map[uint64][]time.Duration
 	sound   partCount          // in the whole run
@@ -49,6 +51,7 @@
 	entry   int
 	started time.Duration
 	known   []int
+	trial   quarantine.Key // held part that the run tries
 	number  uint64
 	wrote   bool
 	wroteAt time.Duration
@@ -57,7 +60,7 @@
 func newPartModel(seed uint64, entries, endpoints int, loss float64, deadly ...uint64) *partModel {
 	m := &partModel{
 		model:  model{random: rand.New(rand.NewPCG(seed, 63)), loss: loss, tables: make([]quarantine.Table, entries)},
-		deadly: deadly, silent: true, crashes: map[uint64][]time.Duration{}, sends: map[uint64][]time.Duration{}, late: map[bool]partCount{},
+		deadly: deadly, silent: true, first: modelFirst, claims: map[quarantine.Key]time.Duration{}, crashes: map[uint64][]time.Duration{}, sends: map[uint64][]time.Duration{}, late: map[bool]partCount{},
 	}
 	for n := range endpoints {
 		m.endpoints = append(m.endpoints, &modelEndpoint{number: n})
@@ -87,15 +90,32 @@
 	t := &m.tables[entry]
 	now := m.clock()
 	var known []int
+	var keys []quarantine.Key
+	var trial quarantine.Key
 	wait := false
 	for _, id := range shared {
-		v := t.Verdict(now, quarantine.PartKey(partService, id))
+		k := quarantine.PartKey(partService, id)
+		keys = append(keys, k)
+		v := t.Verdict(now, k)
 		known = append(known, v.Crashes)
 		wait = wait || v.ProbeOpen
-		if v.Held {
+		if v.Held && v.Remaining > 0 {
 			counted(false)
 			return
 		}
+		if v.Held && trial == (quarantine.Key{}) {
+			trial = k
+		}
+	}
+	if trial != (quarantine.Key{}) {
+		if m.claims[trial] > m.now || t.CombinationHold(now, t.Suspects(now, keys)) > 0 {
+			counted(false)
+			return
+		}
+		m.claims[trial] = m.now + quarantine.TrialInterval
+		counted(true)
+		m.send(entry, shared, known, trial)
+		return
 	}
 	switch {
 	case wait && m.now >= end:
@@ -106,11 +126,11 @@
 		return
 	}
 	counted(true)
-	m.send(entry, shared, known)
+	m.send(entry, shared, known, trial)
 }
 
 // send starts a run at a random endpoint.
-func (m *partModel) send(entry int, shared []uint64, known []int) {
+func (m *partModel) send(entry int, shared []uint64, known []int, trial quarantine.Key) {
 	var up []int
 	for n, e := range m.endpoints {
 		if e.restartAt <= m.now {
@@ -122,7 +142,7 @@
 	}
 	at := up[m.random.IntN(len(up))]
 	m.runs++
-	r := &partRun{parts: shared, source: quarantine.Source(m.runs), entry: entry, started: m.now, known: known, number: uint64(m.runs)}
+	r := &partRun{parts: shared, source: quarantine.Source(m.runs), entry: entry, started: m.now, known: known, trial: trial, number: uint64(m.runs)}
 	probe := quarantine.Probe{Owner: uint64(entry) + 1, Number: r.number}
 	record := func(t *quarantine.Table) {
 		for _, id := range shared {
@@ -135,7 +155,7 @@
 		m.sends[id] = append(m.sends[id], m.now)
 	}
 	m.running[at][r] = true
-	m.after(minModelFirst+time.Duration(m.random.ExpFloat64()*float64(modelFirst)), func() { m.firstEvent(at, r) })
+	m.after(minModelFirst+time.Duration(m.random.ExpFloat64()*float64(m.first)), func() { m.firstEvent(at, r) })
 }
 
 // firstEvent has a run begin to write: its endpoint ends if one of its parts is deadly.
@@ -176,6 +196,7 @@
 	byEntry := map[int][]quarantine.Run{}
 	when := m.clock()
 	for r := range runs {
+		delete(m.claims, r.trial)
 		if r.wrote && m.now-r.wroteAt > 100*time.Millisecond {
 			continue
 		}
@@ -289,14 +310,18 @@
 	deadly             float64
 	loss               float64
 	parts              []uint64
-	writes             bool // the first event arrives before the endpoint ends
+	writes             bool          // the first event arrives before the endpoint ends
+	first              time.Duration // mean time to a first event
 }{
-	{"one a second", 5, 18, 1, 0, []uint64{modelDeadly}, false},
-	{"sixty a second", 5, 18, 60, 0, []uint64{modelDeadly}, false},
-	{"sixty a second, one in twenty lost", 5, 18, 60, 0.05, []uint64{modelDeadly}, false},
-	{"many entries", 28, 60, 60, 0.05, []uint64{modelDeadly}, false},
-	{"two parts", 5, 18, 20, 0.05, []uint64{modelDeadly, modelDeadly2}, false},
-	{"after a first event", 5, 18, 20, 0.05, []uint64{modelDeadly}, true},
+	{"one a second", 5, 18, 1, 0, []uint64{modelDeadly}, false, modelFirst},
+	{"sixty a second", 5, 18, 60, 0, []uint64{modelDeadly}, false, modelFirst},
+	{"sixty a second, one in twenty lost", 5, 18, 60, 0.05, []uint64{modelDeadly}, false, modelFirst},
+	{"many entries", 28, 60, 60, 0.05, []uint64{modelDeadly}, false, modelFirst},
+	{"two parts", 5, 18, 20, 0.05, []uint64{modelDeadly, modelDeadly2}, false, modelFirst},
+	{"after a first event", 5, 18, 20, 0.05, []uint64{modelDeadly}, true, modelFirst},
+	{"first events after 300 ms", 5, 18, 20, 0.05, []uint64{modelDeadly}, false, 300 * time.Millisecond},
+	{"first events after 800 ms", 5, 18, 20, 0.05, []uint64{modelDeadly}, false, 800 * time.Millisecond},
+	{"first events after 2 s", 5, 18, 20, 0.05, []uint64{modelDeadly}, false, 2 * time.Second},
 }
 
 // TestPartModelBoundsSends guards against sends that go on after five crashes under a part.
@@ -311,6 +336,7 @@
 			for seed := range *partSeeds {
 				m := newPartModel(seed, c.entries, c.endpoints, c.loss, c.parts...)
 				m.silent = !c.writes
+				m.first = c.first
 				m.play(c.deadly, 150)
 				for _, id := range c.parts {
 					crashes = max(crashes, len(m.crashes[id]))
--- a/coord/quarantine/quarantine.go
+++ b/coord/quarantine/quarantine.go
@@ -96,13 +96,18 @@
 	switch {
 	case v.Crashes >= maxCrashes:
 		hold := minHold
-		if t.ambiguous(c) {
+		switch {
+		case !t.ambiguous(c):
+		case k.IsPart():
+			hold = minAmbiguousHold
+		default:
 			hold = ambiguousHold(k)
 		}
 		failed := min(c.trials, v.Crashes-maxCrashes)
-		next = v.LastCrash.Add(holdAfterTrials(hold, failed))
 		if k.IsPart() {
-			next = v.LastCrash.Add(partHold(hold, failed))
+			next = c.holdStart().Add(partHold(hold, failed))
+		} else {
+			next = v.LastCrash.Add(holdAfterTrials(hold, failed))
 		}
 	case k.IsPart():
 		v.Probation = len(c.crashes) >= probationCrashes
@@ -152,13 +157,19 @@
 	return minAmbiguousHold + (maxAmbiguousHold-minAmbiguousHold)*time.Duration(k[0])/values
 }
 
-// hasOtherSuspect reports whether another content with maxCrashes was in progress at a crash.
+// hasOtherSuspect reports whether another content with maxCrashes was in progress at a crash; for a
+// part, whether another part with probationCrashes was. Several causes that share a sound part each have
+// fewer crashes than that part.
 func (t *Table) hasOtherSuspect(x *crash, k Key) bool {
 	for other, r := range x.runs {
 		if other == k || r.cleared {
 			continue
 		}
-		if c := t.contents[other]; c != nil && c.counted >= maxCrashes {
+		suspectFrom := maxCrashes
+		if k.IsPart() && other.IsPart() {
+			suspectFrom = probationCrashes
+		}
+		if c := t.contents[other]; c != nil && c.counted >= suspectFrom {
 			return true
 		}
 	}
--- a/coord/quarantine/report.go
+++ b/coord/quarantine/report.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"bytes"
 	"cmp"
 	"slices"
 	"time"
@@ -43,7 +42,7 @@
 		all = append(all, t.state(now, k, c))
 	}
 	slices.SortFunc(all, func(a, b State) int {
-		return cmp.Or(-cmp.Compare(a.Crashes, b.Crashes), cmp.Compare(a.LastMS, b.LastMS), bytes.Compare(a.Content[:], b.Content[:]))
+		return cmp.Or(-cmp.Compare(a.Crashes, b.Crashes), cmp.Compare(a.LastMS, b.LastMS), a.Content.Compare(b.Content))
 	})
 	return all[:min(len(all), maxStates)]
 }
--- a/coord/quarantine/table.go
+++ b/coord/quarantine/table.go
@@ -32,6 +32,8 @@
 	contents   map[Key]*content
 	unanswered []unanswered  // oldest first
 	begins     map[Key]begin // of parts that were suspect
+
+	combinations []combination // of suspect parts, oldest first
 }
 
 // crash is one crash of an endpoint.
@@ -87,6 +89,7 @@
 			held = append(held, r.Content)
 		}
 	}
+	t.recordFailedTrials(x.at, endpoint, runs)
 	return held
 }
 
@@ -151,6 +154,7 @@
 // RecordSuccess records a successful run of a content, and clears its crashes and hold. It reports
 // whether there were any.
 func (t *Table) RecordSuccess(k Key) bool {
+	t.removeFromCombinations(k)
 	c := t.contents[k]
 	if c == nil {
 		return false
@@ -228,6 +232,7 @@
 		t.removeCrash(t.order[0])
 	}
 	t.expireBegins(now)
+	t.expireCombinations(now)
 	for k, c := range t.contents {
 		if len(c.crashes) == 0 && now.Sub(c.until) >= retention {
 			delete(t.contents, k)
--- a/internal/direct/gateway/content.go
+++ b/internal/direct/gateway/content.go
@@ -50,7 +50,7 @@
 	if len(held) > 0 && !f.beginTrial(held[0]) {
 		return f.heldRefusal(held[0])
 	}
-	if f.sent == 0 && f.trial != (quarantine.Key{}) {
+	if f.sent == 0 && f.trial.begun() {
 		return nil
 	}
 	return f.awaitProbes()
@@ -68,29 +68,20 @@
 		if v.Crashes > 0 {
 			q.crashes[k] = v.Crashes
 		}
-		if v.Held && !(f.sent == 0 && f.trial == k) {
+		if v.Held && !(f.sent == 0 && f.trial.includes(k)) {
 			held = append(held, k)
 		}
 	}
 	return held
 }
 
-// beginTrial reports whether the request may try a content or part whose hold has ended.
-func (f *forwarding) beginTrial(k quarantine.Key) bool {
-	if !f.gateway.beginTrial(f.ctx, k) {
-		return false
-	}
-	f.trial = k
-	return true
-}
-
 // heldRefusal returns the refusal of a request with a content or part that is held.
 func (f *forwarding) heldRefusal(k quarantine.Key) *result.Error {
 	v := f.gateway.suspects.verdict(steady.Now(), k)
 	f.gateway.options.Metrics.Counter("quarantine_refused").Inc(1)
 	refusal := newFailure(result.Quarantined, f.heldText(k, v.Crashes), f.mayHaveRun)
 	if refusal.Run == result.NotRun {
-		refusal.RetryAfter = max(v.Remaining, trialInterval)
+		refusal.RetryAfter = max(v.Remaining, f.combinationHold(), trialInterval)
 	}
 	return refusal
 }
--- a/internal/direct/gateway/forward.go
+++ b/internal/direct/gateway/forward.go
@@ -5,7 +5,6 @@
 	"net/http"
 
 	"foxcross.dev/coord/eligibility"
-	"foxcross.dev/coord/quarantine"
 	"foxcross.dev/coord/replication"
 	"foxcross.dev/coord/result"
 	"foxcross.dev/foxcross/internal/direct/upstream"
@@ -25,7 +24,7 @@
 	failedDials     int             // attempts for which no connection was established
 	mayHaveRun      bool            // whether any attempt may have run
 	responseStarted bool            // part of a response was relayed
-	trial           quarantine.Key  // of the held content or part that the request tries, zero for none
+	trial           trial           // of held contents or parts, zero for none
 	copied          replication.Run // life of the latest attempt's run
 }
 
@@ -34,7 +33,7 @@
 func (g *Gateway) forward(ctx context.Context, w http.ResponseWriter, q *request) (failed *result.Error, responseStarted bool) {
 	f := &forwarding{gateway: g, ctx: ctx, writer: w, request: q, tried: map[string]bool{}}
 	failed = f.run()
-	if f.trial != (quarantine.Key{}) && f.sent == 0 {
+	if f.trial.begun() && f.sent == 0 {
 		g.abandonTrial(f.trial)
 	}
 	return failed, f.responseStarted
@@ -197,7 +196,7 @@
 	a.outcome = res.text()
 	f.copied = f.copied.Apply(replicationEvent(res))
 	f.gateway.recordContentResult(f.request, a, res)
-	if f.trial != (quarantine.Key{}) {
+	if f.trial.begun() {
 		f.endTrial(a, res)
 	}
 	f.gateway.endProbes(f.request, a)
@@ -210,9 +209,9 @@
 func (f *forwarding) endTrial(a *attempt, res attemptResult) {
 	switch res.(type) {
 	case endpointCrashed:
-		f.gateway.trialFailed(f.trial, a.crashes[f.trial])
+		f.gateway.trialFailed(f.trial, a.crashes[f.trial.key])
 	case responded:
-		go f.gateway.deleteHold(f.trial)
+		go f.gateway.deleteHold(f.trial.key)
 	}
 }
 
--- a/internal/direct/gateway/held.go
+++ b/internal/direct/gateway/held.go
@@ -3,20 +3,17 @@
 // Rule: the entry that observes the crash by which a content becomes held, or by which its trial
 // failed, writes the record. Records are read by an entry that starts and finds no other entry to
 // ask, on behalf of its data centre, and by an entry without live peers that observed a crash of an
-// endpoint. When a hold has ended, one request may try the content: the one whose entry writes the
-// trial to the record, on condition that no other entry did. The record is deleted when a run
-// succeeds.
+// endpoint. The record is deleted when a run succeeds. Trials are in trial.go.
 // Inputs: the store's records, true time.
-// Units: calls to the store: one for a content that becomes held, three for a trial, one for a data
-// centre in which all entries have restarted. None for a content that is not held.
-// Never: a trial is sent while the store does not respond; the content stays held. Only if it is
-// doubtful whether the content caused the crashes does each entry try it on its own.
+// Units: calls to the store: one for a content that becomes held, one for a data centre in which all
+// entries have restarted. None for a content that is not held.
+// Never: a request waits for the store, except at an entry without live peers that has just observed a
+// crash.
 
 package gateway
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -26,7 +23,6 @@
 	"foxcross.dev/foxcross/internal/direct/driver"
 	"foxcross.dev/foxcross/internal/direct/peers"
 	"foxcross.dev/foxcross/internal/steady"
-	"foxcross.dev/foxcross/internal/storeerr"
 	"foxcross.dev/foxcross/internal/workers"
 
 	"github.com/fxamacker/cbor/v2"
@@ -122,117 +118,6 @@
 	}
 }
 
-// beginTrial reports whether this request may try a content whose hold has ended. Until that is
-// known, and for trialInterval if it can't be determined, other requests here treat the content as
-// held.
-func (g *Gateway) beginTrial(ctx context.Context, k quarantine.Key) bool {
-	var v quarantine.Verdict
-	g.suspects.update(func(t *quarantine.Table) {
-		now := steady.Now()
-		if v = t.Verdict(now, k); v.Remaining == 0 {
-			t.RecordTrial(k, v.Trials, now.Add(trialInterval))
-		}
-	})
-	if v.Remaining > 0 {
-		return false // another request was first
-	}
-	c := trialClaim{trials: v.Trials + 1, hold: quarantine.TrialInterval, granted: true}
-	if g.options.Records != nil {
-		ctx, cancel := context.WithTimeout(ctx, trialTimeout)
-		defer cancel()
-		claimed, err := g.claimTrial(ctx, k, v)
-		switch {
-		case err == nil:
-			c = claimed
-		case !v.Correlated:
-			log.With("content", k.String()).With("reason", err.Error()).WarnLimited("trial", "The store did not confirm the trial of a content; it stays held.")
-			return false
-		}
-	}
-	g.suspects.update(func(t *quarantine.Table) { t.RecordTrial(k, c.trials, steady.Now().Add(c.hold)) })
-	if c.granted {
-		log.With("content", k.String()).With("crashes", v.Crashes).With("trials", c.trials).Info("A request with a held content is sent as a trial.")
-	}
-	return c.granted
-}
-
-// trialClaim is the result of claiming a trial: the number of trials, how long the content is held,
-// and whether this entry got the trial.
-type trialClaim struct {
-	trials  int
-	hold    time.Duration
-	granted bool
-}
-
-// claimTrial writes to the store that a content is being tried, unless another entry did after the
-// hold ended.
-func (g *Gateway) claimTrial(ctx context.Context, k quarantine.Key, v quarantine.Verdict) (trialClaim, error) {
-	trueNow := g.dispatcher.trueTime(steady.Now())
-	found, err := g.options.Records.Read(ctx, holdKey(k))
-	if err != nil && !errors.Is(err, storeerr.ErrNotFound) {
-		return trialClaim{}, err
-	}
-	c := trialClaim{trials: v.Trials + 1, hold: quarantine.TrialInterval, granted: true}
-	if err == nil {
-		var r holdRecord
-		if err := cbor.Unmarshal(found.Value, &r); err != nil {
-			return trialClaim{}, fmt.Errorf("gateway: decode the record of a held content: %w", err)
-		}
-		if left := r.until().Sub(trueNow); left > 0 {
-			return trialClaim{trials: r.Trials, hold: left}, nil
-		}
-		c.trials = r.Trials + 1
-	}
-	next := holdRecord{Crashes: v.Crashes, Trials: c.trials, UntilMS: trueNow.Add(c.hold).UnixMilli()}
-	err = g.putHold(ctx, k, next, driver.Condition{Key: holdKey(k), Revision: found.Revision})
-	if errors.Is(err, driver.ErrConflict) {
-		c.granted = false // another entry was first
-		return c, nil
-	}
-	return c, err
-}
-
-// trialFailed records that an endpoint crashed during a trial. That makes one crash more than were
-// known when the trial began, even if only their number was reported.
-func (g *Gateway) trialFailed(k quarantine.Key, knownCrashes int) {
-	g.updateHold(k, func(v quarantine.Verdict) quarantine.Verdict {
-		return quarantine.Verdict{Crashes: knownCrashes + 1, Trials: v.Trials}
-	})
-}
-
-// abandonTrial lets another request try a content soon, because the trial reached no endpoint.
-// Otherwise the content would be held for the duration of a trial that has no result.
-func (g *Gateway) abandonTrial(k quarantine.Key) {
-	correlated := false
-	g.suspects.update(func(t *quarantine.Table) {
-		now := steady.Now()
-		v := t.Verdict(now, k)
-		if correlated = v.Correlated; correlated {
-			t.RecordTrial(k, max(v.Trials-1, 0), now.Add(abandonedTrialHold)) // correlated holds are not broadcast
-		}
-	})
-	if correlated {
-		return
-	}
-	g.updateHold(k, func(v quarantine.Verdict) quarantine.Verdict {
-		return quarantine.Verdict{Crashes: v.Crashes, Trials: max(v.Trials-1, 0), Remaining: abandonedTrialHold}
-	})
-}
-
-// updateHold changes the hold of a content after its trial, here, at the other entries and in the
-// store.
-func (g *Gateway) updateHold(k quarantine.Key, change func(quarantine.Verdict) quarantine.Verdict) {
-	now := steady.Now()
-	var v quarantine.Verdict
-	g.suspects.update(func(t *quarantine.Table) {
-		next := change(t.Verdict(now, k))
-		t.Hold(k, next.Crashes, next.Trials, now.Add(next.Remaining))
-		v = t.Verdict(now, k)
-	})
-	g.broadcastHolds([]quarantine.HoldReport{{Content: k[:], Crashes: v.Crashes, Trials: v.Trials, ForMS: v.Remaining.Milliseconds()}})
-	go g.storeHold(k)
-}
-
 // loadHolds reads the records, at an entry without live peers.
 func (g *Gateway) loadHolds(now time.Time) {
 	s := &g.suspects
--- a/internal/direct/gateway/parts_test.go
+++ b/internal/direct/gateway/parts_test.go
@@ -31,7 +31,7 @@
 			t.Errorf("look %d: %v", look, refusal.Reason)
 		}
 	}
-	if f.trial != q.partKeys()[0] {
+	if f.trial.key != q.partKeys()[0] {
 		t.Error("the request is no trial")
 	}
 }
--- a/internal/testing/fleet/parts_test.go
+++ b/internal/testing/fleet/parts_test.go
@@ -3,11 +3,15 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"foxcross.dev/coord/quarantine"
+	"foxcross.dev/foxcross/internal/direct/peers"
 	"foxcross.dev/foxcross/internal/testing/standin/platformtest"
 )
 
@@ -114,3 +118,49 @@
 		t.Errorf("%.2f of the other requests were served in the second half", share)
 	}
 }
+
+// TestSharedPartIsServedAfterTheTrialOfACrashingRequest guards against a part that stays held because the request that tried it had another, crashing part.
+func TestSharedPartIsServedAfterTheTrialOfACrashingRequest(t *testing.T) {
+	f := newFleet(t, 3, 4)
+	f.reportPartCrashes("aa", "bb", crashingPart)
+	f.requestWithParts(f.entries[0], "aa:50,dead:40")
+	if f.crashes() != 1 {
+		t.Fatal("the request was not sent")
+	}
+	begun := time.Now()
+	for _, e := range f.entries {
+		f.eventually("the crash under the trial is counted", func() bool {
+			return slices.ContainsFunc(e.gateway.Dump().Contents, func(s quarantine.State) bool { return s.Crashes == 4 })
+		})
+	}
+	for _, e := range f.entries {
+		f.eventually("another request is served", func() bool {
+			f.requestWithParts(e, "aa:50,dead:40")
+			return f.requestWithParts(e, "aa:50,bb:20").status == http.StatusOK
+		})
+	}
+	if took := time.Since(begun); took > contactTime {
+		t.Errorf("the others were refused for %v", took)
+	}
+	if n := f.crashes(); n != 1 {
+		t.Errorf("%d endpoints crashed", n)
+	}
+}
+
+// reportPartCrashes sends all entries the reports of three crashes, the last one some seconds ago, at which runs
+// with these parts were in progress.
+func (f *fleet) reportPartCrashes(parts ...string) {
+	f.t.Helper()
+	for n, age := range []time.Duration{7 * time.Second, 5 * time.Second, 3 * time.Second} {
+		event := peers.Event{Kind: peers.EndpointCrashed, Endpoint: fmt.Sprint("i-9@", n), AgeMS: age.Milliseconds()}
+		for k, part := range parts {
+			id, err := strconv.ParseUint(part, 16, 64)
+			f.mustSucceed(err)
+			key := quarantine.PartKey(service, id)
+			event.PartRuns = append(event.PartRuns, quarantine.PartReport{Part: key[:], Source: uint64(10*n + k + 1), RanMS: 20})
+		}
+		for _, e := range f.entries {
+			e.gateway.EventReceiver().HandleEvents(99, []peers.Event{event})
+		}
+	}
+}
