Wait for the engine with a run's copy while it can't take the run

Callers saw: runs that may not be repeated end in the middle, or with 502, though their memory lives at a second engine, which had just started.

Cause: the entry asked once whether that engine may take the request. One that warms up, is at its rate limit or in backoff may not, for some ms to a second; no other engine has the copy. Resumed streams wait for such engines.

The log names the reason now.

Change: one rule for both. A run waits for up to a second, looked at each 50 ms, without a slot or a retry of the budget; it ends at once if that engine crashes or leaves, or the caller does. The wait of a stream begins anew when it breaks again.

"wait for the engine with the copy while it is at a rate limit" fails on and passes.

--- a/coord/placement/replica.go
+++ b/coord/placement/replica.go
@@ -134,17 +134,31 @@
 // there. It returns false if the engine is no longer listed, runs another version than the request
 // resumes, or may not take it now.
 func (t *Table) Continuation(now time.Time, r Request, endpointID string) (Choice, bool) {
-	e := t.endpoints[endpointID]
-	if e == nil {
-		return Choice{}, false
-	}
-	q := query{table: t, service: t.service(r.Service), request: r, now: now}
-	if e.Leaving || !r.accepts(e.Version) || q.eligibility(e) != eligibility.Eligible {
+	e, reason := t.continuationAt(now, r, endpointID)
+	if e == nil || reason != eligibility.Eligible {
 		return Choice{}, false
 	}
 	return Choice{Endpoint: e.Endpoint, Slowdown: e.slowdown}, true
 }
 
+// ContinuationReason returns whether the engine that holds a copy may take the request now, or why not.
+// It returns false if the engine never may.
+func (t *Table) ContinuationReason(now time.Time, r Request, endpointID string) (reason eligibility.Reason, listed bool) {
+	e, reason := t.continuationAt(now, r, endpointID)
+	return reason, e != nil
+}
+
+// continuationAt returns the engine that holds a copy, and whether it may take the request now. It
+// returns nil if the engine never may.
+func (t *Table) continuationAt(now time.Time, r Request, endpointID string) (*endpoint, eligibility.Reason) {
+	e := t.endpoints[endpointID]
+	if e == nil || e.Leaving || !r.accepts(e.Version) {
+		return nil, eligibility.OtherVersion
+	}
+	q := query{table: t, service: t.service(r.Service), request: r, now: now}
+	return e, q.eligibility(e)
+}
+
 // Continued returns what a run reads from the copy that it continues, for Place. It has no source,
 // since nothing is moved.
 func Continued(r Request) memory.Fetch { return memory.Fetch{Tokens: r.Prompt.Tokens} }
--- a/internal/direct/gateway/replicas.go
+++ b/internal/direct/gateway/replicas.go
@@ -3,8 +3,10 @@
 // Rule: coord/replication decides which runs get a copy, and whether one continues; the table of
 // placement chooses the engine. A run is continued when its engine has crashed (upstream/crashed.go),
 // after the connection to it is closed, if the service's budget of retries allows it and the engine
-// with the copy may take the request. The route's number of attempts does not count it: the first
-// engine has ended. If that engine has no copy, the request ends as without one.
+// with the copy may take the request. If it can't for now, since it warms up, is at a rate limit or in
+// backoff, the request waits for it as a resumed stream does (resumption.go): no other engine has the
+// copy. The route's number of attempts does not count it: the first engine has ended. If the other one
+// has no copy, the request ends as without one.
 // Inputs: results of attempts, crashes that this entry or others observed.
 // Never: a run is continued at another version of the engine's software; an event is relayed that
 // does not follow the last one; a request is continued after part of a response without events was
@@ -91,6 +93,22 @@
 	return ok
 }
 
+// continuationRefusal returns why the engine that holds a copy may not take the request now, and whether
+// it may soon.
+func (d *dispatcher) continuationRefusal(q *request, holder string) (reason string, temporary bool) {
+	now := steady.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.crashesOf(q.spec.Service).Includes(now, holder) {
+		return "it has crashed", false
+	}
+	at, listed := d.table.ContinuationReason(now, q.spec, holder)
+	if !listed {
+		return "it has left or runs another version", false
+	}
+	return at.String(), at.Temporary()
+}
+
 // continuationChoice returns the choice of the engine that holds a copy. dispatcher.mu is held.
 func (d *dispatcher) continuationChoice(now time.Time, q *request, holder string) (placement.Choice, bool) {
 	if d.crashesOf(q.spec.Service).Includes(now, holder) {
@@ -169,6 +187,7 @@
 	d := &f.gateway.dispatcher
 	q := f.request
 	q.spec.Resumes, q.spec.Version = true, broken.endpoint().Version
+	q.resumptionUntil = time.Time{}
 	doubt := f.gateway.versionDoubt(q, broken)
 	switch {
 	case f.ctx.Err() != nil:
@@ -179,13 +198,43 @@
 		return nil, "its content is held"
 	case q.crashes[q.contentKey()] > 1: // with this crash
 		return nil, "its content has crashed another engine"
-	case !d.mayContinueAt(q, f.copied.Replica.Endpoint):
-		return nil, "the engine with the copy may not take it"
-	case !d.allowRetry(q.spec.Service):
+	}
+	holder := f.copied.Replica.Endpoint
+	if reason := f.awaitHolder(holder); reason != "" {
+		return nil, "the engine with the copy may not take it: " + reason
+	}
+	if !d.allowRetry(q.spec.Service) {
 		return nil, "the service's budget of repeats is used up"
 	}
-	next = d.placeContinuation(q, f.copied.Replica.Endpoint, &continuation{of: broken, lastEvent: lastEvent})
-	return next, "the engine with the copy may not take it"
+	for {
+		next = d.placeContinuation(q, holder, &continuation{of: broken, lastEvent: lastEvent})
+		if next != nil {
+			return next, ""
+		}
+		reason := f.awaitHolder(holder) // another request was placed there since
+		if reason == "" && !f.awaitEngine() {
+			reason = "after a wait"
+		}
+		if reason != "" {
+			return nil, "the engine with the copy may not take it: " + reason
+		}
+	}
+}
+
+// awaitHolder waits a while until the engine that holds the copy may take the request. It returns why it
+// may not, empty if it may.
+func (f *forwarding) awaitHolder(holder string) (reason string) {
+	d := &f.gateway.dispatcher
+	for !d.mayContinueAt(f.request, holder) {
+		var temporary bool
+		if reason, temporary = d.continuationRefusal(f.request, holder); !temporary {
+			return reason
+		}
+		if !f.awaitEngine() {
+			return reason + ", after a wait"
+		}
+	}
+	return ""
 }
 
 // endRefused records that the engine with the copy did not continue the run.
--- a/internal/direct/gateway/replicas_test.go
+++ b/internal/direct/gateway/replicas_test.go
@@ -83,6 +83,53 @@
 		Expect(eventIDs(a.body)).To(Equal(sequence(30)))
 	})
 
+	// limitHolder has the engine with the copy reach its rate limit, ends the hold of the first engine and calls then after 200 ms.
+	limitHolder := func(h *harness, hold chan struct{}, then func(holder *platformtest.Runner)) {
+		defer GinkgoRecover()
+		Eventually(h.runs).Should(Equal(1))
+		_, second := order(h)
+		receiver := h.gateway.EventReceiver()
+		receiver.HandleEvents(99, []peers.Event{{Kind: peers.LimitAnnounced, Endpoint: second.ID, Limit: 0.1, ResponseMS: 1}})
+		for n := range uint64(3) {
+			receiver.HandleEvents(99, []peers.Event{{Kind: peers.AttemptSent, Number: n + 1, Endpoint: second.ID, Request: &placement.Request{Service: service}}})
+		}
+		close(hold)
+		time.Sleep(200 * time.Millisecond) // the first engine has crashed
+		then(second)
+	}
+
+	It("wait for the engine with the copy while it is at a rate limit", func() {
+		hold := make(chan struct{})
+		h := start(platformtest.Events{To: 7, Crash: true, Hold: hold}, whole)
+		go limitHolder(h, hold, func(holder *platformtest.Runner) {
+			h.gateway.EventReceiver().HandleEvents(99, []peers.Event{{Kind: peers.LimitAnnounced, Endpoint: holder.ID, ResponseMS: 1}})
+		})
+		a := h.do(plan(h, small))
+		a.expectWhole(200)
+		Expect(eventIDs(a.body)).To(Equal(sequence(30)))
+		Expect(h.runs()).To(Equal(2))
+	})
+
+	It("are truncated if the engine with the copy crashes while they wait for it", func() {
+		hold := make(chan struct{})
+		h := start(platformtest.Events{To: 7, Crash: true, Hold: hold}, whole)
+		go limitHolder(h, hold, func(holder *platformtest.Runner) {
+			h.gateway.EventReceiver().HandleEvents(99, []peers.Event{{Kind: peers.EndpointCrashed, Endpoint: holder.ID}})
+		})
+		h.do(plan(h, small)).expectTruncated()
+		Expect(h.runs()).To(Equal(1))
+	})
+
+	It("are truncated after a second if the engine with the copy can't take them", func() {
+		hold := make(chan struct{})
+		h := start(platformtest.Events{To: 7, Crash: true, Hold: hold}, whole)
+		go limitHolder(h, hold, func(*platformtest.Runner) {})
+		began := time.Now()
+		h.do(plan(h, small)).expectTruncated()
+		Expect(time.Since(began)).To(BeNumerically(">", time.Second))
+		Expect(h.runs()).To(Equal(1))
+	})
+
 	It("are truncated if both engines crash", func() {
 		hold := make(chan struct{})
 		h := start(platformtest.Events{To: 7, Crash: true, Hold: hold})
--- a/internal/direct/gateway/resumption.go
+++ b/internal/direct/gateway/resumption.go
@@ -29,8 +29,8 @@
 const attemptLifeSlack = 5 * time.Second
 
 const (
-	// maxResumptionWait is the longest time for which the resumption of a stream waits for an
-	// endpoint. Callers give a stream up after a gap of 2 s.
+	// maxResumptionWait is the longest time for which the resumption of a stream, or a run that is
+	// continued from its copy, waits for an engine. Callers give a stream up after a gap of 2 s.
 	maxResumptionWait = time.Second
 	// maxListWait is the longest time for which a resumption waits for the list of endpoints. Two
 	// watches of the store and a heartbeat of another entry take less.
@@ -212,9 +212,13 @@
 // it for now. It returns false if all of them are excluded, or if it has waited for long enough.
 func (f *forwarding) awaitVersion(excluded map[string]bool) bool {
 	q := f.request
-	if !q.spec.Resumes {
-		return false
-	}
+	return q.spec.Resumes && f.gateway.dispatcher.mayTakeLater(q, excluded) && f.awaitEngine()
+}
+
+// awaitEngine waits for resumptionInterval for an engine that may take the request's stream or run later.
+// It returns false if the request has waited for maxResumptionWait since its stream broke.
+func (f *forwarding) awaitEngine() bool {
+	q := f.request
 	now := steady.Now()
 	if q.resumptionUntil.IsZero() {
 		q.resumptionUntil = now.Add(maxResumptionWait)
@@ -222,7 +226,7 @@
 	if !now.Before(q.resumptionUntil) || f.gateway.refusing.Load() {
 		return false
 	}
-	return f.gateway.dispatcher.mayTakeLater(q, excluded) && workers.Sleep(f.ctx, resumptionInterval)
+	return workers.Sleep(f.ctx, resumptionInterval)
 }
 
 // versionDoubt returns why it is not certain that the endpoint of an attempt ran the version of its
--- a/internal/direct/gateway/stream.go
+++ b/internal/direct/gateway/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"foxcross.dev/coord/completeness"
 	"foxcross.dev/coord/replication"
@@ -141,6 +142,7 @@
 func (s *stream) resume(broken *attempt) (*attempt, *upstream.Response) {
 	q := s.request
 	q.spec.Resumes, q.spec.Version = true, broken.endpoint().Version
+	q.resumptionUntil = time.Time{}
 	dispatcher := &s.gateway.dispatcher
 	tried := map[string]bool{broken.endpoint().ID: true}
 	for {
