Place no copies at engines that are known to have crashed

Callers saw: runs lost though they had a copy, since the copy was at an engine that had crashed before they began.

Cause: an engine counts as unreachable for some 100 ms after a refused connection, and stays on the list for three heartbeats. In between, the entry that had seen it crash chose it for copies again, and fetched from it.

Evidence: a failed run of TestCopiesUnderCrashes: i-4 refused entry-2 at 48.2 s; at 48.47 s entry-2 placed three runs at i-3 with their copies at i-4; i-3 crashed at 48.53 s. Two other failed runs alike.

Change: an incarnation that this entry or another has seen crash takes no copies and is no source of fetches for 15 s, or until it responds. TestCrashedEngineGetsNoCopies.

"get a copy of a large prompt only after an engine of the service has crashed" has three engines now: with two, the only other engine is the one that is said to have crashed. Its checks are as they were.

--- a/coord/placement/health.go
+++ b/coord/placement/health.go
@@ -56,6 +56,24 @@
 	failures         float64 // decayed share of recent attempts that failed
 	unreachableFor   time.Duration
 	unreachableUntil time.Time // counts as unreachable until then
+	crashedUntil     time.Time // counts as crashed until then, unless it responds
+}
+
+// crashRetention is how long an endpoint counts as crashed. By then one that has crashed has left the
+// list.
+const crashRetention = 15 * time.Second
+
+// RecordCrash records that an incarnation of an endpoint has crashed, as this entry or another observed.
+// Nothing is copied to it or fetched from it.
+func (t *Table) RecordCrash(now time.Time, incarnation string) {
+	if e := t.endpoints[incarnation]; e != nil {
+		e.crashedUntil = now.Add(crashRetention)
+	}
+}
+
+// holdsMemory reports whether an endpoint may be expected to hold memory for others.
+func (h *health) holdsMemory(now time.Time) bool {
+	return h.failures <= maxSourceFailures && !now.Before(h.unreachableUntil) && !now.Before(h.crashedUntil)
 }
 
 // record adds the outcome of an attempt.
@@ -72,6 +90,7 @@
 	case Succeeded:
 		h.unreachableFor = 0
 		h.unreachableUntil = time.Time{}
+		h.crashedUntil = time.Time{}
 	case Unreachable:
 		h.unreachableFor = min(max(2*h.unreachableFor, minUnreachableFor), maxUnreachableFor)
 		h.unreachableUntil = now.Add(h.unreachableFor)
--- a/coord/placement/replica.go
+++ b/coord/placement/replica.go
@@ -5,7 +5,7 @@
 // crossCentreCopies times as many, since the copy takes as much longer. They are drawn again while none
 // may hold it, replicaRounds times in all. An engine holds no copy if it runs another version of its
 // software than the run's, or an unknown one, may not take the request (eligible.go), drains, fails, is
-// unreachable or overdue, is the run's own, has no slot left for the runs that it has and would
+// unreachable or overdue, has crashed, is the run's own, has no slot left for the runs that it has and would
 // continue, or has no memory for it.
 // Inputs: the table, the request, the engine that runs it, a source of randomness.
 // Units: copies, slots, tokens.
@@ -81,7 +81,7 @@
 	if !e.Engine || e.draining() || !q.available(e) {
 		return false
 	}
-	if e.failures > maxSourceFailures || q.now.Before(e.unreachableUntil) || e.overdueMS(q.now) > 0 {
+	if !e.holdsMemory(q.now) || e.overdueMS(q.now) > 0 {
 		return false
 	}
 	return q.hasRoomForReplica(e)
--- a/coord/placement/replica_test.go
+++ b/coord/placement/replica_test.go
@@ -57,6 +57,30 @@
 	}
 }
 
+// TestCrashedEngineGetsNoCopies guards against copies that are lost from the start, while the list still has the engine.
+func TestCrashedEngineGetsNoCopies(t *testing.T) {
+	table := twoRegionTable()
+	random := rand.New(rand.NewPCG(1, 2))
+	const crashed = "i-1"
+	table.RecordCrash(origin, crashed)
+	for n := range 60 {
+		if holder, _ := placeCopied(table, n, "i-0", shortRequest(uint64(1000+n)), random); holder == crashed {
+			t.Fatalf("run %d has its copy at an engine that has crashed", n)
+		}
+	}
+	id := placement.AttemptID{Owner: self, Number: 1000}
+	table.Place(origin, id, crashed, shortRequest(1), placement.Choice{}.Fetch)
+	table.End(origin, id, placement.Succeeded) // it has not crashed after all
+	found := false
+	for n := range 60 {
+		holder, _ := placeCopied(table, 100+n, "i-0", shortRequest(uint64(2000+n)), random)
+		found = found || holder == crashed
+	}
+	if !found {
+		t.Error("an engine that responds gets no copies")
+	}
+}
+
 // TestCopiesKeepTheRulesOfRequests guards against copies where the request itself may not go.
 func TestCopiesKeepTheRulesOfRequests(t *testing.T) {
 	r := shortRequest(9)
--- a/coord/placement/source.go
+++ b/coord/placement/source.go
@@ -63,7 +63,7 @@
 
 // canBeSource reports whether parts may be fetched from an engine.
 func (q *query) canBeSource(e *endpoint) bool {
-	return e.Engine && !e.draining() && eligibility.Check(q.request.Regions, e.location) == eligibility.Eligible && e.failures <= maxSourceFailures && !q.now.Before(e.unreachableUntil) &&
+	return e.Engine && !e.draining() && eligibility.Check(q.request.Regions, e.location) == eligibility.Eligible && e.holdsMemory(q.now) &&
 		e.slowdown <= maxSourceSlowdown && e.overdueMS(q.now) == 0
 }
 
--- a/internal/direct/gateway/replicas.go
+++ b/internal/direct/gateway/replicas.go
@@ -80,6 +80,7 @@
 func (d *dispatcher) recordCrash(endpoint string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.table.RecordCrash(steady.Now(), endpoint)
 	if service, ok := d.table.ServiceOf(endpoint); ok && d.table.ServiceSettings(service).ReplicateRuns {
 		d.crashesOf(service).Record(steady.Now(), endpoint)
 	}
--- a/internal/direct/gateway/replicas_test.go
+++ b/internal/direct/gateway/replicas_test.go
@@ -241,7 +241,7 @@
 	})
 
 	It("get a copy of a large prompt only after an engine of the service has crashed", func() {
-		h := newHarness(whole, whole)
+		h := newHarness(whole, whole, whole)
 		h.engines(engine(true))
 		send := func() http.Header {
 			before := h.runs()
