Redeliver what every entry has to know to those that missed it

Callers saw: an entry that stood still for a second or more never learned of a hold; up to three more endpoints crash under that content, with the runs beside it.

Cause: events are datagrams, repeated twice within a second. A process that stands still drops what waited in its sockets, a relay its queue; nothing showed that an event was missing, and nothing but the repetitions brought it again. Crashes, cleared contents, parts, drains and processes of engines went the same way.

Evidence: TestOtherEntriesReceiveHold on with its process stopped for 1.0 to 1.4 s up to six times: 9 of 60 runs time out after 20 s.

New fields are ignored by former builds.

--- a/internal/decisions_test.go
+++ b/internal/decisions_test.go
@@ -117,6 +117,8 @@
 	"internal/direct/peers/events.go",
 	"internal/direct/peers/packet.go",
 	"internal/direct/peers/relay.go",
+	"coord/signals/signals.go",
+	"internal/direct/peers/signals.go",
 	"internal/direct/peers/bundle.go",
 	"internal/direct/peers/report.go",
 	"internal/direct/peers/presence.go",
--- a/internal/direct/gateway/content.go
+++ b/internal/direct/gateway/content.go
@@ -161,6 +161,9 @@
 // broadcastRepeatedly broadcasts an event about a content, and again after rebroadcastDelays in
 // case datagrams were lost.
 func (g *Gateway) broadcastRepeatedly(e peers.Event) {
+	if group := g.dispatcher.peerGroup(); group != nil {
+		e = group.NumberSignal(e)
+	}
 	g.broadcastAfter(e, rebroadcastDelays)
 }
 
@@ -230,7 +233,8 @@
 				}
 			}
 		case peers.ContentHeld:
-			g.suspects.restore(now, quarantine.Snapshot{Holds: e.Holds})
+			at := now.Add(-time.Duration(e.AgeMS) * time.Millisecond)
+			g.suspects.restore(at, quarantine.Snapshot{Holds: e.Holds})
 		}
 	}
 }
--- a/internal/direct/peers/events.go
+++ b/internal/direct/peers/events.go
@@ -27,6 +27,7 @@
 	e.occurredAt = steady.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	e = g.recordOwnSignal(e)
 	if len(g.events) >= maxPendingEvents {
 		log.WarnLimited("events", "Event queue is full; dropping events.")
 		return
--- a/internal/direct/peers/group.go
+++ b/internal/direct/peers/group.go
@@ -10,6 +10,7 @@
 
 	"foxcross.dev/coord/clock"
 	"foxcross.dev/coord/duty"
+	"foxcross.dev/coord/signals"
 	"foxcross.dev/foxcross/internal/direct/directory"
 	"foxcross.dev/foxcross/internal/direct/driver"
 	"foxcross.dev/foxcross/internal/logs"
@@ -107,6 +108,10 @@
 	clock              clock.Estimator
 	fence              uint64         // with which this process holds the duties, 0 if it does not
 	reportedTo         []*net.UDPAddr // the relays of other data centres that the members were reported to
+	signals            signals.Log    // of all peers and this process
+	fetchingSignals    bool
+	summary            signals.Summary // of signals, at summaryAt
+	summaryAt          time.Time
 
 	eventsPending chan struct{} // signals that events or the relay queue are no longer empty
 	memberAhead   chan struct{} // signals that a member is now ahead
@@ -202,5 +207,6 @@
 	g.observeLocalClock(now)
 	g.sendHeartbeat(now)
 	g.catchUp(ctx, now)
+	g.catchUpSignals(ctx, now)
 	g.options.Directory.SetRole(g.currentRole(now))
 }
--- a/internal/direct/peers/heartbeat.go
+++ b/internal/direct/peers/heartbeat.go
@@ -18,6 +18,7 @@
 	p.Heartbeat = h
 	g.mu.Lock()
 	h.Fence = g.fence
+	g.summarizeSignals(h, now)
 	g.announced = announcement{
 		version: p.Version, revision: p.Revision, storeLost: h.StoreCallFailed, fence: h.Fence, evacuated: joinNames(h.Evacuated),
 	}
@@ -107,6 +108,7 @@
 	p.Heartbeat = g.newHeartbeat()
 	g.mu.Lock()
 	p.Heartbeat.Fence = g.fence
+	g.summarizeSignals(p.Heartbeat, now)
 	p.Heartbeat.Members = g.sampleMembers(now, dataCentre)
 	g.mu.Unlock()
 	g.send(p, []*net.UDPAddr{m}, heartbeatTraffic)
--- a/internal/direct/peers/member.go
+++ b/internal/direct/peers/member.go
@@ -44,6 +44,7 @@
 	owner              uint64      // incarnation, 0 once lost
 	lastOwner          uint64      // incarnation when it was lost
 	initialRecordsSent bool        // this process has sent it the records of other data centres
+	signalsAheadSince  time.Time   // since when it has signals that this process lacks, zero for none
 	recordSends        recordSends // what this process, as a relay, has sent about it to other data centres
 	name               string      // empty before its first heartbeat
 	address            *net.UDPAddr
--- a/internal/direct/peers/packet.go
+++ b/internal/direct/peers/packet.go
@@ -68,10 +68,24 @@
 	PartRuns []quarantine.PartReport `cbor:"18,keyasint,omitempty"` // of EndpointCrashed
 
 	Process string `cbor:"19,keyasint,omitempty"` // of ProcessNamed
+	// Signal numbers the events that all peers have to know, from 1 for each owner; 0 for others and
+	// those of older versions.
+	Signal uint64 `cbor:"20,keyasint,omitempty"`
 
 	occurredAt time.Time // on the sender's clock
 }
 
+// isSignal reports whether all peers have to know events of a kind, however late. Limits are announced again
+// while they are in use.
+func (k Kind) isSignal() bool {
+	switch k {
+	case EndpointCrashed, ContentCleared, ContentHeld, EndpointDraining, ProcessNamed:
+		return true
+	default:
+		return false
+	}
+}
+
 // Fetched returns what the attempt fetches.
 func (e Event) Fetched() memory.Fetch {
 	if e.Fetch == nil {
@@ -162,6 +176,8 @@
 	Presence            bool     `cbor:"17,keyasint,omitempty"` // the sender supports packets with a presence
 	EndpointsAgeMS      int64    `cbor:"18,keyasint,omitempty"` // time since the list of endpoints was confirmed as the newest, plus 1; 0 for never
 	Versioned           bool     `cbor:"19,keyasint,omitempty"` // the sender's list has the versions of the endpoints' software
+	SignalDigest        uint64   `cbor:"20,keyasint,omitempty"` // of the signals that the sender has (coord/signals)
+	SignalCount         uint64   `cbor:"21,keyasint,omitempty"`
 }
 
 // evacuations returns the evacuated data centres known to the sender.
--- a/internal/direct/peers/peers_test.go
+++ b/internal/direct/peers/peers_test.go
@@ -80,8 +80,6 @@
 	}
 	listener, err := net.Listen("tcp", address)
 	Expect(err).NotTo(HaveOccurred())
-	server := &http.Server{Handler: peers.StateHandler(e.directory)}
-	go func() { _ = server.Serve(listener) }()
 	e.group, err = peers.New(peers.Options{
 		Name: name, DataCentre: dataCentre, Address: address, Owner: owner, Seeds: seeds, Listener: e, Directory: &e.guarded,
 		Fetch: func(ctx context.Context, from string, p peers.Part) {
@@ -90,6 +88,11 @@
 	})
 	Expect(err).NotTo(HaveOccurred())
 	e.guarded.group.Store(e.group)
+	mux := http.NewServeMux()
+	mux.Handle("/", peers.StateHandler(e.directory))
+	mux.Handle(peers.SignalsPath, e.group.SignalsHandler())
+	server := &http.Server{Handler: mux}
+	go func() { _ = server.Serve(listener) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan struct{})
 	go func() {
--- a/internal/direct/peers/receive.go
+++ b/internal/direct/peers/receive.go
@@ -44,6 +44,7 @@
 	g.updateVersions(m, p, local, now)
 	if p.Heartbeat != nil {
 		g.applyHeartbeat(m, p.Heartbeat, now)
+		g.compareSignals(m, p.Heartbeat, now)
 	}
 	if p.Probe == probeReply {
 		m.unansweredSince = time.Time{}
@@ -100,5 +101,6 @@
 	for n := range events {
 		events[n].AgeMS = min(max(events[n].AgeMS+heldMS, 0), MaxEventAge.Milliseconds())
 	}
+	g.recordSignals(owner, events)
 	g.options.Listener.HandleEvents(owner, events)
 }
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -153,6 +153,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", peers.StateHandler(d))
 	mux.Handle(peers.OriginPath, peers.OriginHandler(g.Origin))
+	mux.Handle(peers.SignalsPath, group.SignalsHandler())
 	mux.Handle(peers.SnapshotPath, peers.SnapshotHandler(g.Snapshot))
 	if _, err := listen(settings.Peers, mux); err != nil {
 		return nil, err
--- a/internal/testing/fleet/fleet_test.go
+++ b/internal/testing/fleet/fleet_test.go
@@ -241,6 +241,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", peers.StateHandler(g.Directory()))
 	mux.Handle(peers.OriginPath, peers.OriginHandler(g.Origin))
+	mux.Handle(peers.SignalsPath, group.SignalsHandler())
 	mux.Handle(peers.SnapshotPath, peers.SnapshotHandler(g.Snapshot))
 	server := &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: conditionTimeout}
 	go func() { _ = server.ListenAndServe() }() // ends with the test
