Let streams go on whose prompt parts are held after they have written on them

Callers saw: streams and runs that ended with their engine, refused at the next one since a part of their prompt was held or on probation, by crashes beside them.

Cause: retries and resumptions are held by all parts of their prompt. An engine crashes when it begins to write on a part, or not at all; a run that has written for longer than that is no evidence against its parts, and they are none against it.

--- a/internal/direct/gateway/content.go
+++ b/internal/direct/gateway/content.go
@@ -6,7 +6,8 @@
 // listed and had not announced that it leaves. An attempt without a response, or whose caller left,
 // counts if its endpoint turns out to have crashed: it refuses connections, another attempt
 // observed the crash, or it is listed again with a later start. A request with a held content is
-// refused at once, and so are its retries and resumptions.
+// refused at once, and so are its retries and resumptions. Parts on which its run has written do not
+// hold a stream that goes on: engines crash when they begin to write on a part, or not at all.
 // Inputs: results of attempts, events from other entries, the list of endpoints, the store's
 // records (held.go).
 // Never: a request is reported as "not run" if one of its attempts may have run. Requests don't
@@ -50,7 +51,7 @@
 	if len(held) > 0 && !f.beginTrial(held[0]) {
 		return f.heldRefusal(held[0])
 	}
-	if f.sent == 0 && f.trial.begun() {
+	if f.partsBegan || f.sent == 0 && f.trial.begun() {
 		return nil
 	}
 	return f.awaitProbes()
@@ -68,7 +69,8 @@
 		if v.Crashes > 0 {
 			q.crashes[k] = v.Crashes
 		}
-		if v.Held && !(f.sent == 0 && f.trial.includes(k)) {
+		tried := f.sent == 0 && f.trial.includes(k)
+		if v.Held && !tried && !(k.IsPart() && f.partsBegan) {
 			held = append(held, k)
 		}
 	}
--- a/internal/direct/gateway/forward.go
+++ b/internal/direct/gateway/forward.go
@@ -26,6 +26,7 @@
 	mayHaveRun      bool            // whether any attempt may have run
 	responseStarted bool            // part of a response was relayed
 	trial           trial           // of held contents or parts, zero for none
+	partsBegan      bool            // a run of the request has written on its parts for longer than silentWithin
 	copied          replication.Run // life of the latest attempt's run
 }
 
--- a/internal/direct/gateway/replicas_test.go
+++ b/internal/direct/gateway/replicas_test.go
@@ -130,6 +130,29 @@
 		Expect(h.runs()).To(Equal(1))
 	})
 
+	It("go on though a part on which they have written is held", func() {
+		hold := make(chan struct{})
+		h := start(platformtest.Events{To: 7, Crash: true, Hold: hold}, whole)
+		part := quarantine.PartKey(service, 0xaa)
+		go func() {
+			defer GinkgoRecover()
+			Eventually(h.runs).Should(Equal(1))
+			time.Sleep(200 * time.Millisecond) // the run has written for longer than a crashing one does
+			for n := range 3 {
+				h.gateway.EventReceiver().HandleEvents(99, []peers.Event{{
+					Kind: peers.EndpointCrashed, Endpoint: fmt.Sprint("i-gone-", n), AgeMS: int64(2000 * (3 - n)),
+					PartRuns: []quarantine.PartReport{{Part: part[:], Source: uint64(n + 1), RanMS: 20}},
+				}})
+			}
+			close(hold)
+		}()
+		q := plan(h, small)
+		q.Header.Set(platformtest.PartsField, "aa:500,1:400")
+		a := h.do(q)
+		a.expectWhole(200)
+		Expect(eventIDs(a.body)).To(Equal(sequence(30)))
+	})
+
 	It("are truncated if both engines crash", func() {
 		hold := make(chan struct{})
 		h := start(platformtest.Events{To: 7, Crash: true, Hold: hold})
--- a/internal/direct/gateway/stream.go
+++ b/internal/direct/gateway/stream.go
@@ -8,6 +8,7 @@
 	"foxcross.dev/coord/completeness"
 	"foxcross.dev/coord/replication"
 	"foxcross.dev/foxcross/internal/direct/upstream"
+	"foxcross.dev/foxcross/internal/steady"
 )
 
 // stream is a streamed response that is being relayed to the caller.
@@ -126,6 +127,7 @@
 	if s.callerGone {
 		res = callerLeft{}
 	}
+	s.partsBegan = s.partsBegan || steady.Since(a.firstEventAt) > silentWithin
 	return s.endAttempt(a, res)
 }
 
