--- a/coord/quarantine/combination.go
+++ b/coord/quarantine/combination.go
@@ -95,11 +95,11 @@
 	c.until = at.Add(partHold(TrialInterval, c.failed))
 	c.failed++
 	c.endpoint = endpoint
-	t.store(c)
+	t.put(c)
 }
 
-// store stores a combination in place of what is known of its parts. One part is held by itself.
-func (t *Table) store(c combination) {
+// put stores a combination in place of what is known of its parts. One part is held by itself.
+func (t *Table) put(c combination) {
 	if len(c.parts) < 2 {
 		return
 	}
@@ -128,7 +128,7 @@
 	for _, c := range with {
 		n := t.indexOf(c)
 		t.combinations = slices.Delete(t.combinations, n, n+1)
-		t.store(c.without(k))
+		t.put(c.without(k))
 	}
 	return with
 }
--- a/coord/quarantine/combination_test.go
+++ b/coord/quarantine/combination_test.go
@@ -35,8 +35,7 @@
 	return t, at.Add(2 * time.Second)
 }
 
-// TestFailedTrialLeavesPartsToOtherRequests guards against a shared part that is held longer because a request
-// with another, crashing part tried it.
+// TestFailedTrialLeavesPartsToOtherRequests guards against a shared part that is held longer as a crashing request tried it.
 func TestFailedTrialLeavesPartsToOtherRequests(t *testing.T) {
 	table, now := heldParts()
 	crashUnder(table, "i-4", now, 3, sharedPart, deadlyPart)
--- a/coord/quarantine/part.go
+++ b/coord/quarantine/part.go
@@ -157,7 +157,7 @@
 	delete(t.begins, k)
 	c := t.content(k)
 	for _, x := range b.combinations {
-		t.store(x)
+		t.put(x)
 	}
 	for _, r := range b.cleared {
 		if t.crashes[r.crash.endpoint] != r.crash || slices.Contains(c.crashes, r.crash) {
--- a/internal/direct/gateway/processes.go
+++ b/internal/direct/gateway/processes.go
@@ -1,8 +1,8 @@
 // Learns which process runs behind each engine that keeps its ID when it restarts.
 //
 // Rule: coord/resumption decides what is certain. The entry that ranks first for an engine asks it when
-// the list has a new start of it, and tells the others. Others ask it themselves if they have not received
-// that within processEventDelay.
+// the list has a new start of it, and announces the answer. Others ask it themselves if they have not
+// received that within processEventDelay.
 // Inputs: the list of endpoints, answers of engines, events of other entries.
 // Units: one request for each start of an engine, and one for each entry that missed the event.
 // Never: an engine that has a new ID for each start is asked; a request waits for such an answer, except
--- a/internal/direct/gateway/trial.go
+++ b/internal/direct/gateway/trial.go
@@ -35,7 +35,7 @@
 // begun reports whether the request runs a trial.
 func (t trial) begun() bool { return t.key != quarantine.Key{} }
 
-// ofCombination reports whether a failure does not tell which part is the cause.
+// ofCombination reports whether several parts may be the cause of a failure.
 func (t trial) ofCombination() bool { return len(t.suspects) > 1 }
 
 // includes reports whether a content or part is tried.
--- a/internal/testing/standin/platformtest/runner.go
+++ b/internal/testing/standin/platformtest/runner.go
@@ -34,7 +34,7 @@
 	PartsField     = "X-Prefix-Hash" // of the prompt, ID:TOKENS
 )
 
-// CacheEventsPath is the path at which a runner tells the events of its cache, with an epoch that each start changes.
+// CacheEventsPath is the path of the events of a runner's cache, with an epoch that each start changes.
 const CacheEventsPath = "/foxcross/kv-events"
 
 // CachedPartsPath is the path at which a runner lists the parts of prompts that it has cached.
