Say in code 1307 that a part of the prompt may be held

The text spoke of this very request only, though a request is also refused for a part that it shares.

--- a/coord/result/table.go
+++ b/coord/result/table.go
@@ -33,7 +33,7 @@
 	{Cancelled, "cancelled", 499, "the caller hung up"},
 	{Preempted, "preempted", 503, "a higher tier took the slot"},
 	{Unresumable, "unresumable", 502, "the attempt broke off and the answer so far cannot be continued"},
-	{Quarantined, "quarantined", 503, "endpoints that ran this very request have crashed; it is held for a while"},
+	{Quarantined, "quarantined", 503, "endpoints that ran this request, or others with a part of its prompt, have crashed; it is held for a while"},
 	{Unread, "unread", 499, "the caller read nothing of its answer for too long"},
 	{StreamUnknown, "stream_unknown", 503, "it is not known which software version began the stream, so it can't be resumed; begin it anew"},
 	{VersionGone, "version_gone", 503, "no endpoint runs the software version that began the stream, so it can't be resumed; begin it anew"},
