Date a crash that is redelivered by its age

A starting entry gets signals of the last ten minutes; the crash of an engine among them counted as one of now, so that larger prompts were copied for 15 s. Read, not seen at callers. The case is added to the test of copies after a crash.

--- a/internal/direct/gateway/content.go
+++ b/internal/direct/gateway/content.go
@@ -116,7 +116,7 @@
 	if !g.directory.Serving(e.ID) {
 		return // the endpoint announced its end
 	}
-	g.dispatcher.recordCrash(e.Incarnation())
+	g.dispatcher.recordCrash(e.Incarnation(), at)
 	g.recordCrash(e.Incarnation(), at, runs)
 }
 
@@ -226,7 +226,7 @@
 	for _, e := range events {
 		switch e.Kind {
 		case peers.EndpointCrashed:
-			g.dispatcher.recordCrash(e.Endpoint)
+			g.dispatcher.recordCrash(e.Endpoint, now.Add(-time.Duration(e.AgeMS)*time.Millisecond))
 			g.applyPeerCrash(now, quarantine.CrashReport{Endpoint: e.Endpoint, AgeMS: e.AgeMS, From: owner, Runs: e.Runs}, e.PartRuns)
 		case peers.ContentCleared:
 			for _, r := range e.Runs {
--- a/internal/direct/gateway/replicas.go
+++ b/internal/direct/gateway/replicas.go
@@ -76,13 +76,13 @@
 	return c
 }
 
-// recordCrash records the crash of an endpoint that this entry or another observed.
-func (d *dispatcher) recordCrash(endpoint string) {
+// recordCrash records the crash of an endpoint that this entry or another observed at a time.
+func (d *dispatcher) recordCrash(endpoint string, at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.table.RecordCrash(steady.Now(), endpoint)
+	d.table.RecordCrash(at, endpoint)
 	if service, ok := d.table.ServiceOf(endpoint); ok && d.table.ServiceSettings(service).ReplicateRuns {
-		d.crashesOf(service).Record(steady.Now(), endpoint)
+		d.crashesOf(service).Record(at, endpoint)
 	}
 }
 
--- a/internal/direct/gateway/replicas_test.go
+++ b/internal/direct/gateway/replicas_test.go
@@ -278,6 +278,8 @@
 			return nil
 		}
 		Expect(send().Get(platformtest.ReplicaField)).To(BeEmpty())
+		h.gateway.EventReceiver().HandleEvents(99, []peers.Event{{Kind: peers.EndpointCrashed, Endpoint: h.runners[0].ID, AgeMS: 60_000}})
+		Expect(send().Get(platformtest.ReplicaField)).To(BeEmpty(), "a crash of a minute ago")
 		h.gateway.EventReceiver().HandleEvents(99, []peers.Event{{Kind: peers.EndpointCrashed, Endpoint: h.runners[0].ID}})
 		Expect(send().Get(platformtest.ReplicaField)).NotTo(BeEmpty())
 	})
