--- a/coord/quarantine/quarantine.go
+++ b/coord/quarantine/quarantine.go
@@ -78,6 +78,8 @@
 	// Correlated is set if the crashes happened together, so that they may be one event that the
 	// content did not cause.
 	Correlated bool
+	// Ambiguous is set for a held part if another part may have caused its crashes.
+	Ambiguous bool
 	// Probation is set for a part of which one run at a time is sent, ProbeOpen while that is open.
 	Probation, ProbeOpen bool
 }
@@ -96,11 +98,12 @@
 	switch {
 	case v.Crashes >= maxCrashes:
 		hold := minHold
+		ambiguous := t.ambiguous(c)
+		v.Ambiguous = ambiguous && k.IsPart()
 		switch {
-		case !t.ambiguous(c):
-		case k.IsPart():
+		case v.Ambiguous:
 			hold = minAmbiguousHold
-		default:
+		case ambiguous:
 			hold = ambiguousHold(k)
 		}
 		failed := min(c.trials, v.Crashes-maxCrashes)
