--- a/internal/decisions_test.go
+++ b/internal/decisions_test.go
@@ -32,6 +32,8 @@
 	"internal/direct/gateway/bodies.go",
 	"internal/direct/gateway/upload.go",
 	"internal/direct/gateway/unread.go",
+	"internal/direct/upstream/head.go",
+	"internal/direct/upstream/buffers.go",
 	"internal/direct/gateway/attempts.go",
 	"coord/eligibility/eligibility.go",
 	"coord/eligibility/sharedrate.go",
--- a/internal/direct/gateway/dump.go
+++ b/internal/direct/gateway/dump.go
@@ -19,7 +19,8 @@
 	SettingsLag     SettingsLag               `json:"settings_behind"`
 	LiveEntries     int                       `json:"live_entries"`
 	OpenRequests    int                       `json:"open_requests"`
-	BodyBytes       int64                     `json:"body_bytes"` // reserved for bodies of requests and responses
+	BodyBytes       int64                     `json:"body_bytes"`     // reserved for bodies of requests and responses
+	ResponseBytes   int64                     `json:"response_bytes"` // reserved for headers and events of responses
 	Endpoints       []placement.EndpointState `json:"endpoints"`
 	SuspectContents int                       `json:"suspect_contents"` // number of contents with counted crashes
 	HeldContents    int                       `json:"held_contents"`    // number of suspect contents that are held in quarantine
@@ -61,6 +62,7 @@
 	d.SettingsLag = SettingsLag{NewestVersion: behind.Newest, DurationMS: behind.Duration.Milliseconds(), OutstandingBytes: behind.OutstandingBytes}
 	d.OpenRequests = g.capacity.openRequests()
 	d.BodyBytes = g.bodyMemory.reserved()
+	d.ResponseBytes = g.pool.Buffers.Reserved()
 	d.LiveEntries, d.Endpoints = g.dispatcher.endpointStates()
 	d.RecordedStreams, d.UnrecordedStreams = g.dispatcher.streamCounts()
 	d.Shares = g.dispatcher.shareStates()
--- a/internal/direct/gateway/forward.go
+++ b/internal/direct/gateway/forward.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 
 	"foxcross.dev/coord/eligibility"
 	"foxcross.dev/coord/replication"
@@ -193,11 +195,24 @@
 	return endpointCrashed{err: broken.err, at: at}
 }
 
+// noteOversized counts and logs a response that was cut off because it would take too much memory.
+func (g *Gateway) noteOversized(a *attempt, res attemptResult) {
+	broken, ok := res.(noResponse)
+	var oversized *upstream.OversizedError
+	if !ok || !errors.As(broken.err, &oversized) {
+		return
+	}
+	g.options.Metrics.Counter("attempts_oversized").Inc(1)
+	log.With("endpoint", a.endpoint().ID).With("limit", oversized.Limit).With("start", strconv.QuoteToASCII(string(oversized.Start))).
+		WarnLimited("oversized", "Response cut off: the endpoint sends more than a response may take of the memory.")
+}
+
 // endAttempt records how an attempt ended, for placement and for the quarantine of contents. It
 // returns the result, which checkCrash may have changed. Placement gets the result first:
 // checkCrash takes 0.1 s for an endpoint that does not respond.
 func (f *forwarding) endAttempt(a *attempt, res attemptResult) attemptResult {
 	f.gateway.dispatcher.recordEnd(a, res)
+	f.gateway.noteOversized(a, res)
 	res = f.checkCrash(a, res)
 	_, a.crashed = res.(endpointCrashed)
 	a.outcome = res.text()
--- a/internal/direct/gateway/forward_test.go
+++ b/internal/direct/gateway/forward_test.go
@@ -159,6 +159,19 @@
 		}
 	})
 
+	// Guards against a false "not run", or none at all, where an endpoint floods its caller.
+	It("cuts off a response without end, and repeats the request only if it may", func() {
+		h := newHarness(platformtest.Flood{Piece: "x"}, okResponse)
+		for range 8 {
+			h.get("/page/1").expectWhole(200)
+		}
+		Expect(len(h.runners[0].Runs())).To(BeNumerically(">", 0))
+		h.runners[1].SetDefault(platformtest.Flood{Piece: "x"})
+		a := h.do(h.request(http.MethodPost, "/book/1", ""))
+		a.expectWhole(502)
+		Expect(a.header.Get("X-Foxcross-Run")).To(Equal("unknown"))
+	})
+
 	It("relays a response without a length, unless its connection is reset", func() {
 		h := newHarness(okResponse)
 		h.runners[0].Enqueue(platformtest.Unframed{Body: "all of it"}, platformtest.Unframed{Body: "part of it", Broken: true})
--- a/internal/direct/gateway/gateway.go
+++ b/internal/direct/gateway/gateway.go
@@ -110,6 +110,7 @@
 	}
 	g.capacity.init(o.Process.Limits)
 	g.bodyMemory.init(o.Process.Limits)
+	g.pool.Buffers.SetMemoryLimit(o.Process.Limits.MemoryBytes)
 	g.dispatcher.init(o)
 	g.directory = directory.New(g.dispatcher.setServices, g.setEndpoints, g.dispatcher.setEvacuated)
 	g.directory.SetBounds(o.Process.Bounds)
--- a/internal/direct/upstream/conn.go
+++ b/internal/direct/upstream/conn.go
@@ -18,20 +18,33 @@
 // conn is a connection to an endpoint. It carries one request at a time.
 type conn struct {
 	net.Conn
-	reader      *bufio.Reader
-	mismatched  bool      // a response to another request was read from it
-	usableUntil time.Time // when idle
-	process     string    // at the other end, empty if it was not asked for
+	hold        bufferHold // of the present exchange
+	head        headReader
+	reader      *bufio.Reader // of head
+	mismatched  bool          // a response to another request was read from it
+	usableUntil time.Time     // when idle
+	process     string        // at the other end, empty if it was not asked for
 }
 
-func newConn(n net.Conn) *conn {
-	return &conn{Conn: n, reader: bufio.NewReaderSize(n, readBufferSize)}
+func newConn(n net.Conn, hold bufferHold) *conn {
+	c := &conn{Conn: n, hold: hold, head: headReader{source: n}}
+	c.reader = bufio.NewReaderSize(&c.head, readBufferSize)
+	return c
 }
 
 // abort ends reads and writes in progress.
 func (c *conn) abort() { _ = c.SetDeadline(time.Unix(1, 0)) } // fails only on a closed connection
 
-func (c *conn) close() { _ = c.Conn.Close() } // the connection is not used again
+func (c *conn) close() {
+	c.hold.release()
+	_ = c.Conn.Close() // the connection is not used again
+}
+
+// beginExchange expects the response to a request whose head has that size.
+func (c *conn) beginExchange(requestHead int) {
+	c.hold.release()
+	c.head.beginRequest(maxHeadBytes+requestHead, c.hold.reserve)
+}
 
 // openWithoutData reports whether an idle connection is open and has received no
 // unsolicited data. It peeks at the socket without blocking.
--- a/internal/direct/upstream/crashed.go
+++ b/internal/direct/upstream/crashed.go
@@ -92,7 +92,7 @@
 func (p *Pool) refusesConnection(endpoint, address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
-	c, err := p.dial(ctx, address)
+	c, err := p.dial(ctx, endpoint, address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
--- a/internal/direct/upstream/exchange.go
+++ b/internal/direct/upstream/exchange.go
@@ -98,6 +98,17 @@
 	return response, nil
 }
 
+// headSize returns the size of a request's head, counted as that of a response is.
+func headSize(r *Request) int {
+	size := len(r.Target) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + fieldOverhead
+		}
+	}
+	return size
+}
+
 // connect returns an idle or new connection for the request.
 func (p *Pool) connect(ctx context.Context, r *Request) (*conn, error) {
 	c, reused, err := p.open(ctx, r)
@@ -123,7 +134,7 @@
 		}
 		c.close() // it may have been closed at the other end just now
 	}
-	if c, err = p.dial(ctx, r.Address); err != nil {
+	if c, err = p.dial(ctx, r.Endpoint, r.Address); err != nil {
 		return nil, false, err
 	}
 	if err := c.verify(ctx, r.Address, r.Process); err != nil {
@@ -195,6 +206,7 @@
 
 // receive reads responses until one that belongs to the request.
 func (c *conn) receive(names HeaderNames, r *Request) (*Response, error) {
+	c.beginExchange(headSize(r))
 	for range maxMismatched {
 		response, err := c.readHead(r.Method)
 		if err != nil {
@@ -213,7 +225,7 @@
 			}, nil
 		}
 		if id == "" || response.ContentLength < 0 {
-			return nil, fmt.Errorf("%w: it carries id %q", ErrInvalidResponse, id)
+			return nil, fmt.Errorf("%w: it carries id %q", ErrInvalidResponse, id[:min(len(id), maxExcerptBytes)])
 		}
 		if _, err := io.CopyN(io.Discard, response.Body, min(response.ContentLength, maxMismatchedBody)); err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
@@ -226,9 +238,14 @@
 // readHead reads the header of the next final response.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	for {
+		buffered, _ := c.reader.Peek(c.reader.Buffered()) // never more than there is
+		if err := c.head.beginHead(buffered); err != nil {
+			return nil, err
+		}
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		c.head.endHead()
 		if err != nil {
-			return nil, classifyReadError(err)
+			return nil, c.head.parseError(err)
 		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
@@ -243,7 +260,7 @@
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &timeout) {
 		return fmt.Errorf("%w: %w", ErrBroken, err)
 	}
-	return fmt.Errorf("%w: %w", ErrInvalidResponse, err)
+	return fmt.Errorf("%w: %s", ErrInvalidResponse, excerpt(err))
 }
 
 // Framing returns how the end of the body is marked.
@@ -273,6 +290,7 @@
 
 // Finish returns the connection to the pool after the whole body was read.
 func (r *Response) Finish() {
+	r.conn.hold.release()
 	if !r.stop() {
 		r.conn.close()
 		return
--- a/internal/direct/upstream/pool.go
+++ b/internal/direct/upstream/pool.go
@@ -39,6 +39,8 @@
 // Pool keeps idle connections by endpoint. The zero value is ready to use; Run closes
 // expired connections. It is safe for concurrent use.
 type Pool struct {
+	Buffers Buffers // memory of responses
+
 	mu          sync.Mutex
 	idle        map[string][]*conn     // by endpoint ID, the last used one at the end
 	crashChecks map[string]*crashCheck // by endpoint ID
@@ -86,7 +88,7 @@
 	p.idle[id] = append(p.idle[id], c)
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+func (p *Pool) dial(ctx context.Context, endpoint, address string) (*conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
 	}}
@@ -94,7 +96,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
-	return newConn(n), nil
+	return newConn(n, bufferHold{buffers: &p.Buffers, endpoint: endpoint}), nil
 }
 
 // Run closes expired idle connections until ctx is done.
--- a/internal/direct/upstream/process.go
+++ b/internal/direct/upstream/process.go
@@ -32,7 +32,7 @@
 
 // Process asks an endpoint for its process, over a new connection that is kept for the next request.
 func (p *Pool) Process(ctx context.Context, endpoint, address string, q ProcessQuery) (string, error) {
-	c, err := p.dial(ctx, address)
+	c, err := p.dial(ctx, endpoint, address)
 	if err != nil {
 		return "", err
 	}
@@ -68,6 +68,7 @@
 	}
 	stop := context.AfterFunc(ctx, c.abort)
 	defer stop()
+	c.beginExchange(0)
 	w := c.send(&Request{Method: http.MethodGet, Target: q.Target, Host: address, Header: http.Header{}})
 	response, err := c.readHead(http.MethodGet)
 	if err != nil {
@@ -76,6 +77,9 @@
 	if response.StatusCode != http.StatusOK || response.Close || response.ContentLength < 0 || response.ContentLength > maxProcessBody {
 		return "", fmt.Errorf("%w: status %d", ErrOtherProcess, response.StatusCode)
 	}
+	if !c.hold.reserve(int(response.ContentLength)) {
+		return "", fmt.Errorf("%w: %w", ErrOtherProcess, errBuffersFull)
+	}
 	name, err := q.Parse(response.Body)
 	if err != nil {
 		return "", fmt.Errorf("%w: %w", ErrOtherProcess, err)
--- a/internal/direct/upstream/suspension_test.go
+++ b/internal/direct/upstream/suspension_test.go
@@ -23,7 +23,7 @@
 		t.Fatal(err)
 	}
 	var p Pool
-	c := newConn(n)
+	c := newConn(n, bufferHold{buffers: &Buffers{}})
 	c.setUsableUntil(steady.Now(), http.Header{})
 	p.putIdle("e", c)
 	if p.getIdle("e") != c {
--- a/internal/direct/upstream/upstream_test.go
+++ b/internal/direct/upstream/upstream_test.go
@@ -96,7 +96,7 @@
 	var p Pool
 	local, remote := net.Pipe()
 	defer func() { _ = remote.Close() }()
-	c := newConn(local)
+	c := newConn(local, bufferHold{buffers: &Buffers{}})
 	c.usableUntil = time.Now().Add(time.Second)
 	p.putIdle("e", c)
 	p.sweep(time.Now())
@@ -123,7 +123,7 @@
 			_, _ = remote.Write(data) // the reader may stop early
 			_ = remote.Close()
 		}()
-		a, err := newConn(local).receive(names, request(""))
+		a, err := newConn(local, bufferHold{buffers: &Buffers{}}).receive(names, request(""))
 		if err != nil {
 			return
 		}
--- a/internal/testing/standin/platformtest/behavior.go
+++ b/internal/testing/standin/platformtest/behavior.go
@@ -53,6 +53,9 @@
 	ExtraResponse struct{}
 	// Garbage sends bytes that are no response.
 	Garbage struct{}
+	// Flood sends Start, in which %s is the id of the request, and then Piece until the caller closes the
+	// connection.
+	Flood struct{ Start, Piece string }
 	// Unsealed responds without the runner's seal.
 	Unsealed struct{}
 	// Hang runs the request and never responds.
@@ -97,6 +100,7 @@
 func (WrongResponseFirst) behavior() {}
 func (ExtraResponse) behavior()      {}
 func (Garbage) behavior()            {}
+func (Flood) behavior()              {}
 func (Unsealed) behavior()           {}
 func (Hang) behavior()               {}
 func (Early) behavior()              {}
--- a/internal/testing/standin/platformtest/respond.go
+++ b/internal/testing/standin/platformtest/respond.go
@@ -96,6 +96,20 @@
 	_, _ = fmt.Fprintf(c, format, values...) // the caller may have disconnected
 }
 
+// floodWriteBytes is the size of one write of a flood.
+const floodWriteBytes = 64 << 10
+
+// flood sends start and then the piece until the connection is closed.
+func flood(c net.Conn, start, piece string) {
+	write(c, "%s", start)
+	data := []byte(strings.Repeat(piece, floodWriteBytes/len(piece)))
+	for {
+		if _, err := c.Write(data); err != nil {
+			return
+		}
+	}
+}
+
 // reset makes the close of a connection send a reset. It returns false, so that the connection is
 // closed.
 func reset(c net.Conn) bool {
--- a/internal/testing/standin/platformtest/runner.go
+++ b/internal/testing/standin/platformtest/runner.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -374,6 +375,9 @@
 	case Garbage:
 		write(c, "these bytes are no answer\r\n\r\n")
 		return false
+	case Flood:
+		flood(c, strings.ReplaceAll(a.Start, "%s", id), a.Piece)
+		return false
 	case Unsealed:
 		write(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 2\r\n\r\nok", RequestIDField, id)
 		return true
