--- a/internal/direct/gateway/events_test.go
+++ b/internal/direct/gateway/events_test.go
@@ -13,7 +13,7 @@
 // readAllEvents returns the events of a stream, and what its last bytes are.
 func readAllEvents(t *testing.T, r io.Reader) (events []string, rest string, tail completeness.Tail) {
 	t.Helper()
-	reader := newEventReader(r)
+	reader := newEventReader(r, &fixedMemory{left: 1 << 20})
 	for {
 		event, err := reader.next()
 		if err == nil {
@@ -62,7 +62,7 @@
 }
 
 func TestTooLongEventIsAnError(t *testing.T) {
-	_, err := newEventReader(strings.NewReader("data: " + strings.Repeat("x", maxEventBytes))).next()
+	_, err := newEventReader(strings.NewReader("data: "+strings.Repeat("x", maxEventBytes)), &fixedMemory{left: 8 << 20}).next()
 	if !errors.Is(err, errEventTooLong) {
 		t.Errorf("error %v", err)
 	}
@@ -87,3 +87,40 @@
 		}
 	})
 }
+
+// fixedMemory is a fixed amount of memory for events.
+type fixedMemory struct{ left, reserved int }
+
+func (m *fixedMemory) Reserve(bytes int) error {
+	if bytes > m.left {
+		return io.ErrShortBuffer
+	}
+	m.left -= bytes
+	m.reserved += bytes
+	return nil
+}
+
+func (m *fixedMemory) ReleaseBody() {
+	m.left += m.reserved
+	m.reserved = 0
+}
+
+// TestEventWithoutEndIsBoundedByMemory guards against many streams at once that fill the memory of an entry.
+func TestEventWithoutEndIsBoundedByMemory(t *testing.T) {
+	const available = 64 << 10
+	m := &fixedMemory{left: available}
+	whole := "data: " + strings.Repeat("x", available/4) + "\n\n"
+	source := strings.NewReader(strings.Repeat(whole, 3) + "data: " + strings.Repeat("x", 8*available))
+	reader := newEventReader(source, m)
+	for range 3 { // the memory of one event is used for the next one
+		if event, err := reader.next(); err != nil || string(event) != whole {
+			t.Fatalf("got an event of %d bytes, %v", len(event), err)
+		}
+	}
+	if _, err := reader.next(); !errors.Is(err, io.ErrShortBuffer) {
+		t.Errorf("got the error %v", err)
+	}
+	if read := 8*available - source.Len(); read > available {
+		t.Errorf("%d bytes of the last event were read, of %d available", read, available)
+	}
+}
--- a/internal/direct/gateway/stream.go
+++ b/internal/direct/gateway/stream.go
@@ -70,7 +70,7 @@
 // part of an event is not relayed.
 func (s *stream) relayEvents(a *attempt, response *upstream.Response) error {
 	control := http.NewResponseController(s.writer)
-	reader := newEventReader(response.Body)
+	reader := newEventReader(response.Body, response)
 	for {
 		event, err := reader.next()
 		if err != nil {
--- a/internal/direct/upstream/buffers.go
+++ b/internal/direct/upstream/buffers.go
@@ -1,5 +1,5 @@
-// Limits the memory that heads of responses take. Bodies that are buffered whole have a limit of their
-// own in package gateway.
+// Limits the memory that heads of responses and events of streams take. Bodies that are buffered whole
+// have a limit of their own in package gateway.
 //
 // Rule: all responses together may use a fraction of the process's memory, and those of one endpoint
 // a fraction of that, so that a faulty endpoint leaves memory to the others. What fits into the read
@@ -97,7 +97,10 @@
 	return true
 }
 
-func (h *bufferHold) release() {
-	h.buffers.release(h.endpoint, h.bytes)
-	h.bytes = 0
+func (h *bufferHold) release() { h.releaseDownTo(0) }
+
+// releaseDownTo frees what exceeds that many bytes.
+func (h *bufferHold) releaseDownTo(bytes int64) {
+	h.buffers.release(h.endpoint, h.bytes-bytes)
+	h.bytes = bytes
 }
--- a/internal/direct/upstream/exchange.go
+++ b/internal/direct/upstream/exchange.go
@@ -68,12 +68,13 @@
 	Length int64 // of the body, -1 if unknown
 	Body   io.Reader
 
-	response *http.Response
-	conn     *conn
-	pool     *Pool
-	request  *Request
-	stop     func() bool
-	write    *requestWrite // of the request
+	response  *http.Response
+	conn      *conn
+	headBytes int64 // that the heads have reserved
+	pool      *Pool
+	request   *Request
+	stop      func() bool
+	write     *requestWrite // of the request
 }
 
 // Do sends the request and returns the response once its header is read. The context bounds the
@@ -93,6 +94,7 @@
 		return nil, err
 	}
 	response.pool = p
+	response.headBytes = c.hold.bytes
 	response.stop = stop
 	response.write = w
 	return response, nil
@@ -288,6 +290,18 @@
 	})
 }
 
+// Reserve reserves memory for what is buffered of the body, in bytes. It returns an error if the
+// endpoint already uses all that it may. The memory is freed by ReleaseBody or the end of the exchange.
+func (r *Response) Reserve(bytes int) error {
+	if !r.conn.hold.reserve(bytes) {
+		return errBuffersFull
+	}
+	return nil
+}
+
+// ReleaseBody frees the memory that was reserved for the body.
+func (r *Response) ReleaseBody() { r.conn.hold.releaseDownTo(r.headBytes) }
+
 // Finish returns the connection to the pool after the whole body was read.
 func (r *Response) Finish() {
 	r.conn.hold.release()
--- a/internal/testing/soak/flood_test.go
+++ b/internal/testing/soak/flood_test.go
@@ -32,6 +32,9 @@
 	"interim responses": {Piece: "HTTP/1.1 103 Early Hints\r\n\r\n"},
 }
 
+// eventStart begins a stream with an event that does not end.
+const eventStart = "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 1\ndata: "
+
 // floodTest is an entry in a process of its own, with an endpoint that floods its callers and a sound one.
 type floodTest struct {
 	*testing.T
@@ -53,7 +56,7 @@
 	store.PutEndpoint(flooded, "ready")
 	toFlooded := func(path, kind string) map[string]any {
 		r := route(path, kind, false)
-		r["backend"], r["maxAttempts"] = floodedService, 1
+		r["backend"], r["maxAttempts"], r["timeoutMs"] = floodedService, 1, floodDuration.Milliseconds()
 		return r
 	}
 	store.Configure(map[string]any{
@@ -133,6 +136,27 @@
 	return most
 }
 
+// TestFloodOfEventsDoesNotEndEntry guards against events without end, each of which is allowed by itself.
+func TestFloodOfEventsDoesNotEndEntry(t *testing.T) {
+	f := newFloodTest(t)
+	limit := entryMemoryLimitMB
+	if entryprogram.Race {
+		limit *= raceMemoryFactor
+	}
+	const bytesAtOnce = 900 << 10 // below what an event may have
+	f.flooded.SetDefault(platformtest.Stall{Start: eventStart, Bytes: bytesAtOnce})
+	for _, callers := range []int{1, 10, 400} {
+		if most := f.run("/chat/flooded", callers); most > limit {
+			t.Errorf("%d streams: the entry takes %d MB, more than %d", callers, most, limit)
+		} else {
+			t.Logf("%d streams: the entry takes %d MB", callers, most)
+		}
+	}
+	if ended := f.entry.exitDescription(); ended != "" {
+		t.Errorf("the entry has %s", ended)
+	}
+}
+
 // TestFloodOfBytesDoesNotEndEntry guards against an endpoint whose bytes fill the memory of an entry.
 func TestFloodOfBytesDoesNotEndEntry(t *testing.T) {
 	f := newFloodTest(t)
--- a/internal/testing/standin/platformtest/behavior.go
+++ b/internal/testing/standin/platformtest/behavior.go
@@ -56,6 +56,12 @@
 	// Flood sends Start, in which %s is the id of the request, and then Piece until the caller closes the
 	// connection.
 	Flood struct{ Start, Piece string }
+	// Stall sends Start, in which %s is the id of the request, and then that many bytes, and waits until
+	// the caller closes the connection.
+	Stall struct {
+		Start string
+		Bytes int
+	}
 	// Unsealed responds without the runner's seal.
 	Unsealed struct{}
 	// Hang runs the request and never responds.
@@ -101,6 +107,7 @@
 func (ExtraResponse) behavior()      {}
 func (Garbage) behavior()            {}
 func (Flood) behavior()              {}
+func (Stall) behavior()              {}
 func (Unsealed) behavior()           {}
 func (Hang) behavior()               {}
 func (Early) behavior()              {}
--- a/internal/testing/standin/platformtest/runner.go
+++ b/internal/testing/standin/platformtest/runner.go
@@ -378,6 +378,10 @@
 	case Flood:
 		flood(c, strings.ReplaceAll(a.Start, "%s", id), a.Piece)
 		return false
+	case Stall:
+		write(c, "%s%s", strings.ReplaceAll(a.Start, "%s", id), strings.Repeat("x", a.Bytes))
+		r.awaitClose(reader, id)
+		return false
 	case Unsealed:
 		write(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 2\r\n\r\nok", RequestIDField, id)
 		return true
