--- a/internal/direct/upstream/exchange.go
+++ b/internal/direct/upstream/exchange.go
@@ -226,10 +226,10 @@
 				request:  r,
 			}, nil
 		}
-		if id == "" || response.ContentLength < 0 {
+		if id == "" || response.ContentLength < 0 || response.ContentLength > maxMismatchedBody {
 			return nil, fmt.Errorf("%w: it carries id %q", ErrInvalidResponse, id[:min(len(id), maxExcerptBytes)])
 		}
-		if _, err := io.CopyN(io.Discard, response.Body, min(response.ContentLength, maxMismatchedBody)); err != nil {
+		if _, err := io.CopyN(io.Discard, response.Body, response.ContentLength); err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 		}
 		c.mismatched = true
--- a/internal/direct/upstream/upstream_test.go
+++ b/internal/direct/upstream/upstream_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -55,6 +57,17 @@
 	}
 }
 
+// TestLargeSkippedResponseIsNotReadAsTheNext guards against bytes of a body that are taken for a response.
+func TestLargeSkippedResponseIsNotReadAsTheNext(t *testing.T) {
+	planted := "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 6\r\n\r\nplanted"
+	body := strings.Repeat("x", maxMismatchedBody) + planted
+	skipped := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	c := newConn(newEndlessConn(skipped, "x"), bufferHold{buffers: &Buffers{}})
+	if response, err := c.receive(names, request("")); !errors.Is(err, ErrInvalidResponse) {
+		t.Errorf("got the response %v, error %v", response, err)
+	}
+}
+
 func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
 	address := respondWith(t, []byte("HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok"))
 	var p Pool
