--- a/internal/direct/gateway/outcome.go
+++ b/internal/direct/gateway/outcome.go
@@ -18,6 +18,7 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -25,6 +26,7 @@
 	"foxcross.dev/coord/eligibility"
 	"foxcross.dev/coord/placement"
 	"foxcross.dev/coord/result"
+	"foxcross.dev/foxcross/internal/direct/upstream"
 )
 
 const (
@@ -86,11 +88,10 @@
 		return fail{newFailure(result.NoEndpoint, "no endpoint could be reached", s.mayHaveRun)}
 	case withdrawn, otherProcess:
 		return retry{s.mayHaveRun}
-	case noResponse, endpointCrashed:
-		if s.attemptsLeft && s.repeatable {
-			return retry{mayHaveRun: true}
-		}
-		return fail{newFailure(result.EndpointFailed, res.text(), true)}
+	case noResponse:
+		return decideBroken(s, callerReason(res.err))
+	case endpointCrashed:
+		return decideBroken(s, "the endpoint crashed: "+callerReason(res.err))
 	case notRun:
 		return decideNotRun(s, res)
 	case endpointError:
@@ -104,6 +105,22 @@
 	}
 }
 
+func decideBroken(s retryState, reason string) decision {
+	if s.attemptsLeft && s.repeatable {
+		return retry{mayHaveRun: true}
+	}
+	return fail{newFailure(result.EndpointFailed, reason, true)}
+}
+
+// callerReason returns the text of an error for the caller. An invalid response may hold bytes of a
+// response to another caller, which are only logged.
+func callerReason(err error) string {
+	if errors.Is(err, upstream.ErrInvalidResponse) {
+		return upstream.ErrInvalidResponse.Error()
+	}
+	return err.Error()
+}
+
 func decideNotRun(s retryState, res notRun) decision {
 	switch {
 	case s.attemptsLeft:
--- a/internal/direct/gateway/outcome_test.go
+++ b/internal/direct/gateway/outcome_test.go
@@ -166,3 +166,14 @@
 		t.Error("mayDeny does not change at maxConfirmationAge")
 	}
 }
+
+// TestFailureShowsNoBytesOfEndpoint guards against bytes of another caller's response in an error.
+func TestFailureShowsNoBytesOfEndpoint(t *testing.T) {
+	invalid := fmt.Errorf("%w: it carries id %q", upstream.ErrInvalidResponse, "of another caller")
+	for _, res := range []attemptResult{noResponse{invalid}, endpointCrashed{err: invalid}} {
+		failed, ok := decide(retryState{}, res).(fail)
+		if !ok || strings.Contains(failed.err.Reason, "of another caller") {
+			t.Errorf("the caller gets %+v", failed.err)
+		}
+	}
+}
