--- a/internal/direct/upstream/pool.go
+++ b/internal/direct/upstream/pool.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"foxcross.dev/foxcross/internal/steady"
@@ -31,6 +32,9 @@
 	// is cut off from the network fails after some four seconds.
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 3
+	// receiveBufferSize limits the bytes that wait unread on a connection. The kernel would
+	// enlarge the buffer up to several MB.
+	receiveBufferSize = 64 << 10
 )
 
 // ErrUnreachable means that no connection was established; nothing was sent.
@@ -89,7 +93,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, endpoint, address string) (*conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+	d := net.Dialer{Timeout: dialTimeout, ControlContext: limitReceiveBuffer, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
 	}}
 	n, err := d.DialContext(ctx, "tcp", address)
@@ -99,6 +103,14 @@
 	return newConn(n, bufferHold{buffers: &p.Buffers, endpoint: endpoint}), nil
 }
 
+// limitReceiveBuffer sets the size of a socket's receive buffer before it connects, so that the window
+// follows it.
+func limitReceiveBuffer(_ context.Context, _, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferSize) // without it the kernel chooses
+	})
+}
+
 // Run closes expired idle connections until ctx is done.
 func (p *Pool) Run(ctx context.Context) { workers.Every(ctx, sweepInterval, p.sweep) }
 
