--- a/internal/relay/endpoint/endpoint_test.go
+++ b/internal/relay/endpoint/endpoint_test.go
@@ -174,6 +174,25 @@
 		Expect(got.Header.Get("X-A")).To(Equal("1"))
 	})
 
+	// Guards against an endpoint whose header fills the memory of an agent, and whose bytes appear in errors.
+	It("fails a response with a header that is too large, and shows few bytes of one that is invalid", func() {
+		call := endpoint.Call{Start: message.Start{Method: http.MethodGet, Path: "/"}}
+		large := strings.Repeat("x", 1<<20)
+		end := driver("http", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("More", large)
+		})).Run(context.Background(), call, &sink{})
+		Expect(end.Code).NotTo(Equal(result.OK))
+		end = driver("http", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				_, _ = io.WriteString(c, large[:50<<10]+"\r\n")
+				_ = c.Close()
+			}
+		})).Run(context.Background(), call, &sink{})
+		Expect(end.Code).NotTo(Equal(result.OK))
+		Expect(len(end.Reason)).To(BeNumerically("<", 1000))
+	})
+
 	It("reports a response that ends with its connection as failed if the service has crashed", func() {
 		ends := make(chan net.Conn, 1)
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/relay/endpoint/http.go
+++ b/internal/relay/endpoint/http.go
@@ -25,6 +25,11 @@
 	readBufferBytes = 16 << 10
 	// maxIdle is the maximum number of idle connections to one endpoint.
 	maxIdle = 1024
+	// maxResponseHeader limits the header of a response, in bytes. It may repeat that of the request, of
+	// which an entry accepts 64 KiB.
+	maxResponseHeader = 128 << 10
+	// maxReasonBytes limits the text of a failed call, in which net/http repeats an invalid response.
+	maxReasonBytes = 200
 )
 
 func init() { Drivers.Register("http", newService) }
@@ -57,10 +62,11 @@
 func newClient(reuse bool) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxIdleConnsPerHost: maxIdle,
-			DisableKeepAlives:   !reuse,
-			DisableCompression:  true,
+			DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost:    maxIdle,
+			DisableKeepAlives:      !reuse,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxResponseHeader,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
@@ -127,9 +133,18 @@
 		return response, message.End{}
 	}
 	if connected.Load() {
-		return nil, failed(result.Unknown, err.Error())
+		return nil, failed(result.Unknown, reason(err))
 	}
-	return nil, failed(result.NotRun, err.Error())
+	return nil, failed(result.NotRun, reason(err))
+}
+
+// reason returns the text of an error, of limited length.
+func reason(err error) string {
+	text := err.Error()
+	if len(text) > maxReasonBytes {
+		return text[:maxReasonBytes] + "..."
+	}
+	return text
 }
 
 // copyBody passes a body on. The error is nil if it ended in order.
