--- a/coord/settings/route.go
+++ b/coord/settings/route.go
@@ -113,10 +113,6 @@
 	return ClassInfo{}, false
 }
 
-// HasTeams reports whether any team has a key. Without teams no route requires a
-// key.
-func (s Snapshot) HasTeams() bool { return len(s.teams) > 0 }
-
 // ServiceInfo holds the settings of the endpoints of a service.
 type ServiceInfo struct {
 	Name           string
--- a/coord/settings/snapshot.go
+++ b/coord/settings/snapshot.go
@@ -69,6 +69,8 @@
 	services  map[string]ServiceInfo // by name
 	least     map[int]int            // highest rank of any team, by the priority of the class
 	tree      Tree                   // from which the snapshot was compiled
+
+	keysRequired bool // by classes that are not public
 }
 
 // HashKey returns the hash by which the tree refers to a bearer key.
@@ -89,12 +91,6 @@
 // Classes returns the names of all classes in order.
 func (s Snapshot) Classes() []string { return s.names }
 
-// Team returns the team of a bearer key.
-func (s Snapshot) Team(key string) (TeamInfo, bool) {
-	t, ok := s.teams[HashKey(key)]
-	return t, ok
-}
-
 // Teams iterates over the teams, once for each key that a team has.
 func (s Snapshot) Teams() iter.Seq[TeamInfo] { return maps.Values(s.teams) }
 
@@ -166,6 +162,8 @@
 			limits:    limitsOf(t.Resolve("")),
 			services:  map[string]ServiceInfo{},
 			tree:      t,
+
+			keysRequired: t.requiresKeys(),
 		},
 	}
 	paths := t.Paths()
--- a/coord/settings/urgency.go
+++ b/coord/settings/urgency.go
@@ -69,7 +69,7 @@
 // LeastUrgency returns the highest rank that requests of a class have: those of any team, or those
 // without a team where the class needs none.
 func (s Snapshot) LeastUrgency(c ClassInfo) int {
-	if c.Route.Public || !s.HasTeams() {
+	if !s.RequiresKey(c) {
 		return s.Urgency(TeamInfo{}, c)
 	}
 	return s.least[c.Route.Priority]
--- a/internal/decisions_test.go
+++ b/internal/decisions_test.go
@@ -27,6 +27,7 @@
 // decisionFiles are the files with rules or their numbers, in the order of a request's
 // path.
 var decisionFiles = []string{
+	"coord/settings/keys.go",
 	"internal/direct/gateway/deny.go",
 	"internal/direct/gateway/capacity.go",
 	"internal/direct/gateway/bodies.go",
--- a/internal/direct/directory/settings.go
+++ b/internal/direct/directory/settings.go
@@ -154,7 +154,7 @@
 	d.settings.Store(&now)
 	d.mu.Unlock()
 	log.With("version", version).With("before", before.Version).With("from", source).
-		With("changed", len(changes)).With("nodes", tree.Len()).With("ms", steady.Since(began).Milliseconds()).
+		With("changed", len(changes)).With("nodes", tree.Len()).With("keys_required", snapshot.KeysRequired()).With("ms", steady.Since(began).Milliseconds()).
 		Info("Settings are active.")
 	return nil
 }
--- a/internal/direct/gateway/accept.go
+++ b/internal/direct/gateway/accept.go
@@ -118,7 +118,7 @@
 	q.class = class
 	q.spec.Priority = s.Urgency(settings.TeamInfo{}, class)
 	q.spec.Regions = q.spec.Regions.Intersect(class.Route.Regions)
-	if s.HasTeams() && !class.Route.Public {
+	if s.RequiresKey(class) {
 		team, ok := s.Team(r.Header.Get(g.fields.Key))
 		if !ok {
 			return g.deny(result.Errorf(result.UnknownTeam, "no such key"))
--- a/internal/direct/gateway/settings_test.go
+++ b/internal/direct/gateway/settings_test.go
@@ -33,6 +33,43 @@
 		Eventually(func() int { return h.get("/page/1").status }).Should(Equal(401))
 	})
 
+	// Guards against an entry that serves any caller once no team has a key.
+	It("deny all keys once the last one is taken away, until there is one again", func() {
+		h := newHarness(okResponse)
+		h.get("/page/1").expectWhole(200)
+		h.configure(routes())
+		Eventually(func() int { return h.get("/page/1").status }).Should(Equal(401))
+		unknown := h.request(http.MethodGet, "/page/1", "")
+		unknown.Header.Set(platformtest.KeyField, "no-such-key")
+		h.do(unknown).expectWhole(401)
+		without := h.request(http.MethodGet, "/page/1", "")
+		without.Header.Del(platformtest.KeyField)
+		h.do(without).expectWhole(401)
+		h.get("/open/1").expectWhole(200)
+		h.configure(routes(), teamKey)
+		Eventually(func() int { return h.get("/page/1").status }).Should(Equal(200))
+	})
+
+	// Guards against a caller that goes on with a stream after the last key was taken away.
+	It("let a stream end whose key was the last, and deny its resumption", func() {
+		hold := make(chan struct{})
+		h := newHarness(platformtest.Events{To: 5, Hold: hold})
+		done := make(chan reply, 1)
+		q := h.request(http.MethodPost, "/chat/1", "x")
+		go func() { done <- h.do(q) }()
+		Eventually(h.runs).Should(Equal(1))
+		h.configure(routes())
+		Eventually(h.settingsVersion).Should(BeEquivalentTo(2))
+		close(hold)
+		var a reply
+		Eventually(done).Should(Receive(&a))
+		a.expectWhole(200)
+		resumption := h.request(http.MethodPost, "/chat/1", "x")
+		resumption.Header.Set(platformtest.LastEventField, "2")
+		h.do(resumption).expectWhole(401)
+		Expect(h.runs()).To(Equal(1))
+	})
+
 	It("are applied without interrupting a stream", func() {
 		hold := make(chan struct{})
 		h := newHarness(platformtest.Events{To: 5, Hold: hold})
