--- a/coord/fanout/fanout.go
+++ b/coord/fanout/fanout.go
@@ -36,9 +36,10 @@
 }
 
 // Before reports whether r is ordered before other.
-func (r Rank) Before(other Rank) bool { return r.compare(other) < 0 }
+func (r Rank) Before(other Rank) bool { return r.Compare(other) < 0 }
 
-func (r Rank) compare(other Rank) int {
+// Compare returns a negative number if r is ordered before other, and a positive one if after it.
+func (r Rank) Compare(other Rank) int {
 	return cmp.Or(cmp.Compare(r.Cost, other.Cost), cmp.Compare(r.Hash, other.Hash))
 }
 
@@ -101,7 +102,7 @@
 // that would be relays if they responded. If all are silent, the first by rank are relays
 // nevertheless.
 func relaysOf(members []Member) (relays, skipped []Member) {
-	slices.SortFunc(members, func(a, b Member) int { return a.Rank.compare(b.Rank) })
+	slices.SortFunc(members, func(a, b Member) int { return a.Rank.Compare(b.Rank) })
 	for _, m := range members {
 		if len(relays) == maxRelays {
 			break
--- a/internal/decisions_test.go
+++ b/internal/decisions_test.go
@@ -114,6 +114,7 @@
 	"internal/direct/directory/retention.go",
 	"internal/direct/directory/changes.go",
 	"internal/direct/peers/member.go",
+	"internal/direct/peers/keepalive.go",
 	"internal/direct/peers/role.go",
 	"internal/direct/peers/catchup.go",
 	"internal/direct/peers/group.go",
--- a/internal/direct/peers/bundle.go
+++ b/internal/direct/peers/bundle.go
@@ -221,5 +221,6 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.staleUntil = now.Add(drainDelay)
+	g.resumedAt = now
 	g.relayQueue = relayQueue{}
 }
--- a/internal/direct/peers/golden_test.go
+++ b/internal/direct/peers/golden_test.go
@@ -69,6 +69,7 @@
 		{"begins a stream", packet{Owner: 7, Events: []Event{{Kind: AttemptSent, Number: 5, Endpoint: "i-1", Request: &placement.Request{Service: "app"}, Stream: 0xab}}}},
 		{"resumes a stream", packet{Owner: 7, Events: []Event{{Kind: AttemptSent, Number: 5, Endpoint: "i-1", Request: &placement.Request{Service: "app"}, Stream: 0xab, Resumes: true}}}},
 		{"heartbeat with the age of the list", packet{Owner: 7, Revision: 9, Heartbeat: &heartbeat{Name: "entry-1", ConfirmedAgeMS: -1, StoreResponseAgeMS: -1, EndpointsAgeMS: 13}}},
+		{"keepalive", packet{Owner: 7, Version: 3, Revision: 9, Keepalive: true}},
 		{"first heartbeat", packet{Owner: 7, Heartbeat: &heartbeat{Name: "entry-1", ConfirmedAgeMS: -1, StoreResponseAgeMS: -1}}},
 	} {
 		data, err := cbor.Marshal(s.packet)
--- a/internal/direct/peers/group.go
+++ b/internal/direct/peers/group.go
@@ -101,6 +101,8 @@
 	plan               plan
 	planStale          bool      // the members have changed since the plan was made
 	staleUntil         time.Time // datagrams received before this time waited in the socket while this process was stopped
+	resumedAt          time.Time // when this process last resumed after it was stopped
+	core               []*member // with which this process exchanges keepalives; empty outside of the core
 	seedsTriedAt       time.Time // when the seeds were last contacted
 	standbyNeededSince time.Time // since when this process has been needed as a standby, zero if it is not
 	fetching           [partCount]bool
@@ -183,7 +185,7 @@
 			checked = now
 			g.announceChanges(now)
 			g.retrySeeds(now)
-			if now.Sub(g.startedAt) < discoveryPeriod {
+			if now.Sub(g.startedAt) < discoveryPeriod || g.inCore() {
 				g.options.Directory.SetRole(g.currentRole(now))
 			}
 		case <-probes.C:
--- a/internal/direct/peers/heartbeat.go
+++ b/internal/direct/peers/heartbeat.go
@@ -23,6 +23,8 @@
 		version: p.Version, revision: p.Revision, storeLost: h.StoreCallFailed, fence: h.Fence, evacuated: joinNames(h.Evacuated),
 	}
 	to := g.heartbeatRecipients(now)
+	g.updateCore(now)
+	core := g.keepaliveRecipients(to)
 	var unreachable []*net.UDPAddr
 	if now.Sub(g.seedsTriedAt) > g.seedInterval(now) {
 		g.seedsTriedAt = now
@@ -30,7 +32,10 @@
 		unreachable = g.unreachableAddresses(now)
 	}
 	g.mu.Unlock()
+	p.Keepalive = true
 	g.send(p, to, heartbeatTraffic)
+	g.send(packet{Owner: p.Owner, Version: p.Version, Revision: p.Revision, Keepalive: true}, core, heartbeatTraffic)
+	p.Keepalive = false
 	h.Reply = true
 	g.send(p, unreachable, heartbeatTraffic)
 }
--- a/internal/direct/peers/member.go
+++ b/internal/direct/peers/member.go
@@ -61,6 +61,7 @@
 	unansweredSince    time.Time   // time of the first unanswered probe, zero for none
 	lastProbed         time.Time   // time of the last probe
 	lastDirect         time.Time   // time of the last packet from the peer itself
+	lastKeepalive      time.Time   // time of the last keepalive, zero if it has sent none
 }
 
 // incarnation returns the incarnation of the peer, including that of a lost peer.
--- a/internal/direct/peers/packet.go
+++ b/internal/direct/peers/packet.go
@@ -109,6 +109,8 @@
 	Probe    probe     `cbor:"9,keyasint,omitempty"`
 	Usage    *usage    `cbor:"10,keyasint,omitempty"` // of the sender, sent to peers that may hold the duties
 	Presence *presence `cbor:"11,keyasint,omitempty"` // sent to peers that support it
+
+	Keepalive bool `cbor:"12,keyasint,omitempty"` // the sender sends one every heartbeatInterval; peers of older versions ignore it
 }
 
 // hop is the step of the route that a packet travels; its content is forwarded over the
--- a/internal/direct/peers/receive.go
+++ b/internal/direct/peers/receive.go
@@ -41,6 +41,9 @@
 		return
 	}
 	m.lastDirect = now
+	if p.Keepalive {
+		m.lastKeepalive = now
+	}
 	g.updateVersions(m, p, local, now)
 	if p.Heartbeat != nil {
 		g.applyHeartbeat(m, p.Heartbeat, now)
--- a/internal/direct/peers/role.go
+++ b/internal/direct/peers/role.go
@@ -4,7 +4,7 @@
 // others receive updates from them. The rank orders peers by the time that their link and
 // processor take to read large settings, then by a hash of the name. A peer of lower rank
 // becomes a standby and also reads while too few of the peers before it get responses from the
-// store or have yet to try. Peers behind the first immediateStandbys do so one after the other.
+// store or have yet to try; those whose keepalives have stopped (keepalive.go) do neither. Peers behind the first immediateStandbys do so one after the other.
 // A standby remains one for standbyDuration after it was last needed.
 // A starting process receives updates from others: it does not read the store for startWait,
 // unless it is a seed, which all others contact. It then reads once if it still has no settings
@@ -110,7 +110,7 @@
 			continue
 		}
 		before++
-		if m.storeReadFails(now) {
+		if m.storeReadFails(now) || m.silent(now, g.resumedAt) {
 			failing++
 		}
 	}
