--- a/internal/direct/upstream/exchange.go
+++ b/internal/direct/upstream/exchange.go
@@ -215,7 +215,7 @@
 			return nil, err
 		}
 		id := response.Header.Get(names.RequestID)
-		if id == r.ID || (id == "" && response.Header.Get(names.NotRun) != "") || response.StatusCode == http.StatusMisdirectedRequest {
+		if id == r.ID || (id == "" && refuses(names, response)) {
 			return &Response{
 				Status:   response.StatusCode,
 				Header:   response.Header,
@@ -237,6 +237,12 @@
 	return nil, fmt.Errorf("%w: too many answers of other requests", ErrInvalidResponse)
 }
 
+// refuses reports whether a response says that its request was not run. Endpoints leave the ID out of
+// such responses: a full one, and one that is not the endpoint that the request names.
+func refuses(names HeaderNames, response *http.Response) bool {
+	return response.Header.Get(names.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest
+}
+
 // readHead reads the header of the next final response.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	for {
--- a/internal/direct/upstream/upstream_test.go
+++ b/internal/direct/upstream/upstream_test.go
@@ -68,6 +68,39 @@
 	}
 }
 
+// TestRefusalOfAnotherRequestIsSkipped guards against a request that runs twice after a surplus response.
+func TestRefusalOfAnotherRequestIsSkipped(t *testing.T) {
+	const own = "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok"
+	for _, status := range []string{"421 Misdirected Request", "503 Service Unavailable", "429 Too Many Requests", "200 OK"} {
+		for _, more := range []string{"", "X-Not-Run: 1\r\n"} {
+			surplus := "HTTP/1.1 " + status + "\r\nX-Id: before\r\n" + more + "Content-Length: 0\r\n\r\n"
+			response, err := newConn(newEndlessConn(surplus+own, "x"), bufferHold{buffers: &Buffers{}}).receive(names, request(""))
+			if err != nil || response.Status != http.StatusOK || response.Header.Get("X-Id") != "a" {
+				t.Errorf("%s %q: got %v, %v", status, more, response, err)
+			}
+		}
+	}
+}
+
+// TestRefusalWithoutIDIsAccepted guards against waiting for another response to a request that was not run.
+func TestRefusalWithoutIDIsAccepted(t *testing.T) {
+	for refusal, want := range map[string]int{
+		"421 Misdirected Request\r\n":             http.StatusMisdirectedRequest,
+		"503 Service Unavailable\r\nX-Not-Run: 1": http.StatusServiceUnavailable,
+		"503 Service Unavailable\r\n":             0,
+	} {
+		data := "HTTP/1.1 " + strings.TrimSuffix(refusal, "\r\n") + "\r\nContent-Length: 0\r\n\r\n"
+		response, err := newConn(newEndlessConn(data, "x"), bufferHold{buffers: &Buffers{}}).receive(names, request(""))
+		got := 0
+		if err == nil {
+			got = response.Status
+		}
+		if got != want {
+			t.Errorf("%q: got status %d, %v", refusal, got, err)
+		}
+	}
+}
+
 func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
 	address := respondWith(t, []byte("HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok"))
 	var p Pool
@@ -128,6 +161,7 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Id: b\r\nContent-Length: 2\r\n\r\nnoHTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"))
+	f.Add([]byte("HTTP/1.1 421 No\r\nX-Id: b\r\nContent-Length: 0\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		local, remote := net.Pipe()
@@ -141,7 +175,8 @@
 			return
 		}
 		id := a.Header.Get("X-Id")
-		if id != "a" && a.Header.Get("X-Not-Run") == "" && a.Status != http.StatusMisdirectedRequest {
+		refused := a.Header.Get("X-Not-Run") != "" || a.Status == http.StatusMisdirectedRequest
+		if id != "a" && (id != "" || !refused) {
 			t.Fatalf("accepted a response with ID %q", id)
 		}
 		body, err := io.ReadAll(a.Body)
