--- a/internal/direct/upstream/conn.go
+++ b/internal/direct/upstream/conn.go
@@ -18,12 +18,15 @@
 // conn is a connection to an endpoint. It carries one request at a time.
 type conn struct {
 	net.Conn
-	hold        bufferHold // of the present exchange
-	head        headReader
-	reader      *bufio.Reader // of head
-	mismatched  bool          // a response to another request was read from it
-	usableUntil time.Time     // when idle
-	process     string        // at the other end, empty if it was not asked for
+	hold       bufferHold // of the present exchange
+	head       headReader
+	reader     *bufio.Reader // of head
+	mismatched bool          // a response to another request was read from it
+	// unidentified is set after a response without an ID. A second copy of it that arrives late could
+	// not be told from the response to the next request.
+	unidentified bool
+	usableUntil  time.Time // when idle
+	process      string    // at the other end, empty if it was not asked for
 }
 
 func newConn(n net.Conn, hold bufferHold) *conn {
--- a/internal/direct/upstream/exchange.go
+++ b/internal/direct/upstream/exchange.go
@@ -216,6 +216,7 @@
 		}
 		id := response.Header.Get(names.RequestID)
 		if id == r.ID || (id == "" && refuses(names, response)) {
+			c.unidentified = id == ""
 			return &Response{
 				Status:   response.StatusCode,
 				Header:   response.Header,
@@ -315,7 +316,7 @@
 		r.conn.close()
 		return
 	}
-	reusable := r.framed() && !r.response.Close && !r.conn.mismatched &&
+	reusable := r.framed() && !r.response.Close && !r.conn.mismatched && !r.conn.unidentified &&
 		r.write.succeeded() && r.conn.reader.Buffered() == 0
 	if !reusable {
 		r.conn.close()
--- a/internal/direct/upstream/upstream_test.go
+++ b/internal/direct/upstream/upstream_test.go
@@ -82,6 +82,23 @@
 	}
 }
 
+// TestConnectionOfRefusalWithoutIDIsNotReused guards against a late copy of a refusal that is taken for the
+// response to the next request.
+func TestConnectionOfRefusalWithoutIDIsNotReused(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	var p Pool
+	for range 2 {
+		response, err := p.Do(t.Context(), names, request(respondWith(t, []byte(refusal))))
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Drain()
+	}
+	if c := p.popIdle("e"); c != nil {
+		t.Error("the connection is kept for the next request")
+	}
+}
+
 // TestRefusalWithoutIDIsAccepted guards against waiting for another response to a request that was not run.
 func TestRefusalWithoutIDIsAccepted(t *testing.T) {
 	for refusal, want := range map[string]int{
