--- a/internal/decisions_test.go
+++ b/internal/decisions_test.go
@@ -97,6 +97,7 @@
 	"coord/quarantine/table.go",
 	"internal/direct/gateway/content.go",
 	"internal/direct/gateway/held.go",
+	"internal/direct/gateway/claim.go",
 	"internal/direct/gateway/trial.go",
 	"internal/direct/upstream/crashed.go",
 	"coord/budget/budget.go",
--- a/internal/direct/gateway/gateway.go
+++ b/internal/direct/gateway/gateway.go
@@ -25,6 +25,8 @@
 //	content.go    refuses requests whose content has crashed endpoints
 //	suspects.go   state of such contents
 //	held.go       their records in the store
+//	trial.go      runs trials of held contents
+//	claim.go      frees claims of trials that the store did not confirm
 //	response.go   relays a response
 //	stream.go     relays a stream, and resumes it after a break
 //	resumption.go finds where the streams go on that callers resume
--- a/internal/direct/gateway/held.go
+++ b/internal/direct/gateway/held.go
@@ -37,7 +37,7 @@
 	// abandonedTrialHold is how long a content is held after a trial that reached no endpoint.
 	// Endpoints that crashed are back after seconds.
 	abandonedTrialHold = 2 * time.Second
-	// trialTimeout limits the store calls before a trial, and how long an entry without live peers
+	// trialTimeout limits the call after a failed trial, and how long an entry without live peers
 	// waits for the records. The store responds within some ms.
 	trialTimeout = 300 * time.Millisecond
 	// maxStoreTries limits the tries to write, read or delete a record, and storeRetryInterval is
@@ -59,6 +59,9 @@
 	Crashes int   `cbor:"1,keyasint"` // of endpoints while running the content
 	UntilMS int64 `cbor:"2,keyasint"` // true time of the next trial, in ms since 1970
 	Trials  int   `cbor:"3,keyasint"` // number of trials so far
+	// Owner is the incarnation that claimed the trial, 0 for a record that claims none or is of an
+	// older version.
+	Owner uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 func (r holdRecord) until() time.Time { return time.UnixMilli(r.UntilMS) }
--- a/internal/direct/gateway/trial.go
+++ b/internal/direct/gateway/trial.go
@@ -22,9 +22,6 @@
 	"foxcross.dev/coord/quarantine"
 	"foxcross.dev/foxcross/internal/direct/driver"
 	"foxcross.dev/foxcross/internal/steady"
-	"foxcross.dev/foxcross/internal/storeerr"
-
-	"github.com/fxamacker/cbor/v2"
 )
 
 // trial is the trial of held contents or parts that a request runs. The zero value is no trial.
@@ -73,7 +70,7 @@
 	if k.IsPart() {
 		t.suspects = f.suspectParts()
 	}
-	if !f.gateway.beginTrial(f.ctx, t) {
+	if !f.gateway.beginTrial(f.ctx, t, f.request.timeLeft()) {
 		return false
 	}
 	f.trial = t
@@ -97,9 +94,9 @@
 	return s.table.CombinationHold(steady.Now(), suspect)
 }
 
-// beginTrial reports whether a request may run a trial. Until that is known, and for trialInterval if it
+// beginTrial reports whether a request with that much time left may run a trial. Until that is known, and for trialInterval if it
 // can't be determined, other requests here treat the content as held.
-func (g *Gateway) beginTrial(ctx context.Context, tr trial) bool {
+func (g *Gateway) beginTrial(ctx context.Context, tr trial, left time.Duration) bool {
 	var v quarantine.Verdict
 	var held time.Duration
 	g.suspects.update(func(t *quarantine.Table) {
@@ -115,15 +112,19 @@
 	}
 	c := trialClaim{trials: tr.count(v.Trials), hold: quarantine.TrialInterval, granted: true}
 	if g.options.Records != nil {
-		ctx, cancel := context.WithTimeout(ctx, trialTimeout)
+		ctx, cancel := context.WithTimeout(ctx, claimTime(left))
 		defer cancel()
 		claimed, err := g.claimTrial(ctx, tr, v)
 		switch {
 		case err == nil:
 			c = claimed
+		case errors.Is(err, errUnconfirmedClaim) && !v.Ambiguous && !v.Correlated:
+			go g.freeClaim(tr.key, v)
+			logUnconfirmed(tr.key, err)
+			return false
 		case v.Ambiguous && g.ranksFirstFor(tr.key):
 		case !v.Correlated:
-			log.With("content", tr.key.String()).With("reason", err.Error()).WarnLimited("trial", "The store did not confirm the trial of a content; it stays held.")
+			logUnconfirmed(tr.key, err)
 			return false
 		}
 	}
@@ -135,32 +136,39 @@
 	return c.granted
 }
 
+// errUnconfirmedClaim means that the write of a claim may have taken effect, or may do so later.
+var errUnconfirmedClaim = errors.New("gateway: the store did not respond to the claim")
+
+func logUnconfirmed(k quarantine.Key, err error) {
+	log.With("content", k.String()).With("reason", err.Error()).WarnLimited("trial", "The store did not confirm the trial of a content; it stays held.")
+}
+
 // claimTrial writes to the store that a content is being tried, unless another entry did after the
 // hold ended.
 func (g *Gateway) claimTrial(ctx context.Context, tr trial, v quarantine.Verdict) (trialClaim, error) {
 	trueNow := g.dispatcher.trueTime(steady.Now())
-	found, err := g.options.Records.Read(ctx, holdKey(tr.key))
-	if err != nil && !errors.Is(err, storeerr.ErrNotFound) {
+	r, revision, err := g.readHold(ctx, tr.key)
+	if err != nil {
 		return trialClaim{}, err
 	}
 	c := trialClaim{trials: tr.count(v.Trials), hold: quarantine.TrialInterval, granted: true}
-	if err == nil {
-		var r holdRecord
-		if err := cbor.Unmarshal(found.Value, &r); err != nil {
-			return trialClaim{}, fmt.Errorf("gateway: decode the record of a held content: %w", err)
-		}
+	if revision > 0 {
 		if left := r.until().Sub(trueNow); left > 0 {
 			return trialClaim{trials: r.Trials, hold: left}, nil
 		}
 		c.trials = tr.count(r.Trials)
 	}
-	next := holdRecord{Crashes: v.Crashes, Trials: c.trials, UntilMS: trueNow.Add(c.hold).UnixMilli()}
-	err = g.putHold(ctx, tr.key, next, driver.Condition{Key: holdKey(tr.key), Revision: found.Revision})
-	if errors.Is(err, driver.ErrConflict) {
+	next := holdRecord{Crashes: v.Crashes, Trials: c.trials, UntilMS: trueNow.Add(c.hold).UnixMilli(), Owner: g.options.Owner}
+	err = g.putHold(ctx, tr.key, next, driver.Condition{Key: holdKey(tr.key), Revision: revision})
+	switch {
+	case errors.Is(err, driver.ErrConflict):
 		c.granted = false // another entry was first
 		return c, nil
+	case err != nil:
+		return trialClaim{}, fmt.Errorf("%w: %w", errUnconfirmedClaim, err)
+	default:
+		return c, nil
 	}
-	return c, err
 }
 
 // trialFailed records that an endpoint crashed during a trial. That makes one crash more than were
