--- a/internal/direct/upstream/crashed.go
+++ b/internal/direct/upstream/crashed.go
@@ -1,9 +1,10 @@
 // Distinguishes a crashed endpoint from a single broken connection to it.
 //
-// Rule: after a connection with a request in flight breaks, one new connection is dialed. If it
+// Rule: after a connection with a request in flight breaks, a new connection is dialed. If it
 // is refused, no process listens at the address: the endpoint has crashed. If it is accepted, the
-// endpoint is running, and the connection is kept for the next request. Any other result, above
-// all a timeout, is inconclusive and doesn't count as a crash.
+// endpoint is running, and the connection is kept for the next request. After a timeout, which this
+// process may have caused itself by standing still, it is dialed once more. Any other result, and a
+// second timeout, is inconclusive and doesn't count as a crash.
 //
 // The check is also evidence for a response that ends with its connection (coord/completeness), since
 // a crashing process closes its connections like one that has finished. The last such response of an
@@ -28,9 +29,11 @@
 )
 
 const (
-	// crashCheckTimeout bounds the check, during which the request waits. A refusal takes one
-	// round trip, 2 ms between data centres.
+	// crashCheckTimeout bounds one dial of the check, during which the request waits. A refusal takes
+	// one round trip, 2 ms between data centres.
 	crashCheckTimeout = 100 * time.Millisecond
+	// crashCheckDials is how often a connection is dialed at most.
+	crashCheckDials = 2
 	// crashCheckValidity is how long the result applies to other broken connections of the same
 	// endpoint, from the start of the check. All connections to a crashing endpoint break within
 	// 3 ms.
@@ -90,14 +93,27 @@
 // refusesConnection reports whether the endpoint refuses a new connection. An accepted connection
 // becomes idle.
 func (p *Pool) refusesConnection(endpoint, address string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
-	defer cancel()
-	c, err := p.dial(ctx, endpoint, address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	return refused(func(ctx context.Context) error {
+		c, err := p.dial(ctx, endpoint, address)
+		if err == nil {
+			c.setUsableUntil(steady.Now(), http.Header{})
+			p.putIdle(endpoint, c)
+		}
+		return err
+	})
+}
+
+// refused reports whether a dial is refused. It dials again after a timeout.
+func refused(dial func(context.Context) error) bool {
+	for range crashCheckDials {
+		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+		err := dial(ctx)
+		cancel()
+		var timeout interface{ Timeout() bool }
+		if !errors.As(err, &timeout) || !timeout.Timeout() {
+			return errors.Is(err, syscall.ECONNREFUSED)
+		}
 	}
-	c.setUsableUntil(steady.Now(), http.Header{})
-	p.putIdle(endpoint, c)
 	return false
 }
 
