--- a/internal/direct/upstream/process.go
+++ b/internal/direct/upstream/process.go
@@ -68,6 +68,7 @@
 	}
 	stop := context.AfterFunc(ctx, c.abort)
 	defer stop()
+	defer c.hold.release()
 	c.beginExchange(0)
 	w := c.send(&Request{Method: http.MethodGet, Target: q.Target, Host: address, Header: http.Header{}})
 	response, err := c.readHead(http.MethodGet)
--- a/internal/direct/upstream/process_test.go
+++ b/internal/direct/upstream/process_test.go
@@ -21,6 +21,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if held := p.Buffers.Reserved(); held > 0 {
+		t.Errorf("%d bytes stay reserved after the response", held)
+	}
 	send := func() error {
 		response, err := p.Do(t.Context(), HeaderNames{RequestID: platformtest.RequestIDField}, &Request{
 			Endpoint: "i-1@1", Address: first.Address(), Method: http.MethodGet, Target: "/chat/1", Host: "h", ID: "1",
