--- a/internal/testing/soak/faults.go
+++ b/internal/testing/soak/faults.go
@@ -52,7 +52,6 @@
 	{"an engine has a slow spell", []Promise{OwnCompleteAnswer, InOrder, NoTeamStarves}, true, slowDown},
 	{"an engine crashes in a copied stream", []Promise{ContinuedAfterCrash, InOrder, AtMostOnce, NotRun}, false, crashInStream},
 	{"engines are released", []Promise{OneVersion, StreamsGoOn, OwnCompleteAnswer, InOrder}, true, release},
-	{"answers do not end", []Promise{OwnCompleteAnswer, AtMostOnce, NotRun, Recovers}, false, floodAnswers},
 }
 
 // Durations and sizes of faults.
@@ -257,32 +256,6 @@
 	return platformtest.ByPath{Prefix: []string{"/chat/", "/plan/"}, Then: then, Else: platformtest.Unframed{Body: "cut", Broken: true}}
 }
 
-// endlessBehaviors are responses whose head or event does not end.
-var endlessBehaviors = []platformtest.Behavior{
-	platformtest.Flood{Piece: "x"},
-	platformtest.Flood{Piece: "HTTP/1.1 103 Early Hints\r\n\r\n"},
-	platformtest.Flood{Start: "HTTP/1.1 200 OK\r\n" + platformtest.RequestIDField + ": %s\r\n", Piece: "A:\r\n"},
-	platformtest.Flood{
-		Start: "HTTP/1.1 200 OK\r\n" + platformtest.RequestIDField + ": %s\r\n" + platformtest.SealField +
-			": seal-%s\r\nConnection: close\r\n\r\nid: 1\ndata: ",
-		Piece: "x",
-	},
-}
-
-// floodAnswers makes the next responses of an endpoint endless.
-func floodAnswers(d *deployment, amount float64) {
-	e := d.pickEndpoint(1)
-	if e == nil {
-		return
-	}
-	for range 1 + int(extraFaultyResponses*amount) {
-		d.mu.Lock()
-		a := endlessBehaviors[d.random.IntN(len(endlessBehaviors))]
-		d.mu.Unlock()
-		e.runner.Enqueue(a)
-	}
-}
-
 // injectFaultyBehaviors makes the next requests of an endpoint fail.
 func injectFaultyBehaviors(d *deployment, amount float64) {
 	e := d.pickEndpoint(1)
