--- a/internal/direct/gateway/claim_test.go
+++ b/internal/direct/gateway/claim_test.go
@@ -99,8 +99,7 @@
 	t.Fatal("the content stays held")
 }
 
-// TestUnconfirmedClaimIsFreed guards against a content that stays held at all entries for a trial that nobody
-// runs.
+// TestUnconfirmedClaimIsFreed guards against a content that is held for a trial that nobody runs.
 func TestUnconfirmedClaimIsFreed(t *testing.T) {
 	for name, late := range map[string]bool{"took effect": false, "takes effect later": true} {
 		t.Run(name, func(t *testing.T) {
@@ -124,8 +123,7 @@
 	}
 }
 
-// TestClaimTimeFollowsRequest guards against a trial that is given up early while its caller has time, or that
-// outlasts its caller.
+// TestClaimTimeFollowsRequest guards against a claim that is given up early, or that outlasts its caller.
 func TestClaimTimeFollowsRequest(t *testing.T) {
 	for left, want := range map[time.Duration]time.Duration{
 		time.Second: minClaimTime, 4 * time.Second: 500 * time.Millisecond, 15 * time.Second: maxClaimTime,
--- a/internal/direct/gateway/trial.go
+++ b/internal/direct/gateway/trial.go
@@ -94,8 +94,8 @@
 	return s.table.CombinationHold(steady.Now(), suspect)
 }
 
-// beginTrial reports whether a request with that much time left may run a trial. Until that is known, and for trialInterval if it
-// can't be determined, other requests here treat the content as held.
+// beginTrial reports whether a request with that much time left may run a trial. Until that is known,
+// and for trialInterval if it can't be determined, other requests here treat the content as held.
 func (g *Gateway) beginTrial(ctx context.Context, tr trial, left time.Duration) bool {
 	var v quarantine.Verdict
 	var held time.Duration
--- a/internal/direct/peers/keepalive_test.go
+++ b/internal/direct/peers/keepalive_test.go
@@ -100,8 +100,7 @@
 	return x.now.Sub(began)
 }
 
-// TestLostReadersAreReplacedInTime guards against settings that stay in force too long after the loss of
-// all readers, whichever peers are lost with them and whenever.
+// TestLostReadersAreReplacedInTime guards against old settings in force too long after the loss of all readers.
 func TestLostReadersAreReplacedInTime(t *testing.T) {
 	if total := detectionTime + readingTime + spreadingHops*hopTime; total > promisedTime {
 		t.Errorf("detection %v, reading %v and %d hops of %v take %v, more than %v", detectionTime, readingTime, spreadingHops, hopTime, total, promisedTime)
@@ -120,8 +119,7 @@
 	}
 }
 
-// TestPausedPeerDoesNotReplaceReaders guards against a peer that takes all others for silent after its own
-// pause.
+// TestPausedPeerDoesNotReplaceReaders guards against a peer that takes others for silent after its own pause.
 func TestPausedPeerDoesNotReplaceReaders(t *testing.T) {
 	x := newCoreModel(5, rand.New(rand.NewPCG(1, 1)))
 	for range 4 * heartbeatInterval / announceInterval {
--- a/internal/direct/upstream/conn.go
+++ b/internal/direct/upstream/conn.go
@@ -22,8 +22,8 @@
 	head       headReader
 	reader     *bufio.Reader // of head
 	mismatched bool          // a response to another request was read from it
-	// unidentified is set after a response without an ID. A second copy of it that arrives late could
-	// not be told from the response to the next request.
+	// unidentified is set after a response without an ID. A second copy of it that arrives late can't
+	// be distinguished from the response to the next request.
 	unidentified bool
 	usableUntil  time.Time // when idle
 	process      string    // at the other end, empty if it was not asked for
--- a/internal/direct/upstream/crashdials_test.go
+++ b/internal/direct/upstream/crashdials_test.go
@@ -8,8 +8,7 @@
 	"testing"
 )
 
-// TestCrashIsSeenAfterOwnPause guards against a crash that counts nothing since this process stood still for
-// the time of the check.
+// TestCrashIsSeenAfterOwnPause guards against a crash that counts nothing as this process stood still.
 func TestCrashIsSeenAfterOwnPause(t *testing.T) {
 	connectionRefused := &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 	timedOut := &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
--- a/internal/direct/upstream/head_test.go
+++ b/internal/direct/upstream/head_test.go
@@ -77,8 +77,7 @@
 	}
 }
 
-// TestLargeHeadsAtOnceAreBounded guards against an entry that runs out of memory by many responses, each of
-// which is allowed by itself.
+// TestLargeHeadsAtOnceAreBounded guards against many responses that are allowed each, but not together.
 func TestLargeHeadsAtOnceAreBounded(t *testing.T) {
 	const connections, memoryLimit = 2000, 144 << 20
 	b := &Buffers{}
@@ -138,8 +137,7 @@
 	}
 }
 
-// FuzzHead compares heads that are limited with net/http's own reading of them, for any pieces in which
-// they arrive.
+// FuzzHead compares limited heads with net/http's own reading of them, in any pieces.
 func FuzzHead(f *testing.F) {
 	for _, head := range []string{
 		"HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok",
--- a/internal/direct/upstream/socket_test.go
+++ b/internal/direct/upstream/socket_test.go
@@ -11,8 +11,7 @@
 	"unsafe"
 )
 
-// TestUnreadBytesOfConnectionAreBounded guards against bytes behind a response that fill the memory of an
-// entry while nobody reads them.
+// TestUnreadBytesOfConnectionAreBounded guards against unread bytes that fill the memory of an entry.
 func TestUnreadBytesOfConnectionAreBounded(t *testing.T) {
 	const (
 		bodyBytes    = 64 << 20 // lets the kernel enlarge the buffers
--- a/internal/direct/upstream/upstream_test.go
+++ b/internal/direct/upstream/upstream_test.go
@@ -82,8 +82,7 @@
 	}
 }
 
-// TestConnectionOfRefusalWithoutIDIsNotReused guards against a late copy of a refusal that is taken for the
-// response to the next request.
+// TestConnectionOfRefusalWithoutIDIsNotReused guards against a late copy that answers the next request.
 func TestConnectionOfRefusalWithoutIDIsNotReused(t *testing.T) {
 	const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 	var p Pool
