Log pauses of the process and what is known of resumed streams

A refused resumption could not be traced to its cause: the log did not say that the process had stood still, how many peers had answered its question, nor that the stream had begun at an endpoint which the entry's list never held.

--- a/coord/resumption/versions.go
+++ b/coord/resumption/versions.go
@@ -148,6 +148,9 @@
 	}
 }
 
+// Listed reports whether an incarnation of an endpoint is on the list, or has been lately.
+func (v *Versions) Listed(incarnation string) bool { return v.endpoints[incarnation] != nil }
+
 // Observed reports whether the endpoints have been observed for a time.
 func (v *Versions) Observed(now time.Time, within time.Duration) bool {
 	return v.since.IsZero() || now.Sub(v.since) >= within
--- a/internal/direct/gateway/resumption.go
+++ b/internal/direct/gateway/resumption.go
@@ -57,6 +57,9 @@
 	age      time.Duration // since it began, 0 for unknown
 	recorded bool          // its origin is known, and not only its version
 
+	unlisted    bool // it began at an endpoint that has never been on the list here
+	peerAnswers int  // of the peers that were asked last
+
 	input  resumption.Input // of the last decision, for the log
 	listed time.Time        // when the list of endpoints behind it was the newest, zero for never
 }
@@ -149,7 +152,9 @@
 		i.Version, i.Only = d.versions.Only(now, i.Services[0], life)
 	}
 	s.source, s.listed = originUnknown, listed
-	if o, age, known := d.origin(now, q.stream); known {
+	o, age, known := d.origin(now, q.stream)
+	s.unlisted = o.Endpoint != "" && !d.versions.Listed(o.Endpoint)
+	if known {
 		i.Origin, i.Known = o, true
 		s.source, s.origin, s.age = originFromEvents, o, age
 	}
@@ -157,7 +162,7 @@
 }
 
 // origin returns the origin of a stream, and the time since it began. It returns false if this entry
-// does not know it. dispatcher.mu is held.
+// does not know it, or knows the endpoint but not its version. dispatcher.mu is held.
 func (d *dispatcher) origin(now time.Time, stream resumption.Key) (resumption.Origin, time.Duration, bool) {
 	endpoint, begunAt, known := d.origins.Endpoint(stream)
 	if !known {
@@ -185,10 +190,12 @@
 		return
 	}
 	s := f.request.resumed
-	o, known := group.FindOrigin(f.ctx, uint64(f.request.stream))
-	if !known {
+	answers := group.FindOrigin(f.ctx, uint64(f.request.stream))
+	s.peerAnswers = answers.Count
+	if !answers.Known {
 		return
 	}
+	o := answers.Origin
 	i.Known = true
 	i.Origin = resumption.Origin{Endpoint: o.Endpoint, Software: resumption.Software{Service: o.Service, Version: o.Version}}
 	s.source, s.origin, s.age = originFromPeer, i.Origin, time.Duration(o.AgeMS)*time.Millisecond
@@ -315,6 +322,7 @@
 		Request: s.request, After: s.after, Source: s.source,
 		Endpoint: s.origin.Endpoint, Version: s.origin.Version, AgeMS: s.age.Milliseconds(),
 		ListAgeMS: listAgeMS, OnlyVersion: s.input.Version, Observed: s.input.Observed, PeersAsked: s.input.PeersAsked,
+		PeerAnswers: s.peerAnswers, Unlisted: s.unlisted,
 	}
 }
 
--- a/internal/direct/peers/bundle.go
+++ b/internal/direct/peers/bundle.go
@@ -211,16 +211,18 @@
 	}
 }
 
-// handlePause handles a pause of this process. If the time since the previous check is at least
-// pauseThreshold, it discards the relay queue and makes datagrams received within drainDelay
-// stale.
-func (g *Group) handlePause(since time.Duration, now time.Time) {
+// handlePause handles a pause of this process, and reports whether there was one. If the time since
+// the previous check is at least pauseThreshold, it discards the relay queue and makes datagrams
+// received within drainDelay stale.
+func (g *Group) handlePause(since time.Duration, now time.Time) (paused bool) {
 	if since < pauseThreshold {
-		return
+		return false
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.staleUntil = now.Add(drainDelay)
 	g.resumedAt = now
 	g.relayQueue = relayQueue{}
+	log.With("ms", since.Milliseconds()).Warnf("This process stood still.")
+	return true
 }
--- a/internal/direct/peers/group.go
+++ b/internal/direct/peers/group.go
@@ -181,7 +181,9 @@
 			g.tick(ctx, steady.Now())
 		case <-checks.C:
 			now := steady.Now()
-			g.handlePause(now.Sub(checked), now)
+			if g.handlePause(now.Sub(checked), now) {
+				g.traffic.paused()
+			}
 			checked = now
 			g.announceChanges(now)
 			g.retrySeeds(now)
--- a/internal/direct/peers/origin.go
+++ b/internal/direct/peers/origin.go
@@ -68,8 +68,15 @@
 	})
 }
 
-// FindOrigin asks other peers about the origin of a stream. It returns false if none of them knows it.
-func (g *Group) FindOrigin(ctx context.Context, stream uint64) (Origin, bool) {
+// OriginAnswers is what other peers have answered about the origin of a stream.
+type OriginAnswers struct {
+	Origin Origin
+	Known  bool // to one of them
+	Count  int  // of the peers that answered
+}
+
+// FindOrigin asks other peers about the origin of a stream.
+func (g *Group) FindOrigin(ctx context.Context, stream uint64) OriginAnswers {
 	ctx, cancel := steady.WithTimeout(ctx, originTimeout)
 	defer cancel()
 	peers := g.peersToAsk(steady.Now())
@@ -85,17 +92,20 @@
 			answers <- o
 		}()
 	}
+	count := 0
 	for range peers {
 		select {
 		case o := <-answers:
-			return o, true
+			return OriginAnswers{Origin: o, Known: true, Count: count + 1}
 		case err := <-failures:
-			if !errors.Is(err, errUnknownOrigin) {
-				log.With("reason", err.Error()).WarnLimited("origin", "A peer did not answer a question about a stream.")
+			if errors.Is(err, errUnknownOrigin) {
+				count++
+				continue
 			}
+			log.With("reason", err.Error()).WarnLimited("origin", "A peer did not answer a question about a stream.")
 		}
 	}
-	return Origin{}, false
+	return OriginAnswers{Count: count}
 }
 
 // peersToAsk returns the addresses of the peers to ask.
--- a/internal/direct/peers/origin_test.go
+++ b/internal/direct/peers/origin_test.go
@@ -18,7 +18,8 @@
 	known := peers.Origin{Endpoint: "i-1@5", Service: "pool", Version: "v1", AgeMS: 40}
 	tell := peers.OriginHandler(func(asked uint64) (peers.Origin, bool) { return known, asked == stream })
 	ask := func(a *testPeer, asked uint64) (peers.Origin, bool) {
-		return a.group.FindOrigin(context.Background(), asked)
+		answers := a.group.FindOrigin(context.Background(), asked)
+		return answers.Origin, answers.Known
 	}
 
 	It("believes the one that knows it", func() {
@@ -28,6 +29,7 @@
 		Eventually(func() bool { o, found := ask(a, stream); return found && o == known }).Should(BeTrue())
 		_, found := ask(a, 5)
 		Expect(found).To(BeFalse())
+		Eventually(func() int { return a.group.FindOrigin(context.Background(), 5).Count }).Should(Equal(2))
 	})
 
 	It("learns nothing from peers of older versions, nor without peers", func() {
@@ -49,8 +51,8 @@
 		startSnapshotPeer(a, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
 		Eventually(a.group.Live).Should(Equal(2))
 		from := time.Now()
-		_, found := ask(a, stream)
-		Expect(found).To(BeFalse())
+		answers := a.group.FindOrigin(context.Background(), stream)
+		Expect(answers).To(Equal(peers.OriginAnswers{}))
 		Expect(time.Since(from)).To(BeNumerically("<", 10*time.Second))
 	})
 })
--- a/internal/direct/peers/traffic.go
+++ b/internal/direct/peers/traffic.go
@@ -31,16 +31,17 @@
 }
 
 // traffic counts the datagrams sent to other peers and their bytes, without the UDP and IP
-// headers.
+// headers, and the pauses of this process, in which it received nothing.
 type traffic struct {
 	datagrams, bytes [trafficKinds]tally.Counter
+	pauses           tally.Counter
 }
 
 func newTraffic(scope tally.Scope) *traffic {
 	if scope == nil {
 		scope = tally.NoopScope
 	}
-	t := &traffic{}
+	t := &traffic{pauses: scope.Counter("pauses")}
 	for k := range trafficKinds {
 		s := scope.Tagged(map[string]string{"kind": trafficNames[k]})
 		t.datagrams[k] = s.Counter("peer_datagrams")
@@ -54,3 +55,6 @@
 	t.datagrams[k].Inc(int64(copies))
 	t.bytes[k].Inc(int64(copies * bytes))
 }
+
+// paused counts a pause of this process.
+func (t *traffic) paused() { t.pauses.Inc(1) }
--- a/internal/direct/record/record.go
+++ b/internal/direct/record/record.go
@@ -73,6 +73,8 @@
 	OnlyVersion string `json:"only_version,omitempty"` // that the service has run lately, as far as is known; empty for several
 	Observed    bool   `json:"observed"`               // for as long as an attempt lasts, without a gap
 	PeersAsked  bool   `json:"peers_asked"`
+	PeerAnswers int    `json:"peer_answers"`       // of those that were asked
+	Unlisted    bool   `json:"unlisted,omitempty"` // it began at an endpoint that has never been on the list
 }
 
 // Parse parses a line. Text before its JSON is ignored. It reports whether the JSON is valid.
