Date a peer's list by what it knew of this process, not by when it was read

Callers saw streams go on at another version of their engine after they were resumed at an entry that had stood still. A heartbeat says that its sender's list of endpoints was the newest some milliseconds ago, and the receiver counted them from when it read the datagram. What had waited in the socket during a standstill made an old list count as the newest, so that its only version was taken for that of a stream whose origin nobody knew.

TestListIsNotConfirmedFromWhenHeartbeatWasRead failed before by the whole time of the standstill, 3.0 s.

Heartbeats now carry a stamp of the sender's clock, and those that read the store or relay return the newest stamps of their peers, read before the claims. A claim counts from the returned stamp, which this process made before the peer composed the message, so that it holds however long either of them waits on its way (coord/freshness). Versions and times of a claim are read under one lock.

--- a/coord/doc.go
+++ b/coord/doc.go
@@ -16,6 +16,7 @@
 //   - fanout: which processes relay broadcast messages
 //   - duty: the leader election for work that one process does at a time, and the usage it reports
 //   - clock: the true time, derived from clocks of which some are wrong
+//   - freshness: since when data of another process has been the newest
 //
 // For processes that offer requests to agents next to the endpoints (relay mode):
 //
--- a/internal/decisions_test.go
+++ b/internal/decisions_test.go
@@ -71,6 +71,7 @@
 	"coord/placement/signals.go",
 	"coord/placement/unavailability.go",
 	"coord/placement/attempts.go",
+	"coord/freshness/freshness.go",
 	"coord/resumption/rule.go",
 	"coord/resumption/origins.go",
 	"coord/resumption/versions.go",
--- a/internal/direct/directory/directory.go
+++ b/internal/direct/directory/directory.go
@@ -225,6 +225,21 @@
 	return d.listConfirmed
 }
 
+// Claims is what a process may tell others about how new its data is.
+type Claims struct {
+	Version            uint64 // of the settings
+	Revision           uint64 // of the list of endpoints
+	Confirmed          time.Time
+	EndpointsConfirmed time.Time
+}
+
+// Claims returns the versions and when each was last known to be the newest, zero for never.
+func (d *Directory) Claims() Claims {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return Claims{Version: d.version(), Revision: d.revision, Confirmed: d.confirmed, EndpointsConfirmed: d.listConfirmed}
+}
+
 // ConfirmEndpoints records that the endpoint list of a revision was the newest at the given time.
 func (d *Directory) ConfirmEndpoints(revision uint64, at time.Time) {
 	d.mu.Lock()
--- /dev/null
+++ b/internal/direct/peers/freshness_test.go
@@ -0,0 +1,65 @@
+package peers
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"foxcross.dev/coord/placement"
+	"foxcross.dev/foxcross/internal/direct/directory"
+	"foxcross.dev/foxcross/internal/direct/driver"
+	"foxcross.dev/foxcross/internal/steady"
+	"foxcross.dev/foxcross/internal/testing/suspension"
+)
+
+// newListedGroup returns a group that is not started, whose list of endpoints has revision 5.
+func newListedGroup(t *testing.T, name string, owner uint64) *Group {
+	t.Helper()
+	d := directory.New(func(directory.ActiveSettings) {}, func([]placement.Endpoint) {}, func([]string) {})
+	d.ReplaceEndpoints(driver.Endpoints{Revision: 5}, "test")
+	g, err := New(Options{Name: name, Address: "127.0.0.1:0", Owner: owner, Listener: ignoreEvents{}, Directory: d})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = g.socket.Close() }) // the test is over
+	return g
+}
+
+type ignoreEvents struct{}
+
+func (ignoreEvents) HandleEvents(uint64, []Event) {}
+func (ignoreEvents) MemberGone(uint64)            {}
+
+func (g *Group) socketAddress() *net.UDPAddr { return g.socket.LocalAddr().(*net.UDPAddr) }
+
+// confirmed returns when the list of endpoints was last known to be the newest.
+func (g *Group) confirmed() time.Time {
+	return g.options.Directory.(*directory.Directory).EndpointsConfirmed()
+}
+
+// TestListIsNotConfirmedFromWhenHeartbeatWasRead guards against old lists that count as the newest after a standstill.
+func TestListIsNotConfirmedFromWhenHeartbeatWasRead(t *testing.T) {
+	g := newListedGroup(t, "a", 1)
+	sentAt := steady.Now()
+	p := packet{Owner: 2, Revision: 5, Heartbeat: &heartbeat{Name: "b", ConfirmedAgeMS: unknownAge, EndpointsAgeMS: 1}}
+	t.Cleanup(suspension.Suspend(3 * time.Second))
+	g.handlePacket(p, &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 9})
+	if late := g.confirmed().Sub(sentAt); late > 0 {
+		t.Errorf("a list counts as the newest %v after its heartbeat was sent", late)
+	}
+}
+
+func TestListIsConfirmedByEcho(t *testing.T) {
+	a, b := newListedGroup(t, "a", 1), newListedGroup(t, "b", 2)
+	b.plan.isRelay = true
+	before := steady.Now()
+	b.options.Directory.ConfirmEndpoints(5, before)
+	stampedAt := steady.Now()
+	b.handlePacket(a.newHeartbeatPacket(stampedAt), a.socketAddress())
+	claim := b.newHeartbeatPacket(steady.Now())
+	t.Cleanup(suspension.Suspend(3 * time.Second)) // the answer waits
+	a.handlePacket(claim, b.socketAddress())
+	if at := a.confirmed(); at.After(stampedAt) || before.Sub(at) > time.Second {
+		t.Errorf("confirmed %v before the list was the newest", before.Sub(at))
+	}
+}
--- a/internal/direct/peers/golden_test.go
+++ b/internal/direct/peers/golden_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"foxcross.dev/coord/freshness"
 	"foxcross.dev/coord/memory"
 	"foxcross.dev/coord/placement"
 	"foxcross.dev/coord/quarantine"
@@ -69,6 +70,7 @@
 		{"begins a stream", packet{Owner: 7, Events: []Event{{Kind: AttemptSent, Number: 5, Endpoint: "i-1", Request: &placement.Request{Service: "app"}, Stream: 0xab}}}},
 		{"resumes a stream", packet{Owner: 7, Events: []Event{{Kind: AttemptSent, Number: 5, Endpoint: "i-1", Request: &placement.Request{Service: "app"}, Stream: 0xab, Resumes: true}}}},
 		{"heartbeat with the age of the list", packet{Owner: 7, Revision: 9, Heartbeat: &heartbeat{Name: "entry-1", ConfirmedAgeMS: -1, StoreResponseAgeMS: -1, EndpointsAgeMS: 13}}},
+		{"heartbeat with echoes", packet{Owner: 7, Revision: 9, Heartbeat: &heartbeat{Name: "entry-1", ConfirmedAgeMS: -1, StoreResponseAgeMS: -1, Stamp: 13, Echoes: freshness.Echoes(nil).With(8, 12)}}},
 		{"keepalive", packet{Owner: 7, Version: 3, Revision: 9, Keepalive: true}},
 		{"first heartbeat", packet{Owner: 7, Heartbeat: &heartbeat{Name: "entry-1", ConfirmedAgeMS: -1, StoreResponseAgeMS: -1}}},
 	} {
--- a/internal/direct/peers/group.go
+++ b/internal/direct/peers/group.go
@@ -41,10 +41,9 @@
 // endpoints. Its methods are called without Group.mu held.
 type Directory interface {
 	Versions() (version, revision uint64)
-	Confirmed() time.Time
+	Claims() directory.Claims
 	Confirm(version uint64, at time.Time)
 	Versioned() bool
-	EndpointsConfirmed() time.Time
 	ConfirmEndpoints(revision uint64, at time.Time)
 	LastStoreContact() time.Time
 	StoreResponds() bool
--- a/internal/direct/peers/heartbeat.go
+++ b/internal/direct/peers/heartbeat.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"foxcross.dev/coord/clock"
+	"foxcross.dev/coord/freshness"
+	"foxcross.dev/foxcross/internal/direct/directory"
 	"foxcross.dev/foxcross/internal/steady"
 )
 
@@ -13,9 +15,8 @@
 // local data centre, those of older versions, and the relays that report it. Every seedInterval
 // the heartbeat names members and also goes to seeds and lost peers.
 func (g *Group) sendHeartbeat(now time.Time) {
-	p := g.newPacket()
-	h := g.newHeartbeat()
-	p.Heartbeat = h
+	p := g.newHeartbeatPacket(now)
+	h := p.Heartbeat
 	g.mu.Lock()
 	h.Fence = g.fence
 	g.summarizeSignals(h, now)
@@ -53,18 +54,50 @@
 	if !noMembers {
 		return
 	}
-	p := g.newPacket()
-	p.Heartbeat = g.newHeartbeat()
+	p := g.newHeartbeatPacket(now)
 	p.Heartbeat.Reply = true
 	g.send(p, seeds, heartbeatTraffic)
 }
 
-// newHeartbeat returns the current heartbeat of this process, without its fence and members.
-func (g *Group) newHeartbeat() *heartbeat {
+// newHeartbeatPacket returns a packet with the current heartbeat of this process, without its fence and
+// members. The echoes are read before the claims: the receiver takes the claims as made after them.
+func (g *Group) newHeartbeatPacket(now time.Time) packet {
+	echoes := g.newEchoes()
+	claims := g.options.Directory.Claims()
+	h := g.newHeartbeat(claims)
+	h.Stamp = freshness.StampAt(g.startedAt, now)
+	h.Echoes = echoes
+	return packet{Owner: g.options.Owner, Version: claims.Version, Revision: claims.Revision, Heartbeat: h}
+}
+
+// newEchoes returns the newest stamps of some of the peers that receive heartbeats of this process.
+// Only processes that read the store or act as relays return them, since the others have no newer
+// claims.
+func (g *Group) newEchoes() freshness.Echoes {
+	reads := g.options.Directory.ReadsStore()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !reads && !g.plan.isRelay {
+		return nil
+	}
+	var all freshness.Echoes
+	for _, m := range g.members { // in random order, so that repeated calls cover all peers
+		if all.Full() {
+			break
+		}
+		if m.stamp > 0 && m.owner != 0 {
+			all = all.With(m.owner, m.stamp)
+		}
+	}
+	return all
+}
+
+// newHeartbeat returns the current heartbeat of this process with its claims.
+func (g *Group) newHeartbeat(claims directory.Claims) *heartbeat {
 	d := g.options.Directory
 	h := &heartbeat{
 		Name:               g.options.Name,
-		ConfirmedAgeMS:     ageMS(d.Confirmed()),
+		ConfirmedAgeMS:     ageMS(claims.Confirmed),
 		StoreResponseAgeMS: ageMS(d.LastStoreContact()),
 		Reading:            d.ReadsStore(),
 		ReadCost:           g.options.ReadCost,
@@ -75,7 +108,7 @@
 		Presence:           true,
 		Versioned:          d.Versioned(),
 	}
-	if at := d.EndpointsConfirmed(); !at.IsZero() {
+	if at := claims.EndpointsConfirmed; !at.IsZero() {
 		h.EndpointsAgeMS = steady.Since(at).Milliseconds() + 1
 	}
 	h.StoreCallFailed = h.Reading && !d.StoreResponds()
@@ -109,8 +142,7 @@
 
 // replyWithHeartbeat replies to a heartbeat that asks for a reply.
 func (g *Group) replyWithHeartbeat(m *net.UDPAddr, dataCentre string, now time.Time) {
-	p := g.newPacket()
-	p.Heartbeat = g.newHeartbeat()
+	p := g.newHeartbeatPacket(now)
 	g.mu.Lock()
 	p.Heartbeat.Fence = g.fence
 	g.summarizeSignals(p.Heartbeat, now)
@@ -143,6 +175,7 @@
 	m.remote = h.Relayed && h.DataCentre != g.options.DataCentre
 	m.heartbeat = *h
 	m.heartbeat.Members = nil
+	m.heartbeat.Echoes = nil
 	m.heartbeat.Reply = false
 	if m.name != h.Name {
 		g.planStale = true
--- a/internal/direct/peers/lock_order_test.go
+++ b/internal/direct/peers/lock_order_test.go
@@ -48,9 +48,9 @@
 	return d.Directory.Versions()
 }
 
-func (d *guardedDirectory) Confirmed() time.Time {
+func (d *guardedDirectory) Claims() directory.Claims {
 	d.check()
-	return d.Directory.Confirmed()
+	return d.Directory.Claims()
 }
 
 func (d *guardedDirectory) Confirm(version uint64, at time.Time) {
@@ -63,11 +63,6 @@
 	return d.Directory.Versioned()
 }
 
-func (d *guardedDirectory) EndpointsConfirmed() time.Time {
-	d.check()
-	return d.Directory.EndpointsConfirmed()
-}
-
 func (d *guardedDirectory) ConfirmEndpoints(revision uint64, at time.Time) {
 	d.check()
 	d.Directory.ConfirmEndpoints(revision, at)
--- a/internal/direct/peers/member.go
+++ b/internal/direct/peers/member.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"foxcross.dev/coord/fanout"
+	"foxcross.dev/coord/freshness"
 	"foxcross.dev/foxcross/internal/steady"
 )
 
@@ -62,6 +63,7 @@
 	lastProbed         time.Time   // time of the last probe
 	lastDirect         time.Time   // time of the last packet from the peer itself
 	lastKeepalive      time.Time   // time of the last keepalive, zero if it has sent none
+	stamp              freshness.Stamp
 }
 
 // incarnation returns the incarnation of the peer, including that of a lost peer.
--- a/internal/direct/peers/packet.go
+++ b/internal/direct/peers/packet.go
@@ -14,6 +14,7 @@
 import (
 	"time"
 
+	"foxcross.dev/coord/freshness"
 	"foxcross.dev/coord/memory"
 	"foxcross.dev/coord/placement"
 	"foxcross.dev/coord/quarantine"
@@ -180,6 +181,9 @@
 	Versioned           bool     `cbor:"19,keyasint,omitempty"` // the sender's list has the versions of the endpoints' software
 	SignalDigest        uint64   `cbor:"20,keyasint,omitempty"` // of the signals that the sender has (coord/signals)
 	SignalCount         uint64   `cbor:"21,keyasint,omitempty"`
+
+	Stamp  freshness.Stamp  `cbor:"22,keyasint,omitempty"` // of the sender's clock, 0 at older versions
+	Echoes freshness.Echoes `cbor:"23,keyasint,omitempty"` // the newest stamps of some receivers, read before the ages
 }
 
 // evacuations returns the evacuated data centres known to the sender.
--- a/internal/direct/peers/receive.go
+++ b/internal/direct/peers/receive.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"foxcross.dev/coord/freshness"
 	"foxcross.dev/foxcross/internal/steady"
 )
 
@@ -48,6 +49,7 @@
 	if p.Heartbeat != nil {
 		g.applyHeartbeat(m, p.Heartbeat, now)
 		g.compareSignals(m, p.Heartbeat, now)
+		m.stamp = max(m.stamp, p.Heartbeat.Stamp)
 	}
 	if p.Probe == probeReply {
 		m.unansweredSince = time.Time{}
@@ -73,9 +75,7 @@
 	if h := p.Heartbeat; h != nil && h.ConfirmedAgeMS >= 0 && p.Version == local.version {
 		g.options.Directory.Confirm(local.version, timeAtAge(now, h.ConfirmedAgeMS))
 	}
-	if h := p.Heartbeat; h != nil && h.EndpointsAgeMS > 0 {
-		g.options.Directory.ConfirmEndpoints(p.Revision, timeAtAge(now, h.EndpointsAgeMS-1))
-	}
+	g.applyClaims(p, now)
 	if p.Usage != nil && g.options.HandleUsage != nil {
 		g.options.HandleUsage(p.Usage.statement(p.Owner))
 	}
@@ -87,6 +87,20 @@
 	}
 }
 
+// applyClaims records how new the sender's list of endpoints was when it composed its heartbeat.
+func (g *Group) applyClaims(p packet, now time.Time) {
+	if p.Heartbeat == nil {
+		return
+	}
+	composedAfter, known := p.Heartbeat.Echoes.ComposedAfter(g.options.Owner, g.startedAt, now)
+	if !known {
+		return
+	}
+	if at, claimed := freshness.NewestAt(composedAfter, p.Heartbeat.EndpointsAgeMS-1); claimed {
+		g.options.Directory.ConfirmEndpoints(p.Revision, at)
+	}
+}
+
 // applyEvacuations applies the evacuated data centres named by the sender of a packet or by the
 // members that it reports.
 func (g *Group) applyEvacuations(p packet) {
