Date a peer's settings like its list of endpoints

An entry that had stood still could deny a request, with 404 or 401, by settings that were older than it thought: the age in a heartbeat counted from when the datagram was read. The cause is that of the list of endpoints, and so is the fix: the age counts from the stamp that the heartbeat returns.

TestSettingsAreNotConfirmedFromWhenHeartbeatWasRead failed before by the whole time of the standstill, 3.0 s.

--- a/internal/direct/peers/freshness_test.go
+++ b/internal/direct/peers/freshness_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"foxcross.dev/coord/placement"
+	"foxcross.dev/coord/settings"
 	"foxcross.dev/foxcross/internal/direct/directory"
 	"foxcross.dev/foxcross/internal/direct/driver"
 	"foxcross.dev/foxcross/internal/steady"
@@ -49,6 +50,20 @@
 	}
 }
 
+// TestSettingsAreNotConfirmedFromWhenHeartbeatWasRead guards against denials by old settings after a standstill.
+func TestSettingsAreNotConfirmedFromWhenHeartbeatWasRead(t *testing.T) {
+	g := newListedGroup(t, "a", 1)
+	d := g.options.Directory.(*directory.Directory)
+	d.ApplySettings(3, settings.NewTree(nil), "test")
+	sentAt := steady.Now()
+	p := packet{Owner: 2, Version: 3, Heartbeat: &heartbeat{Name: "b", ConfirmedAgeMS: 0}}
+	t.Cleanup(suspension.Suspend(3 * time.Second))
+	g.handlePacket(p, &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 9})
+	if late := d.Confirmed().Sub(sentAt); late > 0 {
+		t.Errorf("settings count as the newest %v after their heartbeat was sent", late)
+	}
+}
+
 func TestListIsConfirmedByEcho(t *testing.T) {
 	a, b := newListedGroup(t, "a", 1), newListedGroup(t, "b", 2)
 	b.plan.isRelay = true
--- a/internal/direct/peers/packet.go
+++ b/internal/direct/peers/packet.go
@@ -209,14 +209,6 @@
 	return steady.Since(at).Milliseconds()
 }
 
-// timeAtAge returns the time that lies an age before now, the zero time for a negative age.
-func timeAtAge(now time.Time, ms int64) time.Time {
-	if ms < 0 {
-		return time.Time{}
-	}
-	return now.Add(-time.Duration(ms) * time.Millisecond)
-}
-
 // sized is an item to be sent and its approximate size in a datagram, in bytes.
 type sized[T any] struct {
 	item T
--- a/internal/direct/peers/receive.go
+++ b/internal/direct/peers/receive.go
@@ -72,9 +72,6 @@
 			g.options.Listener.MemberGone(owner)
 		}
 	}
-	if h := p.Heartbeat; h != nil && h.ConfirmedAgeMS >= 0 && p.Version == local.version {
-		g.options.Directory.Confirm(local.version, timeAtAge(now, h.ConfirmedAgeMS))
-	}
 	g.applyClaims(p, now)
 	if p.Usage != nil && g.options.HandleUsage != nil {
 		g.options.HandleUsage(p.Usage.statement(p.Owner))
@@ -87,7 +84,8 @@
 	}
 }
 
-// applyClaims records how new the sender's list of endpoints was when it composed its heartbeat.
+// applyClaims records how new the sender's settings and list of endpoints were when it composed its
+// heartbeat.
 func (g *Group) applyClaims(p packet, now time.Time) {
 	if p.Heartbeat == nil {
 		return
@@ -96,6 +94,9 @@
 	if !known {
 		return
 	}
+	if at, claimed := freshness.NewestAt(composedAfter, p.Heartbeat.ConfirmedAgeMS); claimed {
+		g.options.Directory.Confirm(p.Version, at)
+	}
 	if at, claimed := freshness.NewestAt(composedAfter, p.Heartbeat.EndpointsAgeMS-1); claimed {
 		g.options.Directory.ConfirmEndpoints(p.Revision, at)
 	}
