Never infer a stream's version from a list that lacks its endpoint

An entry that knew which endpoint began a stream, but not the endpoint's version since its list was too old to hold it, treated the stream like one of unknown origin: it could resume it at the only version of that list, although the missing record proves that the list is old, or refuse it at once. It now waits for a list that holds the endpoint, and refuses the stream otherwise.

--- a/coord/resumption/rule.go
+++ b/coord/resumption/rule.go
@@ -5,6 +5,9 @@
 //   - for a caller that does not name the stream, at the only version that is known, since nobody can
 //     ever know the origin;
 //   - else other entries are asked, once;
+//   - at the version of the endpoint that is recorded as its origin once that is on the list of
+//     endpoints, which the rule waits for: a list without it is not the newest, and its only version
+//     proves nothing;
 //   - else at the only version that the service has run for longer than an attempt lasts, if the list
 //     of endpoints was the newest at a time after the request arrived. The rule waits for such a list if
 //     the present one is at most maxListAge old;
@@ -28,6 +31,7 @@
 type Input struct {
 	Origin     Origin
 	Known      bool          // the origin is known
+	Unlisted   bool          // the endpoint that began the stream is known, but has never been on the list
 	Services   []string      // to which the request may go
 	Named      bool          // the caller names the stream
 	Version    string        // the only one that its service has run, as far as is known; may be empty
@@ -93,7 +97,9 @@
 		return Resume{Software: Software{Service: i.Services[0], Version: i.Version}}
 	case i.Named && !i.PeersAsked:
 		return AskPeers{}
-	case !i.Observed || !i.onlyVersion() || i.Version == "":
+	case i.Unlisted && !i.ListNewest && !i.Waited:
+		return AwaitList{}
+	case i.Unlisted, !i.Observed || !i.onlyVersion() || i.Version == "":
 		return Refuse{OriginUnknown}
 	case i.ListNewest:
 		return Resume{Software: Software{Service: i.Services[0], Version: i.Version}}
--- a/internal/direct/gateway/resumption.go
+++ b/internal/direct/gateway/resumption.go
@@ -154,6 +154,7 @@
 	s.source, s.listed = originUnknown, listed
 	o, age, known := d.origin(now, q.stream)
 	s.unlisted = o.Endpoint != "" && !d.versions.Listed(o.Endpoint)
+	i.Unlisted = s.unlisted
 	if known {
 		i.Origin, i.Known = o, true
 		s.source, s.origin, s.age = originFromEvents, o, age
