Wait for peers and newer lists before a stream is refused

Callers who resumed a stream at an entry that had just been cut off or stood still were refused (1309, begin anew) although other entries knew the stream. The entry asked its peers once, took silence for "not known", and did not wait for a newer list where its own was more than 2 s old, as it is after each longer standstill.

While no peer answers, they are asked again for 1 s, half of the time after which callers give up; then the entry says that it is out of touch (1311, with a Retry-After), so that the caller has time for another entry. A newer list is awaited however old the present one is.

--- a/coord/result/code.go
+++ b/coord/result/code.go
@@ -42,16 +42,17 @@
 	Limited     Code = 1212
 	Overloaded  Code = 1213
 
-	EndpointFailed Code = 1301
-	EndpointLost   Code = 1302
-	Stalled        Code = 1303
-	Cancelled      Code = 1304
-	Preempted      Code = 1305
-	Unresumable    Code = 1306
-	Quarantined    Code = 1307
-	Unread         Code = 1308
-	StreamUnknown  Code = 1309
-	VersionGone    Code = 1310
+	EndpointFailed  Code = 1301
+	EndpointLost    Code = 1302
+	Stalled         Code = 1303
+	Cancelled       Code = 1304
+	Preempted       Code = 1305
+	Unresumable     Code = 1306
+	Quarantined     Code = 1307
+	Unread          Code = 1308
+	StreamUnknown   Code = 1309
+	VersionGone     Code = 1310
+	StreamElsewhere Code = 1311
 
 	AgentLeaving  Code = 1401
 	AgentFull     Code = 1402
--- a/coord/result/table.go
+++ b/coord/result/table.go
@@ -37,6 +37,7 @@
 	{Unread, "unread", 499, "the caller read nothing of its answer for too long"},
 	{StreamUnknown, "stream_unknown", 503, "it is not known which software version began the stream, so it can't be resumed; begin it anew"},
 	{VersionGone, "version_gone", 503, "no endpoint runs the software version that began the stream, so it can't be resumed; begin it anew"},
+	{StreamElsewhere, "stream_elsewhere", 503, "this entry is out of touch with those that may know which software version began the stream; resume it at another"},
 	{AgentLeaving, "agent_leaving", 503, "the agent takes no new work"},
 	{AgentFull, "agent_full", 503, "the agent's queue holds only work of this tier or above"},
 	{Evicted, "evicted", 503, "a higher tier took the place in the agent's queue"},
--- a/coord/resumption/model_test.go
+++ b/coord/resumption/model_test.go
@@ -143,10 +143,10 @@
 func (w *world) resume(s modelStream) string {
 	const life = 15 * time.Second
 	e := w.entries[w.random.IntN(len(w.entries))]
-	i := resumption.Input{Named: true, Services: []string{"pool"}, ListAge: w.now.Sub(e.listAt), Observed: e.versions.Observed(w.now, life)}
+	i := resumption.Input{Named: true, Services: []string{"pool"}, Observed: e.versions.Observed(w.now, life)}
 	i.Origin, i.Known = e.origin(s.key)
 	i.Version, i.Only = e.versions.Only(w.now, "pool", life)
-	i.ListNewest = i.ListAge == 0
+	i.ListNewest = e.listAt.Equal(w.now)
 	decision := resumption.Decide(i)
 	if _, asks := decision.(resumption.AskPeers); asks {
 		i.PeersAsked = true
@@ -163,7 +163,7 @@
 		if !e.cut(w.now) {
 			e.readList(w)
 		}
-		i.Waited, i.ListNewest = true, e.listAt.Equal(w.now)
+		i.ListAwaited, i.ListNewest = true, e.listAt.Equal(w.now)
 		i.Version, i.Only = e.versions.Only(w.now, "pool", life)
 		i.Observed = e.versions.Observed(w.now, life)
 		decision = resumption.Decide(i)
--- a/coord/resumption/rule.go
+++ b/coord/resumption/rule.go
@@ -4,43 +4,39 @@
 //   - at the version that began it, if that is known and the request still goes to its service;
 //   - for a caller that does not name the stream, at the only version that is known, since nobody can
 //     ever know the origin;
-//   - else other entries are asked, once;
+//   - else other entries are asked, again and again while none of them answers, for a while;
 //   - at the version of the endpoint that is recorded as its origin once that is on the list of
 //     endpoints, which the rule waits for: a list without it is not the newest, and its only version
 //     proves nothing;
-//   - else at the only version that the service has run for longer than an attempt lasts, if the list
-//     of endpoints was the newest at a time after the request arrived. The rule waits for such a list if
-//     the present one is at most maxListAge old;
-//   - else nowhere.
+//   - else at the only version that the service has run for longer than an attempt lasts, once the list
+//     of endpoints was the newest at a time after the request arrived, which the rule waits for;
+//   - else nowhere. A process that is out of touch says so, since another may know the origin.
 //
-// Inputs: the origin, the versions of the service, the age of the list.
+// Inputs: the origin, the versions of the service, when the list was the newest, whether others answer.
 // Units: times.
 // Never: a version is guessed while several are known; the newest version is preferred to another.
 
 package resumption
 
-import (
-	"slices"
-	"time"
-)
-
-// maxListAge is the age of a list of endpoints beyond which no newer one is expected soon.
-const maxListAge = 2 * time.Second
+import "slices"
 
 // Input holds what the decision about one stream depends on.
 type Input struct {
 	Origin     Origin
-	Known      bool          // the origin is known
-	Unlisted   bool          // the endpoint that began the stream is known, but has never been on the list
-	Services   []string      // to which the request may go
-	Named      bool          // the caller names the stream
-	Version    string        // the only one that its service has run, as far as is known; may be empty
-	Only       bool          // there is such a version
-	Observed   bool          // the service has been observed for longer than an attempt lasts
-	ListAge    time.Duration // since the list of endpoints was known to be the newest
-	ListNewest bool          // the list was the newest at a time after the request arrived
+	Known      bool     // the origin is known
+	Unlisted   bool     // the endpoint that began the stream is known, but has never been on the list
+	Services   []string // to which the request may go
+	Named      bool     // the caller names the stream
+	Version    string   // the only one that its service has run, as far as is known; may be empty
+	Only       bool     // there is such a version
+	Observed   bool     // the service has been observed for longer than an attempt lasts
+	ListNewest bool     // the list was the newest at a time after the request arrived
 	PeersAsked bool
-	Waited     bool // for a list that was the newest at a time after the request arrived
+	// PeersSilent means that there are other entries, and none that was asked has answered.
+	PeersSilent bool
+	// ListAwaited means that the request has waited for long enough for a list that was the newest at a
+	// time after it arrived, and PeersAwaited that it has for an entry that answers.
+	ListAwaited, PeersAwaited bool
 }
 
 // Decision is whether and where a stream is resumed.
@@ -56,14 +52,17 @@
 	AskPeers struct{}
 	// AwaitList waits until the list is known to be the newest.
 	AwaitList struct{}
+	// AwaitPeers waits before other entries, none of which has answered, are asked again.
+	AwaitPeers struct{}
 	// Refuse means that the stream can't be resumed.
 	Refuse struct{ Reason Reason }
 )
 
-func (Resume) decision()    {}
-func (AskPeers) decision()  {}
-func (AwaitList) decision() {}
-func (Refuse) decision()    {}
+func (Resume) decision()     {}
+func (AskPeers) decision()   {}
+func (AwaitList) decision()  {}
+func (AwaitPeers) decision() {}
+func (Refuse) decision()     {}
 
 // Reason is why a stream can't be resumed.
 type Reason uint8
@@ -72,6 +71,7 @@
 const (
 	OriginUnknown Reason = iota + 1 // nobody knows which version began it
 	OtherService                    // the request goes to another service than the stream began at
+	OutOfTouch                      // this entry doesn't know which version began it, but is out of touch with those that may
 )
 
 // String returns a readable form of the reason.
@@ -81,6 +81,8 @@
 		return "it is not known which version began the stream"
 	case OtherService:
 		return "the stream began at another service"
+	case OutOfTouch:
+		return "this entry is out of touch with others that may know which version began the stream"
 	default:
 		return "unknown"
 	}
@@ -97,18 +99,23 @@
 		return Resume{Software: Software{Service: i.Services[0], Version: i.Version}}
 	case i.Named && !i.PeersAsked:
 		return AskPeers{}
-	case i.Unlisted && !i.ListNewest && !i.Waited:
-		return AwaitList{}
-	case i.Unlisted, !i.Observed || !i.onlyVersion() || i.Version == "":
-		return Refuse{OriginUnknown}
-	case i.ListNewest:
+	case i.provenByList() && i.ListNewest:
 		return Resume{Software: Software{Service: i.Services[0], Version: i.Version}}
-	case i.ListAge <= maxListAge && !i.Waited:
+	case (i.provenByList() || i.Unlisted) && !i.ListNewest && !i.ListAwaited:
 		return AwaitList{}
+	case i.PeersSilent && !i.PeersAwaited:
+		return AwaitPeers{}
+	case i.PeersSilent, i.Unlisted:
+		return Refuse{OutOfTouch}
 	default:
 		return Refuse{OriginUnknown}
 	}
 }
 
+// provenByList reports whether a list that is the newest proves which version began the stream.
+func (i Input) provenByList() bool {
+	return !i.Unlisted && i.Observed && i.onlyVersion() && i.Version != ""
+}
+
 // onlyVersion reports whether one version is known of the only service to which the request may go.
 func (i Input) onlyVersion() bool { return i.Only && len(i.Services) == 1 }
--- a/coord/resumption/standstill_test.go
+++ b/coord/resumption/standstill_test.go
@@ -17,7 +17,8 @@
 	tick              = 25 * time.Millisecond
 	readInterval      = 700 * time.Millisecond
 	heartbeatInterval = 250 * time.Millisecond
-	modelStreamLife        = 10 * time.Second
+	modelStreamLife   = 10 * time.Second
+	peerWait          = time.Second
 	listWait          = 1800 * time.Millisecond
 )
 
@@ -211,8 +212,9 @@
 func (f *outOfStep) decide(r *resumptionRequest) resumption.Decision {
 	p := r.at
 	i := resumption.Input{
-		Named: true, Services: []string{"pool"}, ListAge: f.now.Sub(p.confirmed), ListNewest: p.confirmed.After(r.received),
-		Waited: f.now.Sub(r.received) >= listWait, Observed: p.versions.Observed(f.now, modelStreamLife+5*time.Second),
+		Named: true, Services: []string{"pool"}, ListNewest: p.confirmed.After(r.received),
+		ListAwaited: f.now.Sub(r.received) >= listWait, PeersAwaited: f.now.Sub(r.received) >= peerWait,
+		Observed: p.versions.Observed(f.now, modelStreamLife+5*time.Second),
 	}
 	i.Version, i.Only = p.versions.Only(f.now, "pool", modelStreamLife+5*time.Second)
 	i.Origin, i.Known, i.Unlisted = p.origin(r.stream.key)
@@ -220,12 +222,13 @@
 	if _, asks := decision.(resumption.AskPeers); !asks {
 		return decision
 	}
-	i.PeersAsked = true
+	i.PeersAsked, i.PeersSilent = true, true
 	for range 3 {
 		q := f.processes[f.random.IntN(processes)]
 		if q == p || !f.reaches(p, q) || !f.runs(q) || i.Known {
 			continue
 		}
+		i.PeersSilent = false
 		if o, known, _ := q.origin(r.stream.key); known {
 			i.Origin, i.Known = o, true
 		}
@@ -252,7 +255,7 @@
 			continue
 		}
 		switch d := f.decide(r).(type) {
-		case resumption.AwaitList:
+		case resumption.AwaitList, resumption.AwaitPeers:
 			open = append(open, r)
 		case resumption.Resume:
 			f.counts["gone on"]++
--- a/internal/direct/gateway/resumption.go
+++ b/internal/direct/gateway/resumption.go
@@ -7,8 +7,8 @@
 // run if there is none. If those of its version can't take it for now (they are full, at a rate limit or
 // in backoff), it waits for them for maxResumptionWait: there are no others.
 // Inputs: the header of the request, events of other entries, the list of endpoints.
-// Never: a stream is resumed at a version that may not have begun it; the refusal of a stream that can't
-// be resumed has a Retry-After.
+// Never: a stream is resumed at a version that may not have begun it; the refusal of a stream that
+// can't be resumed at any entry has a Retry-After.
 
 package gateway
 
@@ -35,6 +35,13 @@
 	// maxListWait is the longest time for which a resumption waits for the list of endpoints. Two
 	// watches of the store and a heartbeat of another entry take less.
 	maxListWait = 1800 * time.Millisecond
+	// maxPeerWait is the same for an answer of another entry. It leaves the caller half of the time before it
+	// gives the stream up, to resume it at another entry.
+	maxPeerWait = time.Second
+	// peerRetryInterval is the time between two questions to peers of which none has answered.
+	peerRetryInterval = 250 * time.Millisecond
+	// outOfTouchRetryAfter is the time after which a caller may resume its stream at another entry.
+	outOfTouchRetryAfter = 100 * time.Millisecond
 	// resumptionInterval is the time between two looks for an endpoint, or at the list.
 	resumptionInterval = 50 * time.Millisecond
 )
@@ -57,11 +64,13 @@
 	age      time.Duration // since it began, 0 for unknown
 	recorded bool          // its origin is known, and not only its version
 
-	unlisted    bool // it began at an endpoint that has never been on the list here
-	peerAnswers int  // of the peers that were asked last
+	unlisted bool                 // it began at an endpoint that has never been on the list here
+	answers  *peers.OriginAnswers // of the peers that were asked last, nil before
+	askedAt  time.Time
 
-	input  resumption.Input // of the last decision, for the log
-	listed time.Time        // when the list of endpoints behind it was the newest, zero for never
+	input   resumption.Input // of the last decision, for the log
+	listed  time.Time        // when the list of endpoints behind it was the newest, zero for never
+	listAge time.Duration    // since then
 }
 
 // resumedStreamOf returns the stream that a request resumes according to its header, nil if it begins one.
@@ -108,29 +117,38 @@
 		q.spec.Team = teamOf(f.gateway.directory.Settings().Snapshot, d.Service, q.team)
 		return nil
 	case resumption.Refuse:
+		if d.Reason == resumption.OutOfTouch {
+			return &result.Error{Code: result.StreamElsewhere, Run: result.NotRun, RetryAfter: outOfTouchRetryAfter, Reason: d.Reason.String()}
+		}
 		return &result.Error{Code: result.StreamUnknown, Run: result.NotRun, Reason: d.Reason.String()}
 	default:
 		return &result.Error{Code: result.StreamUnknown, Run: result.NotRun}
 	}
 }
 
-// decideResumption decides where the stream is resumed, with what other entries and a newer list of
-// endpoints add to what is known here.
+// decideResumption decides where the stream is resumed. While it can't, it waits for what other entries
+// and a newer list of endpoints add to what is known here.
 func (f *forwarding) decideResumption() resumption.Decision {
-	i := f.gateway.resumptionInput(f.request)
-	decision := resumption.Decide(i)
-	if _, asks := decision.(resumption.AskPeers); asks {
-		f.askPeers(&i)
-		decision = resumption.Decide(i)
-	}
-	if _, waits := decision.(resumption.AwaitList); waits {
-		f.awaitList()
-		i = f.gateway.resumptionInput(f.request)
-		i.PeersAsked, i.Waited = true, true
-		decision = resumption.Decide(i)
+	from := steady.Now()
+	mayWait := true
+	for {
+		i := f.gateway.resumptionInput(f.request)
+		i.ListAwaited = !mayWait || steady.Since(from) >= maxListWait
+		i.PeersAwaited = !mayWait || steady.Since(from) >= maxPeerWait
+		decision := resumption.Decide(i)
+		switch decision.(type) {
+		case resumption.AskPeers:
+			f.askPeers()
+			continue
+		case resumption.AwaitPeers:
+			f.askSilentPeersAgain()
+		case resumption.AwaitList:
+		default:
+			f.request.resumed.input = i
+			return decision
+		}
+		mayWait = workers.Sleep(f.ctx, resumptionInterval) && !f.gateway.refusing.Load()
 	}
-	f.request.resumed.input = i
-	return decision
 }
 
 // resumptionInput returns what this entry knows about the stream that the request resumes.
@@ -138,7 +156,10 @@
 	now := steady.Now()
 	s := q.resumed
 	listed := g.directory.EndpointsConfirmed()
-	i := resumption.Input{Named: s.request != "", ListAge: now.Sub(listed), ListNewest: listed.After(q.received)}
+	i := resumption.Input{
+		Named: s.request != "", ListNewest: listed.After(q.received),
+		PeersAsked: s.answers != nil, PeersSilent: s.answers.Silent(),
+	}
 	for _, part := range q.class.Route.Split {
 		i.Services = append(i.Services, part.Service)
 	}
@@ -151,7 +172,14 @@
 	if len(i.Services) == 1 {
 		i.Version, i.Only = d.versions.Only(now, i.Services[0], life)
 	}
-	s.source, s.listed = originUnknown, listed
+	s.source, s.listed, s.listAge = originUnknown, listed, now.Sub(listed)
+	if s.answers != nil && s.answers.Known {
+		o := s.answers.Origin
+		i.Origin = resumption.Origin{Endpoint: o.Endpoint, Software: resumption.Software{Service: o.Service, Version: o.Version}}
+		i.Known = true
+		s.source, s.origin, s.age = originFromPeer, i.Origin, time.Duration(o.AgeMS)*time.Millisecond
+		return i
+	}
 	o, age, known := d.origin(now, q.stream)
 	s.unlisted = o.Endpoint != "" && !d.versions.Listed(o.Endpoint)
 	i.Unlisted = s.unlisted
@@ -173,33 +201,21 @@
 	return resumption.Origin{Endpoint: endpoint, Software: software}, now.Sub(begunAt), known
 }
 
-// awaitList waits up to maxListWait for a list of endpoints that was the newest after the request arrived.
-func (f *forwarding) awaitList() {
-	until := steady.Now().Add(maxListWait)
-	for steady.Now().Before(until) && !f.gateway.directory.EndpointsConfirmed().After(f.request.received) {
-		if !workers.Sleep(f.ctx, resumptionInterval) {
-			return
-		}
+// askPeers asks other entries about the stream that the request resumes.
+func (f *forwarding) askPeers() {
+	s := f.request.resumed
+	s.askedAt = steady.Now()
+	s.answers = &peers.OriginAnswers{}
+	if group := f.gateway.dispatcher.peerGroup(); group != nil {
+		*s.answers = group.FindOrigin(f.ctx, uint64(f.request.stream))
 	}
 }
 
-// askPeers asks other entries about the stream that the request resumes.
-func (f *forwarding) askPeers(i *resumption.Input) {
-	i.PeersAsked = true
-	group := f.gateway.dispatcher.peerGroup()
-	if group == nil {
-		return
-	}
-	s := f.request.resumed
-	answers := group.FindOrigin(f.ctx, uint64(f.request.stream))
-	s.peerAnswers = answers.Count
-	if !answers.Known {
-		return
+// askSilentPeersAgain makes other entries asked again if that was long enough ago.
+func (f *forwarding) askSilentPeersAgain() {
+	if s := f.request.resumed; steady.Since(s.askedAt) >= peerRetryInterval {
+		s.answers = nil
 	}
-	o := answers.Origin
-	i.Known = true
-	i.Origin = resumption.Origin{Endpoint: o.Endpoint, Software: resumption.Software{Service: o.Service, Version: o.Version}}
-	s.source, s.origin, s.age = originFromPeer, i.Origin, time.Duration(o.AgeMS)*time.Millisecond
 }
 
 // place chooses an endpoint as dispatcher.place does, and waits a while for those of the version of the
@@ -315,7 +331,7 @@
 
 // record returns the stream that a request resumes, for the log.
 func (s *resumedStream) record() *record.Resumption {
-	listAgeMS := s.input.ListAge.Milliseconds()
+	listAgeMS := s.listAge.Milliseconds()
 	if s.listed.IsZero() {
 		listAgeMS = record.NeverListed
 	}
@@ -323,7 +339,7 @@
 		Request: s.request, After: s.after, Source: s.source,
 		Endpoint: s.origin.Endpoint, Version: s.origin.Version, AgeMS: s.age.Milliseconds(),
 		ListAgeMS: listAgeMS, OnlyVersion: s.input.Version, Observed: s.input.Observed, PeersAsked: s.input.PeersAsked,
-		PeerAnswers: s.peerAnswers, Unlisted: s.unlisted,
+		PeerAnswers: s.answers.Answers(), Unlisted: s.unlisted,
 	}
 }
 
--- a/internal/direct/peers/origin.go
+++ b/internal/direct/peers/origin.go
@@ -73,13 +73,25 @@
 	Origin Origin
 	Known  bool // to one of them
 	Count  int  // of the peers that answered
+	Peers  bool // there are other peers, also lost ones
 }
 
+// Answers returns the number of peers that answered, 0 for nil.
+func (a *OriginAnswers) Answers() int {
+	if a == nil {
+		return 0
+	}
+	return a.Count
+}
+
+// Silent reports whether there are peers, and none has answered.
+func (a *OriginAnswers) Silent() bool { return a != nil && a.Peers && a.Count == 0 }
+
 // FindOrigin asks other peers about the origin of a stream.
 func (g *Group) FindOrigin(ctx context.Context, stream uint64) OriginAnswers {
 	ctx, cancel := steady.WithTimeout(ctx, originTimeout)
 	defer cancel()
-	peers := g.peersToAsk(steady.Now())
+	peers, known := g.peersToAsk(steady.Now())
 	answers := make(chan Origin, len(peers))
 	failures := make(chan error, len(peers))
 	for _, address := range peers {
@@ -96,7 +108,7 @@
 	for range peers {
 		select {
 		case o := <-answers:
-			return OriginAnswers{Origin: o, Known: true, Count: count + 1}
+			return OriginAnswers{Origin: o, Known: true, Count: count + 1, Peers: known}
 		case err := <-failures:
 			if errors.Is(err, errUnknownOrigin) {
 				count++
@@ -105,11 +117,11 @@
 			log.With("reason", err.Error()).WarnLimited("origin", "A peer did not answer a question about a stream.")
 		}
 	}
-	return OriginAnswers{Count: count}
+	return OriginAnswers{Count: count, Peers: known}
 }
 
-// peersToAsk returns the addresses of the peers to ask.
-func (g *Group) peersToAsk(now time.Time) []string {
+// peersToAsk returns the addresses of the peers to ask, and whether there are others, also lost ones.
+func (g *Group) peersToAsk(now time.Time) (addresses []string, known bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var local, remote []string
@@ -125,7 +137,7 @@
 	rand.Shuffle(len(local), func(a, b int) { local[a], local[b] = local[b], local[a] })
 	rand.Shuffle(len(remote), func(a, b int) { remote[a], remote[b] = remote[b], remote[a] })
 	all := append(local, remote...)
-	return all[:min(len(all), askedPeers)]
+	return all[:min(len(all), askedPeers)], len(g.members) > 0
 }
 
 // fetchOrigin asks one peer.
--- a/internal/testing/fleet/fleet_test.go
+++ b/internal/testing/fleet/fleet_test.go
@@ -57,6 +57,8 @@
 	client       *http.Client
 	requestCount atomic.Int64
 	eventPause   time.Duration // before each event of a stream, set before endpoints are added
+	silent       atomic.Bool   // entries break the connections of questions about streams
+	unanswered   atomic.Int64  // such questions
 	stopped      chan struct{}
 
 	mu      sync.Mutex
@@ -240,7 +242,7 @@
 	f.mustSucceed(err)
 	mux := http.NewServeMux()
 	mux.Handle("/", peers.StateHandler(g.Directory()))
-	mux.Handle(peers.OriginPath, peers.OriginHandler(g.Origin))
+	mux.Handle(peers.OriginPath, f.unlessSilent(peers.OriginHandler(g.Origin)))
 	mux.Handle(peers.SignalsPath, group.SignalsHandler())
 	mux.Handle(peers.SnapshotPath, peers.SnapshotHandler(g.Snapshot))
 	server := &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: conditionTimeout}
@@ -251,6 +253,17 @@
 	return group
 }
 
+// unlessSilent breaks the connection of each question while the entries are silent.
+func (f *fleet) unlessSilent(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if f.silent.Load() {
+			f.unanswered.Add(1)
+			panic(http.ErrAbortHandler)
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	address, err := loopback.FreeAddress()
