Wait for a newer list before a stream's version counts as gone

Callers who resumed a stream of a version that had just joined were refused with 1310 (begin anew) at an entry that was out of step: a peer knew the origin, but the entry's old list had no engine of that version yet.

--- a/internal/direct/gateway/resumption.go
+++ b/internal/direct/gateway/resumption.go
@@ -5,7 +5,8 @@
 // not know it asks other entries. Such a request passes admission, as a resumption within an answer
 // does, if its origin is recorded. It is sent to endpoints of that version only, and refused as not
 // run if there is none. If those of its version can't take it for now (they are full, at a rate limit or
-// in backoff), it waits for them for maxResumptionWait: there are no others.
+// in backoff), it waits for them for maxResumptionWait: there are no others. It does so too where the list
+// of endpoints has none of that version and was not the newest since the request arrived.
 // Inputs: the header of the request, events of other entries, the list of endpoints.
 // Never: a stream is resumed at a version that may not have begun it; the refusal of a stream that
 // can't be resumed at any entry has a Retry-After.
@@ -233,10 +234,15 @@
 }
 
 // awaitVersion waits a while if the endpoints that run the version of the request's stream can't take
-// it for now. It returns false if all of them are excluded, or if it has waited for long enough.
+// it for now, or a newer list may have some. It returns false if all of them are excluded, or if it has
+// waited for long enough.
 func (f *forwarding) awaitVersion(excluded map[string]bool) bool {
 	q := f.request
-	return q.spec.Resumes && f.gateway.dispatcher.mayTakeLater(q, excluded) && f.awaitEngine()
+	if !q.spec.Resumes {
+		return false
+	}
+	listNewest := f.gateway.directory.EndpointsConfirmed().After(q.received)
+	return (!listNewest || f.gateway.dispatcher.mayTakeLater(q, excluded)) && f.awaitEngine()
 }
 
 // awaitEngine waits for resumptionInterval for an engine that may take the request's stream or run later.
--- a/internal/testing/fleet/fleet_test.go
+++ b/internal/testing/fleet/fleet_test.go
@@ -57,6 +57,7 @@
 	client       *http.Client
 	requestCount atomic.Int64
 	eventPause   time.Duration // before each event of a stream, set before endpoints are added
+	listsHeld    atomic.Bool   // entries fetch nothing from each other
 	silent       atomic.Bool   // entries break the connections of questions about streams
 	unanswered   atomic.Int64  // such questions
 	stopped      chan struct{}
@@ -68,10 +69,12 @@
 
 // entry is one gateway of the fleet.
 type entry struct {
-	gateway *gateway.Gateway
-	group   *peers.Group // nil for an entry that receives no events
-	address string
-	stop    func()
+	gateway  *gateway.Gateway
+	group    *peers.Group // nil for an entry that receives no events
+	address  string
+	stop     func()
+	follow   func() (end func()) // the store
+	unfollow func()              // ends that
 }
 
 // newFleet starts endpoints and entries, and waits until each entry lists all of them.
@@ -207,7 +210,12 @@
 	if joinGroup {
 		e.group = f.join(ctx, e.gateway, owner)
 	}
-	go e.gateway.Directory().Follow(ctx, platform.Store(process, func() {}))
+	e.follow = func() (end func()) {
+		following, end := context.WithCancel(ctx)
+		go e.gateway.Directory().Follow(following, platform.Store(process, func() {}))
+		return end
+	}
+	e.unfollow = e.follow()
 	go e.gateway.Run(ctx)
 	f.eventually("the entry is ready", e.gateway.Ready)
 	e.address = freeAddress(f.t)
@@ -236,7 +244,9 @@
 		Name: fmt.Sprintf("entry-%d", owner), Address: address, Owner: owner, Seeds: seeds,
 		Listener: g.EventReceiver(), Directory: g.Directory(), DataCentre: "zone-1",
 		Fetch: func(ctx context.Context, from string, p peers.Part) {
-			_ = peers.FetchState(ctx, g.Directory(), from, p) // it is retried
+			if !f.listsHeld.Load() {
+				_ = peers.FetchState(ctx, g.Directory(), from, p) // it is retried
+			}
 		},
 	})
 	f.mustSucceed(err)
--- a/internal/testing/fleet/out_of_step_test.go
+++ b/internal/testing/fleet/out_of_step_test.go
@@ -1,9 +1,12 @@
 package fleet_test
 
 import (
+	"fmt"
 	"net/http"
 	"sync"
 	"testing"
+
+	"foxcross.dev/foxcross/internal/testing/standin/platformtest"
 )
 
 // newFleetWithLateEntry returns a fleet with streams and an entry that has received nothing about them.
@@ -39,3 +42,27 @@
 	}
 	checkResumed(t, streams[0], f.resume(f.entries[1], streams[0]))
 }
+
+// TestStreamsOfVersionThatJoinsAreNotGoneAtEntryWithOldList guards against "version gone" by a list that is old.
+func TestStreamsOfVersionThatJoinsAreNotGoneAtEntryWithOldList(t *testing.T) {
+	f := newMixedFleet(t, 3, 2, "v1")
+	began, behind := f.entries[0], f.entries[2]
+	f.listsHeld.Store(true)
+	behind.unfollow()
+	for n := range 4 {
+		f.addEngine(fmt.Sprint("i-v2-", n+1), "v2", platformtest.Events{To: longStream, Pause: eventPause})
+	}
+	f.eventually("the others list the new engines", func() bool {
+		return len(began.gateway.Dump().Endpoints) == 6 && len(f.entries[1].gateway.Dump().Endpoints) == 6
+	})
+	streams := f.beginStreams(began, 12, 2)
+	began.stop()
+	var callers sync.WaitGroup
+	for _, s := range streams {
+		callers.Go(func() { checkResumed(t, s, f.resume(behind, s)) })
+	}
+	f.eventually("streams wait for a list, or have an answer", func() bool { return behind.gateway.Dump().OpenRequests >= 1 })
+	f.listsHeld.Store(false)
+	defer behind.follow()()
+	callers.Wait()
+}
