Record where streams began from events that waited during a pause

Callers who resumed a stream at an entry that had stood still were refused since it did not know the origin: what it received within a moment of going on was dropped, as the ages of the events were not known. Which endpoint began a stream does not depend on an age, so that is recorded now; the rest is dropped as before, and nothing of it is forwarded.

The test in internal/direct/peers needs a listener that did not exist before.

--- a/internal/direct/gateway/gateway.go
+++ b/internal/direct/gateway/gateway.go
@@ -135,6 +135,12 @@
 	l.applyContentEvents(owner, events)
 }
 
+// HandleLateEvents implements peers.Listener. Where a stream began stays true however late that is
+// known.
+func (l listener) HandleLateEvents(owner uint64, events []peers.Event) {
+	l.dispatcher.applyLateStreams(owner, events)
+}
+
 // MemberGone implements peers.Listener.
 func (l listener) MemberGone(owner uint64) { l.dispatcher.dropMember(owner) }
 
--- a/internal/direct/gateway/resumption.go
+++ b/internal/direct/gateway/resumption.go
@@ -328,6 +328,25 @@
 	}
 }
 
+// applyLateStreams applies where streams began to events whose ages are not known. A stream that counts
+// as begun too late is only less certain.
+func (d *dispatcher) applyLateStreams(owner uint64, events []peers.Event) {
+	now := steady.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range events {
+		id := placement.AttemptID{Owner: owner, Number: e.Number}
+		switch e.Kind {
+		case peers.AttemptSent:
+			d.applyStream(now, id, e)
+		case peers.FirstEvent:
+			d.origins.FirstEvent(now, id)
+		case peers.AttemptEnded:
+			d.origins.Ended(id)
+		}
+	}
+}
+
 // streamCounts returns the number of recorded streams, and of those beyond the bound.
 func (d *dispatcher) streamCounts() (recorded, unrecorded int) {
 	d.mu.Lock()
--- a/internal/direct/peers/bundle.go
+++ b/internal/direct/peers/bundle.go
@@ -140,16 +140,12 @@
 // receiveSections returns the new sections of a packet and queues those that are to be
 // forwarded. g.mu must be held.
 func (g *Group) receiveSections(p packet, sender *member, now time.Time) []section {
-	if len(p.Sections) == 0 || now.Before(g.staleUntil) {
-		return nil
-	}
-	if !sender.maySendOver(p.Hop) {
-		log.With("address", sender.address.String()).With("hop", int(p.Hop)).WarnLimited("hop", "Dropping sections from a peer that may not send over this hop.")
+	if now.Before(g.staleUntil) {
 		return nil
 	}
 	fresh := p.Sections[:0]
-	for _, s := range p.Sections {
-		if !g.isOtherOwner(s.Owner) || p.Hop == hopToRelay && s.Owner != p.Owner || !g.replayWindow(s.Owner).accept(s.Number) {
+	for _, s := range g.allowedSections(p, sender) {
+		if !g.replayWindow(s.Owner).accept(s.Number) {
 			continue
 		}
 		s.RelayedMS = max(s.RelayedMS, 0)
@@ -160,6 +156,33 @@
 	return fresh
 }
 
+// lateSections returns the sections of a packet that may have waited in the socket while this process
+// was stopped. Their ages are not known, so that they are not forwarded. g.mu must be held.
+func (g *Group) lateSections(p packet, sender *member, now time.Time) []section {
+	if !now.Before(g.staleUntil) {
+		return nil
+	}
+	return g.allowedSections(p, sender)
+}
+
+// allowedSections returns the sections of a packet that its sender may send. g.mu must be held.
+func (g *Group) allowedSections(p packet, sender *member) []section {
+	if len(p.Sections) == 0 {
+		return nil
+	}
+	if !sender.maySendOver(p.Hop) {
+		log.With("address", sender.address.String()).With("hop", int(p.Hop)).WarnLimited("hop", "Dropping sections from a peer that may not send over this hop.")
+		return nil
+	}
+	var allowed []section
+	for _, s := range p.Sections {
+		if g.isOtherOwner(s.Owner) && (p.Hop != hopToRelay || s.Owner == p.Owner) {
+			allowed = append(allowed, s)
+		}
+	}
+	return allowed
+}
+
 // isOtherOwner reports whether an incarnation is that of another peer.
 func (g *Group) isOtherOwner(owner uint64) bool { return owner != 0 && owner != g.options.Owner }
 
--- a/internal/direct/peers/freshness_test.go
+++ b/internal/direct/peers/freshness_test.go
@@ -11,6 +11,8 @@
 	"foxcross.dev/foxcross/internal/direct/driver"
 	"foxcross.dev/foxcross/internal/steady"
 	"foxcross.dev/foxcross/internal/testing/suspension"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // newListedGroup returns a group that is not started, whose list of endpoints has revision 5.
@@ -18,7 +20,7 @@
 	t.Helper()
 	d := directory.New(func(directory.ActiveSettings) {}, func([]placement.Endpoint) {}, func([]string) {})
 	d.ReplaceEndpoints(driver.Endpoints{Revision: 5}, "test")
-	g, err := New(Options{Name: name, Address: "127.0.0.1:0", Owner: owner, Listener: ignoreEvents{}, Directory: d})
+	g, err := New(Options{Name: name, Address: "127.0.0.1:0", Owner: owner, Listener: &keptEvents{}, Directory: d})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -26,10 +28,14 @@
 	return g
 }
 
-type ignoreEvents struct{}
+// keptEvents is a listener that keeps what it receives.
+type keptEvents struct{ events, late []Event }
 
-func (ignoreEvents) HandleEvents(uint64, []Event) {}
-func (ignoreEvents) MemberGone(uint64)            {}
+func (k *keptEvents) HandleEvents(_ uint64, events []Event) { k.events = append(k.events, events...) }
+func (k *keptEvents) HandleLateEvents(_ uint64, events []Event) {
+	k.late = append(k.late, events...)
+}
+func (*keptEvents) MemberGone(uint64) {}
 
 func (g *Group) socketAddress() *net.UDPAddr { return g.socket.LocalAddr().(*net.UDPAddr) }
 
@@ -78,3 +84,21 @@
 		t.Errorf("confirmed %v before the list was the newest", before.Sub(at))
 	}
 }
+
+// TestEventsThatWaitedDuringPauseAreNotLost guards against streams of unknown origin after a standstill.
+func TestEventsThatWaitedDuringPauseAreNotLost(t *testing.T) {
+	g := newListedGroup(t, "a", 1)
+	k := g.options.Listener.(*keptEvents)
+	from := &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 9}
+	g.handlePacket(packet{Owner: 2, Heartbeat: &heartbeat{Name: "b", Relayed: true}}, from)
+	data, encoded := Event{Kind: AttemptSent, Number: 5, Stream: 7}.encode()
+	if !encoded {
+		t.Fatal("not encoded")
+	}
+	p := packet{Owner: 2, Hop: hopLocal, Sections: []section{{Owner: 2, Number: 1, Events: []cbor.RawMessage{data}}}}
+	g.handlePause(time.Second, steady.Now())
+	g.handlePacket(p, from)
+	if len(k.late) != 1 || k.late[0].Stream != 7 || len(k.events) != 0 || g.relayQueue.count() != 0 {
+		t.Errorf("late events %v, others %v, %d to forward", k.late, k.events, g.relayQueue.count())
+	}
+}
--- a/internal/direct/peers/fuzz_test.go
+++ b/internal/direct/peers/fuzz_test.go
@@ -18,7 +18,9 @@
 type discardListener struct{}
 
 func (discardListener) HandleEvents(uint64, []Event) {}
-func (discardListener) MemberGone(uint64)            {}
+
+func (discardListener) HandleLateEvents(uint64, []Event) {}
+func (discardListener) MemberGone(uint64)                {}
 
 // FuzzHandlePacket handles any datagram, as of a relay and as of a member, and continues to run
 // the group. A datagram that crashed its receiver would spread from peer to peer. The seed
--- a/internal/direct/peers/group.go
+++ b/internal/direct/peers/group.go
@@ -33,6 +33,9 @@
 type Listener interface {
 	// HandleEvents receives events about another peer's attempts.
 	HandleEvents(owner uint64, events []Event)
+	// HandleLateEvents receives events that waited while this process was stopped. When they
+	// occurred is not known, and some of their attempts may have ended.
+	HandleLateEvents(owner uint64, events []Event)
 	// MemberGone is called when an incarnation of a peer has ended or is lost.
 	MemberGone(owner uint64)
 }
@@ -99,7 +102,7 @@
 	lastSection        uint64                   // number of the last section of this process
 	plan               plan
 	planStale          bool      // the members have changed since the plan was made
-	staleUntil         time.Time // datagrams received before this time waited in the socket while this process was stopped
+	staleUntil         time.Time // datagrams received before this time may have waited in the socket while this process was stopped
 	resumedAt          time.Time // when this process last resumed after it was stopped
 	core               []*member // with which this process exchanges keepalives; empty outside of the core
 	seedsTriedAt       time.Time // when the seeds were last contacted
--- a/internal/direct/peers/peers_test.go
+++ b/internal/direct/peers/peers_test.go
@@ -45,6 +45,8 @@
 	e.events = append(e.events, events...)
 }
 
+func (e *testPeer) HandleLateEvents(uint64, []peers.Event) {}
+
 func (e *testPeer) MemberGone(owner uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/direct/peers/presence_test.go
+++ b/internal/direct/peers/presence_test.go
@@ -47,6 +47,9 @@
 // HandleEvents implements Listener.
 func (noopListener) HandleEvents(uint64, []Event) {}
 
+// HandleLateEvents implements Listener.
+func (noopListener) HandleLateEvents(uint64, []Event) {}
+
 // MemberGone implements Listener.
 func (noopListener) MemberGone(uint64) {}
 
--- a/internal/direct/peers/receive.go
+++ b/internal/direct/peers/receive.go
@@ -57,6 +57,7 @@
 	replaced := g.receiveReports(p, m, local, now)
 	g.applyPresence(p, m, now)
 	g.relayReports(p, m, now)
+	late := g.lateSections(p, m, now)
 	fresh := g.receiveSections(p, m, now)
 	g.mu.Unlock()
 	if p.Probe == probeRequest {
@@ -82,6 +83,9 @@
 	for _, s := range fresh {
 		g.notifyListener(s.Owner, s.decode(), s.RelayedMS)
 	}
+	for _, s := range late {
+		g.options.Listener.HandleLateEvents(s.Owner, s.decode())
+	}
 }
 
 // applyClaims records how new the sender's settings and list of endpoints were when it composed its
