--- a/coord/resumption/model_test.go
+++ b/coord/resumption/model_test.go
@@ -124,7 +124,7 @@
 	e.readList(w)
 	peer := w.entries[w.random.IntN(len(w.entries))]
 	if !peer.cut(w.now) {
-		e.versions.Restore(w.now, peer.versions.Snapshot(w.now))
+		e.versions.Restore(w.now, w.now, peer.versions.Snapshot(w.now))
 	}
 	w.entries[w.random.IntN(len(w.entries))] = e
 }
--- a/coord/resumption/processes_test.go
+++ b/coord/resumption/processes_test.go
@@ -53,7 +53,7 @@
 	v.RecordProcess(e.Incarnation(), "8", at(5*time.Second))
 	v.Confirm(at(9 * time.Second))
 	started.Observe(at(9*time.Second), []placement.Endpoint{e})
-	started.Restore(at(9*time.Second), v.Snapshot(at(9*time.Second)))
+	started.Restore(at(9*time.Second), at(9*time.Second), v.Snapshot(at(9*time.Second)))
 	for _, known := range []*resumption.Versions{&v, &started} {
 		if name, certain := known.Process(e.Incarnation()); name != "7" || !certain {
 			t.Errorf("process %q, certain %v", name, certain)
--- a/coord/resumption/versions.go
+++ b/coord/resumption/versions.go
@@ -224,9 +224,9 @@
 	return s
 }
 
-// Restore applies the snapshot of another entry. Versions that it had listed count as listed until
-// now, since they may have left in between.
-func (v *Versions) Restore(now time.Time, s VersionsSnapshot) {
+// Restore applies the snapshot of another entry that was asked for at a time. Versions that it had
+// listed count as listed until now, since they may have left in between.
+func (v *Versions) Restore(now, askedAt time.Time, s VersionsSnapshot) {
 	observed := now.Add(-time.Duration(s.ObservedMS) * time.Millisecond)
 	switch {
 	case s.Always:
@@ -235,7 +235,7 @@
 		v.since = observed
 	}
 	if s.Always || s.ObservedMS > 0 {
-		v.extend(now.Add(-time.Duration(s.ListAgeMS) * time.Millisecond))
+		v.extend(askedAt.Add(-time.Duration(s.ListAgeMS) * time.Millisecond))
 	}
 	v.restoreProcesses(s.Processes)
 	if v.earlier == nil {
--- a/coord/resumption/versions_test.go
+++ b/coord/resumption/versions_test.go
@@ -62,7 +62,7 @@
 	peer.Confirm(at(30 * time.Second))
 	v.StartAt(at(30 * time.Second))
 	v.Observe(at(31*time.Second), list("a", "v1"))
-	v.Restore(at(31*time.Second), peer.Snapshot(at(31*time.Second)))
+	v.Restore(at(31*time.Second), at(31*time.Second), peer.Snapshot(at(31*time.Second)))
 	expectOnly(t, &v, at(31*time.Second), "v1")
 }
 
@@ -74,7 +74,7 @@
 	peer.Confirm(at(30 * time.Second))
 	v.StartAt(at(30 * time.Second))
 	v.Observe(at(31*time.Second), list("b", "v2"))
-	v.Restore(at(31*time.Second), peer.Snapshot(at(31*time.Second)))
+	v.Restore(at(31*time.Second), at(31*time.Second), peer.Snapshot(at(31*time.Second)))
 	expectOnly(t, &v, at(31*time.Second), "")
 	expectOnly(t, &v, at(46*time.Second), "v2")
 }
@@ -107,7 +107,7 @@
 	peer.Observe(at(0), list("a", "v1"))
 	peer.Confirm(at(30 * time.Second))
 	v.StartAt(at(30 * time.Second))
-	v.Restore(at(31*time.Second), peer.Snapshot(at(31*time.Second)))
+	v.Restore(at(31*time.Second), at(31*time.Second), peer.Snapshot(at(31*time.Second)))
 	v.Observe(at(41*time.Second), list("b", "v2"))
 	v.Confirm(at(41 * time.Second))
 	expectOnly(t, &v, at(52*time.Second), "")
@@ -121,7 +121,7 @@
 	peer.Confirm(at(20 * time.Second))
 	v.StartAt(at(30 * time.Second))
 	v.Observe(at(31*time.Second), list("a", "v1"))
-	v.Restore(at(31*time.Second), peer.Snapshot(at(31*time.Second)))
+	v.Restore(at(31*time.Second), at(31*time.Second), peer.Snapshot(at(31*time.Second)))
 	expectOnly(t, &v, at(31*time.Second), "")
 	expectOnly(t, &v, at(50*time.Second), "v1")
 }
@@ -130,7 +130,7 @@
 	var v resumption.Versions
 	v.StartAt(at(0))
 	v.Observe(at(0), list("a", "v1"))
-	v.Restore(at(0), resumption.VersionsSnapshot{})
+	v.Restore(at(0), at(0), resumption.VersionsSnapshot{})
 	expectOnly(t, &v, at(time.Second), "")
 }
 
@@ -214,3 +214,21 @@
 		})
 	}
 }
+
+// TestObservationHasGapWhileSnapshotWaited guards against a gap that a standstill before the restoration hides.
+func TestObservationHasGapWhileSnapshotWaited(t *testing.T) {
+	var peer, v resumption.Versions
+	peer.Observe(at(0), list("a", "v1"))
+	peer.Confirm(at(30 * time.Second))
+	asked := at(30 * time.Second)
+	s := peer.Snapshot(asked)
+	v.StartAt(asked)
+	restored := at(36 * time.Second)
+	v.Restore(restored, asked, s)
+	v.Observe(restored, list("b", "v2"))
+	v.Confirm(restored.Add(time.Second))
+	expectOnly(t, &v, restored.Add(time.Second), "")
+	if v.Observed(restored.Add(time.Second), 5*time.Second) {
+		t.Error("the time before the restoration counts as observed")
+	}
+}
--- a/internal/direct/gateway/snapshot.go
+++ b/internal/direct/gateway/snapshot.go
@@ -45,8 +45,8 @@
 	return data, nil
 }
 
-// Restore applies the snapshot of another entry.
-func (g *Gateway) Restore(data []byte) error {
+// Restore applies the snapshot of another entry that was asked for at a time.
+func (g *Gateway) Restore(askedAt time.Time, data []byte) error {
 	var s snapshot
 	if err := cbor.Unmarshal(data, &s); err != nil {
 		return fmt.Errorf("gateway: decode a snapshot: %w", err)
@@ -59,7 +59,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.table.Restore(steady.Now(), s.Snapshot)
-	d.versions.Restore(steady.Now(), s.Versions)
+	d.versions.Restore(steady.Now(), askedAt, s.Versions)
 	open := d.table.Open()
 	log.With("endpoints", len(s.Endpoints)).With("parts", len(s.Parts)).With("attempts", open).With("bytes", len(data)).
 		Info("The snapshot of another entry was applied.")
--- a/internal/direct/gateway/snapshot_test.go
+++ b/internal/direct/gateway/snapshot_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 
+	"foxcross.dev/foxcross/internal/steady"
 	"foxcross.dev/foxcross/internal/testing/standin/platformtest"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -72,8 +73,8 @@
 		h.gateway.QueryCachedParts(context.Background(), all)
 		data, err := h.gateway.Snapshot()
 		Expect(err).NotTo(HaveOccurred())
-		Expect(h.gateway.Restore([]byte("no snapshot"))).NotTo(Succeed())
-		Expect(h.gateway.Restore(data)).To(Succeed())
+		Expect(h.gateway.Restore(steady.Now(), []byte("no snapshot"))).NotTo(Succeed())
+		Expect(h.gateway.Restore(steady.Now(), data)).To(Succeed())
 		Expect(countHits(h)).To(Equal(subjects))
 	})
 })
--- a/internal/direct/peers/snapshot.go
+++ b/internal/direct/peers/snapshot.go
@@ -70,9 +70,9 @@
 	})
 }
 
-// RestoreSnapshot passes the snapshot of another peer to restore. It returns false if no peer with a
-// snapshot is known.
-func (g *Group) RestoreSnapshot(ctx context.Context, list EndpointLister, restore func([]byte) error) (found bool) {
+// RestoreSnapshot passes the snapshot of another peer to restore, with the time at which it was asked
+// for. It returns false if no peer with a snapshot is known.
+func (g *Group) RestoreSnapshot(ctx context.Context, list EndpointLister, restore func(askedAt time.Time, data []byte) error) (found bool) {
 	ctx, done := context.WithTimeout(ctx, discoveryPeriod)
 	defer done()
 	tried := map[string]bool{}
@@ -89,9 +89,10 @@
 		}
 		found = true
 		tried[address] = true
+		askedAt := steady.Now()
 		data, err := fetchSnapshot(ctx, address)
 		if err == nil {
-			err = restore(data)
+			err = restore(askedAt, data)
 		}
 		if err != nil {
 			log.With("peer", address).With("reason", err.Error()).WarnLimited("snapshot", "Fetching a snapshot failed; trying another peer.")
--- a/internal/direct/peers/snapshot_test.go
+++ b/internal/direct/peers/snapshot_test.go
@@ -59,7 +59,7 @@
 		text := strings.Repeat("what is known ", 1000)
 		startSnapshotPeer(a, peers.SnapshotHandler(func() ([]byte, error) { return []byte(text), nil }))
 		var got []byte
-		a.group.RestoreSnapshot(context.Background(), knownEndpoints{}, func(data []byte) error {
+		a.group.RestoreSnapshot(context.Background(), knownEndpoints{}, func(_ time.Time, data []byte) error {
 			got = data
 			return nil
 		})
@@ -71,7 +71,7 @@
 		startSnapshotPeer(a, peers.SnapshotHandler(func() ([]byte, error) { return nil, errors.New("not now") }))
 		restored := false
 		startedAt := time.Now()
-		a.group.RestoreSnapshot(context.Background(), knownEndpoints{}, func([]byte) error {
+		a.group.RestoreSnapshot(context.Background(), knownEndpoints{}, func(time.Time, []byte) error {
 			restored = true
 			return nil
 		})
--- a/internal/testing/fleet/hold_test.go
+++ b/internal/testing/fleet/hold_test.go
@@ -9,6 +9,7 @@
 
 	"foxcross.dev/coord/quarantine"
 	"foxcross.dev/foxcross/internal/direct/peers"
+	"foxcross.dev/foxcross/internal/steady"
 	"foxcross.dev/foxcross/internal/testing/standin/platformtest"
 )
 
@@ -48,7 +49,7 @@
 	e := f.addEntry(false)
 	data, err := f.entries[0].gateway.Snapshot()
 	f.mustSucceed(err)
-	f.mustSucceed(e.gateway.Restore(data))
+	f.mustSucceed(e.gateway.Restore(steady.Now(), data))
 	f.checkHeldAt(e)
 }
 
