Soak releases of engines while an entry is out of step

One entry is frozen while engines of another version join, and another is killed as it resumes, so that streams break that began in the meantime. The fault checks that no stream goes on at another version, and that those of versions which serve go on at entries in touch.

--- a/internal/testing/soak/faults.go
+++ b/internal/testing/soak/faults.go
@@ -52,6 +52,7 @@
 	{"an engine has a slow spell", []Promise{OwnCompleteAnswer, InOrder, NoTeamStarves}, true, slowDown},
 	{"an engine crashes in a copied stream", []Promise{ContinuedAfterCrash, InOrder, AtMostOnce, NotRun}, false, crashInStream},
 	{"engines are released", []Promise{OneVersion, StreamsGoOn, OwnCompleteAnswer, InOrder}, true, release},
+	{"an entry is out of step during a release", []Promise{OneVersion, StreamsGoOn, InOrder, SettingsMonotonic, Recovers}, false, releaseOutOfStep},
 }
 
 // Durations and sizes of faults.
--- a/internal/testing/soak/soak_test.go
+++ b/internal/testing/soak/soak_test.go
@@ -141,6 +141,26 @@
 	}
 }
 
+// TestReleasesWhileAnEntryIsOutOfStep guards against streams that go on at another version after a standstill.
+func TestReleasesWhileAnEntryIsOutOfStep(t *testing.T) {
+	const outOfStep = "an entry is out of step during a release"
+	r, err := Run(context.Background(), Options{
+		Seed: 3, Duration: 5 * time.Second, Entries: 4, Endpoints: 8, Callers: 24, Dir: logFolder(t), EventPause: 60 * time.Millisecond,
+		Only:    []string{outOfStep, "kill an entry"},
+		Command: entryprogram.Command,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range r.Violations {
+		t.Errorf("%s: request %s: %s", b.Promise, b.ID, b.Detail)
+	}
+	t.Logf("%d of %d streams were resumed", r.Resumed, r.Resumed+r.Refused)
+	if r.Faults[outOfStep] == 0 || r.Resumed == 0 {
+		t.Errorf("%d releases with an entry out of step, %d streams were resumed", r.Faults[outOfStep], r.Resumed)
+	}
+}
+
 func TestPlannedWork(t *testing.T) { runSoak(t, 2, Planned()) }
 
 // TestSlowCallers adds callers that do not read their responses or do not finish their bodies, during
--- a/internal/testing/soak/versions.go
+++ b/internal/testing/soak/versions.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -17,6 +18,8 @@
 	releasedShare = 0.5
 	// maxReleaseGap is the longest time between the replacements of two engines.
 	maxReleaseGap = 400 * time.Millisecond
+	// minOutOfStep is the shortest time in which an entry is frozen during a release.
+	minOutOfStep = 500 * time.Millisecond
 	// maxResumptions is how often a caller resumes the same stream.
 	maxResumptions = 2
 	// inTouch is the time after the start of an entry, and after a disturbance, from which streams
@@ -57,6 +60,23 @@
 	all.Wait()
 }
 
+// releaseOutOfStep releases engines while an entry is frozen. As it resumes, another one is killed, so that
+// streams that began in the meantime break and are resumed there.
+func releaseOutOfStep(d *deployment, amount float64) {
+	frozen, killed := d.randomEntry(), d.randomEntry()
+	var all sync.WaitGroup
+	all.Go(func() { release(d, amount) })
+	frozen.signalMu.Lock()
+	d.history.recordDisturbance(time.Now())
+	frozen.freeze(minOutOfStep + faultDuration(amount, extraFreeze))
+	frozen.signalMu.Unlock()
+	if killed != frozen {
+		killed.restart(syscall.SIGKILL)
+	}
+	d.history.recordDisturbance(time.Now())
+	all.Wait()
+}
+
 // resumeBroken has a caller resume a stream that broke off, at entries of its choice.
 func (d *deployment) resumeBroken(ctx context.Context, s observation, random *rand.Rand) {
 	for range maxResumptions {
