List crowds of callers whose heads and connections exceed an entry's limits

Callers that are outside of the limits can end an entry by its memory. A head of legal size in the shortest lines is refused as too large.

--- a/internal/testing/soak/entry.go
+++ b/internal/testing/soak/entry.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -97,7 +98,7 @@
 			"graceS": stopGraceSeconds, "drainMs": drainGraceMS, "retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 50, "retryAfterS": 10,
 			"reportWindowS": usageWindowS, "leaseMs": dutyLeaseMS, "thawMs": thawMS,
 		},
-		"limits":   map[string]any{"linkMbps": linkMbps, "cpuShare": 1, "memoryMb": entryMemoryLimitMB},
+		"limits":   map[string]any{"linkMbps": linkMbps, "cpuShare": 1, "memoryMb": cmp.Or(o.MemoryMB, entryMemoryLimitMB), "maxFds": o.Descriptors},
 		"platform": map[string]any{"address": store, "ttl_min_ms": minLeaseMS},
 		"cloud":    map[string]any{"address": reports, "duties": []string{"usage_report"}},
 	})
--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -27,6 +27,8 @@
 	Crashing    bool          // a caller repeats a request that crashes each endpoint that runs it
 	EventPause  time.Duration // before each event of a stream, 0 for the shortest
 	SlowCallers int           // callers that do not read their responses or do not finish their bodies
+	MemoryMB    int           // memory limit in the settings of each entry, 0 for entryMemoryLimitMB
+	Descriptors int           // limit on descriptors in the settings of each entry, 0 for unknown
 	// Command returns a command that runs an entry with the settings file. Run ends its
 	// process.
 	Command func(settings string) *exec.Cmd
