Count no more bytes of a head than it can have had on the wire

A caller whose head had the allowed size in very short lines got 431: the entry counted four bytes beside each name and value, as if each field had a space and a CRLF. It counts the least that a field takes now.

--- a/internal/direct/gateway/accept.go
+++ b/internal/direct/gateway/accept.go
@@ -157,15 +157,16 @@
 	return routeDeadline
 }
 
-// fieldOverhead is the number of bytes of a header field in addition to its name and value: colon,
-// space and line end (RFC 9112, 5).
-const fieldOverhead = 4
+// minFieldOverhead is the least number of bytes of a header field in addition to its name and value: a
+// colon and a line feed (RFC 9112, 2.2 and 5).
+const minFieldOverhead = 2
 
+// headerBytes returns the least size that the head of a request can have had on the wire.
 func headerBytes(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
 	for name, values := range r.Header {
 		for _, v := range values {
-			n += len(name) + len(v) + fieldOverhead
+			n += len(name) + len(v) + minFieldOverhead
 		}
 	}
 	return n
