Limit the memory that heads of callers' requests take

Callers could end an entry: a head was read up to 1 MiB and parsed before the limit of the settings was checked, and short lines take many times their bytes once parsed. Heads of legal size had no limit for all together.

Bytes and lines of a head are counted now as they arrive, before they are parsed. A head over the limit of the settings gets 431; what heads take beyond 8 KiB each is reserved from one account, an eighth of the memory, until their requests have ended. A head that finds no memory gets 503 as not run. A head that arrived behind another request is counted once it is parsed.

--- a/internal/decisions_test.go
+++ b/internal/decisions_test.go
@@ -31,6 +31,7 @@
 	"internal/direct/gateway/deny.go",
 	"internal/direct/gateway/capacity.go",
 	"internal/direct/gateway/bodies.go",
+	"internal/direct/gateway/heads.go",
 	"internal/direct/gateway/upload.go",
 	"internal/direct/gateway/unread.go",
 	"internal/direct/upstream/head.go",
--- a/internal/direct/gateway/accept.go
+++ b/internal/direct/gateway/accept.go
@@ -83,6 +83,10 @@
 	if g.refusing.Load() {
 		return q, &result.Error{Code: result.Draining, Run: result.NotRun, RetryAfter: drainingRetryAfter}
 	}
+	if c, ok := callerConnOf(r); ok && !c.endHead(headMemoryOf(r)) {
+		w.Header().Set("Connection", "close")
+		return q, entryFull(headMemoryReason)
+	}
 	limits := active.Snapshot.Limits()
 	if headerBytes(r) > limits.HeaderBytes {
 		return q, result.Errorf(result.HeadersTooLarge, "at most %d bytes", limits.HeaderBytes)
@@ -156,18 +160,3 @@
 	}
 	return routeDeadline
 }
-
-// minFieldOverhead is the least number of bytes of a header field in addition to its name and value: a
-// colon and a line feed (RFC 9112, 2.2 and 5).
-const minFieldOverhead = 2
-
-// headerBytes returns the least size that the head of a request can have had on the wire.
-func headerBytes(r *http.Request) int {
-	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += len(name) + len(v) + minFieldOverhead
-		}
-	}
-	return n
-}
--- a/internal/direct/gateway/gateway.go
+++ b/internal/direct/gateway/gateway.go
@@ -89,6 +89,7 @@
 	refusing       atomic.Bool // set near the end of a graceful shutdown
 	capacity       capacity
 	bodyMemory     bodyMemory
+	headMemory     headMemory
 	dispatcher     dispatcher
 	suspects       suspects
 	foreseenPauses pauseCounter
@@ -112,6 +113,7 @@
 	}
 	g.capacity.init(o.Process.Limits)
 	g.bodyMemory.init(o.Process.Limits)
+	g.headMemory.init(o.Process.Limits)
 	g.pool.Buffers.SetMemoryLimit(o.Process.Limits.MemoryBytes)
 	g.dispatcher.init(o)
 	g.directory = directory.New(g.dispatcher.setServices, g.setEndpoints, g.dispatcher.setEvacuated)
--- a/internal/direct/gateway/idle.go
+++ b/internal/direct/gateway/idle.go
@@ -17,6 +17,7 @@
 type idleListener struct {
 	net.Listener
 	idleLimit func() time.Duration
+	newHead   func() headReader // nil for no limits
 }
 
 // Accept implements net.Listener.
@@ -25,7 +26,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: c, idleLimit: l.idleLimit}, nil
+	conn := &callerConn{Conn: c, idleLimit: l.idleLimit}
+	if l.newHead != nil {
+		conn.head = l.newHead()
+	}
+	return conn, nil
 }
 
 // callerConn is a caller's connection. It closes itself when it has been idle for too long, and
@@ -48,6 +53,7 @@
 	timer       *time.Timer
 	inHeader    bool      // the next bytes belong to a header
 	headerStart time.Time // when the first byte of the header arrived, zero before that
+	head        headReader
 
 	writeState writeState
 }
@@ -66,6 +72,7 @@
 	c.idleSince = now
 	c.inHeader = true
 	c.headerStart = time.Time{}
+	c.head.reset()
 	c.startTimer(now)
 }
 
@@ -105,8 +112,25 @@
 	_ = c.Conn.Close() // nobody uses the connection any more
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It ends the connection if the caller's request is refused by its head.
 func (c *callerConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.readOnce(b)
+		failed, discard := c.meterHead(b[:n])
+		switch {
+		case failed != nil:
+			c.head.countRefused(failed)
+			return 0, c.refuse(failed)
+		case !discard:
+			return n, err
+		case err != nil:
+			return 0, err
+		}
+	}
+}
+
+// readOnce reads what has arrived, and updates the state.
+func (c *callerConn) readOnce(b []byte) (int, error) {
 	c.setReading(true)
 	n, err := c.Conn.Read(b)
 	if c.wokenByIdleTimer(err) {
@@ -191,6 +215,7 @@
 		c.timer.Stop()
 	}
 	c.idleSince = time.Time{}
+	c.head.close()
 	c.mu.Unlock()
 	return c.Conn.Close()
 }
--- a/internal/direct/gateway/server.go
+++ b/internal/direct/gateway/server.go
@@ -6,11 +6,13 @@
 	"net"
 	"net/http"
 	"time"
+
+	"foxcross.dev/coord/result"
 )
 
 // Limits on callers' connections that are not in the settings.
 const (
-	// maxHeaderBytes is the limit for net/http. The limit in the settings is checked in accept.
+	// maxHeaderBytes is the limit for net/http. That in the settings is checked as a header arrives.
 	maxHeaderBytes = 1 << 20
 	// headerTimeout is how long a new connection may take for its first header. The limit in the
 	// settings applies from the first byte of a header on: before that, the connection is idle.
@@ -37,7 +39,7 @@
 	}
 	s := g.newServer()
 	go func() {
-		if err := s.Serve(idleListener{Listener: l, idleLimit: g.idleLimit}); err != http.ErrServerClosed {
+		if err := s.Serve(idleListener{Listener: l, idleLimit: g.idleLimit, newHead: g.newHeadReader}); err != http.ErrServerClosed {
 			log.Errorf("Serving on %s ended: %v.", address, err)
 		}
 	}()
@@ -74,6 +76,28 @@
 	return active.Snapshot.Limits().HeaderTimeout
 }
 
+// newHeadReader returns the meter of a connection's heads.
+func (g *Gateway) newHeadReader() headReader {
+	return headReader{limit: g.headerBytesLimit, hold: headHold{account: &g.headMemory}, countRefused: g.countRefusedHead}
+}
+
+// headerBytesLimit returns the largest size of a head, in bytes.
+func (g *Gateway) headerBytesLimit() int {
+	active := g.directory.Settings()
+	if active == nil {
+		return defaultHeaderLimit
+	}
+	return active.Snapshot.Limits().HeaderBytes
+}
+
+// countRefusedHead counts and logs a request that is refused by its head.
+func (g *Gateway) countRefusedHead(f *result.Error) {
+	name := f.Code.Entry().Name
+	g.options.Metrics.Tagged(map[string]string{"code": name}).Counter("heads_refused").Inc(1)
+	log.With("code", int(f.Code)).With("reason", f.Reason).With("reserved", g.headMemory.reserved()).
+		WarnLimited("head-"+name, "A request was refused by its head.")
+}
+
 // idleLimit returns how long a caller's connection may be idle.
 func (g *Gateway) idleLimit() time.Duration {
 	active := g.directory.Settings()
