Limit the number of callers' connections

Callers that open connections and send nothing, or one byte, could take all descriptors of an entry, so that it reached neither callers nor endpoints: nothing but the open requests had a limit. An entry accepts as many connections as requests now. At the limit the connection that has been without a whole head for the longest time gives way.

--- a/internal/decisions_test.go
+++ b/internal/decisions_test.go
@@ -30,6 +30,7 @@
 	"coord/settings/keys.go",
 	"internal/direct/gateway/deny.go",
 	"internal/direct/gateway/capacity.go",
+	"internal/direct/gateway/callers.go",
 	"internal/direct/gateway/bodies.go",
 	"internal/direct/gateway/heads.go",
 	"internal/direct/gateway/upload.go",
--- a/internal/direct/gateway/accept.go
+++ b/internal/direct/gateway/accept.go
@@ -76,6 +76,10 @@
 // with what was read so far.
 func (g *Gateway) accept(w http.ResponseWriter, r *http.Request) (*request, *result.Error) {
 	q := &request{id: r.Header.Get(g.fields.RequestID), received: steady.Now(), incoming: r}
+	if c, ok := callerConnOf(r); ok && !c.endHead(headMemoryOf(r)) {
+		w.Header().Set("Connection", "close")
+		return q, entryFull(headMemoryReason)
+	}
 	active := g.directory.Settings()
 	if active == nil || !g.directory.Ready() {
 		return q, notReady("no settings yet", steady.Since(g.startedAt))
@@ -83,10 +87,6 @@
 	if g.refusing.Load() {
 		return q, &result.Error{Code: result.Draining, Run: result.NotRun, RetryAfter: drainingRetryAfter}
 	}
-	if c, ok := callerConnOf(r); ok && !c.endHead(headMemoryOf(r)) {
-		w.Header().Set("Connection", "close")
-		return q, entryFull(headMemoryReason)
-	}
 	limits := active.Snapshot.Limits()
 	if headerBytes(r) > limits.HeaderBytes {
 		return q, result.Errorf(result.HeadersTooLarge, "at most %d bytes", limits.HeaderBytes)
--- /dev/null
+++ b/internal/direct/gateway/callers_test.go
@@ -0,0 +1,40 @@
+package gateway
+
+import "testing"
+
+func newLimitedConns(t *testing.T, maxOpen int) (*callerConns, []*callerConn) {
+	t.Helper()
+	var conns callerConns
+	conns.init(maxOpen)
+	all := make([]*callerConn, maxOpen)
+	for n := range all {
+		all[n] = &callerConn{conns: &conns}
+		if evicted, admitted := conns.admit(all[n]); evicted != nil || !admitted {
+			t.Fatalf("connection %d has no place", n)
+		}
+	}
+	return &conns, all
+}
+
+// TestConnectionWithoutRequestGivesWay guards against silent connections that leave none to ordinary callers.
+func TestConnectionWithoutRequestGivesWay(t *testing.T) {
+	conns, all := newLimitedConns(t, 3)
+	conns.markBusy(all[0])
+	conns.markBusy(all[1])
+	conns.markQuiet(all[1]) // its request has ended, after the third connection was opened
+	for _, want := range []*callerConn{all[2], all[1]} {
+		next := &callerConn{conns: conns}
+		evicted, admitted := conns.admit(next)
+		if evicted != want || !admitted {
+			t.Fatalf("evicted %p, want %p; admitted: %v", evicted, want, admitted)
+		}
+		conns.markBusy(next)
+		conns.remove(evicted)
+	}
+	if evicted, admitted := conns.admit(&callerConn{}); evicted != nil || admitted {
+		t.Errorf("a request gave way: %v", admitted)
+	}
+	if open := conns.count(); open != 3 {
+		t.Errorf("%d connections are open", open)
+	}
+}
--- a/internal/direct/gateway/gateway.go
+++ b/internal/direct/gateway/gateway.go
@@ -90,6 +90,7 @@
 	capacity       capacity
 	bodyMemory     bodyMemory
 	headMemory     headMemory
+	callerConns    callerConns
 	dispatcher     dispatcher
 	suspects       suspects
 	foreseenPauses pauseCounter
@@ -114,6 +115,7 @@
 	g.capacity.init(o.Process.Limits)
 	g.bodyMemory.init(o.Process.Limits)
 	g.headMemory.init(o.Process.Limits)
+	g.callerConns.init(g.capacity.maxOpen)
 	g.pool.Buffers.SetMemoryLimit(o.Process.Limits.MemoryBytes)
 	g.dispatcher.init(o)
 	g.directory = directory.New(g.dispatcher.setServices, g.setEndpoints, g.dispatcher.setEvacuated)
--- a/internal/direct/gateway/idle.go
+++ b/internal/direct/gateway/idle.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"container/list"
 	"errors"
 	"net"
 	"net/http"
@@ -18,19 +19,42 @@
 	net.Listener
 	idleLimit func() time.Duration
 	newHead   func() headReader // nil for no limits
+	conns     *callerConns      // nil for no limit
+	// countClosed is called when a connection is closed since there are too many.
+	countClosed func(open int)
 }
 
 // Accept implements net.Listener.
 func (l idleListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		conn := &callerConn{Conn: c, idleLimit: l.idleLimit, conns: l.conns}
+		if l.newHead != nil {
+			conn.head = l.newHead()
+		}
+		if l.admit(conn) {
+			return conn, nil
+		}
+		_ = c.Close() // nothing was read from it
+	}
+}
+
+// admit reports whether there is a place for a connection, for which another one may be closed.
+func (l idleListener) admit(conn *callerConn) bool {
+	if l.conns == nil {
+		return true
+	}
+	evicted, admitted := l.conns.admit(conn)
+	if evicted != nil {
+		evicted.evict()
 	}
-	conn := &callerConn{Conn: c, idleLimit: l.idleLimit}
-	if l.newHead != nil {
-		conn.head = l.newHead()
+	if evicted != nil || !admitted {
+		l.countClosed(l.conns.count())
 	}
-	return conn, nil
+	return admitted
 }
 
 // callerConn is a caller's connection. It closes itself when it has been idle for too long, and
@@ -54,6 +78,10 @@
 	inHeader    bool      // the next bytes belong to a header
 	headerStart time.Time // when the first byte of the header arrived, zero before that
 	head        headReader
+	closed      bool
+
+	conns        *callerConns  // that it counts among, nil for none
+	quietElement *list.Element // its place among those without a whole head, nil for none; guarded by callerConns.mu
 
 	writeState writeState
 }
@@ -73,6 +101,9 @@
 	c.inHeader = true
 	c.headerStart = time.Time{}
 	c.head.reset()
+	if c.conns != nil {
+		c.conns.markQuiet(c)
+	}
 	c.startTimer(now)
 }
 
@@ -112,6 +143,20 @@
 	_ = c.Conn.Close() // nobody uses the connection any more
 }
 
+// evict closes the connection, unless a request has arrived on it.
+func (c *callerConn) evict() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	inHead := c.inHeader && !c.headerStart.IsZero()
+	if c.reading && !inHead {
+		c.finalRead = true
+		_ = c.Conn.SetReadDeadline(time.Now()) // fails only on a closed connection
+		return
+	}
+	c.idleExpired = true
+	_ = c.Conn.Close() // its head has not arrived
+}
+
 // Read implements net.Conn. It ends the connection if the caller's request is refused by its head.
 func (c *callerConn) Read(b []byte) (int, error) {
 	for {
@@ -171,6 +216,9 @@
 	}
 	if c.finalRead {
 		c.finalRead = false
+		if c.conns != nil {
+			c.conns.markQuiet(c)
+		}
 		_ = c.Conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
 	}
 	c.idleSince = time.Time{}
@@ -216,7 +264,12 @@
 	}
 	c.idleSince = time.Time{}
 	c.head.close()
+	first := !c.closed
+	c.closed = true
 	c.mu.Unlock()
+	if first && c.conns != nil {
+		c.conns.remove(c)
+	}
 	return c.Conn.Close()
 }
 
--- a/internal/direct/gateway/server.go
+++ b/internal/direct/gateway/server.go
@@ -39,7 +39,7 @@
 	}
 	s := g.newServer()
 	go func() {
-		if err := s.Serve(idleListener{Listener: l, idleLimit: g.idleLimit, newHead: g.newHeadReader}); err != http.ErrServerClosed {
+		if err := s.Serve(idleListener{Listener: l, idleLimit: g.idleLimit, newHead: g.newHeadReader, conns: &g.callerConns, countClosed: g.countClosedConn}); err != http.ErrServerClosed {
 			log.Errorf("Serving on %s ended: %v.", address, err)
 		}
 	}()
@@ -98,6 +98,12 @@
 		WarnLimited("head-"+name, "A request was refused by its head.")
 }
 
+// countClosedConn counts and logs a connection that is closed since there are too many.
+func (g *Gateway) countClosedConn(open int) {
+	g.options.Metrics.Counter("connections_closed_at_limit").Inc(1)
+	log.With("open", open).WarnLimited("connections", "A caller's connection was closed: there are too many.")
+}
+
 // idleLimit returns how long a caller's connection may be idle.
 func (g *Gateway) idleLimit() time.Duration {
 	active := g.directory.Settings()
