Take no response whose status is invalid for an answer

An endpoint in trouble may answer with status 000. Statuses above 599 were relayed, and relay mode relayed 000.

Statuses are judged in one place now (coord/completeness): below 100, above 599, and 101, for which nobody asks, are no answers. The request may have run; its connection is closed.

--- a/internal/direct/upstream/exchange.go
+++ b/internal/direct/upstream/exchange.go
@@ -256,8 +256,11 @@
 		if err != nil {
 			return nil, c.head.parseError(err)
 		}
-		if response.StatusCode >= http.StatusOK {
+		switch completeness.KindOfStatus(response.StatusCode) {
+		case completeness.FinalStatus:
 			return response, nil
+		case completeness.InvalidStatus:
+			return nil, fmt.Errorf("%w: status %d", ErrInvalidResponse, response.StatusCode)
 		}
 	}
 }
--- a/internal/relay/endpoint/endpoint_test.go
+++ b/internal/relay/endpoint/endpoint_test.go
@@ -193,6 +193,25 @@
 		Expect(len(end.Reason)).To(BeNumerically("<", 1000))
 	})
 
+	DescribeTable("fails a response whose status is invalid", func(status string) {
+		call := endpoint.Call{Start: message.Start{Method: http.MethodGet, Path: "/"}}
+		s := &sink{}
+		end := driver("http", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				_, _ = io.WriteString(c, "HTTP/1.1 "+status+" x\r\nContent-Length: 1\r\n\r\nx")
+				_ = c.Close()
+			}
+		})).Run(context.Background(), call, s)
+		Expect(end.Code).NotTo(Equal(result.OK))
+		Expect(end.Run).To(Equal(result.Ran))
+		Expect(s.data).To(BeEmpty())
+	},
+		Entry("zero", "000"),
+		Entry("below 100", "099"),
+		Entry("above 599", "999"),
+	)
+
 	It("reports a response that ends with its connection as failed if the service has crashed", func() {
 		ends := make(chan net.Conn, 1)
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/relay/endpoint/http.go
+++ b/internal/relay/endpoint/http.go
@@ -87,6 +87,9 @@
 		return end
 	}
 	defer func() { _ = response.Body.Close() }()
+	if completeness.KindOfStatus(response.StatusCode) != completeness.FinalStatus {
+		return failed(result.Ran, fmt.Sprintf("the service answered with status %d", response.StatusCode))
+	}
 	if err := k.Head(response.StatusCode, fieldsOf(response.Header)); err != nil {
 		return failed(result.Ran, err.Error())
 	}
