Pass no request on that may be cut at the end of the grace period

In a planned stop a request whose head came in time, but whose body came late, or whose endpoint refused it late, was passed on at any time up to the end of the grace and cut there without an answer, also one that must not run twice (LOST). Once new requests are refused, one that has not run is refused as well, as not run, unless its deadline is before the end.

The new case of the graceful shutdown failed before: the request ran and got 504 where the process would have ended.

--- a/internal/direct/gateway/forward.go
+++ b/internal/direct/gateway/forward.go
@@ -53,6 +53,9 @@
 		if refusal := f.checkQuarantine(); refusal != nil {
 			return refusal
 		}
+		if !f.mayHaveRun && !f.gateway.maySend(f.request) {
+			return &result.Error{Code: result.Draining, Run: result.NotRun, RetryAfter: drainingRetryAfter}
+		}
 		if f.sent > 0 && !dispatcher.allowRetry(f.request.spec.Service) {
 			return newFailure(result.RetriesUsed, "the service's budget of repeats is used up", f.mayHaveRun)
 		}
--- a/internal/direct/gateway/gateway.go
+++ b/internal/direct/gateway/gateway.go
@@ -86,7 +86,8 @@
 	pool           upstream.Pool
 	directory      *directory.Directory
 	lifecycle      *lifecycle.Lifecycle
-	refusing       atomic.Bool // set near the end of a graceful shutdown
+	refusing       atomic.Bool               // set near the end of a graceful shutdown
+	abortAt        atomic.Pointer[time.Time] // when it aborts open requests, nil before it
 	capacity       capacity
 	bodyMemory     bodyMemory
 	headMemory     headMemory
--- a/internal/direct/gateway/harness_test.go
+++ b/internal/direct/gateway/harness_test.go
@@ -179,6 +179,23 @@
 	return q
 }
 
+// slowRequest sends the head of a request whose body is written to the returned writer.
+func (h *harness) slowRequest(target, deadlineMS string) (<-chan reply, io.Writer) {
+	body, writer := io.Pipe()
+	q, err := http.NewRequest(http.MethodPost, "http://"+h.address+target, body)
+	Expect(err).NotTo(HaveOccurred())
+	q.Host = routeHost
+	q.ContentLength = 1
+	q.Header.Set(platformtest.RequestIDField, fmt.Sprintf("id-%d", h.ids.Add(1)))
+	q.Header.Set(platformtest.DeadlineField, deadlineMS)
+	q.Header.Set(platformtest.KeyField, teamKey)
+	open := h.gateway.Dump().OpenRequests
+	answer := make(chan reply, 1)
+	go func() { answer <- h.do(q) }()
+	Eventually(func() int { return h.gateway.Dump().OpenRequests }).Should(Equal(open + 1))
+	return answer, writer
+}
+
 // reply is a response as received by a caller.
 type reply struct {
 	status int
--- a/internal/direct/gateway/stop.go
+++ b/internal/direct/gateway/stop.go
@@ -2,7 +2,8 @@
 //
 // Rule: from the signal on, the process is not ready. Requests are still accepted for acceptShare
 // of the grace period, because the load balancer needs a moment to notice, but only for
-// minAcceptShare if none is open then. After that, new requests are refused as not run. At
+// minAcceptShare if none is open then. After that, new requests are refused as not run, and so are
+// accepted ones that have not run yet, unless their deadline is before shutdownShare. At
 // shutdownShare, requests that are still open are aborted.
 // Inputs: the grace period, from the settings file; the number of open requests.
 // Unit: shares of the grace period, from the signal on.
@@ -36,9 +37,11 @@
 	began := steady.Now()
 	g.lifecycle.Stop()
 	at := func(share float64) time.Time { return began.Add(time.Duration(share * float64(grace))) }
+	abortAt := at(shutdownShare)
+	g.abortAt.Store(&abortAt)
 	g.capacity.waitIdle(at(minAcceptShare), at(acceptShare))
 	g.refusing.Store(true)
-	ctx, cancel := steady.WithDeadline(context.Background(), at(shutdownShare))
+	ctx, cancel := steady.WithDeadline(context.Background(), abortAt)
 	defer cancel()
 	defer g.lifecycle.Done()
 	if err := s.Shutdown(ctx); err != nil {
@@ -48,6 +51,16 @@
 	return nil
 }
 
+// maySend reports whether a request may be sent to an endpoint with regard to the shutdown: it would be
+// aborted if it ran beyond its end.
+func (g *Gateway) maySend(q *request) bool {
+	if !g.refusing.Load() {
+		return true
+	}
+	abortAt := g.abortAt.Load()
+	return abortAt != nil && q.deadline.Before(*abortAt)
+}
+
 // Grace returns the time from the signal to stop until the process is killed.
 func (g *Gateway) Grace() time.Duration {
 	g.dispatcher.mu.Lock()
--- a/internal/direct/gateway/stop_test.go
+++ b/internal/direct/gateway/stop_test.go
@@ -55,4 +55,28 @@
 		close(hold)
 		Eventually(streamed).Should(Receive())
 	})
+
+	// Guards against requests that are passed on late in the grace period and cut at its end.
+	It("refuses a request whose body arrives when new ones are refused", func() {
+		hold := make(chan struct{})
+		h := newHarness(platformtest.Events{To: 5, Hold: hold})
+		streamed := make(chan reply, 1)
+		q := h.request(http.MethodPost, "/chat/1", "x")
+		go func() { streamed <- h.do(q) }()
+		Eventually(h.runs).Should(Equal(1))
+		late, lateBody := h.slowRequest("/book/1", "15000")
+		stopped := make(chan error, 1)
+		go func() { stopped <- h.gateway.Stop(h.server, 10*time.Second) }()
+		Eventually(func() bool { return h.gateway.Refusing() }).WithTimeout(20 * time.Second).Should(BeTrue())
+		_, _ = lateBody.Write([]byte("x"))
+		a := <-late
+		Expect(a.err).NotTo(HaveOccurred())
+		Expect(a.status).To(Equal(503))
+		Expect(a.header.Get("X-Foxcross-Run")).To(Equal("not run"))
+		Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(h.runs()).To(Equal(1))
+		close(hold)
+		Eventually(streamed).Should(Receive())
+		Eventually(stopped).Should(Receive(BeNil()))
+	})
 })
