Answer requests that are open at the end of the grace period

In a planned stop the process ended under requests that were still open: their connections were cut without an answer, and callers whose request must not run twice could not know whether it had. At 0.93 of the grace open requests are aborted now and get their final answer, 504 with "unknown" if they may have run.

The new case of the graceful shutdown failed before: no answer came until the deadline of the request.

--- a/internal/direct/gateway/accept.go
+++ b/internal/direct/gateway/accept.go
@@ -67,9 +67,17 @@
 // timeLeft returns the time until the deadline.
 func (q *request) timeLeft() time.Duration { return steady.Until(q.deadline) }
 
-// withDeadline returns a context that ends at the deadline or when the caller disconnects.
-func (q *request) withDeadline() (context.Context, context.CancelFunc) {
-	return steady.WithDeadline(q.incoming.Context(), q.deadline)
+// withDeadline returns a context that ends at the deadline, when the caller disconnects, or when the
+// shutdown aborts open requests.
+func (g *Gateway) withDeadline(q *request) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(q.incoming.Context())
+	detach := context.AfterFunc(g.stopping, func() { cancel(errStopping) })
+	limited, end := steady.WithDeadline(ctx, q.deadline)
+	return limited, func() {
+		end()
+		detach()
+		cancel(context.Canceled)
+	}
 }
 
 // accept reads a request and determines its class and team. On failure it also returns the request,
--- a/internal/direct/gateway/gateway.go
+++ b/internal/direct/gateway/gateway.go
@@ -88,6 +88,8 @@
 	lifecycle      *lifecycle.Lifecycle
 	refusing       atomic.Bool               // set near the end of a graceful shutdown
 	abortAt        atomic.Pointer[time.Time] // when it aborts open requests, nil before it
+	stopping       context.Context           // done once open requests are aborted
+	abortOpen      context.CancelCauseFunc
 	capacity       capacity
 	bodyMemory     bodyMemory
 	headMemory     headMemory
@@ -113,6 +115,7 @@
 		responseFields: upstream.HeaderNames{RequestID: f.RequestID, NotRun: f.NotRun},
 		lifecycle:      lifecycle.New(),
 	}
+	g.stopping, g.abortOpen = context.WithCancelCause(context.Background())
 	g.capacity.init(o.Process.Limits)
 	g.bodyMemory.init(o.Process.Limits)
 	g.headMemory.init(o.Process.Limits)
--- a/internal/direct/gateway/handler.go
+++ b/internal/direct/gateway/handler.go
@@ -22,7 +22,7 @@
 	}
 	responseStarted := false
 	if failed == nil {
-		ctx, cancel := q.withDeadline()
+		ctx, cancel := g.withDeadline(q)
 		defer cancel()
 		g.dispatcher.countRequest(q)
 		failed, responseStarted = g.forward(ctx, w, q)
--- a/internal/direct/gateway/stop.go
+++ b/internal/direct/gateway/stop.go
@@ -4,7 +4,8 @@
 // of the grace period, because the load balancer needs a moment to notice, but only for
 // minAcceptShare if none is open then. After that, new requests are refused as not run, and so are
 // accepted ones that have not run yet, unless their deadline is before shutdownShare. At
-// shutdownShare, requests that are still open are aborted.
+// shutdownShare, requests that are still open are aborted: their callers get what is true of them, and
+// streams break off.
 // Inputs: the grace period, from the settings file; the number of open requests.
 // Unit: shares of the grace period, from the signal on.
 // Never: an accepted request is aborted before shutdownShare.
@@ -13,6 +14,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -26,11 +28,15 @@
 	// minAcceptShare is until when requests are accepted even if none is open, so that an idle
 	// process stops soon.
 	minAcceptShare = 0.3
-	// shutdownShare is when open requests are aborted. The remaining time is for the last responses
-	// to be sent.
+	// shutdownShare is when open requests are aborted.
 	shutdownShare = 0.93
+	// answeredShare is until when the responses to aborted requests may be sent.
+	answeredShare = 0.97
 )
 
+// errStopping is why the requests end that are open at the end of the grace period.
+var errStopping = errors.New("gateway: the grace period of the shutdown has ended")
+
 // Stop shuts the gateway down gracefully within the grace period. It returns an error if requests
 // were open at the end.
 func (g *Gateway) Stop(s *http.Server, grace time.Duration) error {
@@ -41,12 +47,17 @@
 	g.abortAt.Store(&abortAt)
 	g.capacity.waitIdle(at(minAcceptShare), at(acceptShare))
 	g.refusing.Store(true)
-	ctx, cancel := steady.WithDeadline(context.Background(), abortAt)
+	aborting := steady.AfterFunc(steady.Until(abortAt), func() { g.abortOpen(errStopping) })
+	defer aborting.Stop()
+	ctx, cancel := steady.WithDeadline(context.Background(), at(answeredShare))
 	defer cancel()
 	defer g.lifecycle.Done()
 	if err := s.Shutdown(ctx); err != nil {
 		return fmt.Errorf("gateway: stopped with requests open: %w", err)
 	}
+	if g.stopping.Err() != nil {
+		return fmt.Errorf("gateway: stopped with requests open at the end of the grace period: %w", context.Cause(g.stopping))
+	}
 	log.Info("All requests are answered.")
 	return nil
 }
--- a/internal/direct/gateway/stop_test.go
+++ b/internal/direct/gateway/stop_test.go
@@ -79,4 +79,21 @@
 		Eventually(streamed).Should(Receive())
 		Eventually(stopped).Should(Receive(BeNil()))
 	})
+
+	// Guards against connections that are cut without an answer at the end of the grace period.
+	It("answers requests that are open at the end of the grace period", func() {
+		hold := make(chan struct{})
+		DeferCleanup(func() { close(hold) })
+		h := newHarness(platformtest.Events{To: 5, Hold: hold})
+		answer := make(chan reply, 1)
+		q := h.request(http.MethodPost, "/book/1", "x")
+		go func() { answer <- h.do(q) }()
+		Eventually(h.runs).Should(Equal(1))
+		Expect(h.gateway.Stop(h.server, 2*time.Second)).NotTo(Succeed())
+		var a reply
+		Eventually(answer).WithTimeout(time.Second).Should(Receive(&a))
+		Expect(a.err).NotTo(HaveOccurred())
+		Expect(a.status).To(Equal(504))
+		Expect(a.header.Get("X-Foxcross-Run")).To(Equal("unknown"))
+	})
 })
