Leave connections for refusals beyond the limit of open requests

Since callers' connections have the limit of open requests, a caller beyond it got a closed connection in place of 503, not run, with a Retry-After. 32 connections more than requests are accepted now, so that refusals keep their promise.

--- a/internal/direct/gateway/callers.go
+++ b/internal/direct/gateway/callers.go
@@ -1,7 +1,8 @@
 // Limits the number of callers' connections.
 //
 // Rule: an entry has as many callers' connections as it accepts requests (capacity.go), which leaves as
-// many descriptors for endpoints. At the limit a new connection takes the place of the one that has been
+// many descriptors for endpoints, and refusalConns more, over which requests beyond that are refused. At
+// the limit a new connection takes the place of the one that has been
 // without a whole head for the longest time, be it idle, new or slow. If all carry requests, the new
 // one is closed.
 // Inputs: the process's limit on descriptors, the state of each connection.
@@ -15,6 +16,9 @@
 	"sync"
 )
 
+// refusalConns is the number of connections over which requests are refused.
+const refusalConns = 32
+
 // callerConns holds the open connections of callers. Call init before use.
 type callerConns struct {
 	maxOpen int
@@ -24,7 +28,7 @@
 	quiet list.List // *callerConn without a whole head, the longest first
 }
 
-func (c *callerConns) init(maxOpen int) { c.maxOpen = maxOpen }
+func (c *callerConns) init(maxRequests int) { c.maxOpen = maxRequests + refusalConns }
 
 // admit adds a connection, which is quiet. It returns the connection that has to be closed for it, nil for
 // none, and false if there is no place.
