Drop the trailers of requests

Trailers of a chunked request are read up to 4 KB and kept with the request, parsed, for as long as it is open, though they are never forwarded, outside of any account. They are dropped with the end of the body. TestTrailersAreNotKept failed before (2 kept).

--- a/internal/direct/gateway/upload.go
+++ b/internal/direct/gateway/upload.go
@@ -49,6 +49,7 @@
 		return nil, entryFull("bodies take too much memory")
 	}
 	data, err := u.readAll(expected, q.deadline)
+	r.Trailer = nil // not forwarded, and its memory is not reserved
 	if err == nil {
 		g.bodyMemory.resize(q.reservation, int64(len(data)))
 		return data, nil
