Evict no connection whose head has arrived

At the limit of connections one without a whole head gives way. Between the end of its head and the start of its handler a connection still counted as such, so that a request that was read could end without an answer. A connection whose head has ended is left, and one that the server calls active no longer counts. Found by reading; the new tests failed before by closing.

--- a/internal/direct/gateway/callers_test.go
+++ b/internal/direct/gateway/callers_test.go
@@ -1,6 +1,11 @@
 package gateway
 
-import "testing"
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+)
 
 func newLimitedConns(t *testing.T, maxOpen int) (*callerConns, []*callerConn) {
 	t.Helper()
@@ -37,3 +42,32 @@
 		t.Errorf("%d connections are open", open)
 	}
 }
+
+// TestConnectionWhoseHeadHasArrivedIsNotEvicted guards against requests that were read and end unanswered.
+func TestConnectionWhoseHeadHasArrivedIsNotEvicted(t *testing.T) {
+	const head = "GET / HTTP/1.1\r\n\r\n"
+	for sent, evicted := range map[string]bool{head: false, head[:9]: true} {
+		server, caller := net.Pipe()
+		c := &callerConn{Conn: server, inHeader: true, head: newTestHead(nil)}
+		go func() { _, _ = caller.Write([]byte(sent)) }() // ends with the connection
+		if _, err := io.ReadFull(c, make([]byte, len(sent))); err != nil {
+			t.Fatal(err)
+		}
+		c.evict()
+		if closed := c.idleExpired; closed != evicted {
+			t.Errorf("%q: closed: %v", sent, closed)
+		}
+		_ = c.Close()      // the test is over
+		_ = caller.Close() // likewise
+	}
+}
+
+// TestActiveConnectionIsNotEvicted guards against requests that are about to be handled and end unanswered.
+func TestActiveConnectionIsNotEvicted(t *testing.T) {
+	conns, all := newLimitedConns(t, 1)
+	connStateChanged(all[0], http.StateNew)
+	connStateChanged(all[0], http.StateActive)
+	if evicted, admitted := conns.admit(&callerConn{}); evicted != nil || admitted {
+		t.Errorf("evicted %p, admitted: %v", evicted, admitted)
+	}
+}
--- a/internal/direct/gateway/headread.go
+++ b/internal/direct/gateway/headread.go
@@ -72,9 +72,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inHeader = false
-	if c.conns != nil {
-		c.conns.markBusy(c)
-	}
+	c.markBusy()
 	return c.head.closed || c.head.hold.grow(memory)
 }
 
--- a/internal/direct/gateway/idle.go
+++ b/internal/direct/gateway/idle.go
@@ -93,6 +93,13 @@
 	c.idleSince = time.Time{}
 }
 
+// markBusy records that the connection must not give way to another.
+func (c *callerConn) markBusy() {
+	if c.conns != nil {
+		c.conns.markBusy(c)
+	}
+}
+
 // markIdle starts the idle time.
 func (c *callerConn) markIdle(now time.Time) {
 	c.mu.Lock()
@@ -148,7 +155,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	inHead := c.inHeader && !c.headerStart.IsZero()
-	if c.reading && !inHead {
+	switch {
+	case c.head.meter.ended:
+		return // its head is about to be parsed
+	case c.reading && !inHead:
 		c.finalRead = true
 		_ = c.Conn.SetReadDeadline(time.Now()) // fails only on a closed connection
 		return
@@ -280,6 +290,9 @@
 	case !ok:
 	case s == http.StateIdle:
 		conn.markIdle(time.Now())
+	case s == http.StateActive:
+		conn.markActive()
+		conn.markBusy()
 	default:
 		conn.markActive()
 	}
