--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -66,6 +66,7 @@
 
 	evacuationMu sync.Mutex // held during an evacuation
 	releaseMu    sync.Mutex // held during a release of engines
+	outOfStepMu  sync.Mutex // held while an entry is out of step during a release
 
 	mu          sync.Mutex
 	random      *rand.Rand
--- a/internal/testing/soak/versions.go
+++ b/internal/testing/soak/versions.go
@@ -61,8 +61,13 @@
 }
 
 // releaseOutOfStep releases engines while an entry is frozen. As it resumes, another one is killed, so that
-// streams that began in the meantime break and are resumed there.
+// streams that began in the meantime break and are resumed there. It does nothing while another entry is
+// out of step: callers would find none that serves.
 func releaseOutOfStep(d *deployment, amount float64) {
+	if !d.outOfStepMu.TryLock() {
+		return
+	}
+	defer d.outOfStepMu.Unlock()
 	frozen, killed := d.randomEntry(), d.randomEntry()
 	var all sync.WaitGroup
 	all.Go(func() { release(d, amount) })
