--- a/internal/direct/directory/directory.go
+++ b/internal/direct/directory/directory.go
@@ -225,7 +225,7 @@
 	return d.listConfirmed
 }
 
-// Claims is what a process may tell others about how new its data is.
+// Claims holds the versions of a process and when each was last known to be the newest.
 type Claims struct {
 	Version            uint64 // of the settings
 	Revision           uint64 // of the list of endpoints
