Count standstills of the soak's own process out of the time to learn

Cause, traced in a run that failed the same way beside load: the entry sent the request before the evacuation began, and all entries knew of the evacuation within 40 ms. The process of the test, which serves the endpoints and the store, stood almost still for 2.2 s: calls to the store of all three entries made no progress in that time, and the endpoint read the request 2.18 s after the evacuation. The check took the time of reading for the time of arrival.

The soak now records when its own process did not get to run, and takes only that time off the time that entries had to learn. A standstill of an entry is not taken off.

--- a/internal/testing/soak/datacentres.go
+++ b/internal/testing/soak/datacentres.go
@@ -90,7 +90,7 @@
 	for _, e := range h.evacuations {
 		over := !e.to.IsZero() && !r.At.Before(e.to)
 		if late := h.timeToLearn(r.At, e.from); late > evacuationGracePeriod && !over {
-			h.addViolation(EvacuationHonoured, s.id, "it ran at %s %v after entries could know that its data centre is evacuated", r.endpoint, late)
+			h.addViolation(EvacuationHonoured, s.id, "it ran at %s %v after entries could know that its data centre is evacuated; %s", r.endpoint, late, h.timing(s, r.At))
 		}
 	}
 }
--- a/internal/testing/soak/history.go
+++ b/internal/testing/soak/history.go
@@ -69,6 +69,7 @@
 	versions     map[string]int // active version, by incarnation of an entry
 
 	evacuations []interval
+	standstills standstills
 	namedLimits []namedLimit
 	resumptions []resumption
 	versionOf   map[string]string // of the software, by endpoint
@@ -214,7 +215,7 @@
 			h.addViolation(RequestUnmodified, s.id, "%s %s ran for team %q", r.Method, r.Target, r.Header.Get(platformtest.TeamField))
 		}
 		if late := h.timePastLeaving(r.At, r.leavingSince); late > 0 {
-			h.addViolation(NoRequestsAfterLeaving, s.id, "it ran at %s %v after entries could know that it leaves", r.endpoint, late)
+			h.addViolation(NoRequestsAfterLeaving, s.id, "it ran at %s %v after entries could know that it leaves; %s", r.endpoint, late, h.timing(s, r.At))
 		}
 		h.checkSource(s, r)
 		h.checkDataCentre(s, r)
@@ -253,7 +254,7 @@
 }
 
 // timeToLearn returns the time that entries had until at to learn of an event, counted from the event
-// or from the last disturbance after it.
+// or from the last disturbance after it, less the standstills of this process.
 func (h *history) timeToLearn(at, happened time.Time) time.Duration {
 	known := happened
 	for _, disturbed := range h.disturbances {
@@ -261,5 +262,5 @@
 			known = disturbed
 		}
 	}
-	return at.Sub(known)
+	return at.Sub(known) - h.standstills.within(known, at)
 }
--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -115,6 +115,7 @@
 	for n := range o.Callers {
 		callers.Go(func() { d.runCaller(calling, uint64(n)) })
 	}
+	callers.Go(func() { d.recordStandstills(calling) })
 	callers.Go(func() { d.recordVersions(calling) })
 	callers.Go(func() { d.recordMemory(calling) })
 	for n := range o.SlowCallers {
--- a/internal/testing/soak/soak_test.go
+++ b/internal/testing/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -29,6 +30,7 @@
 	t.Cleanup(func() {
 		if t.Failed() {
 			t.Logf("logs of the entries: %s", folder)
+			logWarnings(t, folder)
 			return
 		}
 		_ = os.RemoveAll(folder) // it is in the folder for temporary files
@@ -36,6 +38,29 @@
 	return folder
 }
 
+// logWarnings logs the first warnings of each entry.
+func logWarnings(t *testing.T, folder string) {
+	t.Helper()
+	const maxWarnings = 20
+	paths, err := filepath.Glob(filepath.Join(folder, "*.log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			t.Errorf("%v", err)
+		}
+		warnings := 0
+		for line := range strings.Lines(string(data)) {
+			if strings.Contains(line, `"level":"warn"`) && warnings < maxWarnings {
+				warnings++
+				t.Logf("%s: %s", filepath.Base(path), strings.TrimSpace(line))
+			}
+		}
+	}
+}
+
 // runSoak runs entries as separate processes under random faults. It checks the promises, and of
 // the times only those that the platform bounds.
 func runSoak(t *testing.T, seed uint64, only []string) Report {
@@ -293,6 +318,18 @@
 	if r := disturbed.check(false, nil); len(r.Violations) != 0 {
 		t.Errorf("found %v where a disturbance excuses the entries", r.Violations)
 	}
+	stoodStill := history{observations: []observation{of(page, observation{})}, runs: map[string][]run{"a": {evacuated}}}
+	stoodStill.beginEvacuation(now.Add(-4 * time.Second))
+	stoodStill.recordClock(now.Add(-3 * time.Second))
+	stoodStill.recordClock(now.Add(-2 * time.Second))
+	if r := stoodStill.check(false, nil); len(r.Violations) != 1 {
+		t.Errorf("found %v where the standstill of the endpoints is too short to excuse the entries", r.Violations)
+	}
+	stoodStill.violations = nil
+	stoodStill.recordClock(now.Add(time.Second))
+	if r := stoodStill.check(false, nil); len(r.Violations) != 0 {
+		t.Errorf("found %v where the endpoints stood still when the request came", r.Violations)
+	}
 	var overrun history
 	started := &endpoint{runner: &platformtest.Runner{ID: "i-1"}, startedAt: now}
 	overrun.checkWarmup(started, slices.Repeat([]platformtest.Run{{At: now.Add(100 * time.Millisecond)}}, 18))
