Take a caller's timer that is due for its end in the soak

The entry's log of that request: "the time allowed is over", 5,006 ms after it began. The caller names a deadline of 5 s and gives up after 5 s; here the process of the test ran late, so that the entry's end at the deadline arrived before the caller's own timer, which had been due earlier.

The caller now counts as having given up once its time is over, whether or not its timer has fired. A response that is cut off before that is found as before.

--- a/internal/testing/soak/caller.go
+++ b/internal/testing/soak/caller.go
@@ -136,7 +136,7 @@
 		s.body = string(data)
 		s.complete = err == nil
 	}
-	s.gaveUp = ctx.Err() != nil
+	s.gaveUp = ctx.Err() != nil || s.answeredAt.Sub(s.sentAt) >= requestTimeout // its timer may be late
 	d.history.add(s)
 	return s
 }
