--- a/internal/testing/soak/standstill.go
+++ b/internal/testing/soak/standstill.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"foxcross.dev/foxcross/internal/workers"
 )
 
 const (
@@ -47,15 +49,9 @@
 
 // recordStandstills records the standstills of this process until ctx is done.
 func (d *deployment) recordStandstills(ctx context.Context) {
-	ticker := time.NewTicker(clockInterval)
-	defer ticker.Stop()
-	for {
+	d.history.recordClock(time.Now())
+	for workers.Sleep(ctx, clockInterval) {
 		d.history.recordClock(time.Now())
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
 	}
 }
 
