Do not take a resumed stream without any event for a whole one

Cause: a stream of that framing that ends before its first event is broken, but one that is resumed was excepted, since it may have no event left. Nothing in such a response tells the two apart, so its end proves nothing, and the caller was told that it did. The exception is gone; a response with a length or chunks ends as before.

TestResumedStreamWithoutAnyEventIsNotComplete failed before for a stream that the entry resumes and for one that the caller resumes, both framed as complete.

--- a/coord/completeness/evidence.go
+++ b/coord/completeness/evidence.go
@@ -58,7 +58,7 @@
 // The tails. A body that is no stream of events is Opaque.
 const (
 	Opaque        Tail = iota
-	NoEvent            // the stream held no event, and one was to be expected
+	NoEvent            // the stream held no event
 	BetweenEvents      // the last event is whole
 	InsideEvent        // the last event is not
 )
--- a/internal/direct/gateway/stream.go
+++ b/internal/direct/gateway/stream.go
@@ -87,18 +87,10 @@
 
 // endEvents decides whether the events of a response are all of the stream.
 func (s *stream) endEvents(a *attempt, response *upstream.Response, err error, tail completeness.Tail) error {
-	if tail == completeness.NoEvent && s.resumes() {
-		tail = completeness.BetweenEvents
-	}
 	_, err = s.gateway.judge(a, response, err, tail)
 	return err
 }
 
-// resumes reports whether the response continues a stream, of which no event may be left.
-func (s *stream) resumes() bool {
-	return s.lastEventID != "" || s.request.incoming.Header.Get(s.gateway.fields.LastEvent) != ""
-}
-
 // relayEvent relays one event.
 func (s *stream) relayEvent(a *attempt, response *upstream.Response, event []byte) error {
 	if a.gotFirstEvent {
--- a/internal/testing/fleet/broken_test.go
+++ b/internal/testing/fleet/broken_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -52,12 +53,25 @@
 
 // requestRawAs is requestRaw by a caller of a version of HTTP.
 func (f *fleet) requestRawAs(e *entry, target, version string) rawResponse {
+	f.t.Helper()
+	return f.sendRaw(e, f.newRequest(f.t.Context(), e, target, ""), version)
+}
+
+// resumeRaw is requestRaw by a caller that has the first events of the stream.
+func (f *fleet) resumeRaw(e *entry, target, lastEventID string) rawResponse {
+	f.t.Helper()
+	q := f.newRequest(f.t.Context(), e, target, "")
+	q.Header.Set(platformtest.LastEventField, lastEventID)
+	return f.sendRaw(e, q, "HTTP/1.1")
+}
+
+// sendRaw sends a request over a connection of its own and reads all that arrives.
+func (f *fleet) sendRaw(e *entry, q *http.Request, version string) rawResponse {
 	f.t.Helper()
 	c, err := net.Dial("tcp", e.address)
 	f.mustSucceed(err)
 	defer func() { _ = c.Close() }() // it has been read to its end
 	f.mustSucceed(c.SetDeadline(time.Now().Add(conditionTimeout)))
-	q := f.newRequest(f.t.Context(), e, target, "")
 	q.Header.Set("Connection", "close")
 	var text bytes.Buffer
 	f.mustSucceed(q.Write(&text))
@@ -183,3 +197,20 @@
 		t.Errorf("whole %t, events %q", r.whole, r.eventIDs())
 	}
 }
+
+// TestResumedStreamWithoutAnyEventIsNotComplete ends a resumed stream without a length before any event.
+func TestResumedStreamWithoutAnyEventIsNotComplete(t *testing.T) {
+	empty := platformtest.Events{Unframed: true}
+	t.Run("by the entry", func(t *testing.T) {
+		f := newScriptedFleet(t, 2, empty, platformtest.Events{To: 3, Unframed: true, Broken: true})
+		if r := f.requestRaw(f.entries[0], "/chat/1"); r.whole || r.eventIDs() != "1 2 3" {
+			t.Errorf("whole %t, events %q", r.whole, r.eventIDs())
+		}
+	})
+	t.Run("by the caller", func(t *testing.T) {
+		f := newScriptedFleet(t, 2, empty)
+		if r := f.resumeRaw(f.entries[0], "/chat/1", "3"); r.whole && strings.HasPrefix(r.head, "HTTP/1.1 200") {
+			t.Errorf("framed as complete with head %s", r.head)
+		}
+	})
+}
