Run the soak's tests through one function

Five tests repeated the call of the soak and the report of its violations, two the start of a lone entry. No check changes; violations name their seed in all of them now.

--- a/internal/testing/soak/crowd_test.go
+++ b/internal/testing/soak/crowd_test.go
@@ -68,14 +68,7 @@
 		c.Env = append(os.Environ(), "FOXCROSS_CONFIG="+settings)
 		return c
 	}}
-	e, err := newEntry(o, 0, store.Address(), reports.Address())
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := e.start(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(e.shutDown)
+	e := startLoneEntry(t, o, store, reports)
 	c := &crowdEntry{T: t, entry: e}
 	c.awaitAnswer()
 	return c
--- a/internal/testing/soak/entry_test.go
+++ b/internal/testing/soak/entry_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"foxcross.dev/foxcross/internal/testing/standin/platformtest"
 )
 
 // TestFreezeDoesNotCountAsSignalSetupTime guards against a reload signal to a process that has not
@@ -26,3 +28,17 @@
 		}
 	}
 }
+
+// startLoneEntry starts the only entry of a deployment.
+func startLoneEntry(t *testing.T, o Options, store *platformtest.Store, reports *platformtest.Reports) *entry {
+	t.Helper()
+	e, err := newEntry(o, 0, store.Address(), reports.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := e.start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.shutDown)
+	return e
+}
--- a/internal/testing/soak/flood_test.go
+++ b/internal/testing/soak/flood_test.go
@@ -66,14 +66,7 @@
 		"tenants":  []map[string]any{{"name": "team", "apiKeys": []string{teamKey}, "priority": 1}},
 	})
 	o := Options{Entries: 1, Dir: logFolder(t), Command: entryprogram.Command}
-	e, err := newEntry(o, 0, store.Address(), reports.Address())
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := e.start(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(e.shutDown)
+	e := startLoneEntry(t, o, store, reports)
 	f := &floodTest{T: t, entry: e, flooded: flooded, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200}}}
 	deadline := time.Now().Add(readinessTimeout)
 	for f.status("/page/ready") != http.StatusOK {
--- a/internal/testing/soak/soak_test.go
+++ b/internal/testing/soak/soak_test.go
@@ -61,20 +61,25 @@
 	}
 }
 
-// runSoak runs entries as separate processes under random faults. It checks the promises, and of
-// the times only those that the platform bounds.
-func runSoak(t *testing.T, seed uint64, only []string) Report {
+// runOptions runs entries as separate processes and reports each promise that was not kept.
+func runOptions(t *testing.T, o Options) Report {
 	t.Helper()
-	r, err := Run(context.Background(), Options{
-		Seed: seed, Duration: 6 * time.Second, Entries: 3, Endpoints: 4, Callers: 6, Dir: logFolder(t), Only: only,
-		Command: entryprogram.Command,
-	})
+	o.Dir, o.Command = logFolder(t), entryprogram.Command
+	r, err := Run(context.Background(), o)
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, b := range r.Violations {
-		t.Errorf("seed %d: %s: request %s: %s", seed, b.Promise, b.ID, b.Detail)
+		t.Errorf("seed %d: %s: request %s: %s", o.Seed, b.Promise, b.ID, b.Detail)
 	}
+	return r
+}
+
+// runSoak runs entries as separate processes under random faults. It checks the promises, and of
+// the times only those that the platform bounds.
+func runSoak(t *testing.T, seed uint64, only []string) Report {
+	t.Helper()
+	r := runOptions(t, Options{Seed: seed, Duration: 6 * time.Second, Entries: 3, Endpoints: 4, Callers: 6, Only: only})
 	if r.Answers[http.StatusOK] == 0 {
 		t.Errorf("seed %d: no request was answered", seed)
 	}
@@ -86,16 +91,9 @@
 // TestCrashingRequest runs a caller that repeats a request that crashes each endpoint that runs it,
 // while all faults are injected.
 func TestCrashingRequest(t *testing.T) {
-	r, err := Run(context.Background(), Options{
-		Seed: 3, Duration: 6 * time.Second, Entries: 3, Endpoints: 4, Callers: 6, Dir: logFolder(t), Crashing: true,
-		Command: entryprogram.Command,
+	r := runOptions(t, Options{
+		Seed: 3, Duration: 6 * time.Second, Entries: 3, Endpoints: 4, Callers: 6, Crashing: true,
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, b := range r.Violations {
-		t.Errorf("%s: request %s: %s", b.Promise, b.ID, b.Detail)
-	}
 	if r.Crashed == 0 {
 		t.Error("no endpoint has crashed")
 	}
@@ -103,16 +101,9 @@
 
 // TestDeadlyParts injects all faults while callers share parts of prompts that crash endpoints.
 func TestDeadlyParts(t *testing.T) {
-	r, err := Run(context.Background(), Options{
-		Seed: 63101, Duration: 6 * time.Second, Entries: 3, Endpoints: 4, Callers: 6, Dir: logFolder(t), DeadlyParts: 2,
-		Command: entryprogram.Command,
+	r := runOptions(t, Options{
+		Seed: 63101, Duration: 6 * time.Second, Entries: 3, Endpoints: 4, Callers: 6, DeadlyParts: 2,
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, b := range r.Violations {
-		t.Errorf("%s: request %s: %s", b.Promise, b.ID, b.Detail)
-	}
 	if r.Crashed == 0 {
 		t.Error("no endpoint has crashed")
 	}
@@ -149,17 +140,10 @@
 
 // TestReleases guards against streams of two versions while engines are released both ways and entries are killed.
 func TestReleases(t *testing.T) {
-	r, err := Run(context.Background(), Options{
-		Seed: 9, Duration: 6 * time.Second, Entries: 3, Endpoints: 8, Callers: 24, Dir: logFolder(t), EventPause: 60 * time.Millisecond,
-		Only:    []string{"engines are released", "kill an entry"},
-		Command: entryprogram.Command,
+	r := runOptions(t, Options{
+		Seed: 9, Duration: 6 * time.Second, Entries: 3, Endpoints: 8, Callers: 24, EventPause: 60 * time.Millisecond,
+		Only: []string{"engines are released", "kill an entry"},
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, b := range r.Violations {
-		t.Errorf("%s: request %s: %s", b.Promise, b.ID, b.Detail)
-	}
 	t.Logf("%d of %d streams were resumed", r.Resumed, r.Resumed+r.Refused)
 	if r.Faults["engines are released"] == 0 || r.Resumed == 0 {
 		t.Errorf("%d releases, %d streams were resumed", r.Faults["engines are released"], r.Resumed)
@@ -169,17 +153,10 @@
 // TestReleasesWhileAnEntryIsOutOfStep guards against streams that go on at another version after a standstill.
 func TestReleasesWhileAnEntryIsOutOfStep(t *testing.T) {
 	const outOfStep = "an entry is out of step during a release"
-	r, err := Run(context.Background(), Options{
-		Seed: 3, Duration: 5 * time.Second, Entries: 4, Endpoints: 8, Callers: 24, Dir: logFolder(t), EventPause: 60 * time.Millisecond,
-		Only:    []string{outOfStep, "kill an entry"},
-		Command: entryprogram.Command,
+	r := runOptions(t, Options{
+		Seed: 3, Duration: 5 * time.Second, Entries: 4, Endpoints: 8, Callers: 24, EventPause: 60 * time.Millisecond,
+		Only: []string{outOfStep, "kill an entry"},
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, b := range r.Violations {
-		t.Errorf("%s: request %s: %s", b.Promise, b.ID, b.Detail)
-	}
 	t.Logf("%d of %d streams were resumed", r.Resumed, r.Resumed+r.Refused)
 	if r.Faults[outOfStep] == 0 || r.Resumed == 0 {
 		t.Errorf("%d releases with an entry out of step, %d streams were resumed", r.Faults[outOfStep], r.Resumed)
@@ -192,16 +169,10 @@
 // evacuations.
 func TestSlowCallers(t *testing.T) {
 	const maxBodyBytes = entryMemoryLimitMB << 20 / 4 // a quarter of an entry's memory may hold bodies
-	r, err := Run(context.Background(), Options{
-		Seed: 4, Duration: 6 * time.Second, Entries: 3, Endpoints: 4, Callers: 6, Dir: logFolder(t), SlowCallers: 60,
-		Only: []string{"data centre evacuated"}, Command: entryprogram.Command,
+	r := runOptions(t, Options{
+		Seed: 4, Duration: 6 * time.Second, Entries: 3, Endpoints: 4, Callers: 6, SlowCallers: 60,
+		Only: []string{"data centre evacuated"},
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, b := range r.Violations {
-		t.Errorf("%s: request %s: %s", b.Promise, b.ID, b.Detail)
-	}
 	if r.BodyBytes == 0 || r.BodyBytes > maxBodyBytes {
 		t.Errorf("an entry held %d bytes of bodies", r.BodyBytes)
 	}
