Answer requests for settings before there are any

A peer that has no settings yet and is asked for them panicked: "assignment to entry in nil map". The cache of encodings makes its map when the version changes, and the first version it compares with is 0, the version of none.

TestPeerWithoutSettingsAnswers panicked before.

--- a/internal/direct/peers/encoding.go
+++ b/internal/direct/peers/encoding.go
@@ -99,7 +99,7 @@
 func (e *encodingCache) settings(d *directory.Directory, since uint64) (body, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if active, _ := d.ConfirmedRevision(); active != e.version || len(e.bodies) >= maxEncodings {
+	if active, _ := d.ConfirmedRevision(); e.bodies == nil || active != e.version || len(e.bodies) >= maxEncodings {
 		e.version = active
 		e.bodies = map[uint64]body{}
 	}
