Hold no transfer of settings for a client that waits for the encoding

A peer sends settings to at most four others at a time, and refuses the rest. The first request encodes them and the others wait for it; each held one of the four meanwhile, also after its client had given up after a second.

The settings are encoded first now, and only their sending counts.

TestClientThatWaitsForTheEncodingHoldsNoTransfer failed before: "4 transfers are held while the settings are encoded".

--- a/internal/direct/peers/catchup_test.go
+++ b/internal/direct/peers/catchup_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"foxcross.dev/coord/placement"
 	"foxcross.dev/foxcross/internal/direct/directory"
@@ -18,3 +19,28 @@
 		t.Errorf("status %d", w.Code)
 	}
 }
+
+// TestClientThatWaitsForTheEncodingHoldsNoTransfer guards against clients that gave up and keep others out.
+func TestClientThatWaitsForTheEncodingHoldsNoTransfer(t *testing.T) {
+	d := directory.New(func(directory.ActiveSettings) {}, func([]placement.Endpoint) {}, func([]string) {})
+	h := &stateHandler{directory: d, transfers: make(chan struct{}, maxTransfers)}
+	h.encodings.mu.Lock()
+	served := make(chan struct{})
+	for range maxTransfers {
+		go func() {
+			h.serve(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, statePath+"?"+partField+"="+SettingsPart.String(), http.NoBody))
+			served <- struct{}{}
+		}()
+	}
+	held := 0
+	for end := time.Now().Add(200 * time.Millisecond); held == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		held = len(h.transfers)
+	}
+	h.encodings.mu.Unlock()
+	for range maxTransfers {
+		<-served
+	}
+	if held > 0 {
+		t.Errorf("%d transfers are held while the settings are encoded", held)
+	}
+}
--- a/internal/direct/peers/state.go
+++ b/internal/direct/peers/state.go
@@ -94,8 +94,14 @@
 	return s
 }
 
-// serveSettings sends the settings, or the changes since a version.
+// serveSettings sends the settings, or the changes since a version. Clients that wait until these are
+// encoded, and may have given up, hold no transfer.
 func (h *stateHandler) serveSettings(w http.ResponseWriter, r *http.Request, since uint64) {
+	body, err := h.encodings.settings(h.directory, since)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
 	select {
 	case h.transfers <- struct{}{}:
 		defer func() { <-h.transfers }()
@@ -103,11 +109,6 @@
 		http.Error(w, "too many transfers", http.StatusServiceUnavailable)
 		return
 	}
-	body, err := h.encodings.settings(h.directory, since)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
 	body.writeTo(w, r)
 }
 
