Ask a peer again after a delay if it brought nothing newer

A process that lacks settings asked a peer that refused, as busy, again at once: 579 times in 20 s in one run of TestLargeSettingsOverThinLink on starved processors. Answering took the time that the peer needed to encode the settings.

Cause: the end of a fetch wakes the next one, whatever it brought. A peer from which a fetch brought nothing newer is now asked again after 50 ms, twice as long each time, at most 400 ms. Other peers that are ahead are asked at once, as before.

TestPeerThatRefusesIsNotAskedAtOnce failed before: "6 requests came within 42.67ms"; they now take 1.15 s or more.

--- a/internal/direct/peers/catchup.go
+++ b/internal/direct/peers/catchup.go
@@ -6,7 +6,8 @@
 // while this process has no version yet. Of several peers that are ahead the one with the least
 // recent request is chosen. Peers in other data centres count as asked remoteFetchDelay later,
 // so that an update that a whole data centre lacks crosses between data centres once. Each part
-// has at most one fetch at a time; neither waits for the other.
+// has at most one fetch at a time; neither waits for the other. A peer from which a fetch brought nothing
+// newer is asked again after a delay that doubles, so that those who wait for it leave it its time.
 // Inputs: the versions in packets, the time.
 // Never: an older version replaces a newer one (package directory); a fetch that makes progress
 // is cancelled, since the next fetch requests changes relative to its result.
@@ -17,6 +18,7 @@
 	"context"
 	"time"
 
+	"foxcross.dev/foxcross/internal/steady"
 	"foxcross.dev/foxcross/internal/workers"
 )
 
@@ -48,13 +50,30 @@
 	// remoteFetchDelay is how much longer a peer in another data centre must be ahead, unless
 	// this process is a relay. The relays of the local data centre have the update by then.
 	remoteFetchDelay = 200 * time.Millisecond
+	// minRefetchDelay and maxRefetchDelay bound the delay after a fetch that brought nothing newer. The
+	// longest is a fifth of the time in which settings must apply.
+	minRefetchDelay = 50 * time.Millisecond
+	maxRefetchDelay = 400 * time.Millisecond
 )
 
 // aheadState records since when a peer has been ahead in one part, and when the part was last
 // requested from it.
 type aheadState struct {
-	since       time.Time // zero while it is not ahead
-	requestedAt time.Time
+	since        time.Time // zero while it is not ahead
+	requestedAt  time.Time
+	refetchDelay time.Duration // after the last fetch, zero if that brought something newer
+	refetchAt    time.Time
+}
+
+// recordFetch records the end of a fetch, and returns the delay until the next one from the peer.
+func (s *aheadState) recordFetch(now time.Time, newer bool) time.Duration {
+	if newer {
+		s.refetchDelay = 0
+		return 0
+	}
+	s.refetchDelay = min(max(2*s.refetchDelay, minRefetchDelay), maxRefetchDelay)
+	s.refetchAt = now.Add(s.refetchDelay)
+	return s.refetchDelay
 }
 
 // localParts is what this process has of each part.
@@ -64,6 +83,14 @@
 	versioned bool   // the list has the versions of the endpoints' software
 }
 
+// differs reports whether a part is not the same as before.
+func (l localParts) differs(p Part, before localParts) bool {
+	if p == EndpointsPart {
+		return l.revision != before.revision || l.versioned != before.versioned
+	}
+	return l.version != before.version
+}
+
 // localParts returns what this process has. The directory calls back with its lock held, so that it
 // must not be called with g.mu held.
 func (g *Group) localParts() localParts {
@@ -117,7 +144,7 @@
 		}
 		m.aheadStates[part].requestedAt = now
 		g.fetching[part] = true
-		go g.fetchFrom(ctx, m.address.String(), part)
+		go g.fetchFrom(ctx, m, m.address.String(), part, local)
 	}
 }
 
@@ -138,7 +165,7 @@
 		case m.remote && !isRelay:
 			wait += remoteFetchDelay
 		}
-		if !m.alive(now) || !m.isAhead(p, local) || l.since.IsZero() || now.Sub(l.since) < wait {
+		if !m.alive(now) || !m.isAhead(p, local) || l.since.IsZero() || now.Sub(l.since) < wait || now.Before(l.refetchAt) {
 			continue
 		}
 		if best == nil || m.fetchOrder(p).Before(best.fetchOrder(p)) {
@@ -158,12 +185,17 @@
 	return at
 }
 
-// fetchFrom fetches a part from a peer. Other peers may still be ahead afterwards: the fetch may
-// have failed, or newer versions may exist.
-func (g *Group) fetchFrom(ctx context.Context, address string, p Part) {
+// fetchFrom fetches a part from a peer at an address. Other peers may still be ahead afterwards: the fetch
+// may have failed, or newer versions may exist. before is what this process had when the fetch began.
+func (g *Group) fetchFrom(ctx context.Context, m *member, address string, p Part, before localParts) {
 	g.options.Fetch(ctx, address, p)
+	newer := g.localParts().differs(p, before)
 	g.mu.Lock()
 	g.fetching[p] = false
+	delay := m.aheadStates[p].recordFetch(steady.Now(), newer)
 	g.mu.Unlock()
 	workers.Signal(g.memberAhead)
+	if delay > 0 {
+		time.AfterFunc(delay, func() { workers.Signal(g.memberAhead) })
+	}
 }
--- a/internal/direct/peers/catchup_test.go
+++ b/internal/direct/peers/catchup_test.go
@@ -10,6 +10,23 @@
 	"foxcross.dev/foxcross/internal/direct/directory"
 )
 
+func TestRefetchDelayGrowsUntilAFetchBringsSomething(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	var s aheadState
+	for n, want := range []time.Duration{50, 100, 200, 400, 400} {
+		want *= time.Millisecond
+		if got := s.recordFetch(now, false); got != want || !s.refetchAt.Equal(now.Add(want)) {
+			t.Errorf("fetch %d that brought nothing: delay %v until %v", n, got, s.refetchAt)
+		}
+	}
+	if got := s.recordFetch(now, true); got != 0 {
+		t.Errorf("a fetch that brought something: delay %v", got)
+	}
+	if got := s.recordFetch(now, false); got != minRefetchDelay {
+		t.Errorf("the next that brought nothing: delay %v", got)
+	}
+}
+
 // TestPeerWithoutSettingsAnswers guards against a panic of a peer that has no settings yet.
 func TestPeerWithoutSettingsAnswers(t *testing.T) {
 	d := directory.New(func(directory.ActiveSettings) {}, func([]placement.Endpoint) {}, func([]string) {})
--- a/internal/direct/peers/thinlink_test.go
+++ b/internal/direct/peers/thinlink_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -141,3 +142,29 @@
 		t.Error("a peer without settings counts as ready")
 	}
 }
+
+// TestPeerThatRefusesIsNotAskedAtOnce guards against requests that keep a busy peer from its work.
+func TestPeerThatRefusesIsNotAskedAtOnce(t *testing.T) {
+	const requests = 6
+	leastTime := (50 + 100 + 200 + 400 + 400) * time.Millisecond // between them
+	asked := make(chan time.Time, 1000)
+	refusing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.FormValue("part") == peers.SettingsPart.String() {
+			asked <- time.Now()
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(refusing.Close)
+	ahead := newDirectory()
+	ahead.ApplySettings(5, newRouteSettings(1), "test")
+	seed := runPeer(t, "ahead", 1, ahead, nil)
+	runPeer(t, "behind", 2, newDirectory(), func(string) string { return refusing.Listener.Addr().String() }, seed)
+	first := <-asked
+	var last time.Time
+	for range requests - 1 {
+		last = <-asked
+	}
+	if took := last.Sub(first); took < leastTime {
+		t.Errorf("%d requests came within %v", requests, took)
+	}
+}
