--- a/internal/direct/peers/catchup.go
+++ b/internal/direct/peers/catchup.go
@@ -196,6 +196,6 @@
 	g.mu.Unlock()
 	workers.Signal(g.memberAhead)
 	if delay > 0 {
-		time.AfterFunc(delay, func() { workers.Signal(g.memberAhead) })
+		steady.AfterFunc(delay, func() { workers.Signal(g.memberAhead) })
 	}
 }
