--- a/internal/direct/gateway/harness_test.go
+++ b/internal/direct/gateway/harness_test.go
@@ -216,6 +216,16 @@
 
 func (h *harness) get(target string) reply { return h.do(h.request(http.MethodGet, target, "")) }
 
+// begin sends the first request of a test. It returns once the request runs, with the channel of its reply.
+func (h *harness) begin(target string) <-chan reply {
+	GinkgoHelper()
+	received := make(chan reply, 1)
+	q := h.request(http.MethodPost, target, "x")
+	go func() { received <- h.do(q) }()
+	Eventually(h.runs).Should(Equal(1))
+	return received
+}
+
 // runs returns the number of runs at all runners.
 func (h *harness) runs() int {
 	n := 0
