--- a/internal/direct/peers/catchup.go
+++ b/internal/direct/peers/catchup.go
@@ -7,7 +7,7 @@
 // recent request is chosen. Peers in other data centres count as asked remoteFetchDelay later,
 // so that an update that a whole data centre lacks crosses between data centres once. Each part
 // has at most one fetch at a time; neither waits for the other. A peer from which a fetch brought nothing
-// newer is asked again after a delay that doubles, so that those who wait for it leave it its time.
+// newer is asked again after a delay that doubles, so that requests do not keep a busy peer from its work.
 // Inputs: the versions in packets, the time.
 // Never: an older version replaces a newer one (package directory); a fetch that makes progress
 // is cancelled, since the next fetch requests changes relative to its result.
