Judge a response that ends with its connection by its request too

Callers got a part of an answer as the whole one: an endpoint answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once, to a read or a write. The write of the request took it, the read of the response then saw an end of data, and nobody compared the two. Below 1 MiB the socket buffers hold the request, so that only the read can see the reset.

Change: connections of package socket return an end of data once it is known what became of the request: accepted, unread or cut off. A response that ends with its connection is broken if the request was cut off. Framed responses are judged as before, since their end does not depend on the connection. An endpoint that closes its own direction and reads on is waited for, at most 0.5 s.

Why it works: whichever call takes the error, the end of data is judged after the write has returned, and after the bytes in the send buffer have been acknowledged or refused. Relay mode reads by net/http, whose traces tell the connection when a request begins and ends.

Beside it: early responses with a length and in chunks, closed, reset and read on, 100 Continue, and a close after a whole upload are relayed as before.

--- a/coord/completeness/evidence.go
+++ b/coord/completeness/evidence.go
@@ -1,11 +1,12 @@
 // Package completeness decides whether a response whose body has ended is complete.
 //
 // Rule: a body with a length or in chunks is complete if its framing ended it. A body that lasts
-// until its connection closes is broken if the connection failed, if the endpoint is gone, or if it is
-// a stream without a single event. It is complete if it is a stream whose last event is whole;
-// otherwise its end proves nothing. In each framing, a stream that ends inside an event is broken.
-// Inputs: the framing, how the body ended, what the last bytes of a stream are, and whether the
-// endpoint still accepts connections.
+// until its connection closes is broken if the connection failed, also under the request that was still
+// being sent, if the endpoint is gone, or if it is a stream without a single event. It is complete if it
+// is a stream whose last event is whole; otherwise its end proves nothing. In each framing, a stream that
+// ends inside an event is broken. A body with a length or in chunks may end before its request does.
+// Inputs: the framing, how the body ended, what became of the request, what the last bytes of a stream
+// are, and whether the endpoint still accepts connections.
 // Never: a body that may be a part counts as complete because no error was seen.
 package completeness
 
@@ -68,9 +69,23 @@
 	return [...]string{"opaque", "no event", "between events", "inside an event"}[t]
 }
 
+// Upload is what became of a request's bytes by the time its response ended.
+type Upload uint8
+
+// The outcomes of an upload.
+const (
+	Accepted Upload = iota // all are acknowledged
+	Unread                 // some are not, on a connection that has not failed
+	CutOff                 // the connection failed before all were
+)
+
+// String implements fmt.Stringer.
+func (u Upload) String() string { return [...]string{"accepted", "unread", "cut off"}[u] }
+
 // Evidence is what is known of a body that has ended.
 type Evidence struct {
 	Framing Framing
 	End     End
+	Upload  Upload
 	Tail    Tail
 }
--- a/coord/completeness/rule.go
+++ b/coord/completeness/rule.go
@@ -21,7 +21,7 @@
 		return Broken
 	case e.Framing != UntilClose:
 		return Complete
-	case e.Tail == NoEvent || endpointGone():
+	case e.Upload == CutOff || e.Tail == NoEvent || endpointGone():
 		return Broken
 	case e.Tail == BetweenEvents:
 		return Complete
--- a/coord/completeness/rule_test.go
+++ b/coord/completeness/rule_test.go
@@ -12,13 +12,15 @@
 // TestVerdictsOfAllEvidence compares the verdict on each combination of evidence with a table.
 func TestVerdictsOfAllEvidence(t *testing.T) {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%-12s %-9s %-16s %-6s %s\n", "framing", "end", "tail", "gone", "verdict")
+	fmt.Fprintf(&b, "%-12s %-9s %-9s %-16s %-6s %s\n", "framing", "end", "upload", "tail", "gone", "verdict")
 	for f := completeness.NoBody; f <= completeness.UntilClose; f++ {
 		for e := completeness.InOrder; e <= completeness.Failed; e++ {
-			for tail := completeness.Opaque; tail <= completeness.InsideEvent; tail++ {
-				for _, gone := range []bool{false, true} {
-					v := completeness.Judge(completeness.Evidence{Framing: f, End: e, Tail: tail}, func() bool { return gone })
-					fmt.Fprintf(&b, "%-12s %-9s %-16s %-6t %s\n", f, e, tail, gone, v)
+			for u := completeness.Accepted; u <= completeness.CutOff; u++ {
+				for tail := completeness.Opaque; tail <= completeness.InsideEvent; tail++ {
+					for _, gone := range []bool{false, true} {
+						v := completeness.Judge(completeness.Evidence{Framing: f, End: e, Upload: u, Tail: tail}, func() bool { return gone })
+						fmt.Fprintf(&b, "%-12s %-9s %-9s %-16s %-6t %s\n", f, e, u, tail, gone, v)
+					}
 				}
 			}
 		}
--- a/internal/direct/gateway/judge.go
+++ b/internal/direct/gateway/judge.go
@@ -29,6 +29,9 @@
 func (a *attempt) recordEnd(e completeness.Evidence, v completeness.Verdict) {
 	a.framing = e.Framing.String()
 	a.ended = e.End.String()
+	if e.Upload != completeness.Accepted {
+		a.ended += ", request " + e.Upload.String()
+	}
 	if e.Tail != completeness.Opaque {
 		a.ended += ", " + e.Tail.String()
 	}
--- a/internal/direct/upstream/conn.go
+++ b/internal/direct/upstream/conn.go
@@ -9,6 +9,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"foxcross.dev/foxcross/internal/socket"
 )
 
 // readBufferSize is the size of a connection's read buffer, in bytes. Typical response headers
@@ -17,7 +19,7 @@
 
 // conn is a connection to an endpoint. It carries one request at a time.
 type conn struct {
-	net.Conn
+	*socket.Conn
 	hold       bufferHold // of the present exchange
 	head       headReader
 	reader     *bufio.Reader // of head
@@ -30,7 +32,8 @@
 }
 
 func newConn(n net.Conn, hold bufferHold) *conn {
-	c := &conn{Conn: n, hold: hold, head: headReader{source: n}}
+	s := socket.New(n)
+	c := &conn{Conn: s, hold: hold, head: headReader{source: s}}
 	c.reader = bufio.NewReaderSize(&c.head, readBufferSize)
 	return c
 }
@@ -55,7 +58,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	s, ok := c.Conn.(syscall.Conn)
+	s, ok := c.Conn.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/internal/direct/upstream/exchange.go
+++ b/internal/direct/upstream/exchange.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync"
 
 	"foxcross.dev/coord/completeness"
 	"foxcross.dev/foxcross/internal/steady"
@@ -74,7 +73,6 @@
 	pool      *Pool
 	request   *Request
 	stop      func() bool
-	write     *requestWrite // of the request
 }
 
 // Do sends the request and returns the response once its header is read. The context bounds the
@@ -86,7 +84,7 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, c.abort)
-	w := c.send(r)
+	c.send(r)
 	response, err := c.receive(names, r)
 	if err != nil {
 		stop()
@@ -96,7 +94,6 @@
 	response.pool = p
 	response.headBytes = c.hold.bytes
 	response.stop = stop
-	response.write = w
 	return response, nil
 }
 
@@ -146,42 +143,20 @@
 	return c, false, nil
 }
 
-// requestWrite is the state of writing a request.
-type requestWrite struct {
-	mu   sync.Mutex
-	done bool
-	err  error
-}
-
-func (w *requestWrite) finish(err error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.done = true
-	w.err = err
-}
-
-// succeeded reports whether the whole request has been written.
-func (w *requestWrite) succeeded() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.done && w.err == nil
-}
-
 // send writes the request. A large one is written in a goroutine, since an endpoint may
 // respond before it has read the whole request.
-func (c *conn) send(r *Request) *requestWrite {
-	w := &requestWrite{}
+func (c *conn) send(r *Request) {
 	data := r.encode()
+	c.BeginRequest()
 	if len(data) <= maxInlineWrite {
 		_, err := c.Write(data)
-		w.finish(err)
-		return w
+		c.EndRequest(err)
+		return
 	}
 	go func() {
 		_, err := c.Write(data)
-		w.finish(err)
+		c.EndRequest(err)
 	}()
-	return w
 }
 
 // encode returns the request in HTTP/1.1 form. The server that received it has already
@@ -282,7 +257,7 @@
 
 // Evidence returns what is known of a body that ended with err.
 func (r *Response) Evidence(err error, tail completeness.Tail) completeness.Evidence {
-	e := completeness.Evidence{Framing: r.Framing(), Tail: tail}
+	e := completeness.Evidence{Framing: r.Framing(), Upload: r.conn.Upload(), Tail: tail}
 	if err != nil && !errors.Is(err, io.EOF) {
 		e.End = completeness.Failed
 	}
@@ -320,7 +295,7 @@
 		return
 	}
 	reusable := r.framed() && !r.response.Close && !r.conn.mismatched && !r.conn.unidentified &&
-		r.write.succeeded() && r.conn.reader.Buffered() == 0
+		r.conn.Written() && r.conn.reader.Buffered() == 0
 	if !reusable {
 		r.conn.close()
 		return
--- a/internal/direct/upstream/process.go
+++ b/internal/direct/upstream/process.go
@@ -70,7 +70,7 @@
 	defer stop()
 	defer c.hold.release()
 	c.beginExchange(0)
-	w := c.send(&Request{Method: http.MethodGet, Target: q.Target, Host: address, Header: http.Header{}})
+	c.send(&Request{Method: http.MethodGet, Target: q.Target, Host: address, Header: http.Header{}})
 	response, err := c.readHead(http.MethodGet)
 	if err != nil {
 		return "", fmt.Errorf("%w: %w", ErrOtherProcess, err)
@@ -85,7 +85,7 @@
 	if err != nil {
 		return "", fmt.Errorf("%w: %w", ErrOtherProcess, err)
 	}
-	if _, err := io.Copy(io.Discard, response.Body); err != nil || !w.succeeded() {
+	if _, err := io.Copy(io.Discard, response.Body); err != nil || !c.Written() {
 		return "", fmt.Errorf("%w: the answer that names it broke off", ErrOtherProcess)
 	}
 	c.process = name
--- a/internal/direct/upstream/socket_test.go
+++ b/internal/direct/upstream/socket_test.go
@@ -53,7 +53,7 @@
 		t.Fatal(err)
 	}
 	<-stopped // the other end can send no more
-	if unread := unreadBytes(t, response.conn.Conn); unread > kernelFactor*receiveBufferSize {
+	if unread := unreadBytes(t, response.conn.Conn.Conn); unread > kernelFactor*receiveBufferSize {
 		t.Errorf("%d bytes wait in the receive buffer, more than %d", unread, kernelFactor*receiveBufferSize)
 	}
 	response.Close()
--- a/internal/relay/endpoint/chat.go
+++ b/internal/relay/endpoint/chat.go
@@ -53,7 +53,7 @@
 		return failed(result.NotRun, err.Error())
 	}
 	request.Header.Set("Content-Type", "application/json")
-	response, end := do(e.client, request)
+	response, end := new(exchange).do(e.client, request)
 	if response == nil {
 		return end
 	}
--- a/internal/relay/endpoint/endpoint_test.go
+++ b/internal/relay/endpoint/endpoint_test.go
@@ -1,6 +1,7 @@
 package endpoint_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -10,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"foxcross.dev/coord/message"
 	"foxcross.dev/coord/result"
@@ -240,6 +242,61 @@
 		Expect(end.Code).NotTo(Equal(result.OK), "the service has crashed")
 	})
 
+	// raw returns a driver whose service sends text once it has the head of a request, and ends the connection so.
+	raw := func(text string, end func(*net.TCPConn)) endpoint.Driver {
+		return driver("http", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			defer func() { _ = c.Close() }()
+			_, _ = io.WriteString(c, text)
+			if t, ok := c.(*net.TCPConn); ok {
+				end(t)
+			}
+		}))
+	}
+	reset := func(c *net.TCPConn) { _ = c.SetLinger(0) }
+	closeUnread := func(*net.TCPConn) {}
+	stall := func(c *net.TCPConn) {
+		_ = c.CloseWrite()
+		_ = c.SetReadDeadline(time.Now().Add(time.Second))
+		_, _ = c.Read(make([]byte, 1))
+		time.Sleep(time.Second)
+	}
+	readOn := func(c *net.TCPConn) {
+		_ = c.CloseWrite()
+		_, _ = io.Copy(io.Discard, c)
+	}
+	upload := endpoint.Call{Start: message.Start{Method: http.MethodPost, Path: "/", Body: bytes.Repeat([]byte("x"), 8<<20)}}
+
+	// Guards against a reset that only the write of the request sees. Who sees it is a race.
+	DescribeTable("fails a response that is cut off under its upload", func(end func(*net.TCPConn)) {
+		for range 150 {
+			ended := raw("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart", end).Run(context.Background(), upload, &sink{})
+			Expect(ended.Code).NotTo(Equal(result.OK))
+			Expect(ended.Run).NotTo(Equal(result.NotRun))
+		}
+	},
+		Entry("by a reset", reset),
+		Entry("by a close that leaves it unread", closeUnread),
+	)
+
+	DescribeTable("forwards a whole response under its upload", func(text string, end func(*net.TCPConn)) {
+		for range 5 {
+			var s sink
+			ended := raw(text, end).Run(context.Background(), upload, &s)
+			Expect(ended.Code).To(Equal(result.OK), ended.Reason)
+			Expect(strings.Join(s.data, "")).To(Equal("no"))
+		}
+	},
+		Entry("with a length", "HTTP/1.1 413 Content Too Large\r\nContent-Length: 2\r\n\r\nno", readOn),
+		Entry("in chunks", "HTTP/1.1 413 Content Too Large\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n", readOn),
+		Entry("after 100 Continue", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno", readOn),
+		Entry("until its end, reading on", "HTTP/1.1 413 Content Too Large\r\nConnection: close\r\n\r\nno", readOn),
+		Entry("until its end, stalling", "HTTP/1.1 413 Content Too Large\r\nConnection: close\r\n\r\nno", stall),
+	)
+
 	It("never sends a call twice, even where net/http would resend it", func() {
 		var calls atomic.Int32
 		d := driver("http", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
--- a/internal/relay/endpoint/http.go
+++ b/internal/relay/endpoint/http.go
@@ -8,14 +8,13 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
-	"sync/atomic"
 	"time"
 
 	"foxcross.dev/coord/completeness"
 	"foxcross.dev/coord/message"
 	"foxcross.dev/coord/result"
+	"foxcross.dev/foxcross/internal/socket"
 )
 
 const (
@@ -62,7 +61,7 @@
 func newClient(reuse bool) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:            socket.Dialer(&net.Dialer{Timeout: dialTimeout}),
 			MaxIdleConnsPerHost:    maxIdle,
 			DisableKeepAlives:      !reuse,
 			DisableCompression:     true,
@@ -82,7 +81,8 @@
 	if c.Terms.Repeatable {
 		client = s.pooledClient
 	}
-	response, end := do(client, request)
+	var x exchange
+	response, end := x.do(client, request)
 	if response == nil {
 		return end
 	}
@@ -98,8 +98,9 @@
 	}
 	framing := completeness.FramingOf(response.ContentLength, response.TransferEncoding, response.Body != http.NoBody)
 	gone := func() bool { return s.HasCrashed(ctx) }
-	if completeness.Judge(completeness.Evidence{Framing: framing}, gone) == completeness.Broken {
-		return failed(result.Ran, "the service crashed during the response")
+	evidence := completeness.Evidence{Framing: framing, Upload: x.upload()}
+	if completeness.Judge(evidence, gone) == completeness.Broken {
+		return failed(result.Ran, "the service crashed or reset the connection during the response")
 	}
 	return message.End{Code: result.OK, Run: result.Ran}
 }
@@ -126,21 +127,6 @@
 	return request, nil
 }
 
-// do sends a request. Without a response, the returned end says whether the endpoint may
-// have received the request: only if there was a connection.
-func do(client *http.Client, request *http.Request) (*http.Response, message.End) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	response, err := client.Do(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
-	if err == nil {
-		return response, message.End{}
-	}
-	if connected.Load() {
-		return nil, failed(result.Unknown, reason(err))
-	}
-	return nil, failed(result.NotRun, reason(err))
-}
-
 // reason returns the text of an error, of limited length.
 func reason(err error) string {
 	text := err.Error()
--- a/internal/testing/fleet/fleet_test.go
+++ b/internal/testing/fleet/fleet_test.go
@@ -118,7 +118,7 @@
 			route("/chat/", "streaming", true), route("/page/", "idempotent", false), route("/book/", "non_idempotent", false),
 		},
 		"backends": []map[string]any{settings},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 8 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants":  []map[string]any{{"name": "studio-1", "apiKeys": []string{teamKey}, "priority": 1}},
 	})
 }
--- a/internal/testing/standin/platformtest/behavior.go
+++ b/internal/testing/standin/platformtest/behavior.go
@@ -42,10 +42,12 @@
 	}
 	// Truncate truncates the response within its body.
 	Truncate struct{}
-	// Unframed sends a response that ends when its connection is closed, by a reset if Broken.
+	// Unframed sends a response that ends when its connection is closed, by a reset if Broken. If
+	// Interim, "100 Continue" precedes it.
 	Unframed struct {
-		Body   string
-		Broken bool
+		Body    string
+		Broken  bool
+		Interim bool
 	}
 	// WrongResponseFirst sends a response to another request before the right one.
 	WrongResponseFirst struct{}
@@ -66,8 +68,15 @@
 	Unsealed struct{}
 	// Hang runs the request and never responds.
 	Hang struct{}
-	// Early responds before it reads the body, and then reads the body.
-	Early struct{ Status int }
+	// Early responds before it reads the body. Framing has the header lines that frame Body; both are
+	// empty for a body without bytes. After Wait it ends the exchange.
+	Early struct {
+		Status  int
+		Framing string
+		Body    string
+		Wait    time.Duration
+		End     EarlyEnd
+	}
 	// Events streams events up to the id To, from the one after the caller's last event. If
 	// Broken, it stops within the event after To. If Crash, the runner ends there. If Cut, it sends
 	// the first bytes of that event and closes the connection in order.
@@ -95,6 +104,24 @@
 	}
 )
 
+// EarlyEnd is how a runner ends an exchange whose response it sent before it read the request's body.
+type EarlyEnd uint8
+
+// The ends.
+const (
+	ReadOn         EarlyEnd = iota // reads the body and keeps the connection
+	ResetUnread                    // resets the connection
+	CloseUnread                    // closes the connection, which resets it if bytes of the body have arrived
+	HalfCloseRead                  // closes its own direction and reads the body
+	HalfCloseReset                 // closes its own direction, and resets the connection after as long again
+	HalfCloseStall                 // closes its own direction and reads nothing more
+)
+
+// String implements fmt.Stringer.
+func (e EarlyEnd) String() string {
+	return [...]string{"reads on", "resets", "closes", "half-closes and reads on", "half-closes and resets", "half-closes and stalls"}[e]
+}
+
 func (Answer) behavior()             {}
 func (Refuse) behavior()             {}
 func (Fail) behavior()               {}
--- a/internal/testing/standin/platformtest/respond.go
+++ b/internal/testing/standin/platformtest/respond.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -63,6 +64,45 @@
 	return true
 }
 
+// respondEarly responds to a request whose body has not been read. It returns false if the connection is to
+// be closed.
+func (r *Runner) respondEarly(c net.Conn, q *http.Request, e Early) bool {
+	framing := e.Framing
+	if framing == "" && e.Body == "" {
+		framing = length("")
+	}
+	write(c, "%s%s", r.head(e.Status, q.Header.Get(RequestIDField), framing), e.Body)
+	time.Sleep(e.Wait)
+	switch e.End {
+	case ResetUnread:
+		return reset(c)
+	case CloseUnread:
+		return false
+	case HalfCloseRead:
+		closeWrite(c)
+		_, _ = io.Copy(io.Discard, q.Body) // the caller may have disconnected
+		return false
+	case HalfCloseReset:
+		closeWrite(c)
+		time.Sleep(e.Wait)
+		return reset(c)
+	case HalfCloseStall:
+		closeWrite(c)
+		<-r.ended
+		return false
+	default:
+		_, _ = io.Copy(io.Discard, q.Body) // the caller may have disconnected
+		return true
+	}
+}
+
+// closeWrite ends the bytes that the runner sends.
+func closeWrite(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.CloseWrite() // the caller may have disconnected
+	}
+}
+
 func (r *Runner) head(status int, id, more string) string {
 	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: seal-%s\r\n%s%s\r\n",
 		status, http.StatusText(status), RequestIDField, id, SealField, id, r.signalFields(), more)
--- a/internal/testing/standin/platformtest/runner.go
+++ b/internal/testing/standin/platformtest/runner.go
@@ -322,9 +322,7 @@
 	}
 	if e, early := r.peekBehavior().(Early); early {
 		r.recordArrival(q, nil)
-		write(c, "%s", r.head(e.Status, id, "Content-Length: 0\r\n"))
-		_, _ = io.Copy(io.Discard, q.Body) // the caller may have disconnected
-		return true
+		return r.respondEarly(c, q, e)
 	}
 	body, err := io.ReadAll(q.Body)
 	if err != nil {
@@ -360,6 +358,9 @@
 		write(c, "%sbroken", r.head(http.StatusOK, id, "Content-Length: 100\r\n"))
 		return false
 	case Unframed:
+		if a.Interim {
+			write(c, "HTTP/1.1 100 Continue\r\n\r\n")
+		}
 		write(c, "%s%s", r.head(http.StatusOK, id, "Connection: close\r\n"), a.Body)
 		if a.Broken {
 			time.Sleep(resetDelay) // the bytes arrive before the reset
