Refuse a response in whose head a field has an invalid name

Callers got answers whose body was not the endpoint's, or answers of an endpoint in trouble as sound ones: the name of a field held a blank.

Cause: net/http accepts a blank in the name of a field and keeps the name as it came. "Content-Length : 2" is then no length and "Transfer-Encoding : chunked" no coding, so that the body lasted until the connection closed, with the sizes of its chunks or with what followed; a "not run" or an ID written so went unseen. Other bytes that are no token, an empty name, a line without a colon and a blank at the start of the first line were refused before; these tests stay. A folded line goes on as its value, as before. Trailers are not relayed.

Change: one rule (coord/completeness) for names, after each head that direct mode reads, interim ones and those of the process query included, and in relay mode. RFC 9112, 5.1 asks a proxy to remove the blank before the colon or not to forward the response; it does not say what a blank inside a name means. An endpoint that sends either is not to be trusted with its framing.

--- a/internal/direct/upstream/exchange.go
+++ b/internal/direct/upstream/exchange.go
@@ -231,6 +231,9 @@
 		if err != nil {
 			return nil, c.head.parseError(err)
 		}
+		if name, found := completeness.InvalidName(response.Header); found {
+			return nil, fmt.Errorf("%w: field %+.*q", ErrInvalidResponse, maxExcerptBytes, name)
+		}
 		switch completeness.KindOfStatus(response.StatusCode) {
 		case completeness.FinalStatus:
 			return response, nil
--- a/internal/direct/upstream/head_test.go
+++ b/internal/direct/upstream/head_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+
+	"foxcross.dev/coord/completeness"
 )
 
 // endlessConn is a connection whose other end sends a prefix and then repeats a piece, up to floodBytes.
@@ -143,7 +145,8 @@
 		"HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok",
 		"HTTP/1.1 200 OK\nX-Id: a\n\n\n\n",
 		"HTTP/1.1 200 OK\r\nX-Id: a\r\n \r\n\r\n",
-		"HTTP/1.1 200 OK\r\n\r\r\n\r\n", "\r\n\r\n", "HTTP/1.1 103 x\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: a\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length : 2\r\n\r\nok", "HTTP/1.1 103 x\r\nA b: c\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n\r\r\n\r\n", "\r\n\r\n", "HTTP/1.1 700 x\r\n\r\n", "HTTP/1.1 103 x\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: a\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nok\r\n0\r\nT: 1\r\n\r\n",
 	} {
 		f.Add([]byte(head), false)
@@ -183,13 +186,23 @@
 	})
 }
 
-// readFinal returns the first final response, as net/http reads it.
+// readFinal returns the first final response, as net/http reads it. Names that are no tokens and statuses
+// that are none are errors.
 func readFinal(data []byte) (*http.Response, error) {
 	reader := bufio.NewReaderSize(bytes.NewReader(data), readBufferSize)
 	for {
 		response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodGet})
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
+		if err != nil {
+			return nil, err
+		}
+		if name, found := completeness.InvalidName(response.Header); found {
+			return nil, fmt.Errorf("invalid name %q", name)
+		}
+		switch completeness.KindOfStatus(response.StatusCode) {
+		case completeness.FinalStatus:
+			return response, nil
+		case completeness.InvalidStatus:
+			return nil, fmt.Errorf("invalid status %d", response.StatusCode)
 		}
 	}
 }
--- a/internal/relay/endpoint/endpoint_test.go
+++ b/internal/relay/endpoint/endpoint_test.go
@@ -158,6 +158,33 @@
 })
 
 var _ = Describe("http", func() {
+	// raw returns a driver whose service sends text once it has the head of a request, and ends the connection so.
+	raw := func(text string, end func(*net.TCPConn)) endpoint.Driver {
+		return driver("http", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			defer func() { _ = c.Close() }()
+			_, _ = io.WriteString(c, text)
+			if t, ok := c.(*net.TCPConn); ok {
+				end(t)
+			}
+		}))
+	}
+	reset := func(c *net.TCPConn) { _ = c.SetLinger(0) }
+	closeUnread := func(*net.TCPConn) {}
+	stall := func(c *net.TCPConn) {
+		_ = c.CloseWrite()
+		_ = c.SetReadDeadline(time.Now().Add(time.Second))
+		_, _ = c.Read(make([]byte, 1))
+		time.Sleep(time.Second)
+	}
+	readOn := func(c *net.TCPConn) {
+		_ = c.CloseWrite()
+		_, _ = io.Copy(io.Discard, c)
+	}
+
 	It("forwards method, path, query, header and body", func() {
 		seen := make(chan *http.Request, 1)
 		d := driver("http", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -214,6 +241,26 @@
 		Entry("above 599", "999"),
 	)
 
+	DescribeTable("fails a response in whose head the name of a field is invalid", func(line string) {
+		call := endpoint.Call{Start: message.Start{Method: http.MethodGet, Path: "/"}}
+		for _, framing := range []string{"Content-Length: 2\r\n", "Connection: close\r\n"} {
+			s := &sink{}
+			end := raw("HTTP/1.1 200 OK\r\n"+framing+line+"\r\n\r\nok", closeUnread).Run(context.Background(), call, s)
+			Expect(end.Code).NotTo(Equal(result.OK))
+			Expect(end.Run).NotTo(Equal(result.NotRun))
+			Expect(s.status).To(BeZero())
+			Expect(s.data).To(BeEmpty())
+		}
+	},
+		Entry("blank before the colon", "X-More : 1"),
+		Entry("tab before the colon", "X-More\t: 1"),
+		Entry("blank inside", "X More: 1"),
+		Entry("control byte", "X-M\x01re: 1"),
+		Entry("above 0x7f", "X-M\xf6re: 1"),
+		Entry("a length", "Content-Length : 1"),
+		Entry("a transfer coding", "Transfer-Encoding : chunked"),
+	)
+
 	It("reports a response that ends with its connection as failed if the service has crashed", func() {
 		ends := make(chan net.Conn, 1)
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -242,32 +289,6 @@
 		Expect(end.Code).NotTo(Equal(result.OK), "the service has crashed")
 	})
 
-	// raw returns a driver whose service sends text once it has the head of a request, and ends the connection so.
-	raw := func(text string, end func(*net.TCPConn)) endpoint.Driver {
-		return driver("http", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			c, _, err := http.NewResponseController(w).Hijack()
-			if err != nil {
-				return
-			}
-			defer func() { _ = c.Close() }()
-			_, _ = io.WriteString(c, text)
-			if t, ok := c.(*net.TCPConn); ok {
-				end(t)
-			}
-		}))
-	}
-	reset := func(c *net.TCPConn) { _ = c.SetLinger(0) }
-	closeUnread := func(*net.TCPConn) {}
-	stall := func(c *net.TCPConn) {
-		_ = c.CloseWrite()
-		_ = c.SetReadDeadline(time.Now().Add(time.Second))
-		_, _ = c.Read(make([]byte, 1))
-		time.Sleep(time.Second)
-	}
-	readOn := func(c *net.TCPConn) {
-		_ = c.CloseWrite()
-		_, _ = io.Copy(io.Discard, c)
-	}
 	upload := endpoint.Call{Start: message.Start{Method: http.MethodPost, Path: "/", Body: bytes.Repeat([]byte("x"), 8<<20)}}
 
 	// Guards against a reset that only the write of the request sees. Who sees it is a race.
--- a/internal/relay/endpoint/http.go
+++ b/internal/relay/endpoint/http.go
@@ -90,6 +90,9 @@
 	if completeness.KindOfStatus(response.StatusCode) != completeness.FinalStatus {
 		return failed(result.Ran, fmt.Sprintf("the service answered with status %d", response.StatusCode))
 	}
+	if name, found := completeness.InvalidName(response.Header); found {
+		return failed(result.Ran, reason(fmt.Errorf("the service answered with the invalid field %+q", name)))
+	}
 	if err := k.Head(response.StatusCode, fieldsOf(response.Header)); err != nil {
 		return failed(result.Ran, err.Error())
 	}
