--- a/internal/testing/standin/platformtest/store.go
+++ b/internal/testing/standin/platformtest/store.go
@@ -89,6 +89,9 @@
 	s.change(Item{Key: key, Value: data})
 }
 
+// PutBytes writes a value of any bytes.
+func (s *Store) PutBytes(key string, value []byte) { s.change(Item{Key: key, Value: value}) }
+
 // Remove removes a key.
 func (s *Store) Remove(key string) { s.change(Item{Key: key, Removed: true}) }
 
