Leave the other members in force beside an odd one

Relay mode did: the platform's list of instances was decoded as a whole, so that one member with a field of another type, a number too large, nesting of over 10,000 levels or bytes that are no JSON failed the whole read. Entries kept the previous list, with a line at debug level, for as long as the member was there.

Change: the list is split into its elements at any depth, each is decoded by itself, and an invalid one is logged as a warning and ignored.

--- a/internal/relay/kv/httpkv/client.go
+++ b/internal/relay/kv/httpkv/client.go
@@ -8,7 +8,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -136,9 +135,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var members []kv.Member
-	err = json.Unmarshal(a.body, &members)
-	return members, err
+	return parseMembers(a.body)
 }
 
 // Swap implements kv.KeyValue.
