Refuse an engine's answer in relay mode with an invalid field name

The driver of model engines read the events of an answer whose head says "Transfer-Encoding : chunked", with a blank, past the sizes of its chunks, and took it for whole: net/http sees no coding there, and the reader of events skips lines that it does not know.

Change: both drivers of relay mode check status and names in one place.

Evidence: "fails answers that break off or have an invalid status" of the driver for engines fails on the untouched at this response and passes now. The rest of its cases, invalid statuses (000 to 099, 600, 999), heads cut at each byte, in order or by a reset, behind an interim response or not, and cut bodies, were handled before, as were those of the driver of services.

--- a/internal/relay/endpoint/chat.go
+++ b/internal/relay/endpoint/chat.go
@@ -58,6 +58,9 @@
 		return end
 	}
 	defer func() { _ = response.Body.Close() }()
+	if why := invalid(response); why != "" {
+		return failed(result.Ran, why)
+	}
 	if response.StatusCode != http.StatusOK {
 		return failed(result.Ran, fmt.Sprintf("engine answered %s", response.Status))
 	}
--- a/internal/relay/endpoint/endpoint_test.go
+++ b/internal/relay/endpoint/endpoint_test.go
@@ -149,6 +149,22 @@
 		Entry("an error status", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) })),
 	)
 
+	It("fails answers that break off or have an invalid status", func() {
+		const answer = "data: {\"choices\":[]}\n\ndata: [DONE]"
+		server := standin.NewRawServer()
+		defer server.Close()
+		d := driverAt("openai", "http://"+server.Address())
+		broken := append(standin.CutHeads("200 OK", "Content-Type: text/event-stream", len(answer)), standin.InvalidStatuses("", answer)...)
+		for _, b := range append(broken, standin.CutBodies("", answer)...) {
+			server.Respond(b)
+			_, end := run(d, message.Start{Body: []byte(body)})
+			if end.Code == result.OK {
+				GinkgoWriter.Println(b.Name)
+			}
+			Expect(end.Code).NotTo(Equal(result.OK), b.Name)
+		}
+	})
+
 	It("returns NotRun when the engine refuses the connection", func() {
 		server := httptest.NewServer(events())
 		server.Close()
@@ -241,6 +257,27 @@
 		Entry("above 599", "999"),
 	)
 
+	// Guards against a status from a head that stopped in its middle, and a body from one that is invalid.
+	It("fails responses that break off or have an invalid status", func() {
+		server := standin.NewRawServer()
+		defer server.Close()
+		d := driverAt("http", "http://"+server.Address())
+		for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodPost} {
+			call := endpoint.Call{Terms: message.Terms{Repeatable: true}, Start: message.Start{Method: method, Path: "/"}}
+			broken := append(standin.CutHeads("200 OK", "", 2), standin.CutHeads("204 No Content", "X-A: 1", 0)...)
+			broken = append(broken, standin.CutHeads("304 Not Modified", "", 2)...)
+			broken = append(broken, standin.InvalidStatuses("", "ok")...)
+			if method != http.MethodHead {
+				broken = append(broken, standin.CutBodies("", "ok")...)
+			}
+			for _, b := range broken {
+				server.Respond(b)
+				end := d.Run(context.Background(), call, &sink{})
+				Expect(end.Code).NotTo(Equal(result.OK), "%s, %s", method, b.Name)
+			}
+		}
+	})
+
 	DescribeTable("fails a response in whose head the name of a field is invalid", func(line string) {
 		call := endpoint.Call{Start: message.Start{Method: http.MethodGet, Path: "/"}}
 		for _, framing := range []string{"Content-Length: 2\r\n", "Connection: close\r\n"} {
--- a/internal/relay/endpoint/http.go
+++ b/internal/relay/endpoint/http.go
@@ -87,11 +87,8 @@
 		return end
 	}
 	defer func() { _ = response.Body.Close() }()
-	if completeness.KindOfStatus(response.StatusCode) != completeness.FinalStatus {
-		return failed(result.Ran, fmt.Sprintf("the service answered with status %d", response.StatusCode))
-	}
-	if name, found := completeness.InvalidName(response.Header); found {
-		return failed(result.Ran, reason(fmt.Errorf("the service answered with the invalid field %+q", name)))
+	if why := invalid(response); why != "" {
+		return failed(result.Ran, why)
 	}
 	if err := k.Head(response.StatusCode, fieldsOf(response.Header)); err != nil {
 		return failed(result.Ran, err.Error())
@@ -130,9 +127,21 @@
 	return request, nil
 }
 
+// invalid returns why a response is no answer, empty if it is one.
+func invalid(response *http.Response) string {
+	if completeness.KindOfStatus(response.StatusCode) != completeness.FinalStatus {
+		return fmt.Sprintf("the endpoint answered with status %d", response.StatusCode)
+	}
+	if name, found := completeness.InvalidName(response.Header); found {
+		return limited(fmt.Sprintf("the endpoint answered with the invalid field %+q", name))
+	}
+	return ""
+}
+
 // reason returns the text of an error, of limited length.
-func reason(err error) string {
-	text := err.Error()
+func reason(err error) string { return limited(err.Error()) }
+
+func limited(text string) string {
 	if len(text) > maxReasonBytes {
 		return text[:maxReasonBytes] + "..."
 	}
