Read no revision of a value from a field with an invalid name

The client of relay mode's key-value service took the chunk sizes of a response with "Transfer-Encoding : chunked" for bytes of the value, and a response with "X-Revision : 7" for one without a revision, which stands for "no value".

Evidence: in TestBrokenResponsesOfTheKeyValueService both responses count as answers on the untouched, for get, watch and swap; none does now.

--- a/internal/relay/kv/httpkv/client.go
+++ b/internal/relay/kv/httpkv/client.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"time"
 
+	"foxcross.dev/coord/completeness"
 	"foxcross.dev/foxcross/internal/relay/kv"
 	"foxcross.dev/foxcross/internal/storeerr"
 )
@@ -93,6 +94,9 @@
 		return reply{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if name, found := completeness.InvalidName(response.Header); found {
+		return reply{}, fmt.Errorf("httpkv: invalid field %+q", name)
+	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil {
 		return reply{}, err
