Take no value whose end nothing marks

The client of relay mode's key-value service took the first bytes of a value for the whole one, or none for an empty value: the service sent neither a length nor chunks and closed the connection in order. The head of a partition's claims, read as empty, would let claimed requests run again.

A value may be any bytes, so nothing in it marks its end; lists of members are JSON, which does.

Change: a value needs a length or chunks. The protocol's page is the comment of the package, which says so now.

Evidence: six cuts each of get and watch count as values on the untouched (TestBrokenResponsesOfTheKeyValueService) and none does now. Not seen in use: found by going through the readers of answers.

--- a/internal/relay/kv/httpkv/broken_test.go
+++ b/internal/relay/kv/httpkv/broken_test.go
@@ -24,8 +24,8 @@
 		call     func(context.Context) error
 		unmarked int // number of first bytes that are no answer without a length
 	}{
-		"get":     {"value", func(ctx context.Context) error { _, err := service.Get(ctx, "a"); return err }, 0},
-		"watch":   {"value", func(ctx context.Context) error { _, err := service.Watch(ctx, "a", 6); return err }, 0},
+		"get":     {"value", func(ctx context.Context) error { _, err := service.Get(ctx, "a"); return err }, 1 + len("value")},
+		"watch":   {"value", func(ctx context.Context) error { _, err := service.Watch(ctx, "a", 6); return err }, 1 + len("value")},
 		"swap":    {"stored", func(ctx context.Context) error { _, err := service.Swap(ctx, "a", []byte("x"), 6); return err }, 0},
 		"members": {memberList, func(ctx context.Context) error { _, err := service.Members(ctx); return err }, len(memberList)},
 	} {
--- a/internal/relay/kv/httpkv/client.go
+++ b/internal/relay/kv/httpkv/client.go
@@ -1,6 +1,7 @@
 // Package httpkv implements the platform driver "http": a key-value service and a member
 // list over plain HTTP. A value is the body of GET and PUT under ValuePath; its revision is
 // in RevisionField. PUT stores the value only if the stored one has the given revision.
+// A value needs a length or chunks, since nothing else marks its end.
 // Status 409 means that it has changed, 404 that there is no value, 503 that nothing was
 // done. GET with the query parameter "after" waits for a later revision.
 package httpkv
@@ -69,6 +70,18 @@
 type reply struct {
 	body     []byte
 	revision uint64
+	framing  completeness.Framing
+}
+
+// errUnmarkedEnd is returned for a value that may be a part: nothing but the close of the connection ends it.
+var errUnmarkedEnd = errors.New("httpkv: the end of the value is not marked")
+
+// value returns the value in a reply. A value may be any bytes, which don't tell whether they are all.
+func (r reply) value() (kv.Value, error) {
+	if r.framing == completeness.UntilClose {
+		return kv.Value{}, errUnmarkedEnd
+	}
+	return kv.Value{Data: r.body, Revision: r.revision}, nil
 }
 
 // do makes one call. An error before a connection is set up means that nothing was done.
@@ -97,12 +110,13 @@
 	if name, found := completeness.InvalidName(response.Header); found {
 		return reply{}, fmt.Errorf("httpkv: invalid field %+q", name)
 	}
+	framing := completeness.FramingOf(response.ContentLength, response.TransferEncoding, response.Body != http.NoBody)
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil {
 		return reply{}, err
 	}
 	number, _ := strconv.ParseUint(response.Header.Get(RevisionField), 10, 64) // 0 if absent
-	return reply{body: data, revision: number}, statusError(response.StatusCode)
+	return reply{body: data, revision: number, framing: framing}, statusError(response.StatusCode)
 }
 
 // doWithTimeout is do within callTimeout.
@@ -130,7 +144,10 @@
 // Get implements kv.KeyValue.
 func (c *client) Get(ctx context.Context, key string) (kv.Value, error) {
 	a, err := c.doWithTimeout(ctx, call{method: http.MethodGet, path: ValuePath + key})
-	return kv.Value{Data: a.body, Revision: a.revision}, err
+	if err != nil {
+		return kv.Value{}, err
+	}
+	return a.value()
 }
 
 // Members implements kv.Members.
@@ -155,5 +172,8 @@
 func (c *client) Watch(ctx context.Context, key string, after uint64) (kv.Value, error) {
 	query := url.Values{"after": {strconv.FormatUint(after, 10)}}
 	a, err := c.do(ctx, call{method: http.MethodGet, path: ValuePath + key, query: query})
-	return kv.Value{Data: a.body, Revision: a.revision}, err
+	if err != nil {
+		return kv.Value{}, err
+	}
+	return a.value()
 }
