--- a/internal/direct/upstream/head_test.go
+++ b/internal/direct/upstream/head_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"foxcross.dev/coord/completeness"
 )
@@ -52,6 +53,10 @@
 
 func (c *endlessConn) Close() error { return nil }
 
+func (c *endlessConn) Write(p []byte) (int, error) { return len(p), nil }
+
+func (c *endlessConn) SetDeadline(time.Time) error { return nil }
+
 // TestHeadWithoutEndIsBounded guards against an entry that runs out of memory while it reads a response.
 func TestHeadWithoutEndIsBounded(t *testing.T) {
 	for name, flood := range map[string]struct{ prefix, piece string }{
