Refuse an HTTP/1.0 response with a transfer coding

Callers would get the sizes of chunks as part of a body: net/http drops the transfer coding of an HTTP/1.0 response and reads its body until the connection closes, or for as long as a length beside it says. RFC 9112, 6.1 calls the framing of such a message faulty. Found by going through what the standard parser accepts, not seen in use.

Change: connections of package socket note whether the head of a response has a transfer coding, interim ones included. Direct mode and both drivers of relay mode refuse it in HTTP/1.0; direct mode also refuses an HTTP/1.0 response behind one to another request, whose head is not looked at.

The others were handled before: two equal lengths, a length beside chunks, bare line feeds and a blank behind a chunk's size are read in one way and go out in the entry's own framing; two different lengths, a sign or a list in a length, other codings and a sign before a chunk's size are refused.

--- a/internal/direct/upstream/exchange.go
+++ b/internal/direct/upstream/exchange.go
@@ -234,6 +234,9 @@
 		if name, found := completeness.InvalidName(response.Header); found {
 			return nil, fmt.Errorf("%w: field %+.*q", ErrInvalidResponse, maxExcerptBytes, name)
 		}
+		if !response.ProtoAtLeast(1, 1) && (c.Coded() || c.mismatched) {
+			return nil, fmt.Errorf("%w: HTTP/1.0 with a transfer coding, or behind another response", ErrInvalidResponse)
+		}
 		switch completeness.KindOfStatus(response.StatusCode) {
 		case completeness.FinalStatus:
 			return response, nil
--- a/internal/direct/upstream/names_test.go
+++ b/internal/direct/upstream/names_test.go
@@ -127,6 +127,40 @@
 	}
 }
 
+// TestFramingThatParsersReadDifferently checks what the standard parser accepts beside lengths and chunks.
+func TestFramingThatParsersReadDifferently(t *testing.T) {
+	const chunks = "2\r\nok\r\n0\r\n\r\n"
+	for data, want := range map[string]string{ // the body, empty for a refused response
+		"HTTP/1.0 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks:                      "",
+		"HTTP/1.0 200 OK\r\nX-Id: a\r\ntransfer-encoding: chunked\r\nContent-Length: 2\r\n\r\n" + chunks: "",
+		"HTTP/1.1 200 OK\r\nX-Id: b\r\nContent-Length: 0\r\n\r\nHTTP/1.0 200 OK\r\nX-Id: a\r\n\r\nok":    "",
+		"HTTP/1.0 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok":                                      "ok",
+		"HTTP/1.0 200 OK\r\nX-Id: a\r\n\r\nok":                                                           "ok",
+		"HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks: "ok",
+		"HTTP/1.1 200 OK\nX-Id: a\nContent-Length: 2\n\nok":                                              "ok",
+		"HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nok":                 "ok",
+		"HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\nContent-Length: 1\r\n\r\nok":                 "",
+		"HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: +2\r\n\r\nok":                                     "",
+		"HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: -2\r\n\r\nok":                                     "",
+		"HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2, 2\r\n\r\nok":                                   "",
+		"HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n" + chunks:                "",
+		"HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n2 \r\nok\r\n0\r\n\r\n":          "ok",
+		"HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n +2\r\nok\r\n0\r\n\r\n":         "",
+	} {
+		var p Pool
+		got := ""
+		response, err := p.Do(t.Context(), names, request(respondWith(t, []byte(data))))
+		if err == nil {
+			body, readErr := io.ReadAll(response.Body)
+			got, err = string(body), readErr
+			response.Close()
+		}
+		if (err == nil) != (want != "") || err == nil && got != want {
+			t.Errorf("%q: body %q, %v", data, got, err)
+		}
+	}
+}
+
 // BenchmarkHead compares reading a head with the check of its names.
 func BenchmarkHead(b *testing.B) {
 	for name, fields := range map[string]int{"0.5 KiB": 10, "16 KiB": 330} {
--- a/internal/relay/endpoint/chat.go
+++ b/internal/relay/endpoint/chat.go
@@ -53,12 +53,13 @@
 		return failed(result.NotRun, err.Error())
 	}
 	request.Header.Set("Content-Type", "application/json")
-	response, end := new(exchange).do(e.client, request)
+	var x exchange
+	response, end := x.do(e.client, request)
 	if response == nil {
 		return end
 	}
 	defer func() { _ = response.Body.Close() }()
-	if why := invalid(response); why != "" {
+	if why := x.invalid(response); why != "" {
 		return failed(result.Ran, why)
 	}
 	if response.StatusCode != http.StatusOK {
--- a/internal/relay/endpoint/endpoint_test.go
+++ b/internal/relay/endpoint/endpoint_test.go
@@ -298,6 +298,14 @@
 		Entry("a transfer coding", "Transfer-Encoding : chunked"),
 	)
 
+	It("fails a response in HTTP/1.0 with a transfer coding", func() {
+		call := endpoint.Call{Start: message.Start{Method: http.MethodGet, Path: "/"}}
+		var s sink
+		end := raw("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", closeUnread).Run(context.Background(), call, &s)
+		Expect(end.Code).NotTo(Equal(result.OK))
+		Expect(s.data).To(BeEmpty())
+	})
+
 	It("reports a response that ends with its connection as failed if the service has crashed", func() {
 		ends := make(chan net.Conn, 1)
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/relay/endpoint/exchange.go
+++ b/internal/relay/endpoint/exchange.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -48,6 +49,20 @@
 	}
 }
 
+// invalid returns why a response is no answer, empty if it is one.
+func (x *exchange) invalid(response *http.Response) string {
+	if completeness.KindOfStatus(response.StatusCode) != completeness.FinalStatus {
+		return fmt.Sprintf("the endpoint answered with status %d", response.StatusCode)
+	}
+	if name, found := completeness.InvalidName(response.Header); found {
+		return limited(fmt.Sprintf("the endpoint answered with the invalid field %+q", name))
+	}
+	if c := x.conn.Load(); c != nil && c.Coded() && !response.ProtoAtLeast(1, 1) {
+		return "the endpoint answered in HTTP/1.0 with a transfer coding"
+	}
+	return ""
+}
+
 // upload returns what had become of the request when the response ended with its connection.
 func (x *exchange) upload() completeness.Upload {
 	c := x.conn.Load()
--- a/internal/relay/endpoint/http.go
+++ b/internal/relay/endpoint/http.go
@@ -87,7 +87,7 @@
 		return end
 	}
 	defer func() { _ = response.Body.Close() }()
-	if why := invalid(response); why != "" {
+	if why := x.invalid(response); why != "" {
 		return failed(result.Ran, why)
 	}
 	if err := k.Head(response.StatusCode, fieldsOf(response.Header)); err != nil {
@@ -127,17 +127,6 @@
 	return request, nil
 }
 
-// invalid returns why a response is no answer, empty if it is one.
-func invalid(response *http.Response) string {
-	if completeness.KindOfStatus(response.StatusCode) != completeness.FinalStatus {
-		return fmt.Sprintf("the endpoint answered with status %d", response.StatusCode)
-	}
-	if name, found := completeness.InvalidName(response.Header); found {
-		return limited(fmt.Sprintf("the endpoint answered with the invalid field %+q", name))
-	}
-	return ""
-}
-
 // reason returns the text of an error, of limited length.
 func reason(err error) string { return limited(err.Error()) }
 
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -8,6 +8,9 @@
 // Rule: the request is accepted if all its bytes are written and acknowledged; it is cut off if the
 // connection failed before. A server that has closed its direction may read on, so the end of data waits
 // for either, at most uploadTimeout.
+//
+// A connection also notes whether the head of a response has a transfer coding, which net/http does not
+// tell of HTTP/1.0.
 package socket
 
 import (
@@ -41,6 +44,8 @@
 	ended  chan struct{}       // closed when the request is written or given up; nil before the first one
 	err    error               // of writing the request
 	upload completeness.Upload // at the end of data
+	head   headScanner         // of the response
+	inHead bool
 }
 
 // New returns a connection that does not lose resets.
@@ -73,6 +78,7 @@
 	c.ended = make(chan struct{})
 	c.err = nil
 	c.upload = completeness.Accepted
+	c.head, c.inHead = headScanner{}, true
 }
 
 // EndRequest is called when the request has been written, or with the error. Later calls for the same
@@ -103,6 +109,14 @@
 	return c.upload
 }
 
+// Coded reports whether the head of the first response to the request has a transfer coding. Heads of
+// interim responses before it count.
+func (c *Conn) Coded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.coded
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.writing.Lock()
@@ -119,6 +133,7 @@
 // Read implements net.Conn. It returns io.EOF once Upload is known.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.scanHead(b[:n])
 	if errors.Is(err, io.EOF) {
 		upload := c.awaitUpload()
 		c.mu.Lock()
@@ -128,6 +143,21 @@
 	return n, err
 }
 
+// scanHead reads the bytes that belong to the head of the response.
+func (c *Conn) scanHead(data []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, b := range data {
+		if !c.inHead {
+			return
+		}
+		if c.head.next(b) {
+			c.inHead = c.head.interim
+			c.head = headScanner{coded: c.head.coded}
+		}
+	}
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
