Wait for the fate of a request only behind the head of its response

Evidence: TestEndWithinHead, whose write is interrupted after the wait without this change and stays open with it.

--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -45,7 +45,7 @@
 	err    error               // of writing the request
 	upload completeness.Upload // at the end of data
 	head   headScanner         // of the response
-	inHead bool
+	inHead bool                // the head has not been read whole
 }
 
 // New returns a connection that does not lose resets.
@@ -102,7 +102,8 @@
 	return c.ended != nil && isClosed(c.ended) && c.err == nil
 }
 
-// Upload returns what had become of the request when a read returned io.EOF.
+// Upload returns what had become of the request when a read behind the head of its response returned
+// io.EOF.
 func (c *Conn) Upload() completeness.Upload {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -130,11 +131,11 @@
 	return n, err
 }
 
-// Read implements net.Conn. It returns io.EOF once Upload is known.
+// Read implements net.Conn. It returns io.EOF behind the head of a response once Upload is known.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.scanHead(b[:n])
-	if errors.Is(err, io.EOF) {
+	inHead := c.scanHead(b[:n])
+	if errors.Is(err, io.EOF) && !inHead { // a head that ends there is broken whatever became of the request
 		upload := c.awaitUpload()
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -143,19 +144,20 @@
 	return n, err
 }
 
-// scanHead reads the bytes that belong to the head of the response.
-func (c *Conn) scanHead(data []byte) {
+// scanHead reads the bytes that belong to the head of the response, and reports whether more are missing.
+func (c *Conn) scanHead(data []byte) (inHead bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, b := range data {
 		if !c.inHead {
-			return
+			break
 		}
 		if c.head.next(b) {
 			c.inHead = c.head.interim
 			c.head = headScanner{coded: c.head.coded}
 		}
 	}
+	return c.inHead
 }
 
 // Close implements net.Conn.
--- a/internal/socket/conn_test.go
+++ b/internal/socket/conn_test.go
@@ -17,7 +17,7 @@
 	bufferedRequest = 256 << 10
 )
 
-// pair returns a connection and its other end.
+// pair returns a connection, on which the head of a response arrives, and its other end.
 func pair(t *testing.T) (c *Conn, server *net.TCPConn) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -34,6 +34,8 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _, _ = n.Close(), accepted.Close() })
+	_, err = io.WriteString(accepted, "HTTP/1.1 200 OK\r\n\r\n")
+	mustSucceed(t, err)
 	return Of(n), accepted.(*net.TCPConn)
 }
 
@@ -158,6 +160,19 @@
 	}
 }
 
+// TestEndWithinHead guards against a wait before a request is sent elsewhere.
+func TestEndWithinHead(t *testing.T) {
+	c, server := pair(t)
+	_, err := io.CopyN(io.Discard, c, int64(len("HTTP/1.1 200 OK\r\n\r\n"))) // of the request before
+	mustSucceed(t, err)
+	write(c, longRequest)
+	mustSucceed(t, server.CloseWrite())
+	expectEnd(t, c, completeness.Accepted)
+	if err := c.writeError(); err != nil {
+		t.Errorf("the end within a head waited and interrupted the request: %v", err)
+	}
+}
+
 // TestCloseEndsRequest guards against a wait for a request that nobody writes any more.
 func TestCloseEndsRequest(t *testing.T) {
 	c, _ := pair(t)
@@ -185,5 +200,6 @@
 		t.Fatal(err)
 	}
 	c.EndRequest(nil)
+	c.inHead = false
 	expectEnd(t, c, completeness.CutOff)
 }
