Start the peers of tests at an address of their own

Cause: a port at 127.0.0.1 that a peer of the test has left for some two seconds is free for the outgoing connections of all other tests, whose source address that is. Shown by a program of its own: neither while such a connection is open nor after its close can its port be listened at, at another loopback address it can.

Change: as other stand-ins do, the peers listen at the loopback address of their process. No check has changed.

--- a/internal/direct/peers/peers_test.go
+++ b/internal/direct/peers/peers_test.go
@@ -16,6 +16,7 @@
 	"foxcross.dev/foxcross/internal/direct/directory"
 	"foxcross.dev/foxcross/internal/direct/driver"
 	"foxcross.dev/foxcross/internal/direct/peers"
+	"foxcross.dev/foxcross/internal/testing/loopback"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -110,14 +111,13 @@
 	return e
 }
 
-// freeAddress returns an address whose port is free for TCP and UDP.
+// freeAddress returns an address of this process whose port is free for TCP and UDP. At 127.0.0.1 the outgoing
+// connections of other processes take ports, also of a peer that is to restart.
 func freeAddress() string {
 	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		address, err := loopback.FreeAddress()
 		Expect(err).NotTo(HaveOccurred())
-		address := l.Addr().String()
 		p, err := net.ListenPacket("udp", address)
-		_ = l.Close()
 		if err == nil {
 			_ = p.Close()
 			return address
