--- a/coord/completeness/evidence.go
+++ b/coord/completeness/evidence.go
@@ -5,8 +5,8 @@
 // being sent, if the endpoint is gone, or if it is a stream without a single event. It is complete if it
 // is a stream whose last event is whole; otherwise its end proves nothing. In each framing, a stream that
 // ends inside an event is broken. A body with a length or in chunks may end before its request does.
-// Inputs: the framing, how the body ended, what became of the request, what the last bytes of a stream
-// are, and whether the endpoint still accepts connections.
+// Inputs: the framing, how the body ended, whether the endpoint received the request, what the last bytes
+// of a stream are, and whether the endpoint still accepts connections.
 // Never: a body that may be a part counts as complete because no error was seen.
 package completeness
 
@@ -69,14 +69,14 @@
 	return [...]string{"opaque", "no event", "between events", "inside an event"}[t]
 }
 
-// Upload is what became of a request's bytes by the time its response ended.
+// Upload is the state of a request's transfer when its response ended.
 type Upload uint8
 
-// The outcomes of an upload.
+// The states of an upload.
 const (
-	Accepted Upload = iota // all are acknowledged
-	Unread                 // some are not, on a connection that has not failed
-	CutOff                 // the connection failed before all were
+	Accepted Upload = iota // all bytes are acknowledged
+	Unread                 // some bytes are not acknowledged, on a connection that has not failed
+	CutOff                 // the connection failed before all bytes were acknowledged
 )
 
 // String implements fmt.Stringer.
--- a/coord/completeness/names.go
+++ b/coord/completeness/names.go
@@ -5,9 +5,9 @@
 // tokenSymbols are the characters of a field's name besides letters and digits (RFC 9110, 5.6.2).
 const tokenSymbols = "!#$%&'*+-.^_`|~"
 
-// InvalidName returns the name of a header field that is no token, and whether there is one. Parsers
-// disagree on such a field: a length or a transfer coding with a blank behind its name counts for some and
-// not for others, so that the head doesn't tell where the body ends.
+// InvalidName returns the name of a header field that is no token, and whether there is one. Some parsers
+// accept a length or a transfer coding with a blank after its name and others ignore it, so that they
+// disagree on the end of the body.
 func InvalidName(header map[string][]string) (name string, found bool) {
 	for name := range header {
 		if !isToken(name) {
--- a/internal/relay/endpoint/exchange.go
+++ b/internal/relay/endpoint/exchange.go
@@ -63,11 +63,11 @@
 	return ""
 }
 
-// upload returns what had become of the request when the response ended with its connection.
+// upload returns the state of the request when the response ended with its connection.
 func (x *exchange) upload() completeness.Upload {
 	c := x.conn.Load()
 	if c == nil {
-		return completeness.Accepted // nothing is known of a connection of another type
+		return completeness.Accepted // the state is unknown for a connection of another type
 	}
 	return c.Upload()
 }
--- a/internal/relay/kv/httpkv/client.go
+++ b/internal/relay/kv/httpkv/client.go
@@ -76,7 +76,7 @@
 // errUnmarkedEnd is returned for a value that may be a part: nothing but the close of the connection ends it.
 var errUnmarkedEnd = errors.New("httpkv: the end of the value is not marked")
 
-// value returns the value in a reply. A value may be any bytes, which don't tell whether they are all.
+// value returns the value in a reply. A value is opaque: its framing alone shows that it is complete.
 func (r reply) value() (kv.Value, error) {
 	if r.framing == completeness.UntilClose {
 		return kv.Value{}, errUnmarkedEnd
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -2,15 +2,15 @@
 // its response.
 //
 // The kernel reports a reset once, to a read or a write, whichever comes first. If a write gets it, a read
-// sees an end of data, as if the server had closed its direction in order. An end of data is therefore
-// returned only once it is known what became of the request that is being written.
+// sees an end of data, as if the server had closed its direction in order. A read therefore returns an end
+// of data only after the state of the request is known.
 //
 // Rule: the request is accepted if all its bytes are written and acknowledged; it is cut off if the
 // connection failed before. A server that has closed its direction may read on, so the end of data waits
 // for either, at most uploadTimeout.
 //
-// A connection also notes whether the head of a response has a transfer coding, which net/http does not
-// tell of HTTP/1.0.
+// A connection also records whether the head of a response has a transfer coding, which net/http drops in
+// HTTP/1.0.
 package socket
 
 import (
@@ -102,8 +102,7 @@
 	return c.ended != nil && isClosed(c.ended) && c.err == nil
 }
 
-// Upload returns what had become of the request when a read behind the head of its response returned
-// io.EOF.
+// Upload returns the state of the request when a read after the head of its response returned io.EOF.
 func (c *Conn) Upload() completeness.Upload {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -131,11 +130,11 @@
 	return n, err
 }
 
-// Read implements net.Conn. It returns io.EOF behind the head of a response once Upload is known.
+// Read implements net.Conn. After the head of a response it returns io.EOF once Upload is known.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	inHead := c.scanHead(b[:n])
-	if errors.Is(err, io.EOF) && !inHead { // a head that ends there is broken whatever became of the request
+	if errors.Is(err, io.EOF) && !inHead { // a truncated head is invalid in any case
 		upload := c.awaitUpload()
 		c.mu.Lock()
 		defer c.mu.Unlock()
--- a/internal/socket/conn_test.go
+++ b/internal/socket/conn_test.go
@@ -57,7 +57,7 @@
 	}
 }
 
-// expectEnd reads to the end of data, in order, and compares what became of the request.
+// expectEnd reads to the end of data, in order, and compares the state of the request.
 func expectEnd(t *testing.T, c *Conn, want completeness.Upload) {
 	t.Helper()
 	if _, err := io.Copy(io.Discard, c); err != nil {
