End the wait for a request with its exchange

An end of data waited up to 0.5 s for the acknowledgement of a request that was written, also after the request's deadline or its caller's leaving: that ended only reads and writes. Found on reading the change again.

Change: aborting a connection ends the wait too. Evidence: TestAbortEndsWait does not return within 5 s without the case and passes with it.

--- a/internal/direct/upstream/conn.go
+++ b/internal/direct/upstream/conn.go
@@ -38,9 +38,6 @@
 	return c
 }
 
-// abort ends reads and writes in progress.
-func (c *conn) abort() { _ = c.SetDeadline(time.Unix(1, 0)) } // fails only on a closed connection
-
 func (c *conn) close() {
 	c.hold.release()
 	_ = c.Conn.Close() // the connection is not used again
--- a/internal/direct/upstream/exchange.go
+++ b/internal/direct/upstream/exchange.go
@@ -83,7 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
-	stop := context.AfterFunc(ctx, c.abort)
+	stop := context.AfterFunc(ctx, c.Abort)
 	c.send(r)
 	response, err := c.receive(names, r)
 	if err != nil {
--- a/internal/direct/upstream/process.go
+++ b/internal/direct/upstream/process.go
@@ -66,7 +66,7 @@
 	if c.process != "" {
 		return c.process, nil
 	}
-	stop := context.AfterFunc(ctx, c.abort)
+	stop := context.AfterFunc(ctx, c.Abort)
 	defer stop()
 	defer c.hold.release()
 	c.beginExchange(0)
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -7,7 +7,7 @@
 //
 // Rule: the request is accepted if all its bytes are written and acknowledged; it is cut off if the
 // connection failed before. A server that has closed its direction may read on, so the end of data waits
-// for either, at most uploadTimeout.
+// for either, at most uploadTimeout and no longer than the exchange.
 //
 // A connection also records whether the head of a response has a transfer coding, which net/http drops in
 // HTTP/1.0.
@@ -40,6 +40,9 @@
 
 	writing sync.Mutex // held during a write, taken before mu
 
+	abortOnce sync.Once
+	aborted   chan struct{} // closed by Abort
+
 	mu     sync.Mutex
 	ended  chan struct{}       // closed when the request is written or given up; nil before the first one
 	err    error               // of writing the request
@@ -49,7 +52,7 @@
 }
 
 // New returns a connection that does not lose resets.
-func New(c net.Conn) *Conn { return &Conn{Conn: c} }
+func New(c net.Conn) *Conn { return &Conn{Conn: c, aborted: make(chan struct{})} }
 
 // Dialer returns a dial function, as http.Transport has it, whose connections are of type Conn.
 func Dialer(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -159,6 +162,12 @@
 	return c.inHead
 }
 
+// Abort ends reads and writes in progress, and the wait of an end of data for the request.
+func (c *Conn) Abort() {
+	c.abortOnce.Do(func() { close(c.aborted) })
+	_ = c.SetDeadline(time.Unix(1, 0)) // fails only on a closed connection
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
@@ -166,7 +175,7 @@
 	return err
 }
 
-// awaitUpload waits until the request is accepted or cut off, at most uploadTimeout.
+// awaitUpload waits until the request is accepted or cut off, at most uploadTimeout or until Abort.
 func (c *Conn) awaitUpload() completeness.Upload {
 	timeout := time.NewTimer(uploadTimeout)
 	defer timeout.Stop()
@@ -194,6 +203,8 @@
 		select {
 		case <-timeout:
 			return completeness.Unread
+		case <-c.aborted:
+			return completeness.Unread
 		case <-time.After(acknowledgementInterval):
 		}
 	}
--- a/internal/socket/conn_test.go
+++ b/internal/socket/conn_test.go
@@ -170,6 +170,17 @@
 	}
 }
 
+// TestAbortEndsWait guards against a request that is held beyond its deadline.
+func TestAbortEndsWait(t *testing.T) {
+	c, server := pair(t)
+	mustSucceed(t, server.SetReadBuffer(4<<10))
+	<-write(c, bufferedRequest)
+	c.Abort()
+	if got := c.awaitAcknowledgement(nil); got != completeness.Unread {
+		t.Errorf("the request is %v, want unread", got)
+	}
+}
+
 // TestCloseEndsRequest guards against a wait for a request that nobody writes any more.
 func TestCloseEndsRequest(t *testing.T) {
 	c, _ := pair(t)
