Tell a reset under an upload from a crash in relay mode's reason

One text stood for both, so that the reason of a failed call did not have the evidence that decided. The test of cut-off responses checks that none speaks of a crash.

--- a/internal/relay/endpoint/endpoint_test.go
+++ b/internal/relay/endpoint/endpoint_test.go
@@ -342,6 +342,7 @@
 			ended := raw("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart", end).Run(context.Background(), upload, &sink{})
 			Expect(ended.Code).NotTo(Equal(result.OK))
 			Expect(ended.Run).NotTo(Equal(result.NotRun))
+			Expect(ended.Reason).NotTo(ContainSubstring("crashed"))
 		}
 	},
 		Entry("by a reset", reset),
--- a/internal/relay/endpoint/http.go
+++ b/internal/relay/endpoint/http.go
@@ -99,10 +99,14 @@
 	framing := completeness.FramingOf(response.ContentLength, response.TransferEncoding, response.Body != http.NoBody)
 	gone := func() bool { return s.HasCrashed(ctx) }
 	evidence := completeness.Evidence{Framing: framing, Upload: x.upload()}
-	if completeness.Judge(evidence, gone) == completeness.Broken {
-		return failed(result.Ran, "the service crashed or reset the connection during the response")
+	switch {
+	case completeness.Judge(evidence, gone) != completeness.Broken:
+		return message.End{Code: result.OK, Run: result.Ran}
+	case evidence.Upload == completeness.CutOff:
+		return failed(result.Ran, "the service reset the connection while the request was being sent")
+	default:
+		return failed(result.Ran, "the service crashed during the response")
 	}
-	return message.End{Code: result.OK, Run: result.Ran}
 }
 
 func (s *service) request(ctx context.Context, m message.Start) (*http.Request, error) {
