--- a/internal/direct/upstream/exchange.go
+++ b/internal/direct/upstream/exchange.go
@@ -234,8 +234,11 @@
 		if name, found := completeness.InvalidName(response.Header); found {
 			return nil, fmt.Errorf("%w: field %+.*q", ErrInvalidResponse, maxExcerptBytes, name)
 		}
-		if !response.ProtoAtLeast(1, 1) && (c.Coded() || c.mismatched) {
-			return nil, fmt.Errorf("%w: HTTP/1.0 with a transfer coding, or behind another response", ErrInvalidResponse)
+		if !response.ProtoAtLeast(1, 1) && c.Coded() {
+			return nil, fmt.Errorf("%w: HTTP/1.0 with a transfer coding", ErrInvalidResponse)
+		}
+		if !response.ProtoAtLeast(1, 1) && c.mismatched { // its head is not scanned for a coding
+			return nil, fmt.Errorf("%w: HTTP/1.0 after a response to another request", ErrInvalidResponse)
 		}
 		switch completeness.KindOfStatus(response.StatusCode) {
 		case completeness.FinalStatus:
