--- a/internal/relay/kv/httpkv/members.go
+++ b/internal/relay/kv/httpkv/members.go
@@ -32,7 +32,7 @@
 	for _, e := range elements {
 		m, err := parseMember(e)
 		if err != nil {
-			log.With("reason", err.Error()).WarnLimited("member", "A member in the platform's list is invalid; ignoring it.")
+			log.With("member", excerpt(e)).With("reason", err.Error()).WarnLimited("member", "A member in the platform's list is invalid; ignoring it.")
 			continue
 		}
 		members = append(members, m)
@@ -40,6 +40,14 @@
 	return members, nil
 }
 
+// maxExcerptBytes bounds the logged text of an invalid member.
+const maxExcerptBytes = 64
+
+// excerpt returns the first bytes of a member, escaped.
+func excerpt(member []byte) string {
+	return strconv.QuoteToASCII(string(member[:min(len(member), maxExcerptBytes)]))
+}
+
 func parseMember(data []byte) (kv.Member, error) {
 	var m kv.Member
 	if err := json.Unmarshal(data, &m); err != nil {
