--- a/internal/testing/standin/platformtest/script.go
+++ b/internal/testing/standin/platformtest/script.go
@@ -20,20 +20,12 @@
 }
 
 // peek returns the next behavior without removing it. It returns false if none is left.
-func (s *Script) peek() (Behavior, bool) {
-	if s == nil {
-		return nil, false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.behaviors) == 0 {
-		return nil, false
-	}
-	return s.behaviors[0], true
-}
+func (s *Script) peek() (Behavior, bool) { return s.first(false) }
 
 // next removes and returns the next behavior. It returns false if none is left.
-func (s *Script) next() (Behavior, bool) {
+func (s *Script) next() (Behavior, bool) { return s.first(true) }
+
+func (s *Script) first(remove bool) (Behavior, bool) {
 	if s == nil {
 		return nil, false
 	}
@@ -42,7 +34,9 @@
 	if len(s.behaviors) == 0 {
 		return nil, false
 	}
-	a := s.behaviors[0]
-	s.behaviors = s.behaviors[1:]
-	return a, true
+	b := s.behaviors[0]
+	if remove {
+		s.behaviors = s.behaviors[1:]
+	}
+	return b, true
 }
